--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded measurements of the running programs."""
--- /dev/null
+++ b/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the programs as processes and checks recorded histories."""
--- /dev/null
+++ b/lentilsill/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of calls to an upstream's slots and queue."""
--- /dev/null
+++ b/lentilsill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool `lentilsill`."""
--- /dev/null
+++ b/lentilsill/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon `lentilsilld`: blackboard, controllers and servers."""
--- /dev/null
+++ b/lentilsill/daemon/blackboard.py
@@ -0,0 +1,66 @@
+"""State shared by the controllers of a node."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from lentilsill.membership import NodeRecord, UpstreamRecord
+from lentilsill.versioning import Snapshot
+
+__all__ = ["Blackboard", "Topic"]
+
+
+class Topic(StrEnum):
+    """Parts of the blackboard that controllers can follow."""
+
+    DOCUMENTS = "documents"
+    IN_FORCE = "in_force"
+    MEMBERS = "members"
+    UPSTREAMS = "upstreams"
+    DRAIN = "drain"
+    READY = "ready"
+
+
+@dataclass
+class Blackboard:
+    """What the controllers of a node know; each field has one writer.
+
+    Parameters
+    ----------
+    snapshot : Snapshot
+        Documents in force. Written by the documents controller.
+    upstreams : dict
+        Upstreams of this node by id. Written by the announcements server.
+    members : dict
+        Live node records of the own domain by node name, this node included.
+        Written by the membership controller.
+    remote_nodes : dict
+        Node records of other domains, from their summaries, by node name.
+        Written by the membership controller.
+    ready, draining : bool
+        Whether calls are taken; whether the node leaves.
+    dump_parts : dict
+        Functions that give each controller's part of the state dump.
+    """
+
+    snapshot: Snapshot
+    upstreams: dict[str, UpstreamRecord] = field(default_factory=dict)
+    members: dict[str, NodeRecord] = field(default_factory=dict)
+    remote_nodes: dict[str, NodeRecord] = field(default_factory=dict)
+    ready: bool = False
+    draining: bool = False
+    dump_parts: dict[str, Callable[[], Any]] = field(default_factory=dict)
+    _followers: dict[Topic, list[Callable[[], None]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+
+    def follow(self, topic: Topic, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change of `topic`."""
+        self._followers[topic].append(callback)
+
+    def changed(self, topic: Topic) -> None:
+        """Tell the followers of `topic` that it has changed."""
+        for callback in self._followers[topic]:
+            callback()
--- /dev/null
+++ b/lentilsill/daemon/context.py
@@ -0,0 +1,64 @@
+"""What every controller of a node is given at its start."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import statsd
+
+from lentilsill.settings import NodeSettings
+from lentilsill.wire import PeerLinks
+
+from .blackboard import Blackboard
+
+__all__ = ["Context"]
+
+
+@dataclass
+class Context:
+    """Settings, blackboard, links, metrics and clocks of a node.
+
+    Decision logic gets time from `now` (seconds, never steps) or
+    `wall_ms` (milliseconds since the epoch as of the process start, carried
+    on by the monotonic clock, so that it never steps either).
+    """
+
+    cfg: NodeSettings
+    board: Blackboard
+    links: PeerLinks
+    metrics: statsd.StatsClient | None
+    rng: random.Random
+    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    now: Callable[[], float] = time.monotonic
+    _wall_offset_ms: float = field(
+        default_factory=lambda: time.time() * 1000 - time.monotonic() * 1000
+    )
+
+    def wall_ms(self) -> int:
+        """Milliseconds since the epoch by a clock that never steps."""
+        return int(self.now() * 1000 + self._wall_offset_ms)
+
+    def spawn(self, coro: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run `coro` until the node stops."""
+        task = asyncio.ensure_future(coro)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def count(self, name: str, value: int = 1) -> None:
+        """Add to a counter metric."""
+        if self.metrics is not None:
+            self.metrics.incr(name, value)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge metric."""
+        if self.metrics is not None:
+            self.metrics.gauge(name, value)
+
+    def timing(self, name: str, value_ms: float) -> None:
+        """Record a duration in milliseconds."""
+        if self.metrics is not None:
+            self.metrics.timing(name, value_ms)
--- /dev/null
+++ b/lentilsill/daemon/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers: each reads and writes the blackboard and does the I/O."""
--- /dev/null
+++ b/lentilsill/daemon/interfaces.py
@@ -0,0 +1,102 @@
+"""What the controllers of a node ask of each other."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from lentilsill.outcomes import CallResult
+from lentilsill.wire.messages import Delta
+
+__all__ = [
+    "CallRequest",
+    "CallService",
+    "CrashGuard",
+    "Documents",
+    "Granted",
+    "KeyClaims",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class CallRequest:
+    """A caller's call as the entry node takes it.
+
+    `path` starts after the service name and includes the query string.
+    `deadline_ms` is what the caller asked for; 0 takes the route's.
+    """
+
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    request_key: str
+    deadline_ms: int
+
+
+class CallService(Protocol):
+    """Takes calls at the entry node."""
+
+    async def handle(self, req: CallRequest) -> CallResult:
+        """Run the call; never raises for a failed call."""
+        ...
+
+
+class Documents(Protocol):
+    """The documents of a node; only this controller writes the snapshot."""
+
+    @property
+    def complete_as_of(self) -> int:
+        """Revision up to which the node's knowledge has no gap."""
+        ...
+
+    @property
+    def content_hash(self) -> int:
+        """Hash of the newest known (service, version) pairs, 64 bits."""
+        ...
+
+    def merge(self, delta: Delta) -> Delta | None:
+        """Take in documents; give what was new here, to pass on, or None."""
+        ...
+
+    def delta_since(self, base: int) -> Delta:
+        """Give the changes after `base`, or everything when those are not kept."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """The attempt holds the key and may run."""
+
+
+class KeyClaims(Protocol):
+    """At-most-once execution of calls with a request key."""
+
+    async def claim(
+        self, request_key: str, attempt: str, fingerprint: str, timeout_s: float
+    ) -> Granted | CallResult:
+        """Claim the key, or give the recorded answer or a refusal."""
+        ...
+
+    def finish(self, request_key: str, attempt: str, result: CallResult) -> None:
+        """Store the result; a proved `not_run` releases the claim."""
+        ...
+
+
+class CrashGuard(Protocol):
+    """Quarantine of requests that crash their upstreams."""
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Whether the request must be refused."""
+        ...
+
+    def may_start(self, fingerprint: str, in_flight: tuple[str, ...]) -> bool:
+        """Whether the request may run beside those in flight on an upstream."""
+        ...
+
+    def upstream_died(self, in_flight: tuple[str, ...]) -> None:
+        """An upstream of this node died with these requests in flight."""
+        ...
+
+    def finished(self, fingerprint: str) -> None:
+        """The request finished without a crash."""
+        ...
--- /dev/null
+++ b/lentilsill/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Spreading of document versions: ranking, fan-out, digests and deltas."""
--- /dev/null
+++ b/lentilsill/drain/__init__.py
@@ -0,0 +1,1 @@
+"""Drain state of nodes and upstreams."""
--- /dev/null
+++ b/lentilsill/membership/records.py
@@ -0,0 +1,90 @@
+"""Records that a node owns and spreads about itself and its upstreams."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+__all__ = [
+    "Liveness",
+    "NodeRecord",
+    "NodeState",
+    "UpstreamRecord",
+    "UpstreamState",
+]
+
+
+class UpstreamState(IntEnum):
+    """State of an upstream as announced by itself."""
+
+    STARTING = 0
+    READY = 1
+    LEAVING = 2
+
+
+class NodeState(IntEnum):
+    """State of a node as announced by itself."""
+
+    JOINING = 0
+    READY = 1
+    LEAVING = 2
+
+
+class Liveness(IntEnum):
+    """Verdict of the failure detector on a record."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRecord:
+    """One upstream of a service.
+
+    Parameters
+    ----------
+    upstream : str
+        Identifier, unique per process of the upstream.
+    service : str
+    address : str
+        ``ip:port`` of the upstream's HTTP server.
+    slots : int
+        Calls that the upstream runs at once.
+    labels : tuple of (str, str)
+        Sorted by name; upstream sets select by them.
+    state : UpstreamState
+    ready_at_ms : int
+        When the upstream became ready, in ms since the epoch of its node's
+        clock; slow start counts from it.
+    """
+
+    upstream: str
+    service: str
+    address: str
+    slots: int
+    labels: tuple[tuple[str, str], ...]
+    state: UpstreamState
+    ready_at_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRecord:
+    """What a node says about itself; newer by (`generation`, `seq`).
+
+    `instance` is 16 hexadecimal digits drawn at process start; a restarted
+    node is another instance. Addresses are ``ip:port``.
+    """
+
+    node: str
+    domain: str
+    instance: str
+    generation: int
+    seq: int
+    peer_address: str
+    caller_address: str
+    state: NodeState
+    upstreams: tuple[UpstreamRecord, ...] = ()
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Key that orders the records of one node."""
+        return (self.generation, self.seq)
--- /dev/null
+++ b/lentilsill/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of requests that crash their upstreams."""
--- /dev/null
+++ b/lentilsill/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry and hedge budgets and decisions."""
--- /dev/null
+++ b/lentilsill/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the route and the upstream of a call."""
--- /dev/null
+++ b/lentilsill/settings/__init__.py
@@ -0,0 +1,24 @@
+"""Settings of a node: JSON with comments, checked by a model."""
+
+from .load import load_settings, parse_settings
+from .model import (
+    CallSettings,
+    DistributionSettings,
+    KeySettings,
+    MembershipSettings,
+    NodeSettings,
+    PlatformSettings,
+    StatsdSettings,
+)
+
+__all__ = [
+    "CallSettings",
+    "DistributionSettings",
+    "KeySettings",
+    "MembershipSettings",
+    "NodeSettings",
+    "PlatformSettings",
+    "StatsdSettings",
+    "load_settings",
+    "parse_settings",
+]
--- /dev/null
+++ b/lentilsill/settings/model.py
@@ -0,0 +1,114 @@
+"""Model of the settings file of a node; every key names its unit."""
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+
+__all__ = [
+    "CallSettings",
+    "DistributionSettings",
+    "KeySettings",
+    "MembershipSettings",
+    "NodeSettings",
+    "PlatformSettings",
+    "StatsdSettings",
+]
+
+Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Address = Annotated[
+    str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:[1-9]\d{0,4}$")
+]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class PlatformSettings(_Section):
+    """How to reach the platform's object API."""
+
+    url: str = Field(description="Base URL, for example http://127.0.0.1:7000")
+    request_timeout_s: float = Field(default=5.0, gt=0)
+    watch_timeout_s: float = Field(
+        default=30.0, gt=0, description="How long the platform may hold a watch"
+    )
+    max_claims_per_s: float = Field(
+        default=2.0, gt=0, description="Conditional creates for caller-supplied keys"
+    )
+
+
+class DistributionSettings(_Section):
+    """How changes spread between nodes."""
+
+    optimise_for: Literal["convergence", "control_bytes"] = "convergence"
+    watchers_per_domain: int = Field(default=2, ge=1)
+    fanout: int = Field(default=8, ge=1)
+    max_full_syncs: int = Field(
+        default=8, ge=1, description="Full syncs that a node serves at once"
+    )
+    ready_bound_s: float = Field(
+        default=5.0, gt=0, description="After this time one source suffices"
+    )
+
+
+class MembershipSettings(_Section):
+    """Liveness of nodes and upstreams."""
+
+    seeds: tuple[Address, ...] = Field(
+        default=(), description="Peer addresses of some nodes, of all domains"
+    )
+    probe_interval_s: float = Field(default=1.0, gt=0)
+    probe_timeout_s: float = Field(default=0.5, gt=0)
+    suspect_timeout_s: float = Field(default=5.0, gt=0)
+    announce_timeout_s: float = Field(
+        default=6.0, gt=0, description="An upstream silent for so long is dropped"
+    )
+
+
+class CallSettings(_Section):
+    """Limits of the call path."""
+
+    max_body_bytes: int = Field(default=1024 * 1024, gt=0)
+    max_calls: int = Field(default=2000, gt=0, description="Calls held at once")
+    silent_link_s: float = Field(
+        default=1.0, gt=0, description="A link with calls and no bytes is probed"
+    )
+    execution_record_s: float = Field(default=60.0, gt=0)
+    drain_bound_s: float = Field(default=30.0, gt=0)
+
+
+class KeySettings(_Section):
+    """Request keys and their replicas."""
+
+    retention_s: float = Field(default=600.0, gt=0)
+    replicas: int = Field(default=3, ge=1, le=7)
+    max_records: int = Field(default=100_000, gt=0)
+    max_answer_bytes: int = Field(default=4096, ge=0)
+
+
+class StatsdSettings(_Section):
+    """Where metrics go; none are sent without it."""
+
+    address: Address
+    prefix: str = "lentilsill"
+
+
+class NodeSettings(_Section):
+    """Settings of one `lentilsilld` process."""
+
+    node: Name
+    domain: Name
+    bind_ip: str
+    peer_address: Address = Field(description="Peers connect here")
+    advertise_address: Address | None = Field(
+        default=None, description="Told to peers in place of peer_address"
+    )
+    caller_address: Address = Field(description="Callers' HTTP")
+    admin_address: Address = Field(description="Announcements, health, state dump")
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    platform: PlatformSettings
+    distribution: DistributionSettings = DistributionSettings()
+    membership: MembershipSettings = MembershipSettings()
+    calls: CallSettings = CallSettings()
+    keys: KeySettings = KeySettings()
+    statsd: StatsdSettings | None = None
--- /dev/null
+++ b/lentilsill/status/__init__.py
@@ -0,0 +1,1 @@
+"""What is in force where, and the merge of reports."""
--- /dev/null
+++ b/lentilsill/wire/links.py
@@ -0,0 +1,306 @@
+"""Links to other nodes: dialing, accepting and dispatching messages."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgpack
+import structlog
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from .messages import (
+    MAX_MESSAGE_BYTES,
+    PROTOCOL_VERSION,
+    Hello,
+    Message,
+    WireError,
+    decode,
+    encode,
+    make_unpacker,
+)
+
+__all__ = ["Identity", "Link", "LinkError", "PeerLinks"]
+
+READ_CHUNK_BYTES = 65536
+CONNECT_TIMEOUT_S = 2.0
+# Two whole documents sets of the largest size may wait for a slow peer.
+MAX_WRITE_BUFFER_BYTES = 2 * MAX_MESSAGE_BYTES
+
+log = structlog.get_logger()
+
+
+class LinkError(Exception):
+    """A link could not be made, or a peer broke the protocol."""
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who this process is, as told to peers in `Hello`."""
+
+    node: str
+    instance: str
+    domain: str
+    peer_address: str
+
+
+@dataclass(eq=False, slots=True)
+class Link:
+    """One stream to a peer after both sides have sent `Hello`.
+
+    `last_received` is in seconds of the event loop's clock.
+    """
+
+    stream: IOStream
+    hello: Hello
+    address: str
+    dialed: bool
+    last_received: float
+    on_close: list[Callable[["Link"], None]] = field(default_factory=list)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the stream is still usable for writing."""
+        return not self.stream.closed()
+
+    def send(self, message: Message) -> bool:
+        """Queue a message; False when the stream is closed or its buffer is full."""
+        try:
+            self.stream.write(encode(message))
+        except (StreamClosedError, StreamBufferFullError):
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close the stream."""
+        self.stream.close()
+
+
+Handler = Callable[[Link, Message], None]
+
+
+class PeerLinks:
+    """All links of a node, one per (address, purpose) that it dialed.
+
+    Handlers are called with the link and the message, in the order of arrival
+    on that link, and must not block.
+    """
+
+    def __init__(self, identity: Identity, bind_ip: str = "") -> None:
+        self.identity = identity
+        self.bind_ip = bind_ip
+        self.handlers: dict[type, Handler] = {}
+        self.close_handlers: list[Callable[[Link], None]] = []
+        self.accepted: set[Link] = set()
+        self._dialed: dict[tuple[str, str], asyncio.Future[Link]] = {}
+        self._server: _Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def on(self, message_type: type, handler: Handler) -> None:
+        """Register the handler of one message type."""
+        self.handlers[message_type] = handler
+
+    def listen(self, address: str) -> None:
+        """Accept links on ``ip:port``."""
+        host, port = split_address(address)
+        self._server = _Server(self)
+        self._server.add_sockets(bind_sockets(port, host))
+
+    async def connect(self, address: str, purpose: str) -> Link:
+        """Give the open link to `address`, dialing it when there is none.
+
+        Raises
+        ------
+        LinkError
+            The peer can't be reached within 2 s or breaks the protocol.
+        """
+        key = (address, purpose)
+        fut = self._dialed.get(key)
+        if fut is not None and fut.done() and not _is_open(fut):
+            fut = None
+        if fut is None:
+            fut = asyncio.ensure_future(self._dial(address, purpose))
+            self._dialed[key] = fut
+        try:
+            return await asyncio.shield(fut)
+        except LinkError:
+            if self._dialed.get(key) is fut:
+                del self._dialed[key]
+            raise
+
+    def find(self, address: str, purpose: str) -> Link | None:
+        """Give the open dialed link to `address`, or None."""
+        fut = self._dialed.get((address, purpose))
+        if fut is not None and fut.done() and _is_open(fut):
+            return fut.result()
+        return None
+
+    def forget(self, address: str, purpose: str) -> None:
+        """Drop the link, so that the next `connect` dials a new one."""
+        link = self.find(address, purpose)
+        self._dialed.pop((address, purpose), None)
+        if link is not None:
+            link.close()
+
+    def send(self, address: str, purpose: str, message: Message) -> None:
+        """Send without waiting; a message to an unreachable peer is dropped."""
+        link = self.find(address, purpose)
+        if link is not None:
+            link.send(message)
+            return
+        self._spawn(self._send_later(address, purpose, message))
+
+    def close(self) -> None:
+        """Stop accepting and close every link."""
+        if self._server is not None:
+            self._server.stop()
+        for link in list(self.accepted):
+            link.close()
+        for address, purpose in list(self._dialed):
+            self.forget(address, purpose)
+
+    async def _send_later(self, address: str, purpose: str, message: Message) -> None:
+        try:
+            link = await self.connect(address, purpose)
+        except LinkError:
+            return
+        link.send(message)
+
+    def _spawn(self, coro) -> None:
+        task = asyncio.ensure_future(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _hello(self, purpose: str) -> Hello:
+        me = self.identity
+        return Hello(
+            PROTOCOL_VERSION, me.node, me.instance, me.domain, purpose, me.peer_address
+        )
+
+    async def _dial(self, address: str, purpose: str) -> Link:
+        host, port = split_address(address)
+        try:
+            stream = await TCPClient().connect(
+                host,
+                port,
+                timeout=CONNECT_TIMEOUT_S,
+                max_buffer_size=MAX_MESSAGE_BYTES,
+                source_ip=self.bind_ip or None,
+            )
+        except (OSError, StreamClosedError, TimeoutError) as exc:
+            raise LinkError(f"no connection to {address}: {exc}") from exc
+        return await self._open(stream, address, purpose)
+
+    async def _open(self, stream: IOStream, address: str, purpose: str) -> Link:
+        """Exchange `Hello` and start reading; `purpose` is empty when accepting."""
+        stream.max_write_buffer_size = MAX_WRITE_BUFFER_BYTES
+        stream.set_nodelay(True)
+        unpacker = make_unpacker()
+        dialed = bool(purpose)
+        try:
+            if dialed:
+                stream.write(encode(self._hello(purpose)))
+            hello, pending = await asyncio.wait_for(
+                _read_hello(stream, unpacker), CONNECT_TIMEOUT_S
+            )
+            if not dialed:
+                stream.write(encode(self._hello(hello.purpose)))
+        except (WireError, StreamClosedError, TimeoutError) as exc:
+            stream.close()
+            raise LinkError(f"handshake with {address} failed: {exc}") from exc
+        loop = asyncio.get_running_loop()
+        link = Link(stream, hello, address, dialed, loop.time())
+        if not dialed:
+            self.accepted.add(link)
+        self._spawn(self._read(link, unpacker, pending))
+        return link
+
+    async def _read(
+        self, link: Link, unpacker: msgpack.Unpacker, pending: list
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            for obj in pending:
+                self._dispatch(link, decode(obj))
+            while True:
+                chunk = await link.stream.read_bytes(READ_CHUNK_BYTES, partial=True)
+                link.last_received = loop.time()
+                unpacker.feed(chunk)
+                for obj in unpacker:
+                    self._dispatch(link, decode(obj))
+        except StreamClosedError:
+            pass
+        except (WireError, msgpack.UnpackException, ValueError) as exc:
+            log.warning(
+                "peer_protocol_error",
+                peer=link.hello.node,
+                address=link.address,
+                error=str(exc),
+            )
+        finally:
+            self._closed(link)
+
+    def _dispatch(self, link: Link, message: Message) -> None:
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            raise WireError(f"unexpected message {type(message).__name__}")
+        handler(link, message)
+
+    def _closed(self, link: Link) -> None:
+        link.close()
+        self.accepted.discard(link)
+        for handler in [*link.on_close, *self.close_handlers]:
+            handler(link)
+
+
+class _Server(TCPServer):
+    """Accepts peer links for a `PeerLinks`."""
+
+    def __init__(self, links: PeerLinks) -> None:
+        super().__init__(max_buffer_size=MAX_MESSAGE_BYTES)
+        self.links = links
+
+    async def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        try:
+            await self.links._open(stream, f"{address[0]}:{address[1]}", "")
+        except LinkError as exc:
+            log.warning("peer_handshake_failed", error=str(exc))
+
+
+async def _read_hello(
+    stream: IOStream, unpacker: msgpack.Unpacker
+) -> tuple[Hello, list]:
+    """Read up to and including `Hello`; also give what came after it."""
+    objs: list = []
+    while not objs:
+        unpacker.feed(await stream.read_bytes(READ_CHUNK_BYTES, partial=True))
+        try:
+            objs = list(unpacker)
+        except (msgpack.UnpackException, ValueError) as exc:
+            raise WireError(f"not a message stream: {exc}") from exc
+    hello = decode(objs[0])
+    if not isinstance(hello, Hello):
+        raise WireError(f"expected Hello, got {type(hello).__name__}")
+    if hello.protocol_version != PROTOCOL_VERSION:
+        raise WireError(
+            f"protocol version {hello.protocol_version}, expected {PROTOCOL_VERSION}"
+        )
+    return hello, objs[1:]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``ip:port``.
+
+    Examples
+    --------
+    >>> split_address("127.0.0.1:7100")
+    ('127.0.0.1', 7100)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _is_open(fut: "asyncio.Future[Link]") -> bool:
+    return not fut.cancelled() and fut.exception() is None and fut.result().is_open
--- /dev/null
+++ b/lentilsill/wire/messages.py
@@ -0,0 +1,352 @@
+"""Typed messages between nodes and their msgpack form.
+
+A message is a msgpack array whose first element is the message number. Records
+travel as rows (tuples); the package that owns a record converts it.
+"""
+
+from typing import Any, Union
+
+import msgpack
+import msgspec
+
+__all__ = [
+    "CALLS",
+    "CONTROL",
+    "MAX_MESSAGE_BYTES",
+    "PROTOCOL_VERSION",
+    "Answer",
+    "Applied",
+    "Busy",
+    "Call",
+    "Cancel",
+    "Claim",
+    "ClaimReply",
+    "CrashReport",
+    "Delta",
+    "DeltaRequest",
+    "Digest",
+    "GoAway",
+    "Hello",
+    "IndirectProbe",
+    "Message",
+    "OutcomeQuery",
+    "OutcomeReply",
+    "Ping",
+    "Pong",
+    "Probe",
+    "ProbeAck",
+    "Records",
+    "Refusal",
+    "Release",
+    "StoreOutcome",
+    "Summary",
+    "WireError",
+    "decode",
+    "encode",
+    "make_unpacker",
+]
+
+PROTOCOL_VERSION = 1
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+
+CONTROL = "control"
+CALLS = "calls"
+
+# upstream, service, address, slots, labels, state, ready_at_ms
+UpstreamRow = tuple[str, str, str, int, tuple[tuple[str, str], ...], int, int]
+# node, domain, instance, generation, seq, peer_address, caller_address, state,
+# upstreams, liveness verdict of the sender
+NodeRow = tuple[str, str, str, int, int, str, str, int, tuple[UpstreamRow, ...], int]
+# service, version, deleted, canonical JSON text of the document
+DocumentRow = tuple[str, int, bool, str]
+HeaderRow = tuple[str, str]
+
+
+class WireError(Exception):
+    """A peer sent bytes that are not a valid message."""
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=0):
+    """First message in both directions of a link."""
+
+    protocol_version: int
+    node: str
+    instance: str
+    domain: str
+    purpose: str
+    peer_address: str
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Constant-size summary of the sender's documents and node records."""
+
+    complete_as_of: int
+    documents_hash: int
+    records_hash: int
+
+
+class Probe(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Liveness probe; carries the sender's digest and recent records."""
+
+    probe_id: int
+    digest: tuple[int, int, int]
+    rows: tuple[NodeRow, ...] = ()
+
+
+class ProbeAck(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Answer to `Probe`, or to `IndirectProbe` on behalf of its target."""
+
+    probe_id: int
+    digest: tuple[int, int, int]
+    rows: tuple[NodeRow, ...] = ()
+
+
+class IndirectProbe(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Asks the receiver to probe the node at `address`."""
+
+    probe_id: int
+    address: str
+
+
+class Records(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Node records of the sender's domain; `want_reply` asks for the receiver's."""
+
+    rows: tuple[NodeRow, ...]
+    want_reply: bool = False
+
+
+class DeltaRequest(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Asks for documents changed after `complete_as_of`."""
+
+    complete_as_of: int
+
+
+class Delta(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Documents changed after `base`, complete up to `complete_as_of`.
+
+    With `full`, the rows are all documents and `base` is 0.
+    """
+
+    base: int
+    complete_as_of: int
+    full: bool
+    rows: tuple[DocumentRow, ...]
+
+
+class Busy(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """The receiver of a `DeltaRequest` serves too many full syncs now."""
+
+    retry_after_ms: int
+
+
+class Applied(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """The sender has applied all documents up to `revision`.
+
+    `in_force` lists (service, version) pairs in force at the sender.
+    """
+
+    revision: int
+    in_force: tuple[tuple[str, int], ...] = ()
+
+
+class Summary(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Summary of a domain for other domains.
+
+    `nodes` holds the records of the nodes that host the named upstreams, and
+    `totals` holds (service, ready upstreams, slots).
+    """
+
+    domain: str
+    generation: int
+    totals: tuple[tuple[str, int, int], ...]
+    nodes: tuple[NodeRow, ...]
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Crashes counted against request fingerprints, with expiry.
+
+    Rows are (fingerprint, crashes, remaining lifetime in ms).
+    """
+
+    rows: tuple[tuple[str, int, int], ...]
+
+
+class Call(msgspec.Struct, frozen=True, array_like=True, tag=20):
+    """A call for one upstream of the receiver.
+
+    `call_id` is unique per (sender instance, attempt). `deadline_ms` is the
+    time that remains. `document_version` is the version the sender routed by.
+    """
+
+    call_id: int
+    upstream: str
+    method: str
+    path: str
+    headers: tuple[HeaderRow, ...]
+    body: bytes
+    deadline_ms: int
+    idempotent: bool
+    request_key: str
+    service: str
+    document_version: int
+
+
+class Answer(msgspec.Struct, frozen=True, array_like=True, tag=21):
+    """The upstream's answer; `body_length` is checked against `body`."""
+
+    call_id: int
+    status: int
+    headers: tuple[HeaderRow, ...]
+    body: bytes
+    body_length: int
+    load: int
+
+
+class Refusal(msgspec.Struct, frozen=True, array_like=True, tag=22):
+    """No answer for a call; `outcome` is a value of `outcomes.Outcome`."""
+
+    call_id: int
+    outcome: str
+    reason: str
+    load: int
+
+
+class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=23):
+    """The caller no longer waits for the call."""
+
+    call_id: int
+
+
+class OutcomeQuery(msgspec.Struct, frozen=True, array_like=True, tag=24):
+    """Asks over a new link what became of calls of `instance`."""
+
+    instance: str
+    call_ids: tuple[int, ...]
+
+
+class OutcomeReply(msgspec.Struct, frozen=True, array_like=True, tag=25):
+    """State of one call: ``running``, ``never_seen`` or ``forgotten``.
+
+    A finished call is answered with its `Answer` or `Refusal` instead. An
+    unknown call id is fenced before ``never_seen`` is sent.
+    """
+
+    call_id: int
+    state: str
+
+
+class GoAway(msgspec.Struct, frozen=True, array_like=True, tag=26):
+    """The sender drains: new calls on this link will be refused."""
+
+    reason: str
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=27):
+    """Checks that a link still carries bytes."""
+
+    token: int
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True, tag=28):
+    """Answer to `Ping`."""
+
+    token: int
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag=40):
+    """Asks a replica of `request_key` to grant it to `attempt`."""
+
+    request_id: int
+    request_key: str
+    attempt: str
+    fingerprint: str
+
+
+class ClaimReply(msgspec.Struct, frozen=True, array_like=True, tag=41):
+    """Answer of a replica: granted, or the record that it holds.
+
+    `state` is ``granted``, ``held`` (another attempt, no outcome yet),
+    ``finished`` (answer in the other fields), or ``refused`` (`reason`).
+    """
+
+    request_id: int
+    state: str
+    reason: str = ""
+    holder: str = ""
+    outcome: str = ""
+    status: int = 0
+    headers: tuple[HeaderRow, ...] = ()
+    body: bytes = b""
+
+
+class StoreOutcome(msgspec.Struct, frozen=True, array_like=True, tag=42):
+    """Stores the outcome of the attempt that holds the key."""
+
+    request_key: str
+    attempt: str
+    outcome: str
+    status: int
+    headers: tuple[HeaderRow, ...]
+    body: bytes
+
+
+class Release(msgspec.Struct, frozen=True, array_like=True, tag=43):
+    """The attempt is proved not run; another attempt may be granted."""
+
+    request_key: str
+    attempt: str
+
+
+Message = Union[  # noqa: UP007 - msgspec needs one union object at run time
+    Hello,
+    Digest,
+    Probe,
+    ProbeAck,
+    IndirectProbe,
+    Records,
+    DeltaRequest,
+    Delta,
+    Busy,
+    Applied,
+    Summary,
+    CrashReport,
+    Call,
+    Answer,
+    Refusal,
+    Cancel,
+    OutcomeQuery,
+    OutcomeReply,
+    GoAway,
+    Ping,
+    Pong,
+    Claim,
+    ClaimReply,
+    StoreOutcome,
+    Release,
+]
+
+encode = msgspec.msgpack.encode
+
+
+def decode(obj: Any) -> Message:
+    """Convert an unpacked msgpack value to a message.
+
+    Raises
+    ------
+    WireError
+        The value is no message; the text names the offending element.
+    """
+    try:
+        return msgspec.convert(obj, Message)
+    except msgspec.ValidationError as exc:
+        raise WireError(str(exc)) from exc
+
+
+def make_unpacker() -> msgpack.Unpacker:
+    """Make a streaming unpacker that refuses messages over the size limit."""
+    return msgpack.Unpacker(
+        use_list=True,
+        raw=False,
+        strict_map_key=True,
+        max_buffer_size=MAX_MESSAGE_BYTES,
+    )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, upstreams, callers and the network."""
