--- /dev/null
+++ b/harness/history.py
@@ -0,0 +1,247 @@
+"""Events of a run and the check of each guarantee over the merged history.
+
+Times are seconds of the machine's monotonic clock, which all processes of a
+run share.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from lentilsill.findings import Findings
+
+__all__ = [
+    "AppliedVersion",
+    "CallRecord",
+    "DocumentWrite",
+    "Execution",
+    "GracefulStop",
+    "History",
+    "Retirement",
+    "check_history",
+]
+
+RETIRE_BOUND_S = 2.0
+CONVERGENCE_BOUND_S = 13.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallRecord:
+    """A caller's call and what came back.
+
+    `outcome` is ``answer``, a value of `lentilsill.outcomes.Outcome`, or
+    ``connection_lost`` when the entry node gave no answer at all.
+    `answered_id` is the request id that the answer carries.
+    """
+
+    call_id: str
+    request_key: str
+    idempotent: bool
+    started: float
+    ended: float
+    outcome: str
+    answered_id: str = ""
+    whole: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Execution:
+    """A run of a request on an upstream, recorded by the upstream."""
+
+    call_id: str
+    request_key: str
+    idempotent: bool
+    upstream: str
+    started: float
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentWrite:
+    """A version that the platform accepted; `valid` as by validation.
+
+    `references` are the services that must be in force beside it.
+    """
+
+    service: str
+    version: int
+    time: float
+    valid: bool = True
+    deleted: bool = False
+    references: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class AppliedVersion:
+    """A node put these versions in force as one snapshot."""
+
+    node: str
+    instance: str
+    time: float
+    versions: tuple[tuple[str, int], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Retirement:
+    """An upstream was declared leaving at `time`."""
+
+    upstream: str
+    time: float
+
+
+@dataclass(frozen=True, slots=True)
+class GracefulStop:
+    """A node or upstream was asked to stop and ended between these times."""
+
+    process: str
+    asked: float
+    ended: float
+    reason: str
+
+
+@dataclass(slots=True)
+class History:
+    """Everything recorded in one run."""
+
+    calls: list[CallRecord] = field(default_factory=list)
+    executions: list[Execution] = field(default_factory=list)
+    writes: list[DocumentWrite] = field(default_factory=list)
+    applied: list[AppliedVersion] = field(default_factory=list)
+    retirements: list[Retirement] = field(default_factory=list)
+    stops: list[GracefulStop] = field(default_factory=list)
+
+
+def check_history(
+    history: History, live_nodes: Iterable[str] = (), answers_lost: bool = True
+) -> Findings:
+    """Check every guarantee; the place of a finding starts with its number.
+
+    Parameters
+    ----------
+    history : History
+    live_nodes : iterable of str
+        Nodes that were up and connected for the whole run: G9 is checked for
+        them.
+    answers_lost : bool
+        Whether the run contains faults that may cost answers. Without them,
+        G8 requires an answer or a `not_run` for every call.
+    """
+    findings = Findings()
+    _check_monotonic(history, findings)
+    _check_references(history, findings)
+    _check_valid(history, findings)
+    _check_answers(history, findings)
+    _check_not_run(history, findings)
+    _check_at_most_once(history, findings)
+    _check_retirements(history, findings)
+    _check_stops(history, answers_lost, findings)
+    _check_convergence(history, tuple(live_nodes), findings)
+    return findings
+
+
+def _check_monotonic(history: History, findings: Findings) -> None:
+    newest: dict[tuple[str, str, str], int] = {}
+    for event in sorted(history.applied, key=lambda e: e.time):
+        for service, version in event.versions:
+            key = (event.node, event.instance, service)
+            if version < newest.get(key, 0):
+                findings.add(
+                    f"G1 {event.node}",
+                    f"{service} went from {newest[key]} to {version}",
+                )
+            newest[key] = max(version, newest.get(key, 0))
+
+
+def _check_references(history: History, findings: Findings) -> None:
+    references = {(w.service, w.version): w.references for w in history.writes}
+    for event in history.applied:
+        present = {service for service, _ in event.versions}
+        for item in event.versions:
+            for target in references.get(item, ()):
+                if target not in present:
+                    findings.add(f"G2 {event.node}", f"{item} refers to {target}")
+
+
+def _check_valid(history: History, findings: Findings) -> None:
+    valid = {(w.service, w.version) for w in history.writes if w.valid}
+    for event in history.applied:
+        for item in event.versions:
+            if item not in valid:
+                findings.add(f"G3 {event.node}", f"{item} in force, never accepted")
+
+
+def _check_answers(history: History, findings: Findings) -> None:
+    for call in history.calls:
+        if call.outcome != "answer":
+            continue
+        if not call.whole:
+            findings.add(f"G4 {call.call_id}", "answer cut short")
+        # A repeat with the same key gets the answer of the recorded attempt.
+        if not call.request_key and call.answered_id != call.call_id:
+            findings.add(f"G4 {call.call_id}", f"got answer of {call.answered_id}")
+
+
+def _check_not_run(history: History, findings: Findings) -> None:
+    by_identity = _executions_by_identity(history)
+    for call in history.calls:
+        if call.outcome != "not_run":
+            continue
+        identity = call.request_key or call.call_id
+        started = [e.started for e in by_identity[identity] if e.started <= call.ended]
+        if started:
+            findings.add(f"G5 {identity}", f"refused as not run, ran at {started[0]}")
+
+
+def _check_at_most_once(history: History, findings: Findings) -> None:
+    for identity, executions in _executions_by_identity(history).items():
+        if not executions[0].idempotent and len(executions) > 1:
+            upstreams = ", ".join(e.upstream for e in executions)
+            findings.add(f"G6 {identity}", f"ran {len(executions)} times: {upstreams}")
+
+
+def _executions_by_identity(history: History) -> dict[str, list[Execution]]:
+    grouped: dict[str, list[Execution]] = defaultdict(list)
+    for execution in history.executions:
+        grouped[execution.request_key or execution.call_id].append(execution)
+    return grouped
+
+
+def _check_retirements(history: History, findings: Findings) -> None:
+    limit = {r.upstream: r.time + RETIRE_BOUND_S for r in history.retirements}
+    for execution in history.executions:
+        if execution.started > limit.get(execution.upstream, float("inf")):
+            late = execution.started - limit[execution.upstream]
+            findings.add(f"G7 {execution.upstream}", f"new work {late:.3f} s too late")
+
+
+def _check_stops(history: History, answers_lost: bool, findings: Findings) -> None:
+    for stop in history.stops:
+        if stop.reason != "idle":
+            findings.add(f"G8 {stop.process}", f"stopped by {stop.reason}, not idle")
+    if answers_lost:
+        return
+    for call in history.calls:
+        if call.outcome not in ("answer", "not_run"):
+            findings.add(f"G8 {call.call_id}", f"cut: {call.outcome}")
+
+
+def _check_convergence(
+    history: History, live_nodes: tuple[str, ...], findings: Findings
+) -> None:
+    reached: dict[tuple[str, str], list[tuple[float, int]]] = defaultdict(list)
+    for event in history.applied:
+        for service, version in event.versions:
+            reached[event.node, service].append((event.time, version))
+    for write in history.writes:
+        if not write.valid or write.deleted:
+            continue
+        for node in live_nodes:
+            limit = write.time + CONVERGENCE_BOUND_S
+            if not any(
+                version >= write.version and time <= limit
+                for time, version in reached[node, write.service]
+            ):
+                findings.add(
+                    f"G9 {node}",
+                    f"{write.service}@{write.version} not in force within "
+                    f"{CONVERGENCE_BOUND_S:.0f} s",
+                )
--- /dev/null
+++ b/harness/tests/test_history.py
@@ -0,0 +1,108 @@
+"""Each guarantee's check catches a history that violates it."""
+
+import unittest
+
+from harness.history import (
+    AppliedVersion,
+    CallRecord,
+    DocumentWrite,
+    Execution,
+    GracefulStop,
+    History,
+    Retirement,
+    check_history,
+)
+
+
+def places(history: History, **options) -> set[str]:
+    """Guarantee numbers of the findings."""
+    return {f.place.split()[0] for f in check_history(history, **options)}
+
+
+class HistoryTests(unittest.TestCase):
+    def test_correct_history_has_no_findings(self):
+        """Guards against a checker that reports what is allowed."""
+        history = History(
+            calls=[CallRecord("c1", "", False, 1, 2, "answer", "c1")],
+            executions=[Execution("c1", "", False, "u1", 1.5)],
+            writes=[DocumentWrite("slots", 1, 0.0)],
+            applied=[AppliedVersion("n1", "i1", 0.5, (("slots", 1),))],
+            retirements=[Retirement("u1", 1.0)],
+            stops=[GracefulStop("n1", 3, 4, "idle")],
+        )
+        self.assertEqual(places(history, live_nodes=["n1"], answers_lost=False), set())
+
+    def test_older_version_is_caught(self):
+        """G1: a node that goes back to an older version."""
+        history = History(
+            writes=[DocumentWrite("slots", 1, 0.0), DocumentWrite("slots", 2, 0.1)],
+            applied=[
+                AppliedVersion("n1", "i1", 1, (("slots", 2),)),
+                AppliedVersion("n1", "i1", 2, (("slots", 1),)),
+            ],
+        )
+        self.assertEqual(places(history), {"G1"})
+
+    def test_missing_reference_is_caught(self):
+        """G2: a route that leads to a service the node does not have."""
+        history = History(
+            writes=[DocumentWrite("slots", 1, 0.0, references=("ledger",))],
+            applied=[AppliedVersion("n1", "i1", 1, (("slots", 1),))],
+        )
+        self.assertEqual(places(history), {"G2"})
+
+    def test_invalid_version_in_force_is_caught(self):
+        """G3: a rejected version that is applied."""
+        history = History(
+            writes=[DocumentWrite("slots", 1, 0.0, valid=False)],
+            applied=[AppliedVersion("n1", "i1", 1, (("slots", 1),))],
+        )
+        self.assertEqual(places(history), {"G3"})
+
+    def test_crossed_and_cut_answers_are_caught(self):
+        """G4: an answer that belongs to another call, or is cut short."""
+        crossed = CallRecord("c1", "", True, 1, 2, "answer", "c2")
+        cut = CallRecord("c3", "", True, 1, 2, "answer", "c3", whole=False)
+        self.assertEqual(len(check_history(History(calls=[crossed, cut]))), 2)
+
+    def test_false_not_run_is_caught(self):
+        """G5: a call refused as not run that ran, also by an earlier attempt."""
+        history = History(
+            calls=[CallRecord("c2", "k", False, 3, 4, "not_run")],
+            executions=[Execution("c1", "k", False, "u1", 1.5)],
+        )
+        self.assertEqual(places(history), {"G5"})
+
+    def test_second_run_is_caught(self):
+        """G6: a request that may not be repeated and runs on two upstreams."""
+        history = History(
+            executions=[
+                Execution("c1", "k", False, "u1", 1.0),
+                Execution("c2", "k", False, "u2", 2.0),
+            ]
+        )
+        self.assertEqual(places(history), {"G6"})
+
+    def test_late_work_on_leaving_upstream_is_caught(self):
+        """G7: new work on a leaving upstream after the bound."""
+        history = History(
+            executions=[Execution("c1", "", True, "u1", 3.5)],
+            retirements=[Retirement("u1", 1.0)],
+        )
+        self.assertEqual(places(history), {"G7"})
+
+    def test_cut_call_is_caught(self):
+        """G8: a graceful shutdown that cuts a call or ends by its bound."""
+        history = History(
+            calls=[CallRecord("c1", "", True, 1, 2, "unknown")],
+            stops=[GracefulStop("n1", 1, 31, "bound")],
+        )
+        self.assertEqual(len(check_history(history, answers_lost=False)), 2)
+
+    def test_late_convergence_is_caught(self):
+        """G9: an accepted version that a node gets too late."""
+        history = History(
+            writes=[DocumentWrite("slots", 1, 0.0)],
+            applied=[AppliedVersion("n1", "i1", 13.5, (("slots", 1),))],
+        )
+        self.assertEqual(places(history, live_nodes=["n1"]), {"G9"})
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any, TypeVar
 
 import msgpack
+import msgspec
 import structlog
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.netutil import bind_sockets
@@ -78,7 +80,8 @@
         self.stream.close()
 
 
-Handler = Callable[[Link, Message], None]
+M = TypeVar("M", bound=msgspec.Struct)
+Handler = Callable[[Link, Any], object]
 
 
 class PeerLinks:
@@ -98,7 +101,7 @@
         self._server: _Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def on(self, message_type: type, handler: Handler) -> None:
+    def on(self, message_type: type[M], handler: Callable[[Link, M], object]) -> None:
         """Register the handler of one message type."""
         self.handlers[message_type] = handler
 
--- /dev/null
+++ b/lentilsill/wire/tests/test_links.py
@@ -0,0 +1,99 @@
+"""Links survive bad peers and deliver messages in order."""
+
+import asyncio
+import socket
+import unittest
+
+import structlog
+from tornado.tcpclient import TCPClient
+
+from lentilsill.wire import CALLS, Hello, Link, PeerLinks, encode
+from lentilsill.wire.links import Identity, LinkError
+from lentilsill.wire.messages import MAX_MESSAGE_BYTES, Ping, Pong
+
+HOST = "127.0.0.1"
+
+
+def free_address() -> str:
+    """An address that nothing listens on right now."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return f"{HOST}:{sock.getsockname()[1]}"
+
+
+class LinkTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = self.make_links("server")
+        self.client = self.make_links("client")
+        self.address = self.server.identity.peer_address
+        self.server.listen(self.address)
+        self.received: asyncio.Queue = asyncio.Queue()
+        self.server.on(Ping, lambda link, msg: link.send(Pong(msg.token)))
+        self.client.on(Pong, lambda link, msg: self.received.put_nowait(msg.token))
+        self.logs = structlog.testing.capture_logs()
+        self.entries = self.logs.__enter__()
+
+    async def asyncTearDown(self):
+        self.logs.__exit__(None, None, None)
+        self.client.close()
+        self.server.close()
+
+    def make_links(self, node: str) -> PeerLinks:
+        return PeerLinks(Identity(node, node * 2, "lahore", free_address()))
+
+    async def raw_exchange(self, data: bytes) -> bytes:
+        """Send bytes to the server and give everything it sends until it closes."""
+        host, port = self.address.split(":")
+        stream = await TCPClient().connect(host, int(port))
+        stream.write(data)
+        return await asyncio.wait_for(stream.read_until_close(), 5)
+
+    async def test_messages_keep_their_order(self):
+        """Guards against messages that overtake each other on one link."""
+        link = await self.client.connect(self.address, CALLS)
+        for token in range(100):
+            link.send(Ping(token))
+        tokens = [
+            await asyncio.wait_for(self.received.get(), 5) for token in range(100)
+        ]
+        self.assertEqual(tokens, list(range(100)))
+
+    async def test_simultaneous_connects_share_one_link(self):
+        """Guards against a storm of connections from one node."""
+        links = await asyncio.gather(
+            *(self.client.connect(self.address, CALLS) for _ in range(20))
+        )
+        self.assertEqual(len({id(link) for link in links}), 1)
+
+    async def test_other_protocol_version_is_refused(self):
+        """Guards against a peer of another version being half understood."""
+        hello = Hello(99, "n", "i", "lahore", CALLS, "127.0.0.1:1")
+        self.assertEqual(await self.raw_exchange(encode(hello)), b"")
+        self.assertIn("protocol version 99", self.entries[0]["error"])
+
+    async def test_garbage_closes_the_link_without_traceback(self):
+        """Guards against bytes of another protocol, here HTTP."""
+        self.assertEqual(await self.raw_exchange(b"GET / HTTP/1.1\r\n\r\n"), b"")
+        self.assertEqual(self.entries[0]["event"], "peer_handshake_failed")
+
+    async def test_message_over_the_limit_closes_the_link(self):
+        """Guards against a peer that makes the node buffer without bound."""
+        hello = Hello(1, "n", "i", "lahore", CALLS, "127.0.0.1:1")
+        huge = b"\xc6" + (MAX_MESSAGE_BYTES * 2).to_bytes(4, "big")
+        data = encode(hello) + huge + bytes(MAX_MESSAGE_BYTES + 1)
+        reply = await self.raw_exchange(data)
+        self.assertIn(b"server", reply)
+        self.assertEqual(self.entries[-1]["event"], "peer_protocol_error")
+        self.assertEqual(self.server.accepted, set())
+
+    async def test_unreachable_peer_is_a_link_error(self):
+        """Guards against an unhandled socket error when a peer is gone."""
+        with self.assertRaises(LinkError):
+            await self.client.connect(free_address(), CALLS)
+
+    async def test_link_is_dialed_again_after_it_closed(self):
+        """Guards against a closed link that is handed out for ever."""
+        first: Link = await self.client.connect(self.address, CALLS)
+        first.close()
+        second = await self.client.connect(self.address, CALLS)
+        self.assertTrue(second.is_open)
