Count bytes and messages per link purpose

Change: Traffic counters shared by the links of a purpose; an unknown purpose in Hello is refused, so that a peer can't add counters without bound.

--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -1,6 +1,7 @@
 """Links to other nodes: dialing, accepting and dispatching messages."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
@@ -14,6 +15,8 @@
 from tornado.tcpserver import TCPServer
 
 from .messages import (
+    CALLS,
+    CONTROL,
     MAX_MESSAGE_BYTES,
     PROTOCOL_VERSION,
     Hello,
@@ -24,7 +27,7 @@
     make_unpacker,
 )
 
-__all__ = ["Identity", "Link", "LinkError", "PeerLinks"]
+__all__ = ["Identity", "Link", "LinkError", "PeerLinks", "Traffic"]
 
 READ_CHUNK_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
@@ -48,6 +51,16 @@
     peer_address: str
 
 
+@dataclass(slots=True)
+class Traffic:
+    """Bytes and messages over all links of one purpose since the start."""
+
+    sent_bytes: int = 0
+    sent_messages: int = 0
+    received_bytes: int = 0
+    received_messages: int = 0
+
+
 @dataclass(eq=False, slots=True)
 class Link:
     """One stream to a peer after both sides have sent `Hello`.
@@ -60,6 +73,7 @@
     address: str
     dialed: bool
     last_received: float
+    traffic: Traffic
     on_close: list[Callable[["Link"], None]] = field(default_factory=list)
 
     @property
@@ -69,10 +83,13 @@
 
     def send(self, message: Message) -> bool:
         """Queue a message; False when the stream is closed or its buffer is full."""
+        data = encode(message)
         try:
-            self.stream.write(encode(message))
+            self.stream.write(data)
         except (StreamClosedError, StreamBufferFullError):
             return False
+        self.traffic.sent_bytes += len(data)
+        self.traffic.sent_messages += 1
         return True
 
     def close(self) -> None:
@@ -97,6 +114,7 @@
         self.handlers: dict[type, Handler] = {}
         self.close_handlers: list[Callable[[Link], None]] = []
         self.accepted: set[Link] = set()
+        self.traffic: dict[str, Traffic] = defaultdict(Traffic)
         self._dialed: dict[tuple[str, str], asyncio.Future[Link]] = {}
         self._server: _Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -214,7 +232,8 @@
             stream.close()
             raise LinkError(f"handshake with {address} failed: {exc}") from exc
         loop = asyncio.get_running_loop()
-        link = Link(stream, hello, address, dialed, loop.time())
+        traffic = self.traffic[purpose or hello.purpose]
+        link = Link(stream, hello, address, dialed, loop.time(), traffic)
         if not dialed:
             self.accepted.add(link)
         self._spawn(self._read(link, unpacker, pending))
@@ -230,6 +249,7 @@
             while True:
                 chunk = await link.stream.read_bytes(READ_CHUNK_BYTES, partial=True)
                 link.last_received = loop.time()
+                link.traffic.received_bytes += len(chunk)
                 unpacker.feed(chunk)
                 for obj in unpacker:
                     self._dispatch(link, decode(obj))
@@ -249,6 +269,7 @@
         handler = self.handlers.get(type(message))
         if handler is None:
             raise WireError(f"unexpected message {type(message).__name__}")
+        link.traffic.received_messages += 1
         handler(link, message)
 
     def _closed(self, link: Link) -> None:
@@ -290,6 +311,8 @@
         raise WireError(
             f"protocol version {hello.protocol_version}, expected {PROTOCOL_VERSION}"
         )
+    if hello.purpose not in (CONTROL, CALLS):
+        raise WireError(f"unknown link purpose {hello.purpose!r}")
     return hello, objs[1:]
 
 
