Add the platform stand-in and the object API client

The stand-in keeps objects in memory with rate limits and faults set over HTTP; the client gives each failure as a value. Writes use a fresh connection, because libcurl resends a request on a reused connection that closes before an answer.

--- a/lentilsill/platform/__init__.py
+++ b/lentilsill/platform/__init__.py
@@ -1,5 +1,6 @@
 """Client of the platform's object API."""
 
+from .client import HttpObjectApi
 from .model import (
     AnswerLost,
     Compacted,
@@ -18,6 +19,7 @@
     "AnswerLost",
     "Compacted",
     "Conflict",
+    "HttpObjectApi",
     "Listing",
     "ObjectApi",
     "PlatformError",
--- /dev/null
+++ b/lentilsill/platform/tests/test_client.py
@@ -0,0 +1,124 @@
+"""Tests of the object API client against the platform stand-in."""
+
+import socket
+import unittest
+
+from result import Err, Ok
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from lentilsill.platform import (
+    AnswerLost,
+    Compacted,
+    Conflict,
+    HttpObjectApi,
+    RateLimited,
+    Rejected,
+    StoredObject,
+    Unavailable,
+)
+from standins.platform import MAX_BODY_BYTES, Faults, Platform, make_app
+from standins.store import Bucket
+
+
+class _BadAnswers(RequestHandler):
+    def get(self) -> None:
+        self.finish('{"revision": "x", "objects": [{"kind": "service"}]}')
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    """Each failure of the platform must be told apart by the client."""
+
+    async def asyncSetUp(self) -> None:
+        self.platform = Platform()
+        self.api = self.serve(make_app(self.platform))
+
+    def serve(self, app: Application) -> HttpObjectApi:
+        sockets = bind_sockets(0, "127.0.0.1", family=socket.AF_INET)
+        server = HTTPServer(app, max_body_size=MAX_BODY_BYTES)
+        server.add_sockets(sockets)
+        self.addCleanup(server.stop)
+        port = sockets[0].getsockname()[1]
+        api = HttpObjectApi(f"http://127.0.0.1:{port}", 5.0)
+        self.addCleanup(api.close)
+        return api
+
+    async def test_versions_are_store_wide_and_checked(self) -> None:
+        """A write on a stale version must not overwrite a newer one."""
+        self.assertEqual(await self.api.put("service", "a", {"x": 1}, 0), Ok(1))
+        self.assertEqual(await self.api.put("service", "b", {}, 0), Ok(2))
+        self.assertEqual(await self.api.put("service", "a", {}, 1), Ok(3))
+        stale = await self.api.put("service", "a", {}, 1)
+        self.assertEqual(stale, Err(Conflict(3)))
+        self.assertEqual(await self.api.delete("service", "a", 3), Ok(4))
+        self.assertEqual(await self.api.get("service", "a"), Ok(None))
+        self.assertEqual(await self.api.put("service", "a", {}, 3), Err(Conflict(0)))
+
+    async def test_watch_gives_changes_in_order_and_reports_compaction(self) -> None:
+        """A watcher must not miss a change without being told to list."""
+        await self.api.put("service", "a", 1, 0)
+        await self.api.put("status", "lahore", 1, 0)
+        await self.api.delete("service", "a", None)
+        batch = (await self.api.watch("service", 0, 5)).unwrap()
+        seen = [(c.version, c.deleted) for c in batch.changes]
+        self.assertEqual((batch.revision, seen), (3, [(1, False), (3, True)]))
+        empty = (await self.api.watch("service", 3, 0.01)).unwrap()
+        self.assertEqual((empty.revision, empty.changes), (3, ()))
+        self.platform.store.compact()
+        self.assertEqual(await self.api.watch("service", 1, 5), Err(Compacted(3)))
+
+    async def test_lost_answer_of_an_applied_write(self) -> None:
+        """A resend by libcurl on a reused connection would hide the lost answer."""
+        await self.api.get("service", "a")
+        self.platform.faults = Faults(lose_write_answers=1)
+        result = await self.api.put("service", "a", {"x": 1}, 0)
+        self.assertIsInstance(result.unwrap_err(), AnswerLost)
+        self.assertEqual(self.platform.counters["put"], 1)
+        obj = (await self.api.get("service", "a")).unwrap()
+        self.assertEqual(obj, StoredObject("service", "a", 1, {"x": 1}))
+
+    async def test_slow_platform_loses_the_answer(self) -> None:
+        """A write that timed out may have taken effect."""
+        self.platform.faults = Faults(mode="slow", delay_ms=5000)
+        self.api._timeout_s = 0.05
+        result = await self.api.put("service", "a", {}, 0)
+        self.assertIsInstance(result.unwrap_err(), AnswerLost)
+
+    async def test_refusals_prove_that_nothing_was_written(self) -> None:
+        """A refusal reported as a lost answer would make callers read back."""
+        self.platform.faults = Faults(mode="down")
+        down = await self.api.put("service", "a", {}, 0)
+        self.assertIsInstance(down.unwrap_err(), Unavailable)
+        self.platform.faults = Faults()
+        self.platform.writes = Bucket(1, lambda: 0.0)
+        await self.api.put("service", "b", {}, 0)
+        limited = await self.api.put("service", "a", {}, 0)
+        self.assertEqual(limited, Err(RateLimited(1.0)))
+        self.platform.writes = Bucket(0, lambda: 0.0)
+        large = await self.api.put("service", "a", "x" * (1024 * 1024), 0)
+        self.assertIsInstance(large.unwrap_err(), Rejected)
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            port = unused.getsockname()[1]
+            api = HttpObjectApi(f"http://127.0.0.1:{port}", 1.0)
+            refused = await api.put("service", "a", {}, 0)
+            api.close()
+        self.assertIsInstance(refused.unwrap_err(), Unavailable)
+        self.assertEqual(self.platform.store.objects_of("service")[0].name, "b")
+
+    async def test_waiting_watches_count_against_the_read_rate(self) -> None:
+        """A stand-in that did not count them would hide a watch per node."""
+        time_s = [0.0]
+        bucket = Bucket(10, lambda: time_s[0])
+        for _ in range(10):
+            self.assertTrue(bucket.take(10))
+        time_s[0] = 5.0
+        self.assertFalse(bucket.take(10))
+
+    async def test_invalid_answer_names_its_fields(self) -> None:
+        """A malformed listing must not pass as an empty one."""
+        api = self.serve(Application([("/.*", _BadAnswers)]))
+        error = (await api.list("service")).unwrap_err()
+        self.assertIn("revision:", str(error))
+        self.assertIn("objects.0.name:", str(error))
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,268 @@
+"""Stand-in for the platform's object API, in memory.
+
+`POST /standin/faults` takes ``{"mode": "ok" | "down" | "slow", "delay_ms",
+"lose_write_answers"}``: below 1 the last is the share of writes that get no
+answer, from 1 on the number of writes. `POST /standin/compact` forgets the
+history of changes. `GET /standin/counters` gives counts of calls by type.
+"""
+
+import asyncio
+import json
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Annotated, Any, Literal
+
+import typer
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from tornado.httpserver import HTTPServer
+from tornado.locks import Condition
+from tornado.web import Application, Finish, RequestHandler
+
+from .store import Bucket, CompactedError, ConflictError, Store
+
+__all__ = ["Faults", "Platform", "main", "make_app"]
+
+MAX_VALUE_BYTES = 1024 * 1024
+MAX_BODY_BYTES = 16 * MAX_VALUE_BYTES
+MAX_WATCH_S = 300.0
+
+
+class Faults(BaseModel):
+    """Faults that the stand-in shows."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    mode: Literal["ok", "down", "slow"] = "ok"
+    delay_ms: float = Field(default=0.0, ge=0)
+    lose_write_answers: float = Field(default=0.0, ge=0)
+
+
+@dataclass
+class Platform:
+    """State of the stand-in."""
+
+    store: Store = field(default_factory=Store)
+    writes: Bucket = field(default_factory=lambda: Bucket(0, time.monotonic))
+    reads: Bucket = field(default_factory=lambda: Bucket(0, time.monotonic))
+    faults: Faults = field(default_factory=Faults)
+    counters: Counter[str] = field(default_factory=Counter)
+    changed: Condition = field(default_factory=Condition)
+    waiting: int = 0
+    rng: random.Random = field(default_factory=random.Random)
+
+    def loses_answer(self) -> bool:
+        """Decide whether the current write gets no answer."""
+        lost = self.faults.lose_write_answers
+        if lost >= 1:
+            self.faults.lose_write_answers = lost - 1
+            return True
+        return self.rng.random() < lost
+
+    def report(self) -> dict[str, Any]:
+        """Give the counts of calls by type."""
+        return dict(self.counters) | {
+            "watches_waiting": self.waiting,
+            "revision": self.store.revision,
+        }
+
+
+class _Base(RequestHandler):
+    def initialize(self, platform: Platform) -> None:
+        self.platform = platform
+
+    def answer(self, status: int, **body: Any) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(body))
+
+    async def admit(self, call: str, bucket: Bucket, reserved: float = 0.0) -> None:
+        """Count the call, apply faults and the rate limit."""
+        state = self.platform
+        state.counters[call] += 1
+        state.counters[f"{call}_bytes_in"] += len(self.request.body)
+        if state.faults.mode == "slow":
+            await asyncio.sleep(state.faults.delay_ms / 1000)
+        if state.faults.mode == "down":
+            state.counters["refused_down"] += 1
+            self.answer(503, reason="outage")
+            raise Finish
+        if not bucket.take(reserved):
+            state.counters["refused_rate"] += 1
+            self.set_header("Retry-After", "1")
+            self.answer(429, reason="rate limit")
+            raise Finish
+
+    async def admit_read(self, call: str) -> None:
+        # A waiting watch counts as one call per second against the read rate.
+        await self.admit(call, self.platform.reads, self.platform.waiting)
+
+    def expected_version(self) -> int | None:
+        text = self.request.headers.get("If-Match")
+        if text is None:
+            return None
+        if not text.isdigit():
+            self.answer(400, reason="If-Match: must be a version")
+            raise Finish
+        return int(text)
+
+    def answer_write(self, version: int) -> None:
+        self.platform.changed.notify_all()
+        if self.platform.loses_answer():
+            self.platform.counters["answers_lost"] += 1
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            raise Finish
+        self.answer(200, version=version)
+
+
+class _ObjectHandler(_Base):
+    async def get(self, kind: str, name: str) -> None:
+        await self.admit_read("get")
+        obj = self.platform.store.objects.get((kind, name))
+        if obj is None:
+            self.answer(404, reason="no such object")
+        else:
+            self.answer(200, **obj.to_json())
+
+    async def put(self, kind: str, name: str) -> None:
+        await self.admit("put", self.platform.writes)
+        if len(self.request.body) > MAX_VALUE_BYTES:
+            self.answer(413, reason=f"value over {MAX_VALUE_BYTES} bytes")
+            return
+        expected = self.expected_version()
+        try:
+            value = json.loads(self.request.body)
+            version = self.platform.store.put(kind, name, value, expected)
+        except ConflictError as exc:
+            self.platform.counters["conflicts"] += 1
+            self.answer(412, current_version=exc.current_version)
+        except ValueError as exc:
+            self.answer(400, reason=f"value: {exc}")
+        else:
+            self.answer_write(version)
+
+    async def delete(self, kind: str, name: str) -> None:
+        await self.admit("delete", self.platform.writes)
+        expected = self.expected_version()
+        if (kind, name) not in self.platform.store.objects:
+            self.answer(404, reason="no such object")
+            return
+        try:
+            version = self.platform.store.delete(kind, name, expected)
+        except ConflictError as exc:
+            self.platform.counters["conflicts"] += 1
+            self.answer(412, current_version=exc.current_version)
+        else:
+            self.answer_write(version)
+
+
+class _ListHandler(_Base):
+    async def get(self, kind: str) -> None:
+        await self.admit_read("list")
+        store = self.platform.store
+        objects = [obj.to_json() for obj in store.objects_of(kind)]
+        self.answer(200, revision=store.revision, objects=objects)
+
+
+class _WatchHandler(_Base):
+    gone = False
+
+    def on_connection_close(self) -> None:
+        """Stop waiting for a caller that has left."""
+        self.gone = True
+        self.platform.changed.notify_all()
+
+    async def get(self, kind: str) -> None:
+        await self.admit_read("watch")
+        since = int(self.get_query_argument("since", "0"))
+        timeout_s = float(self.get_query_argument("timeout_s", "30"))
+        self.platform.waiting += 1
+        try:
+            await self._wait(kind, since, min(timeout_s, MAX_WATCH_S))
+        except CompactedError as exc:
+            self.answer(410, oldest_revision=exc.oldest_revision)
+        finally:
+            self.platform.waiting -= 1
+
+    async def _wait(self, kind: str, since: int, timeout_s: float) -> None:
+        state = self.platform
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        while not self.gone:
+            if state.faults.mode == "down":
+                self.answer(503, reason="outage")
+                return
+            changes = state.store.changes(kind, since)
+            left_s = end - loop.time()
+            if changes or left_s <= 0:
+                body = [change.to_json() for change in changes]
+                self.answer(200, revision=state.store.revision, changes=body)
+                return
+            await state.changed.wait(timeout=timedelta(seconds=left_s))
+
+
+class _FaultsHandler(_Base):
+    def post(self) -> None:
+        try:
+            self.platform.faults = Faults.model_validate_json(self.request.body)
+        except ValidationError as exc:
+            self.answer(400, reason=str(exc))
+            return
+        self.platform.changed.notify_all()
+        self.answer(200, **self.platform.faults.model_dump())
+
+
+class _CompactHandler(_Base):
+    def post(self) -> None:
+        self.platform.store.compact()
+        self.platform.changed.notify_all()
+        self.answer(200, oldest_revision=self.platform.store.compacted_to)
+
+
+class _CountersHandler(_Base):
+    def get(self) -> None:
+        self.answer(200, **self.platform.report())
+
+
+def make_app(platform: Platform) -> Application:
+    """Make the stand-in's HTTP application."""
+    args = {"platform": platform}
+    name = "([A-Za-z0-9._-]+)"
+    routes: list[Any] = [
+        (f"/v1/objects/{name}/{name}", _ObjectHandler, args),
+        (f"/v1/objects/{name}", _ListHandler, args),
+        (f"/v1/watch/{name}", _WatchHandler, args),
+        ("/standin/faults", _FaultsHandler, args),
+        ("/standin/compact", _CompactHandler, args),
+        ("/standin/counters", _CountersHandler, args),
+    ]
+    return Application(routes, log_function=lambda handler: None)
+
+
+async def serve(platform: Platform, address: str) -> None:
+    """Serve until the process ends."""
+    host, _, port = address.rpartition(":")
+    server = HTTPServer(make_app(platform), max_body_size=MAX_BODY_BYTES)
+    server.listen(int(port), host)
+    await asyncio.Event().wait()
+
+
+def main(
+    address: Annotated[str, typer.Option(help="ip:port")],
+    writes_per_s: Annotated[float, typer.Option(help="0: no limit")] = 300.0,
+    reads_per_s: Annotated[float, typer.Option(help="0: no limit")] = 2000.0,
+    history: Annotated[int, typer.Option(help="Changes kept for watches")] = 10_000,
+) -> None:
+    """Run the platform stand-in."""
+    platform = Platform(
+        Store(history),
+        Bucket(writes_per_s, time.monotonic),
+        Bucket(reads_per_s, time.monotonic),
+    )
+    asyncio.run(serve(platform, address))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,147 @@
+"""Objects, history and rate limits of the platform stand-in."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+__all__ = ["Bucket", "Change", "CompactedError", "ConflictError", "Store"]
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One write or deletion; `version` is the store-wide revision it made."""
+
+    kind: str
+    name: str
+    version: int
+    value: Any
+    deleted: bool = False
+
+    def to_json(self) -> dict[str, Any]:
+        """Give the form that listings and watches carry."""
+        body = {
+            "kind": self.kind,
+            "name": self.name,
+            "version": self.version,
+            "value": self.value,
+        }
+        return body | {"deleted": True} if self.deleted else body
+
+
+class ConflictError(Exception):
+    """The expected version differs from the current one (0: no object)."""
+
+    def __init__(self, current_version: int) -> None:
+        super().__init__(f"current version is {current_version}")
+        self.current_version = current_version
+
+
+class CompactedError(Exception):
+    """Changes after the start revision are no longer kept."""
+
+    def __init__(self, oldest_revision: int) -> None:
+        super().__init__(f"oldest revision is {oldest_revision}")
+        self.oldest_revision = oldest_revision
+
+
+@dataclass
+class Store:
+    """Objects of all kinds with one revision counter.
+
+    Parameters
+    ----------
+    history_limit : int
+        Changes kept for watches; older ones are compacted.
+
+    Examples
+    --------
+    >>> store = Store()
+    >>> store.put("service", "slots", {}, expected=0)
+    1
+    >>> [change.name for change in store.changes("service", since=0)]
+    ['slots']
+    """
+
+    history_limit: int = 10_000
+    revision: int = 0
+    compacted_to: int = 0
+    objects: dict[tuple[str, str], Change] = field(default_factory=dict)
+    history: deque[Change] = field(default_factory=deque)
+
+    def put(self, kind: str, name: str, value: Any, expected: int | None) -> int:
+        """Write an object if its version is `expected` (None: any)."""
+        self._check(kind, name, expected)
+        return self._record(Change(kind, name, self.revision + 1, value))
+
+    def delete(self, kind: str, name: str, expected: int | None) -> int:
+        """Delete an object that exists."""
+        self._check(kind, name, expected)
+        return self._record(Change(kind, name, self.revision + 1, None, True))
+
+    def objects_of(self, kind: str) -> list[Change]:
+        """Give the objects of a kind by name."""
+        return [obj for key, obj in sorted(self.objects.items()) if key[0] == kind]
+
+    def changes(self, kind: str, since: int) -> list[Change]:
+        """Give the changes of a kind after a revision, in order."""
+        if since < self.compacted_to:
+            raise CompactedError(self.compacted_to)
+        return [c for c in self.history if c.version > since and c.kind == kind]
+
+    def compact(self, keep: int = 0) -> None:
+        """Forget all but the last `keep` changes."""
+        while len(self.history) > keep:
+            self.compacted_to = self.history.popleft().version
+
+    def _check(self, kind: str, name: str, expected: int | None) -> None:
+        obj = self.objects.get((kind, name))
+        current = obj.version if obj is not None else 0
+        if expected is not None and expected != current:
+            raise ConflictError(current)
+
+    def _record(self, change: Change) -> int:
+        self.revision = change.version
+        key = (change.kind, change.name)
+        if change.deleted:
+            self.objects.pop(key, None)
+        else:
+            self.objects[key] = change
+        self.history.append(change)
+        self.compact(self.history_limit)
+        return change.version
+
+
+@dataclass
+class Bucket:
+    """Token bucket that holds at most one second of calls.
+
+    Parameters
+    ----------
+    rate : float
+        Calls per second; 0 sets no limit.
+    now : callable
+        Monotonic clock in seconds.
+    """
+
+    rate: float
+    now: Callable[[], float]
+    tokens: float = field(init=False)
+    last: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.tokens = self.rate
+        self.last = self.now()
+
+    def take(self, reserved: float = 0.0) -> bool:
+        """Take one call; `reserved` calls per second are used elsewhere."""
+        if self.rate <= 0:
+            return True
+        rate = max(0.0, self.rate - reserved)
+        time_s = self.now()
+        self.tokens = min(self.rate, self.tokens + (time_s - self.last) * rate)
+        self.last = time_s
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
