Add the command-line tool

Operators edit documents and read back what is in force. Edits are conditional on the version that was read; a conflict shows both versions and a lost answer is resolved by reading, so that no edit is overwritten or written twice. Documents are validated by lentilsill.documents when it has parse_document; until then only the service name is checked.

--- /dev/null
+++ b/lentilsill/cli/checks.py
@@ -0,0 +1,90 @@
+"""Offline checks of documents and settings."""
+
+import re
+from pathlib import Path
+from typing import Any
+
+import json5
+
+from lentilsill import documents
+from lentilsill.findings import Finding, Findings, FindingsError
+from lentilsill.settings import parse_settings
+
+from .lines import line_of, value_lines
+
+__all__ = ["check_files", "check_text", "document_findings", "read_document"]
+
+# Findings on paths of the form a.0.b are shown like a[0].b.
+_INDEX = re.compile(r"\.(\d+)(?=\.|$)")
+
+
+def document_findings(value: Any, service: str) -> Findings:
+    """Check a service document and give what is wrong with it."""
+    parse_document = getattr(documents, "parse_document", None)
+    if parse_document is None:
+        return _minimal_findings(value, service)
+    result = parse_document(value, service, 0)
+    return result.unwrap_err() if result.is_err() else Findings()
+
+
+def _minimal_findings(value: Any, service: str) -> Findings:
+    findings = Findings()
+    if not isinstance(value, dict):
+        findings.add("document", "must be an object")
+    elif value.get("service") != service:
+        findings.add("service", f"must be {service}")
+    return findings
+
+
+def read_document(text: str, source: str) -> tuple[str, Any, Findings]:
+    """Read a document with comments; give its service, value and findings."""
+    findings = Findings()
+    try:
+        value = json5.loads(text)
+    except ValueError as exc:
+        findings.add("document", str(exc), source)
+        return "", None, findings
+    service = value.get("service") if isinstance(value, dict) else None
+    if not isinstance(service, str) or not service:
+        findings.add("service", "must name the service", source)
+        return "", value, findings
+    found = document_findings(value, service)
+    return service, value, _placed(found, text, source)
+
+
+def check_text(text: str, source: str) -> Findings:
+    """Check a document, or settings when the text has a ``node``."""
+    try:
+        value = json5.loads(text)
+    except ValueError:
+        value = None
+    if not (isinstance(value, dict) and "node" in value):
+        return read_document(text, source)[2]
+    try:
+        parse_settings(text)
+    except FindingsError as exc:
+        return _placed(exc.findings, text, source)
+    return Findings()
+
+
+def check_files(paths: list[Path]) -> Findings:
+    """Check files and collect the findings of all of them."""
+    findings = Findings()
+    for path in paths:
+        try:
+            text = path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as exc:
+            findings.add("file", str(exc), str(path))
+            continue
+        findings.items += check_text(text, str(path)).items
+    return findings
+
+
+def _placed(findings: Findings, text: str, source: str) -> Findings:
+    lines = value_lines(text)
+    placed = []
+    for finding in findings:
+        place = _INDEX.sub(r"[\1]", finding.place)
+        line = finding.line or line_of(lines, place)
+        placed.append(Finding(place, finding.message, source, line))
+    return Findings(sorted(placed, key=lambda finding: finding.line))
--- /dev/null
+++ b/lentilsill/cli/main.py
@@ -0,0 +1,161 @@
+"""Commands of `lentilsill`."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPError, HTTPRequest
+
+from lentilsill.platform import HttpObjectApi
+
+from .checks import check_files
+from .edits import apply_document, delete_document, show_document
+from .exits import EXIT_HELP, ExitCode
+from .reports import Target, print_status, wait_for, watch_status
+
+__all__ = ["app", "main"]
+
+REQUEST_TIMEOUT_S = 10.0
+
+app = typer.Typer(
+    help="Edits service documents and shows which configuration is in force.",
+    epilog=EXIT_HELP,
+    no_args_is_help=True,
+    add_completion=False,
+)
+
+PlatformUrl = Annotated[
+    str,
+    typer.Option(
+        "--platform",
+        envvar="LENTILSILL_PLATFORM",
+        help="Base URL of the platform, for example http://127.0.0.1:7000",
+    ),
+]
+BaseVersion = Annotated[
+    int | None,
+    typer.Option(help="Version that the edit is based on; 0: must not exist"),
+]
+
+
+def _run(url: str, work: Callable[[HttpObjectApi], Awaitable[ExitCode]]) -> None:
+    async def session() -> ExitCode:
+        api = HttpObjectApi(url, REQUEST_TIMEOUT_S)
+        try:
+            return await work(api)
+        finally:
+            api.close()
+
+    try:
+        raise typer.Exit(asyncio.run(session()))
+    except KeyboardInterrupt:
+        raise typer.Exit(ExitCode.OK) from None
+
+
+@app.command("apply")
+def apply_command(
+    file: Path, platform: PlatformUrl, base_version: BaseVersion = None
+) -> None:
+    """Write the document in FILE, unless it was edited in the meantime.
+
+    The edit is based on the version in the comment that `get` writes. Without
+    the comment and without --base-version it is based on the version that the
+    platform holds now.
+    """
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        typer.echo(f"{file}: {exc}")
+        raise typer.Exit(ExitCode.INVALID) from exc
+    _run(
+        platform,
+        lambda api: apply_document(api, text, str(file), base_version, typer.echo),
+    )
+
+
+@app.command("get")
+def get_command(service: str, platform: PlatformUrl) -> None:
+    """Print the document of SERVICE with its version in a comment."""
+    _run(platform, lambda api: show_document(api, service, typer.echo))
+
+
+@app.command("delete")
+def delete_command(
+    service: str, platform: PlatformUrl, base_version: BaseVersion = None
+) -> None:
+    """Declare the document of SERVICE deleted."""
+    _run(platform, lambda api: delete_document(api, service, base_version, typer.echo))
+
+
+@app.command("status")
+def status_command(
+    platform: PlatformUrl,
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON")] = False,
+    watch: Annotated[bool, typer.Option(help="Print again on each change")] = False,
+    wait: Annotated[
+        str, typer.Option(help="SERVICE@VERSION to wait for, on every node")
+    ] = "",
+    timeout_s: Annotated[float, typer.Option(help="Bound on --wait")] = 30.0,
+    domain: Annotated[
+        list[str] | None,
+        typer.Option(help="Domain that must report for --wait; repeatable"),
+    ] = None,
+) -> None:
+    """Show which version of each service is in force in each domain."""
+    if wait:
+        try:
+            target = Target.parse(wait)
+        except ValueError as exc:
+            raise typer.BadParameter(str(exc)) from exc
+        _run(
+            platform,
+            lambda api: wait_for(api, target, domain or [], timeout_s, typer.echo),
+        )
+    show = watch_status if watch else print_status
+    _run(platform, lambda api: show(api, as_json, typer.echo))
+
+
+@app.command("check")
+def check_command(files: list[Path]) -> None:
+    """Check documents and settings without the platform."""
+    findings = check_files(files)
+    for finding in findings:
+        typer.echo(str(finding))
+    typer.echo(f"{len(files)} files, {len(findings)} findings")
+    raise typer.Exit(ExitCode.INVALID if findings else ExitCode.OK)
+
+
+@app.command("dump")
+def dump_command(admin_address: str) -> None:
+    """Print the state dump of the node at ADMIN_ADDRESS (ip:port)."""
+
+    async def fetch() -> bytes:
+        client = CurlAsyncHTTPClient(force_instance=True)
+        req = HTTPRequest(
+            f"http://{admin_address}/lentilsill/state",
+            request_timeout=REQUEST_TIMEOUT_S,
+        )
+        try:
+            return (await client.fetch(req)).body
+        finally:
+            client.close()
+
+    try:
+        state = json.loads(asyncio.run(fetch()))
+    except (HTTPError, OSError, ValueError) as exc:
+        typer.echo(f"{admin_address}: {exc}")
+        raise typer.Exit(ExitCode.UNAVAILABLE) from exc
+    typer.echo(json.dumps(state, indent=2, ensure_ascii=False))
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lentilsill/cli/tests/builders.py
@@ -0,0 +1,88 @@
+"""Documents, status objects and a platform for the tests of the commands."""
+
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from lentilsill.platform import AnswerLost, Conflict, PlatformError, StoredObject
+from standins.store import ConflictError, Store
+
+__all__ = ["StoreApi", "a_document", "a_status"]
+
+
+def a_document(service: str = "slots", deadline_ms: int = 800) -> dict[str, Any]:
+    """Make a valid service document."""
+    return {
+        "service": service,
+        "upstream_sets": {"current": {"labels": {"release": "1"}, "leaving": False}},
+        "routes": [
+            {
+                "name": "lookup",
+                "match": {"path_prefix": "/lookup", "methods": ["GET"]},
+                "targets": [
+                    {"service": service, "upstream_set": "current", "weight": 100}
+                ],
+                "idempotent": True,
+                "deadline_ms": deadline_ms,
+            }
+        ],
+        "limits": {"slots_per_upstream": 6, "queue_per_upstream": 12},
+        "requires": [],
+    }
+
+
+def a_status(domain: str, in_force: int, nodes_in_force: int = 3) -> dict[str, Any]:
+    """Make the status of a domain of three nodes."""
+    entry = {
+        "accepted": 7,
+        "in_force": in_force,
+        "nodes_in_force": nodes_in_force,
+        "rejected": [{"version": 8, "findings": ["limits: unknown key"]}],
+        "held": [{"version": 7, "reasons": ["needs ledger"]}],
+    }
+    return {
+        "domain": domain,
+        "revision": 9,
+        "updated_at_ms": 1_700_000_000_000,
+        "nodes": 3,
+        "services": {"slots": entry},
+    }
+
+
+class StoreApi:
+    """The object API on a store in this process, with lost answers.
+
+    `on_put` runs before a write, like another operator's edit. Each entry of
+    `lose` is for one write: "applied", "dropped" or "".
+    """
+
+    def __init__(self) -> None:
+        self.store = Store()
+        self.lose: list[str] = []
+        self.on_put: Callable[[], Any] = lambda: None
+        self.writes = 0
+
+    async def get(
+        self, kind: str, name: str
+    ) -> Result[StoredObject | None, PlatformError]:
+        """Give an object."""
+        obj = self.store.objects.get((kind, name))
+        if obj is None:
+            return Ok(None)
+        return Ok(StoredObject(kind, name, obj.version, obj.value))
+
+    async def put(
+        self, kind: str, name: str, value: Any, expected_version: int | None
+    ) -> Result[int, PlatformError]:
+        """Write an object, or lose the write or its answer."""
+        self.writes += 1
+        self.on_put()
+        fault = self.lose.pop(0) if self.lose else ""
+        if fault == "dropped":
+            return Err(AnswerLost("timed out"))
+        try:
+            version = self.store.put(kind, name, value, expected_version)
+        except ConflictError as exc:
+            return Err(Conflict(exc.current_version))
+        return Err(AnswerLost("timed out")) if fault else Ok(version)
--- /dev/null
+++ b/lentilsill/cli/tests/test_reports.py
@@ -0,0 +1,65 @@
+"""Tests of status reports and offline checks."""
+
+import unittest
+
+from approvaltests import verify
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from lentilsill.cli.checks import check_text
+from lentilsill.cli.exits import ExitCode
+from lentilsill.cli.reports import Target, print_status, wait_for
+from lentilsill.platform import HttpObjectApi
+from standins.platform import Platform, make_app
+
+from .builders import a_status
+
+
+class ReportsTest(unittest.IsolatedAsyncioTestCase):
+    """A version must count as in force only when every node has it."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = (platform := Platform()).store
+        sockets = bind_sockets(0, "127.0.0.1")
+        server = HTTPServer(make_app(platform))
+        server.add_sockets(sockets)
+        self.addCleanup(server.stop)
+        port = sockets[0].getsockname()[1]
+        self.api = HttpObjectApi(f"http://127.0.0.1:{port}", 5.0)
+        self.addCleanup(self.api.close)
+        self.lines: list[str] = []
+
+    def put(self, domain: str, in_force: int, nodes: int = 3) -> None:
+        self.store.put("status", domain, a_status(domain, in_force, nodes), None)
+
+    async def wait(self, version: int, bound_s: float) -> ExitCode:
+        domains = ["lahore", "multan"]
+        target = Target("slots", version)
+        return await wait_for(self.api, target, domains, bound_s, self.lines.append)
+
+    async def test_status_table(self) -> None:
+        """Rejected and held versions must be shown with their reasons."""
+        self.put("multan", 6, 2)
+        self.put("lahore", 7)
+        await print_status(self.api, False, self.lines.append)
+        self.store.put("status", "lahore", {"nodes": "x"}, None)
+        await print_status(self.api, False, self.lines.append)
+        verify("\n".join(self.lines))
+
+    async def test_wait_needs_every_node_of_every_domain(self) -> None:
+        """A domain that lags or is silent must not count as converged."""
+        self.put("lahore", 7)
+        self.assertEqual(await self.wait(7, 0.1), ExitCode.TIMEOUT)
+        self.assertIn("multan: has not reported", self.lines)
+        self.put("multan", 7, 2)
+        self.assertEqual(await self.wait(7, 0.1), ExitCode.TIMEOUT)
+        self.put("multan", 7, 3)
+        self.assertEqual(await self.wait(7, 5), ExitCode.OK)
+        self.assertEqual(await self.wait(8, 5), ExitCode.REJECTED)
+
+    def test_findings_of_settings_have_lines(self) -> None:
+        """All problems of a file must be shown at once, each with its line."""
+        text = '{\n  // comment\n  node: "a",\n  "platform": {\n    "url": 1\n  }\n}'
+        found = {f.place: f.line for f in check_text(text, "node.json5")}
+        self.assertEqual(found["platform.url"], 5)
+        self.assertIn("domain", found)
