--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,6 @@
 format: setup
 	$(PY) -m ruff format .
 	$(PY) -m ruff check --fix .
+
+demo: setup
+	$(PY) -m harness.demo
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -77,6 +77,7 @@
     rules: dict[tuple[str, str], Rule] = field(default_factory=dict)
     connections: set[_Connection] = field(default_factory=set)
     counters: Counter[str] = field(default_factory=Counter)
+    _tasks: set[asyncio.Future[None]] = field(default_factory=set)
 
     def rule(self, pair: tuple[str, str]) -> Rule | None:
         """Give the rule of a pair of domains; the closest match wins."""
@@ -108,10 +109,10 @@
         return [await self._listen(listener) for listener in self.cfg.listeners]
 
     async def _listen(self, listener: Listener) -> asyncio.Server:
-        async def accept(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await self._relay(listener, reader, writer)
+        def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            task = asyncio.ensure_future(self._relay(listener, reader, writer))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
         host, _, port = listener.listen.rpartition(":")
         return await asyncio.start_server(accept, host, int(port))
--- a/standins/tests/test_relay.py
+++ b/standins/tests/test_relay.py
@@ -10,17 +10,21 @@
 SILENCE_S = 0.05
 
 
-async def _echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    while data := await reader.read(100):
-        writer.write(data)
-    writer.close()
+class _Echo(asyncio.Protocol):
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.transport.write(data)
 
 
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     """Faults of the network must act on the connections they name only."""
 
     async def asyncSetUp(self) -> None:
-        echo = await asyncio.start_server(_echo, "127.0.0.1", 0)
+        loop = asyncio.get_running_loop()
+        echo = await loop.create_server(_Echo, "127.0.0.1", 0)
         port = echo.sockets[0].getsockname()[1]
         listener = Listener(
             listen="127.0.0.1:0", target=f"127.0.0.1:{port}", domain="multan"
