Let the demonstration try the new upstreams before the move

Moving all routes before every node knows the new upstreams has calls refused. A first edit now adds the new set with a route of its own, and the move follows once every node gets an answer on it.

--- a/harness/demo.py
+++ b/harness/demo.py
@@ -64,6 +64,7 @@
     cluster: Cluster
     caller: Caller
     stopped: bool = False
+    base_line: str = ""
     start_s: float = field(default_factory=time.monotonic)
 
     async def step(self, title: str, work: Callable[[], Awaitable[T]]) -> T:
@@ -167,20 +168,45 @@
         finally:
             probe.close()
 
+    async def preview(self) -> str:
+        """Add the new upstream set with a route of its own, and try it.
+
+        Moving all traffic before every node knows the new upstreams would
+        have calls refused.
+        """
+        value = await self._read_document()
+        value["upstream_sets"]["next"] = {"labels": {"release": "2"}, "leaving": False}
+        target = {"service": MOVED, "upstream_set": "next", "weight": 100}
+        route = value["routes"][0] | {"name": "preview", "targets": [target]}
+        route["match"] = {"path_prefix": "/preview", "methods": []}
+        value["routes"].append(route)
+        version = await self._edit(value)
+        await self._answered(CallPlan(f"/{MOVED}/preview", service_ms=SERVICE_MS))
+        return f"{MOVED} {version}, new upstreams answer on every node"
+
     async def move(self) -> str:
-        """Point the document at the new upstreams; the old ones leave."""
-        value: Any = json5.loads(await self.cli("get", MOVED))
+        """Point the routes at the new upstreams; the old ones leave."""
+        value = await self._read_document()
         value["upstream_sets"]["current"]["leaving"] = True
-        value["upstream_sets"]["next"] = {"labels": {"release": "2"}, "leaving": False}
         for route in value["routes"]:
             for target in route["targets"]:
                 target["upstream_set"] = "next"
+        version = await self._edit(value)
+        return f"{MOVED} {version} in force on every node"
+
+    async def _read_document(self) -> Any:
+        text = await self.cli("get", MOVED)
+        self.base_line = text.splitlines()[0]
+        return json5.loads(text)
+
+    async def _edit(self, value: Any) -> int:
         path = self.cluster.folder / f"{MOVED}.json5"
-        path.write_text(json.dumps(value, indent=2), encoding="utf-8")
+        text = f"{self.base_line}\n{json.dumps(value, indent=2)}\n"
+        path.write_text(text, encoding="utf-8")
         await self.cli("check", str(path))
         version = await self.apply(path)
         await self.wait_in_force(MOVED, version)
-        return f"{MOVED} {version} in force on every node"
+        return version
 
     async def check_moved(self) -> str:
         """Check that calls made from now on run on the new upstreams only."""
@@ -282,6 +308,7 @@
     load = asyncio.ensure_future(demo.load())
     try:
         await demo.step("start new workers under load", demo.start_successors)
+        await demo.step("add the new upstreams to the document", demo.preview)
         await demo.step("move traffic by editing the document", demo.move)
         await demo.step("check where calls run", demo.check_moved)
         await demo.step("read back what is in force", demo.check_status)
