Give syntax errors their line and refuse duplicate keys

A document with a key twice was taken with the last value, so an edit could be lost unseen, and findings of syntax errors had no line. Both are now findings with their place. Watches of the platform stand-in search the newest changes first, so that their cost does not grow with the history.

--- a/lentilsill/cli/checks.py
+++ b/lentilsill/cli/checks.py
@@ -16,6 +16,8 @@
 
 # Findings on paths of the form a.0.b are shown like a[0].b.
 _INDEX = re.compile(r"\.(\d+)(?=\.|$)")
+# json5 puts the line of a syntax error into its message.
+_SYNTAX_ERROR = re.compile(r"<string>:(\d+) ")
 
 
 def document_findings(value: Any, service: str) -> Findings:
@@ -40,10 +42,11 @@
     """Read a document with comments; give its service, value and findings."""
     findings = Findings()
     try:
-        value = json5.loads(text)
+        # With a key twice, the edit that comes first would be lost unseen.
+        value = json5.loads(text, allow_duplicate_keys=False)
     except ValueError as exc:
-        findings.add("document", str(exc), source)
-        return "", None, findings
+        findings.add("document", str(exc))
+        return "", None, _placed(findings, text, source)
     service = value.get("service") if isinstance(value, dict) else None
     if not isinstance(service, str) or not service:
         findings.add("service", "must name the service", source)
@@ -85,6 +88,9 @@
     placed = []
     for finding in findings:
         place = _INDEX.sub(r"[\1]", finding.place)
+        message = finding.message
         line = finding.line or line_of(lines, place)
-        placed.append(Finding(place, finding.message, source, line))
+        if match := _SYNTAX_ERROR.match(message):
+            line, message = int(match.group(1)), message[match.end() :]
+        placed.append(Finding(place, message, source, line))
     return Findings(sorted(placed, key=lambda finding: finding.line))
--- a/lentilsill/cli/tests/test_reports.py
+++ b/lentilsill/cli/tests/test_reports.py
@@ -63,3 +63,14 @@
         found = {f.place: f.line for f in check_text(text, "node.json5")}
         self.assertEqual(found["platform.url"], 5)
         self.assertIn("domain", found)
+
+    def test_syntax_error_has_its_line(self) -> None:
+        """A file that can't be parsed must still give the place to look at."""
+        for head in ('"service"', '"node"'):
+            (found,) = check_text(f'{{{head}: "a",\n "x": }}', "a.json5")
+            self.assertTrue(str(found).startswith("a.json5:2: document: "), found)
+
+    def test_duplicate_key_is_found(self) -> None:
+        """A key that appears twice must not hide the first value."""
+        found = check_text('{"service": "a", "limits": {}, "limits": {}}', "a.json5")
+        self.assertIn("limits", str(next(iter(found))))
--- a/standins/store.py
+++ b/standins/store.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import takewhile
 from typing import Any
 
 __all__ = ["Bucket", "Change", "CompactedError", "ConflictError", "Store"]
@@ -87,7 +88,9 @@
         """Give the changes of a kind after a revision, in order."""
         if since < self.compacted_to:
             raise CompactedError(self.compacted_to)
-        return [c for c in self.history if c.version > since and c.kind == kind]
+        # Watches ask for recent changes, so the search starts at the newest.
+        recent = takewhile(lambda c: c.version > since, reversed(self.history))
+        return [c for c in recent if c.kind == kind][::-1]
 
     def compact(self, keep: int = 0) -> None:
         """Forget all but the last `keep` changes."""
