--- /dev/null
+++ b/lentilsill/drain/state.py
@@ -0,0 +1,58 @@
+"""Drain state of a node."""
+
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+__all__ = ["DrainPhase", "DrainReason", "DrainState"]
+
+
+class DrainPhase(StrEnum):
+    """Whether a node takes calls, finishes those it has, or may exit."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    DRAINED = "drained"
+
+
+class DrainReason(StrEnum):
+    """Why a drain ended."""
+
+    IDLE = "idle"
+    BOUND = "bound"
+
+
+@dataclass(frozen=True, slots=True)
+class DrainState:
+    """Drain of a node, at most `bound_s` seconds long.
+
+    Examples
+    --------
+    >>> state = DrainState(bound_s=30.0).begin(now_s=5.0)
+    >>> state.update(in_flight=2, now_s=6.0).phase.value
+    'draining'
+    >>> state.update(in_flight=0, now_s=6.0).reason.value
+    'idle'
+    >>> state.update(in_flight=2, now_s=35.0).reason.value
+    'bound'
+    """
+
+    bound_s: float
+    phase: DrainPhase = DrainPhase.SERVING
+    began_s: float = 0.0
+    reason: DrainReason | None = None
+
+    def begin(self, now_s: float) -> "DrainState":
+        """Start the drain; a second start does not extend the bound."""
+        if self.phase is not DrainPhase.SERVING:
+            return self
+        return replace(self, phase=DrainPhase.DRAINING, began_s=now_s)
+
+    def update(self, in_flight: int, now_s: float) -> "DrainState":
+        """End the drain when nothing is in flight or the bound is reached."""
+        if self.phase is not DrainPhase.DRAINING:
+            return self
+        if in_flight == 0:
+            return replace(self, phase=DrainPhase.DRAINED, reason=DrainReason.IDLE)
+        if now_s >= self.began_s + self.bound_s:
+            return replace(self, phase=DrainPhase.DRAINED, reason=DrainReason.BOUND)
+        return self
--- a/lentilsill/outcomes/__init__.py
+++ b/lentilsill/outcomes/__init__.py
@@ -1,5 +1,38 @@
 """Outcomes of calls, request keys, claims and the record of executions."""
 
+from .claims import (
+    Attempt,
+    ClaimAnswer,
+    ClaimTable,
+    Finished,
+    GrantedTo,
+    HeldBy,
+    NotGranted,
+    bounded_result,
+)
+from .keys import RequestKey, is_issued_form, issue_key
 from .model import Answer, CallResult, Outcome, Refused
+from .rounds import ClaimRound, Decision, MayRun, Recorded, Waiting
 
-__all__ = ["Answer", "CallResult", "Outcome", "Refused"]
+__all__ = [
+    "Answer",
+    "Attempt",
+    "CallResult",
+    "ClaimAnswer",
+    "ClaimRound",
+    "ClaimTable",
+    "Decision",
+    "Finished",
+    "GrantedTo",
+    "HeldBy",
+    "MayRun",
+    "NotGranted",
+    "Outcome",
+    "Recorded",
+    "Refused",
+    "RequestKey",
+    "Waiting",
+    "bounded_result",
+    "is_issued_form",
+    "issue_key",
+]
--- /dev/null
+++ b/lentilsill/outcomes/claims.py
@@ -0,0 +1,287 @@
+"""Records of request keys at a replica.
+
+Safety argument. An attempt runs only after a majority of the key's named
+instances granted it, and its entry node decides each attempt once.
+
+1. A replica holds at most one attempt per key. It drops a held attempt only on
+   the attempt's `Release`, which its entry node sends only when the attempt has
+   not run and never will, or at the key's expiry, after which it grants no
+   attempt of the key.
+2. Two attempts that ran would both have had a majority. Majorities of the named
+   instances intersect, so one replica would have granted the second while it
+   held the first, or after a release of an attempt that ran; both contradict 1.
+3. A restarted node is another instance, is not named by the key, and refuses.
+   Records lost by a restart are therefore never counted as "no claim".
+4. An attempt that has run keeps its majority until the expiry. A majority of
+   replies "no claim" (a grant, or a refusal with `no_claim`) shows that nothing
+   had run when the first of them was sent. Replicas that have forgotten the key
+   answer without `no_claim`. A refusal ``not_run`` is therefore true of the whole
+   key at a moment between the start of the attempt and its refusal; an attempt
+   that other parties start on the same key after that moment may run.
+
+Remembering released attempts and a bounded table affect availability only: a
+late claim of a released attempt would block the key, as its holder never runs.
+"""
+
+import heapq
+import re
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from .keys import RequestKey
+from .model import Answer, CallResult, Outcome, Refused
+
+__all__ = [
+    "Attempt",
+    "ClaimAnswer",
+    "ClaimTable",
+    "Finished",
+    "GrantedTo",
+    "HeldBy",
+    "NotGranted",
+    "bounded_result",
+]
+
+FUTURE_BOUND_MS = 60_000
+"""A key issued later than this by the replica's clock is refused."""
+MAX_ATTEMPTERS = 32
+"""Entry instances remembered per key; more are refused, to bound a record."""
+MAX_ANSWERS_BYTES = 32 * 1024 * 1024
+"""Kept answers in all; beyond it an answer is recorded as lost."""
+
+_ATTEMPT = re.compile(r"([0-9a-f]{16}):([0-9]{1,18})")
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """An attempt of an entry node; `number` increases per entry `instance`."""
+
+    instance: str
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.instance}:{self.number}"
+
+    @classmethod
+    def parse(cls, text: str) -> "Attempt | None":
+        """Read ``<instance>:<number>``, or give None.
+
+        Examples
+        --------
+        >>> Attempt.parse("00000000000000aa:7").number
+        7
+        """
+        match = _ATTEMPT.fullmatch(text)
+        return cls(match[1], int(match[2])) if match else None
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedTo:
+    """The attempt holds the key at this replica."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeldBy:
+    """Another attempt holds the key and has no recorded outcome."""
+
+    holder: str
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """The key has a recorded outcome."""
+
+    result: CallResult
+
+
+@dataclass(frozen=True, slots=True)
+class NotGranted:
+    """Refused; with `no_claim` the replica holds and has forgotten no claim."""
+
+    reason: str
+    no_claim: bool
+
+
+ClaimAnswer = GrantedTo | HeldBy | Finished | NotGranted
+
+
+@dataclass(slots=True)
+class _Record:
+    fingerprint: str = ""
+    holder: str = ""
+    result: CallResult | None = None
+    # Highest released attempt number by entry instance.
+    released: dict[str, int] = field(default_factory=dict)
+
+
+class ClaimTable:
+    """Keys held by one replica, in memory.
+
+    Parameters
+    ----------
+    instance : str
+        The replica's own instance; only keys that name it are granted.
+    retention_ms : int
+        A key is granted and remembered until its issue time plus this.
+    max_records, max_answer_bytes : int
+        Bounds of the table and of one kept answer. Live records are never
+        evicted; a full table refuses new keys.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        retention_ms: int,
+        max_records: int = 100_000,
+        max_answer_bytes: int = 4096,
+        max_answers_bytes: int = MAX_ANSWERS_BYTES,
+    ) -> None:
+        self.instance = instance
+        self.retention_ms = retention_ms
+        self.max_records = max_records
+        self.max_answer_bytes = max_answer_bytes
+        self.max_answers_bytes = max_answers_bytes
+        self.answers_bytes = 0
+        self._records: dict[str, _Record] = {}
+        self._expiries: list[tuple[int, str]] = []
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def claim(
+        self, request_key: str, attempt: str, fingerprint: str, now_ms: int
+    ) -> ClaimAnswer:
+        """Grant the key to the attempt, or say why not."""
+        self.expire(now_ms)
+        tried = Attempt.parse(attempt)
+        key = self._own_key(request_key)
+        if isinstance(key, NotGranted):
+            return key
+        if tried is None:
+            return NotGranted("malformed attempt", no_claim=False)
+        if now_ms >= key.issued_ms + self.retention_ms:
+            return NotGranted("key expired", no_claim=False)
+        rec = self._records.get(request_key)
+        if rec is not None and (rec.holder or rec.result is not None):
+            return _answer_from(rec, attempt, fingerprint)
+        if key.issued_ms > now_ms + FUTURE_BOUND_MS:
+            return NotGranted("key issued in the future", no_claim=True)
+        if rec is None:
+            rec = self._add(key, request_key)
+            if rec is None:
+                return NotGranted("claim table full", no_claim=True)
+        return _grant(rec, tried, fingerprint)
+
+    def store(
+        self, request_key: str, attempt: str, result: CallResult, now_ms: int
+    ) -> bool:
+        """Record the outcome of the attempt that holds the key here.
+
+        The first outcome stays. A ``not_run`` outcome is a release.
+        """
+        if isinstance(result, Refused) and result.outcome is Outcome.NOT_RUN:
+            return self.release(request_key, attempt, now_ms)
+        self.expire(now_ms)
+        rec = self._records.get(request_key)
+        if rec is None or rec.result is not None or rec.holder != attempt:
+            return False
+        result = bounded_result(result, self.max_answer_bytes)
+        if self.answers_bytes + _size(result) > self.max_answers_bytes:
+            result = bounded_result(result, -1)
+        rec.result = result
+        self.answers_bytes += _size(result)
+        return True
+
+    def release(self, request_key: str, attempt: str, now_ms: int) -> bool:
+        """Drop the claim of an attempt that has not run and never will."""
+        tried = Attempt.parse(attempt)
+        rec = self._live_record(request_key, now_ms)
+        if tried is None or rec is None or rec.result is not None:
+            return False
+        if len(rec.released) < MAX_ATTEMPTERS or tried.instance in rec.released:
+            highest = rec.released.get(tried.instance, -1)
+            rec.released[tried.instance] = max(highest, tried.number)
+        if rec.holder == attempt:
+            rec.holder = ""
+            rec.fingerprint = ""
+        return True
+
+    def expire(self, now_ms: int) -> None:
+        """Forget keys whose retention has passed."""
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            _, request_key = heapq.heappop(self._expiries)
+            rec = self._records.pop(request_key)
+            if rec.result is not None:
+                self.answers_bytes -= _size(rec.result)
+
+    def _own_key(self, request_key: str) -> RequestKey | NotGranted:
+        match RequestKey.parse(request_key):
+            case Ok(key) if self.instance in key.instances:
+                return key
+            case Err(findings):
+                reason = "; ".join(str(finding) for finding in findings)
+                return NotGranted(reason, no_claim=False)
+        return NotGranted("key does not name this instance", no_claim=False)
+
+    def _live_record(self, request_key: str, now_ms: int) -> _Record | None:
+        """Give the record of a key, adding it when the key is still granted."""
+        self.expire(now_ms)
+        rec = self._records.get(request_key)
+        if rec is not None:
+            return rec
+        key = self._own_key(request_key)
+        if isinstance(key, NotGranted) or now_ms >= key.issued_ms + self.retention_ms:
+            return None
+        if key.issued_ms > now_ms + FUTURE_BOUND_MS:
+            return None
+        return self._add(key, request_key)
+
+    def _add(self, key: RequestKey, request_key: str) -> _Record | None:
+        if len(self._records) >= self.max_records:
+            return None
+        rec = self._records[request_key] = _Record()
+        expiry = key.issued_ms + self.retention_ms
+        heapq.heappush(self._expiries, (expiry, request_key))
+        return rec
+
+
+def _answer_from(rec: _Record, attempt: str, fingerprint: str) -> ClaimAnswer:
+    if rec.fingerprint and rec.fingerprint != fingerprint:
+        return NotGranted("key was used for another request", no_claim=False)
+    if rec.result is not None:
+        return Finished(rec.result)
+    # The reply to an earlier copy of this claim may have been lost.
+    return GrantedTo() if rec.holder == attempt else HeldBy(rec.holder)
+
+
+def _grant(rec: _Record, tried: Attempt, fingerprint: str) -> ClaimAnswer:
+    if tried.number <= rec.released.get(tried.instance, -1):
+        return NotGranted("attempt was released", no_claim=True)
+    if tried.instance not in rec.released and len(rec.released) >= MAX_ATTEMPTERS:
+        return NotGranted("too many attempts on the key", no_claim=True)
+    rec.holder = str(tried)
+    rec.fingerprint = fingerprint
+    return GrantedTo()
+
+
+def _size(result: CallResult) -> int:
+    if isinstance(result, Refused):
+        return len(result.reason)
+    return len(result.body) + sum(len(n) + len(v) for n, v in result.headers)
+
+
+def bounded_result(result: CallResult, max_bytes: int) -> CallResult:
+    """Give the result, or "answer lost" when the answer is over `max_bytes`.
+
+    Examples
+    --------
+    >>> bounded_result(Answer(200, (), b"12345"), 4).outcome
+    <Outcome.RUN_ANSWER_LOST: 'run_answer_lost'>
+    """
+    match result:
+        case Answer() if _size(result) > max_bytes:
+            return Refused(Outcome.RUN_ANSWER_LOST, "answer too large to keep")
+        case Refused(outcome, reason):
+            return Refused(outcome, reason[:200])
+    return result
--- /dev/null
+++ b/lentilsill/outcomes/rounds.py
@@ -0,0 +1,108 @@
+"""One round of claims of a request key at the entry node.
+
+See Also
+--------
+lentilsill.outcomes.claims : the replicas, and the safety argument.
+"""
+
+from dataclasses import dataclass
+
+from .claims import ClaimAnswer, Finished, GrantedTo, HeldBy, NotGranted
+from .keys import RequestKey
+from .model import CallResult, Outcome, Refused
+
+__all__ = ["ClaimRound", "Decision", "MayRun", "Recorded", "Waiting"]
+
+
+@dataclass(frozen=True, slots=True)
+class MayRun:
+    """A majority granted the attempt."""
+
+
+@dataclass(frozen=True, slots=True)
+class Recorded:
+    """The key has a result, or the attempt is refused with what is known."""
+
+    result: CallResult
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """Other attempts hold the key; their outcome may be recorded later."""
+
+    holders: tuple[str, ...]
+
+
+Decision = MayRun | Recorded | Waiting
+
+
+class ClaimRound:
+    """Collects the replies of the named instances and decides once.
+
+    The decision never changes after it is made. An attempt that is decided
+    otherwise than `MayRun` never runs, so it may be released.
+    """
+
+    def __init__(self, key: RequestKey) -> None:
+        self.key = key
+        self.replies: dict[str, ClaimAnswer | None] = {}
+        self.decision: Decision | None = None
+
+    def reply(self, instance: str, answer: ClaimAnswer) -> Decision | None:
+        """Take the first reply of an instance; give the decision so far."""
+        if instance in self.key.instances and not self.replies.get(instance):
+            self.replies[instance] = answer
+        return self._decide(final=False)
+
+    def unreachable(self, instance: str) -> Decision | None:
+        """Note that no reply of an instance is to be expected."""
+        if instance in self.key.instances:
+            self.replies.setdefault(instance, None)
+        return self._decide(final=False)
+
+    def give_up(self) -> Decision:
+        """Decide from the replies at hand."""
+        decision = self._decide(final=True)
+        assert decision is not None
+        return decision
+
+    def to_release(self) -> tuple[str, ...]:
+        """Instances that hold, or may come to hold, an attempt that won't run."""
+        if self.decision is None or isinstance(self.decision, MayRun):
+            return ()
+        return tuple(
+            name
+            for name in self.key.instances
+            if isinstance(self.replies.get(name), GrantedTo | None)
+        )
+
+    def _decide(self, final: bool) -> Decision | None:
+        if self.decision is None:
+            complete = final or len(self.replies) == len(self.key.instances)
+            self.decision = self._evaluate(complete)
+        return self.decision
+
+    def _evaluate(self, complete: bool) -> Decision | None:
+        answers = [answer for answer in self.replies.values() if answer is not None]
+        for answer in answers:
+            if isinstance(answer, Finished):
+                return Recorded(answer.result)
+        granted = sum(isinstance(answer, GrantedTo) for answer in answers)
+        if granted >= self.key.majority:
+            return MayRun()
+        holders = tuple(a.holder for a in answers if isinstance(a, HeldBy))
+        if len(holders) >= self.key.majority:
+            return Waiting(holders)
+        if not complete:
+            return None
+        refusals = [a for a in answers if isinstance(a, NotGranted)]
+        if holders and all(a.no_claim for a in refusals):
+            return Waiting(holders)
+        free = granted + sum(a.no_claim for a in refusals)
+        return Recorded(self._refusal(free, bool(holders), refusals))
+
+    def _refusal(self, free: int, held: bool, refusals: list[NotGranted]) -> Refused:
+        reason = "; ".join(sorted({a.reason for a in refusals}))
+        if free >= self.key.majority and not held:
+            return Refused(Outcome.NOT_RUN, reason or "claim not granted")
+        return Refused(Outcome.UNKNOWN, reason or "too few replicas of the key answer")
