--- /dev/null
+++ b/lentilsill/daemon/admin_server.py
@@ -0,0 +1,177 @@
+"""HTTP server of the admin address: announcements, health and state dump."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from lentilsill.wire.links import split_address
+
+from .announcements import Announcements, parse_announcement
+from .context import Context
+
+__all__ = ["AdminServer", "state_dump"]
+
+MAX_BODY_BYTES = 16 * 1024
+IDLE_TIMEOUT_S = 60
+SILENCE_CHECK_S = 0.25
+
+
+class AdminServer:
+    """Serves the admin address of a node.
+
+    Parameters
+    ----------
+    ctx : Context
+    on_upstream_gone : callable, optional
+        Called with the id of an upstream that has been dropped.
+    upstream_in_flight : callable, optional
+        Gives the calls in flight on an upstream, for the announcement's answer.
+    """
+
+    def __init__(
+        self,
+        ctx: Context,
+        on_upstream_gone: Callable[[str], None] | None = None,
+        upstream_in_flight: Callable[[str], int] | None = None,
+    ) -> None:
+        self.ctx = ctx
+        self.announcements = Announcements(ctx, on_upstream_gone)
+        self.upstream_in_flight = upstream_in_flight or (lambda upstream: 0)
+        self.port = 0
+        self._server: HTTPServer | None = None
+
+    def start(self, address: str | None = None) -> None:
+        """Listen on `address`, by default the admin address of the settings."""
+        host, port = split_address(address or self.ctx.cfg.admin_address)
+        sockets = bind_sockets(port, host)
+        self.port = sockets[0].getsockname()[1]
+        self._server = HTTPServer(
+            self._application(),
+            max_body_size=MAX_BODY_BYTES,
+            max_header_size=MAX_BODY_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+            body_timeout=IDLE_TIMEOUT_S,
+        )
+        self._server.add_sockets(sockets)
+        self.ctx.spawn(self._drop_silent_forever())
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.stop()
+
+    def _application(self) -> Application:
+        args = {"server": self}
+        return Application(
+            [
+                (r"/lentilsill/upstreams/([^/]+)", _UpstreamHandler, args),
+                (r"/lentilsill/live", _LiveHandler, args),
+                (r"/lentilsill/ready", _ReadyHandler, args),
+                (r"/lentilsill/state", _StateHandler, args),
+            ],
+            default_handler_class=_NotFoundHandler,
+            default_handler_args=args,
+            log_function=lambda handler: None,
+        )
+
+    async def _drop_silent_forever(self) -> None:
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_S)
+            self.announcements.drop_silent()
+
+
+def state_dump(ctx: Context) -> dict[str, Any]:
+    """Give the state of the node as JSON values.
+
+    A part that fails is replaced by its error, so that the rest can be read.
+    """
+    board = ctx.board
+    identity = ctx.links.identity
+    dump: dict[str, Any] = {
+        "node": identity.node,
+        "domain": identity.domain,
+        "instance": identity.instance,
+        "wall_ms": ctx.wall_ms(),
+        "ready": board.ready,
+        "draining": board.draining,
+        "in_flight": ctx.in_flight(),
+        "members": len(board.members),
+        "remote_nodes": len(board.remote_nodes),
+        "upstreams": {
+            name: {
+                "service": rec.service,
+                "address": rec.address,
+                "slots": rec.slots,
+                "labels": dict(rec.labels),
+                "state": rec.state.name.lower(),
+                "ready_at_ms": rec.ready_at_ms,
+            }
+            for name, rec in sorted(board.upstreams.items())
+        },
+    }
+    for name, part in board.dump_parts.items():
+        try:
+            dump[name] = part()
+        except Exception as exc:
+            dump[name] = {"error": f"{type(exc).__name__}: {exc}"}
+    return dump
+
+
+class _Handler(RequestHandler):
+    server: AdminServer
+
+    def initialize(self, server: AdminServer) -> None:
+        self.server = server
+
+    def reply(self, status: int, value: Any) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(value, default=str) + "\n")
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        self.reply(status_code, {"error": self._reason})
+
+
+class _NotFoundHandler(_Handler):
+    def prepare(self) -> None:
+        self.reply(404, {"error": "not found"})
+
+
+class _UpstreamHandler(_Handler):
+    def put(self, upstream: str) -> None:
+        match parse_announcement(upstream, self.request.body):
+            case Err(findings):
+                self.reply(400, {"findings": [str(finding) for finding in findings]})
+            case Ok(rec):
+                if self.server.announcements.announce(rec):
+                    count = self.server.upstream_in_flight(upstream)
+                    self.reply(200, {"in_flight": count})
+                else:
+                    self.reply(429, {"error": "too many upstreams on this node"})
+
+    def delete(self, upstream: str) -> None:
+        found = self.server.announcements.drop(upstream, "deleted")
+        self.reply(200 if found else 404, {})
+
+
+class _LiveHandler(_Handler):
+    def get(self) -> None:
+        self.reply(200, {"live": True})
+
+
+class _ReadyHandler(_Handler):
+    def get(self) -> None:
+        board = self.server.ctx.board
+        ready = board.ready and not board.draining
+        self.reply(200 if ready else 503, {"ready": ready})
+
+
+class _StateHandler(_Handler):
+    def get(self) -> None:
+        self.reply(200, state_dump(self.server.ctx))
--- /dev/null
+++ b/lentilsill/daemon/announcements.py
@@ -0,0 +1,143 @@
+"""Announcements of a node's upstreams."""
+
+import re
+from collections.abc import Callable
+from typing import Annotated, Literal
+
+import structlog
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints, ValidationError
+from result import Err, Ok, Result
+
+from lentilsill.findings import Findings
+from lentilsill.membership import UpstreamRecord, UpstreamState
+
+from .blackboard import Topic
+from .context import Context
+
+__all__ = ["Announcements", "parse_announcement"]
+
+MAX_UPSTREAMS = 64
+MAX_LABELS = 16
+MAX_SLOTS = 100_000
+
+_UPSTREAM_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,62}")
+_Label = Annotated[str, StringConstraints(max_length=63)]
+_Service = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+_Address = Annotated[
+    str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:[1-9]\d{0,4}$")
+]
+
+log = structlog.get_logger()
+
+
+class _Body(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+    service: _Service
+    address: _Address
+    slots: int = Field(ge=1, le=MAX_SLOTS)
+    labels: dict[_Label, _Label] = Field(default={}, max_length=MAX_LABELS)
+    state: Literal["starting", "ready", "leaving"]
+
+
+def parse_announcement(upstream: str, text: bytes) -> Result[UpstreamRecord, Findings]:
+    """Read an announcement; the findings list all of its problems.
+
+    Examples
+    --------
+    >>> parse_announcement("w1", b'{"service": "slots"}').unwrap_err().items[0].place
+    'address'
+    """
+    findings = Findings()
+    if not _UPSTREAM_ID.fullmatch(upstream):
+        findings.add("id", f"expected {_UPSTREAM_ID.pattern}")
+    try:
+        body = _Body.model_validate_json(text)
+    except ValidationError as exc:
+        for error in exc.errors(include_url=False):
+            place = ".".join(str(part) for part in error["loc"]) or "document"
+            findings.add(place, error["msg"])
+        return Err(findings)
+    if findings:
+        return Err(findings)
+    return Ok(
+        UpstreamRecord(
+            upstream,
+            body.service,
+            body.address,
+            body.slots,
+            tuple(sorted(body.labels.items())),
+            UpstreamState[body.state.upper()],
+        )
+    )
+
+
+class Announcements:
+    """Keeps `board.upstreams` from announcements; its only writer.
+
+    `on_upstream_gone` is called with the id of an upstream that has been
+    dropped: silent for the announce timeout, deleted, or replaced by another
+    process at a new address.
+    """
+
+    def __init__(
+        self, ctx: Context, on_upstream_gone: Callable[[str], None] | None = None
+    ) -> None:
+        self.ctx = ctx
+        self.on_upstream_gone = on_upstream_gone
+        self._heard_s: dict[str, float] = {}
+
+    def announce(self, rec: UpstreamRecord) -> bool:
+        """Take an announcement; False when the node has too many upstreams."""
+        upstreams = self.ctx.board.upstreams
+        old = upstreams.get(rec.upstream)
+        if old is None and len(upstreams) >= MAX_UPSTREAMS:
+            return False
+        if old is not None and (old.address, old.service) != (rec.address, rec.service):
+            self.drop(rec.upstream, "replaced")
+            old = None
+        self._heard_s[rec.upstream] = self.ctx.now()
+        new = self._with_ready_time(rec, old)
+        if new != old:
+            upstreams[rec.upstream] = new
+            log.info("upstream_announced", upstream=rec.upstream, state=rec.state.name)
+            self.ctx.board.changed(Topic.UPSTREAMS)
+        return True
+
+    def drop(self, upstream: str, reason: str) -> bool:
+        """Remove an upstream; False when there is none."""
+        self._heard_s.pop(upstream, None)
+        if self.ctx.board.upstreams.pop(upstream, None) is None:
+            return False
+        log.info("upstream_dropped", upstream=upstream, reason=reason)
+        self.ctx.board.changed(Topic.UPSTREAMS)
+        if self.on_upstream_gone is not None:
+            self.on_upstream_gone(upstream)
+        return True
+
+    def drop_silent(self) -> None:
+        """Remove the upstreams that have been silent for the timeout."""
+        bound_s = self.ctx.cfg.membership.announce_timeout_s
+        now_s = self.ctx.now()
+        silent = [name for name, at in self._heard_s.items() if now_s - at >= bound_s]
+        for upstream in silent:
+            self.drop(upstream, "silent")
+
+    def _with_ready_time(
+        self, rec: UpstreamRecord, old: UpstreamRecord | None
+    ) -> UpstreamRecord:
+        ready_at_ms = old.ready_at_ms if old is not None else 0
+        became_ready = rec.state is UpstreamState.READY and (
+            old is None or old.state is not UpstreamState.READY
+        )
+        if became_ready:
+            ready_at_ms = self.ctx.wall_ms()
+        return UpstreamRecord(
+            rec.upstream,
+            rec.service,
+            rec.address,
+            rec.slots,
+            rec.labels,
+            rec.state,
+            ready_at_ms,
+        )
--- a/lentilsill/daemon/context.py
+++ b/lentilsill/daemon/context.py
@@ -23,7 +23,8 @@
 
     Decision logic gets time from `now` (seconds, never steps) or
     `wall_ms` (milliseconds since the epoch as of the process start, carried
-    on by the monotonic clock, so that it never steps either).
+    on by the monotonic clock, so that it never steps either). `in_flight`
+    counts the calls that a drain waits for; the assembly sets it.
     """
 
     cfg: NodeSettings
@@ -32,6 +33,7 @@
     metrics: statsd.StatsClient | None
     rng: random.Random
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    in_flight: Callable[[], int] = lambda: 0
     now: Callable[[], float] = time.monotonic
     _wall_offset_ms: float = field(
         default_factory=lambda: time.time() * 1000 - time.monotonic() * 1000
--- /dev/null
+++ b/lentilsill/daemon/controllers/claim_messages.py
@@ -0,0 +1,124 @@
+"""Claim records as messages and as values of platform objects."""
+
+import base64
+import binascii
+from typing import Any
+
+from lentilsill.outcomes import (
+    Answer,
+    CallResult,
+    ClaimAnswer,
+    Finished,
+    GrantedTo,
+    HeldBy,
+    NotGranted,
+    Outcome,
+    Refused,
+)
+from lentilsill.wire.messages import ClaimReply, StoreOutcome
+
+__all__ = [
+    "answer_from_reply",
+    "reply_from_answer",
+    "result_from_store",
+    "result_from_value",
+    "store_message",
+    "value_from_result",
+]
+
+
+def reply_from_answer(request_id: int, answer: ClaimAnswer) -> ClaimReply:
+    """Make the message; a refusal's `outcome` is ``not_run`` without a claim."""
+    match answer:
+        case GrantedTo():
+            return ClaimReply(request_id, "granted")
+        case HeldBy(holder):
+            return ClaimReply(request_id, "held", holder=holder)
+        case Finished(Answer(status, headers, body)):
+            return ClaimReply(
+                request_id, "finished", status=status, headers=headers, body=body
+            )
+        case Finished(Refused(outcome, reason)):
+            return ClaimReply(request_id, "finished", reason, outcome=outcome.value)
+        case NotGranted(reason, no_claim):
+            outcome = Outcome.NOT_RUN if no_claim else Outcome.UNKNOWN
+            return ClaimReply(request_id, "refused", reason, outcome=outcome.value)
+    raise TypeError(f"not a claim answer: {answer!r}")
+
+
+def answer_from_reply(reply: ClaimReply) -> ClaimAnswer:
+    """Read the message; what is not understood counts as a refusal."""
+    match reply.state:
+        case "granted":
+            return GrantedTo()
+        case "held":
+            return HeldBy(reply.holder)
+        case "finished":
+            result = _result(
+                reply.outcome, reply.reason, reply.status, reply.headers, reply.body
+            )
+            if result is not None:
+                return Finished(result)
+    no_claim = reply.state == "refused" and reply.outcome == Outcome.NOT_RUN
+    return NotGranted(reply.reason or "bad reply of a replica", no_claim)
+
+
+def store_message(request_key: str, attempt: str, result: CallResult) -> StoreOutcome:
+    """Make the message; the reason of a refusal travels as its body."""
+    match result:
+        case Answer(status, headers, body):
+            return StoreOutcome(request_key, attempt, "", status, headers, body)
+        case Refused(outcome, reason):
+            return StoreOutcome(
+                request_key, attempt, outcome.value, 0, (), reason.encode()
+            )
+    raise TypeError(f"not a call result: {result!r}")
+
+
+def result_from_store(message: StoreOutcome) -> CallResult | None:
+    """Read the message; None when its outcome is not known here."""
+    reason = message.body.decode(errors="replace") if message.outcome else ""
+    return _result(
+        message.outcome, reason, message.status, message.headers, message.body
+    )
+
+
+def value_from_result(result: CallResult) -> dict[str, Any]:
+    """Give the JSON value of a result."""
+    match result:
+        case Answer(status, headers, body):
+            return {
+                "status": status,
+                "headers": [list(pair) for pair in headers],
+                "body": base64.b64encode(body).decode(),
+            }
+        case Refused(outcome, reason):
+            return {"outcome": outcome.value, "reason": reason}
+    raise TypeError(f"not a call result: {result!r}")
+
+
+def result_from_value(value: Any) -> CallResult | None:
+    """Read the JSON value of a result; None when it is not one."""
+    try:
+        if "outcome" in value:
+            return Refused(Outcome(value["outcome"]), str(value["reason"]))
+        headers = tuple((str(name), str(text)) for name, text in value["headers"])
+        body = base64.b64decode(value["body"], validate=True)
+        return Answer(int(value["status"]), headers, body)
+    except (KeyError, TypeError, ValueError, binascii.Error):
+        return None
+
+
+def _result(
+    outcome: str,
+    reason: str,
+    status: int,
+    headers: tuple[tuple[str, str], ...],
+    body: bytes,
+) -> CallResult | None:
+    if not outcome:
+        return Answer(status, tuple(headers), body)
+    try:
+        return Refused(Outcome(outcome), reason)
+    except ValueError:
+        return None
--- /dev/null
+++ b/lentilsill/daemon/controllers/drain.py
@@ -0,0 +1,73 @@
+"""Drain of the node on SIGTERM."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from lentilsill.daemon.blackboard import Topic
+from lentilsill.daemon.context import Context
+from lentilsill.drain import DrainPhase, DrainReason, DrainState
+from lentilsill.wire import CALLS, Link, Message
+from lentilsill.wire.messages import GoAway
+
+__all__ = ["DrainController"]
+
+POLL_S = 0.05
+
+log = structlog.get_logger()
+
+
+class DrainController:
+    """Takes the node out of service without cutting calls in flight.
+
+    Handlers and links keep working until the process exits, so that the node
+    still answers claims of keys that name it. `in_flight` counts the calls that
+    this node has accepted or runs.
+    """
+
+    def __init__(self, ctx: Context, in_flight: Callable[[], int]) -> None:
+        self.ctx = ctx
+        self.in_flight = in_flight
+        self.state = DrainState(ctx.cfg.calls.drain_bound_s)
+
+    def start(self) -> None:
+        """Register the part of the state dump, and a handler of `GoAway`."""
+        self.ctx.board.dump_parts["drain"] = lambda: self.state.phase.value
+        # Without a handler the message would end the link; the call path
+        # registers its own.
+        self.ctx.links.handlers.setdefault(GoAway, _ignore)
+
+    def begin(self) -> None:
+        """Stop taking calls and tell peers; a second call does nothing."""
+        if self.state.phase is not DrainPhase.SERVING:
+            return
+        self.state = self.state.begin(self.ctx.now())
+        log.info("drain_started", in_flight=self.in_flight())
+        self.ctx.board.draining = True
+        self.ctx.board.changed(Topic.DRAIN)
+        for link in list(self.ctx.links.accepted):
+            if link.hello.purpose == CALLS:
+                link.send(GoAway("draining"))
+
+    async def run(self) -> DrainReason:
+        """Drain until idle or until the time bound; give which applied."""
+        self.begin()
+        while True:
+            in_flight = self.in_flight()
+            self.state = self.state.update(in_flight, self.ctx.now())
+            if self.state.reason is not None:
+                break
+            await asyncio.sleep(POLL_S)
+        seconds = round(self.ctx.now() - self.state.began_s, 3)
+        log.info(
+            "drain_ended",
+            reason=self.state.reason.value,
+            in_flight=in_flight,
+            seconds=seconds,
+        )
+        return self.state.reason
+
+
+def _ignore(link: Link, message: Message) -> None:
+    """Take a message that nothing here acts on."""
--- /dev/null
+++ b/lentilsill/daemon/logs.py
@@ -0,0 +1,49 @@
+"""Logging of a process: one JSON line per event on standard error."""
+
+import logging
+import sys
+
+import structlog
+
+__all__ = ["configure_logs"]
+
+
+class _ForwardHandler(logging.Handler):
+    """Passes records of the standard library's loggers on to structlog."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        fields = {"logger": record.name, "message": record.getMessage()}
+        if record.exc_info and record.exc_info[1] is not None:
+            fields["error"] = repr(record.exc_info[1])
+        structlog.get_logger().log(
+            record.levelno,
+            "library_message",
+            exc_info=record.exc_info,
+            **fields,
+        )
+
+
+def configure_logs(level: str) -> None:
+    """Write events from `level` up; tracebacks only at level ``debug``."""
+    number = logging.getLevelNamesMapping()[level.upper()]
+    processors: list = [
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
+    ]
+    if number <= logging.DEBUG:
+        processors.append(structlog.processors.format_exc_info)
+    else:
+        processors.append(_drop_traceback)
+    processors.append(structlog.processors.JSONRenderer(default=str))
+    structlog.configure(
+        processors=processors,
+        wrapper_class=structlog.make_filtering_bound_logger(number),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    logging.basicConfig(handlers=[_ForwardHandler()], level=number, force=True)
+
+
+def _drop_traceback(logger, name: str, event: dict) -> dict:
+    event.pop("exc_info", None)
+    event.pop("stack_info", None)
+    return event
