Test claims with a state machine over a faulty network

Cause: the safety argument of the claim table needs a check. Change: state machine with lost, repeated and reordered messages, restarts and clock offsets; tests of the table's bounds and of the round's decisions.

--- a/lentilsill/daemon/controllers/platform_claims.py
+++ b/lentilsill/daemon/controllers/platform_claims.py
@@ -111,7 +111,8 @@
             return Refused(Outcome.UNKNOWN, "no platform for caller-supplied keys")
         deadline = self.ctx.now() + timeout_s
         if not await self._take_token(deadline):
-            return await self._refuse(request_key, False, "claim rate limit")
+            # No read either: the limit protects the platform.
+            return _unknown("claim rate limit")
         value = {
             "attempt": attempt,
             "fingerprint": fingerprint,
--- /dev/null
+++ b/lentilsill/outcomes/tests/test_claims.py
@@ -0,0 +1,270 @@
+"""Claims are granted once, and refusals tell the truth."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.strategies import booleans, data, integers, sampled_from
+
+from lentilsill.outcomes import (
+    Answer,
+    ClaimRound,
+    ClaimTable,
+    Finished,
+    GrantedTo,
+    HeldBy,
+    MayRun,
+    NotGranted,
+    Outcome,
+    Recorded,
+    Refused,
+    RequestKey,
+    Waiting,
+)
+
+from .builders import make_attempt, make_instance, make_key
+
+RETENTION_MS = 100
+ANSWER = Answer(200, (("a", "b"),), b"done")
+
+
+def make_table(**kwargs) -> ClaimTable:
+    return ClaimTable(make_instance(1), RETENTION_MS, **kwargs)
+
+
+class KeyTests(unittest.TestCase):
+    def test_key_that_names_an_instance_twice_is_refused(self):
+        """Guards against one replica counted twice towards the majority."""
+        name = make_instance(1)
+        text = f"lk1.lahore.1.{name},{name}.0123456789abcdef"
+        findings = RequestKey.parse(text).unwrap_err()
+        self.assertIn("twice", findings.items[0].message)
+
+    def test_all_problems_are_listed(self):
+        """Guards against a caller who learns of one problem at a time."""
+        findings = RequestKey.parse("lk1.LAHORE.x.1.z").unwrap_err()
+        self.assertEqual(len(findings), 4)
+
+
+class ClaimTableTests(unittest.TestCase):
+    def test_duplicate_of_a_released_claim_is_not_granted(self):
+        """Guards against a key blocked by an attempt that never runs."""
+        table, key = make_table(), make_key()
+        table.release(key, make_attempt(1), 1000)
+        late = table.claim(key, make_attempt(1), "f", 1001)
+        self.assertEqual(late, NotGranted("attempt was released", True))
+        self.assertEqual(table.claim(key, make_attempt(2), "f", 1001), GrantedTo())
+
+    def test_same_key_on_another_request_is_refused(self):
+        """Guards against one request answered with another one's answer."""
+        table, key, attempt = make_table(), make_key(), make_attempt(1)
+        table.claim(key, attempt, "f", 1000)
+        table.store(key, attempt, ANSWER, 1001)
+        self.assertEqual(table.claim(key, make_attempt(2), "f", 1002), Finished(ANSWER))
+        refusal = table.claim(key, make_attempt(2), "other", 1002)
+        self.assertIsInstance(refusal, NotGranted)
+        self.assertFalse(refusal.no_claim)
+
+    def test_forgotten_key_is_not_reported_as_unclaimed(self):
+        """Guards against ``not_run`` for a key that ran before its expiry."""
+        table, key = make_table(), make_key()
+        table.claim(key, make_attempt(1), "f", 1000)
+        refusal = table.claim(key, make_attempt(2), "f", 1000 + RETENTION_MS)
+        self.assertEqual(refusal, NotGranted("key expired", False))
+        self.assertEqual(len(table), 0)
+
+    def test_full_table_keeps_live_records(self):
+        """Guards against a second grant of a key that was evicted."""
+        table, key = make_table(max_records=1), make_key()
+        table.claim(key, make_attempt(1), "f", 1000)
+        refusal = table.claim(make_key(nonce=1), make_attempt(2), "f", 1000)
+        self.assertEqual(refusal, NotGranted("claim table full", True))
+        self.assertEqual(
+            table.claim(key, make_attempt(3), "f", 1000), HeldBy(make_attempt(1))
+        )
+
+    def test_kept_answers_are_bounded(self):
+        """Guards against answers that use up the node's memory."""
+        table = make_table(max_answer_bytes=6, max_answers_bytes=8)
+        for nonce in range(3):
+            key, attempt = make_key(nonce=nonce), make_attempt(nonce)
+            table.claim(key, attempt, "f", 1000)
+            table.store(key, attempt, ANSWER, 1000)
+        lost = table.claim(make_key(nonce=2), make_attempt(9), "f", 1000)
+        self.assertEqual(lost.result.outcome, Outcome.RUN_ANSWER_LOST)
+
+    def test_key_from_the_future_is_refused(self):
+        """Guards against records that stay beyond the retention."""
+        refusal = make_table().claim(
+            make_key(issued_ms=10**9), make_attempt(1), "f", 1000
+        )
+        self.assertIsInstance(refusal, NotGranted)
+
+
+class ClaimRoundTests(unittest.TestCase):
+    def decide(self, *answers):
+        claims = ClaimRound(RequestKey.parse(make_key()).unwrap())
+        for number, answer in enumerate(answers, 1):
+            if answer is None:
+                claims.unreachable(make_instance(number))
+            else:
+                claims.reply(make_instance(number), answer)
+        return claims
+
+    def test_one_grant_and_silence_is_unknown(self):
+        """Guards against ``not_run`` while two silent replicas may have granted."""
+        claims = self.decide(GrantedTo(), None, None)
+        self.assertEqual(claims.decision.result.outcome, Outcome.UNKNOWN)
+        self.assertEqual(len(claims.to_release()), 3)
+
+    def test_majority_without_a_claim_is_not_run(self):
+        """Guards against ``unknown`` where the replicas know better."""
+        full = NotGranted("claim table full", True)
+        claims = self.decide(full, None, full)
+        self.assertEqual(claims.decision.result.outcome, Outcome.NOT_RUN)
+
+    def test_claim_held_elsewhere_is_waited_for(self):
+        """Guards against a repeat that is refused while the first one runs."""
+        claims = self.decide(HeldBy("x"), GrantedTo(), None)
+        self.assertEqual(claims.decision, Waiting(("x",)))
+
+    def test_decision_is_made_once(self):
+        """Guards against an attempt that runs after its release was sent."""
+        claims = self.decide(GrantedTo())
+        self.assertIsInstance(claims.give_up(), Recorded)
+        claims.reply(make_instance(2), GrantedTo())
+        self.assertIsInstance(claims.decision, Recorded)
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Entry nodes and replicas over a network that loses, repeats and reorders.
+
+    `step` orders events; `ran` holds the step at which attempts ran, by key.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now_ms = 1000
+        self.step = 0
+        self.keys = [make_key(nonce=0), make_key(nonce=1)]
+        self.tables = {
+            make_instance(n): ClaimTable(
+                make_instance(n), RETENTION_MS, max_records=1 + n // 2
+            )
+            for n in (1, 2, 3)
+        }
+        self.offsets = dict.fromkeys(self.tables, 0)
+        self.network = []
+        self.rounds = {}
+        self.started = {}
+        self.first_free = {}
+        self.may_run = {}
+        self.ran = {key: [] for key in self.keys}
+
+    @rule(key=integers(0, 1))
+    def start_attempt(self, key):
+        self.step += 1
+        text, attempt = self.keys[key], make_attempt(len(self.rounds) + 1)
+        self.rounds[attempt] = ClaimRound(RequestKey.parse(text).unwrap())
+        self.started[attempt] = self.step
+        for name in make_instance(1), make_instance(2), make_instance(3):
+            self.network.append(("claim", name, text, attempt))
+
+    @precondition(lambda self: self.network)
+    @rule(choice=data(), keep=booleans())
+    def deliver(self, choice, keep):
+        """Deliver any message; with `keep` it will arrive again."""
+        self.step += 1
+        message = choice.draw(sampled_from(self.network))
+        if not keep:
+            self.network.remove(message)
+        kind, name, key, attempt, *rest = message
+        if kind == "reply":
+            claims = self.rounds[attempt]
+            undecided = claims.decision is None
+            claims.reply(name, rest[0])
+            if undecided and claims.decision is not None:
+                self.decided(attempt, key)
+            return
+        table = self.tables.get(name)
+        if table is None:
+            return
+        now_ms = self.now_ms + self.offsets[name]
+        match kind:
+            case "claim":
+                answer = table.claim(key, attempt, "f", now_ms)
+                if isinstance(answer, GrantedTo) or getattr(answer, "no_claim", False):
+                    self.first_free.setdefault(attempt, self.step)
+                self.network.append(("reply", name, key, attempt, answer))
+            case "release":
+                table.release(key, attempt, now_ms)
+            case "store":
+                table.store(key, attempt, ANSWER, now_ms)
+
+    @precondition(lambda self: self.network)
+    @rule(choice=data())
+    def lose(self, choice):
+        self.network.remove(choice.draw(sampled_from(self.network)))
+
+    @rule(number=integers(1, 3))
+    def restart(self, number):
+        """A restarted node is another instance: the named one is gone."""
+        self.tables.pop(make_instance(number), None)
+
+    @rule(by_ms=integers(1, 60))
+    def pass_time(self, by_ms):
+        self.now_ms += by_ms
+
+    @rule(number=integers(1, 3), offset=integers(-30, 30))
+    def late_clock(self, number, offset):
+        """Offsets only grow: a node's clock never steps back."""
+        name = make_instance(number)
+        self.offsets[name] = max(self.offsets[name], offset)
+
+    @precondition(lambda self: self.rounds)
+    @rule(choice=data())
+    def give_up(self, choice):
+        attempt = choice.draw(sampled_from(sorted(self.rounds)))
+        claims = self.rounds[attempt]
+        if claims.decision is None:
+            claims.give_up()
+            self.decided(attempt, str(claims.key))
+
+    @precondition(lambda self: self.may_run)
+    @rule(choice=data(), run=booleans())
+    def run_or_release(self, choice, run):
+        self.step += 1
+        attempt = choice.draw(sampled_from(sorted(self.may_run)))
+        key = self.may_run.pop(attempt)
+        if run:
+            self.ran[key].append(self.step)
+        for number in (1, 2, 3):
+            kind = "store" if run else "release"
+            self.network.append((kind, make_instance(number), key, attempt))
+
+    def decided(self, attempt, key):
+        claims = self.rounds[attempt]
+        for name in claims.to_release():
+            self.network.append(("release", name, key, attempt))
+        match claims.decision:
+            case MayRun():
+                self.may_run[attempt] = key
+            case Recorded(Refused(Outcome.NOT_RUN)):
+                moment = self.first_free[attempt]
+                assert moment > self.started[attempt]
+                assert not [step for step in self.ran[key] if step < moment], (
+                    "not_run although an attempt of the key had run"
+                )
+            case Recorded(Answer()):
+                assert self.ran[key], "an answer without a run"
+
+    @invariant()
+    def one_run_per_key(self):
+        for key, steps in self.ran.items():
+            assert len(steps) <= 1, f"{key} ran {len(steps)} times"
+
+
+ClaimMachineTests = ClaimMachine.TestCase
+ClaimMachineTests.settings = settings(
+    max_examples=150, stateful_step_count=50, deadline=None
+)
