--- a/lentilsill/outcomes/tests/test_claims.py
+++ b/lentilsill/outcomes/tests/test_claims.py
@@ -3,8 +3,14 @@
 import unittest
 
 from hypothesis import settings
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
-from hypothesis.strategies import booleans, data, integers, sampled_from
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from hypothesis.strategies import data, integers, sampled_from
 
 from lentilsill.outcomes import (
     Answer,
@@ -146,11 +152,10 @@
         super().__init__()
         self.now_ms = 1000
         self.step = 0
+        self.restarts_left = 0
         self.keys = [make_key(nonce=0), make_key(nonce=1)]
         self.tables = {
-            make_instance(n): ClaimTable(
-                make_instance(n), RETENTION_MS, max_records=1 + n // 2
-            )
+            make_instance(n): ClaimTable(make_instance(n), RETENTION_MS, max_records=2)
             for n in (1, 2, 3)
         }
         self.offsets = dict.fromkeys(self.tables, 0)
@@ -161,24 +166,37 @@
         self.may_run = {}
         self.ran = {key: [] for key in self.keys}
 
-    @rule(key=integers(0, 1))
-    def start_attempt(self, key):
+    @rule(key=sampled_from((0, 0, 0, 1)), choice=data())
+    def start_attempt(self, key, choice):
         self.step += 1
         text, attempt = self.keys[key], make_attempt(len(self.rounds) + 1)
         self.rounds[attempt] = ClaimRound(RequestKey.parse(text).unwrap())
         self.started[attempt] = self.step
         for name in make_instance(1), make_instance(2), make_instance(3):
             self.network.append(("claim", name, text, attempt))
+        self.deliver(choice, count=8)
+
+    @initialize(restarts=integers(0, 2), records=integers(1, 3))
+    def set_bounds(self, restarts, records):
+        self.restarts_left = restarts
+        self.tables[make_instance(2)].max_records = records
 
     @precondition(lambda self: self.network)
-    @rule(choice=data(), keep=booleans())
-    def deliver(self, choice, keep):
-        """Deliver any message; with `keep` it will arrive again."""
+    @rule(choice=data(), count=integers(1, 8))
+    def deliver(self, choice, count):
+        """Deliver, lose or repeat some messages, in any order."""
+        for _ in range(count):
+            if not self.network:
+                return
+            message = choice.draw(sampled_from(self.network[-9:]))
+            fate = choice.draw(sampled_from(("once", "once", "again", "lost")))
+            if fate != "again":
+                self.network.remove(message)
+            if fate != "lost":
+                self.deliver_one(*message)
+
+    def deliver_one(self, kind, name, key, attempt, *rest):
         self.step += 1
-        message = choice.draw(sampled_from(self.network))
-        if not keep:
-            self.network.remove(message)
-        kind, name, key, attempt, *rest = message
         if kind == "reply":
             claims = self.rounds[attempt]
             undecided = claims.decision is None
@@ -201,39 +219,36 @@
             case "store":
                 table.store(key, attempt, ANSWER, now_ms)
 
-    @precondition(lambda self: self.network)
-    @rule(choice=data())
-    def lose(self, choice):
-        self.network.remove(choice.draw(sampled_from(self.network)))
-
-    @rule(number=integers(1, 3))
-    def restart(self, number):
-        """A restarted node is another instance: the named one is gone."""
-        self.tables.pop(make_instance(number), None)
-
-    @rule(by_ms=integers(1, 60))
-    def pass_time(self, by_ms):
-        self.now_ms += by_ms
-
-    @rule(number=integers(1, 3), offset=integers(-30, 30))
-    def late_clock(self, number, offset):
-        """Offsets only grow: a node's clock never steps back."""
-        name = make_instance(number)
-        self.offsets[name] = max(self.offsets[name], offset)
+    @rule(number=integers(1, 3), by_ms=integers(0, RETENTION_MS // 2))
+    def disturb(self, number, by_ms):
+        """Restart a replica, put its clock ahead, or let time pass.
 
-    @precondition(lambda self: self.rounds)
-    @rule(choice=data())
-    def give_up(self, choice):
-        attempt = choice.draw(sampled_from(sorted(self.rounds)))
-        claims = self.rounds[attempt]
-        if claims.decision is None:
-            claims.give_up()
-            self.decided(attempt, str(claims.key))
+        A restarted node is another instance: the named one is gone. A node's
+        clock never steps back.
+        """
+        name = make_instance(number)
+        if self.restarts_left and by_ms % 2:
+            self.restarts_left -= 1
+            self.tables.pop(name, None)
+        elif by_ms < 20:
+            self.offsets[name] += by_ms
+        else:
+            self.now_ms += by_ms
+
+    @precondition(lambda self: None in [c.decision for c in self.rounds.values()])
+    @rule()
+    def give_up(self):
+        """The oldest open round meets its time bound."""
+        for attempt, claims in self.rounds.items():
+            if claims.decision is None:
+                claims.give_up()
+                return self.decided(attempt, str(claims.key))
 
     @precondition(lambda self: self.may_run)
-    @rule(choice=data(), run=booleans())
-    def run_or_release(self, choice, run):
+    @rule(choice=data(), release=integers(0, 3))
+    def run_or_release(self, choice, release):
         self.step += 1
+        run = release > 0
         attempt = choice.draw(sampled_from(sorted(self.may_run)))
         key = self.may_run.pop(attempt)
         if run:
@@ -266,5 +281,5 @@
 
 ClaimMachineTests = ClaimMachine.TestCase
 ClaimMachineTests.settings = settings(
-    max_examples=150, stateful_step_count=50, deadline=None
+    max_examples=200, stateful_step_count=40, deadline=None
 )
