Let a drain wait for results that are being stored

Cause: a result stored by a task that ends with the process leaves its caller-supplied key held until it expires. Change: ClaimsController.unfinished counts such results for Context.in_flight. Conclusion: the assembly must include the count in Context.in_flight.

--- a/lentilsill/daemon/controllers/claims.py
+++ b/lentilsill/daemon/controllers/claims.py
@@ -158,6 +158,13 @@
             message = Release(request_key, wire_attempt)
         self._send(key.instances, message)
 
+    def unfinished(self) -> int:
+        """Count attempts without a result, and results still being stored.
+
+        A drain waits for them: a result that is not stored leaves its key held.
+        """
+        return len(self._granted) + len(self.platform.storing)
+
     def issue_keys(self, count: int) -> IssuedKeys:
         """Make keys that name ready live nodes of the own domain.
 
--- a/lentilsill/daemon/controllers/platform_claims.py
+++ b/lentilsill/daemon/controllers/platform_claims.py
@@ -97,6 +97,7 @@
         self.is_first_ranked = is_first_ranked
         self.bucket = TokenBucket(ctx.cfg.platform.max_claims_per_s)
         self._versions: dict[str, tuple[int, dict[str, Any]]] = {}
+        self.storing: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
         """Start the expiry of old claims."""
@@ -125,7 +126,7 @@
         """Store the result, or delete the claim of an attempt not run."""
         held = self._versions.pop(attempt, None)
         if held is not None and self.api is not None:
-            self.ctx.spawn(self._finish(claim_name(request_key), *held, result))
+            self._store(claim_name(request_key), *held, result)
 
     async def expire_once(self) -> int:
         """Delete claims past the retention and margin; give how many.
@@ -224,7 +225,7 @@
             # An attempt that starts late could outlive its claim object.
             refused = Refused(Outcome.NOT_RUN, "claimed too late to run")
             name = claim_name(request_key)
-            self.ctx.spawn(self._finish(name, version, value, refused))
+            self._store(name, version, value, refused)
             return refused
         self._versions[value["attempt"]] = (version, value)
         return Granted()
@@ -248,6 +249,13 @@
             await asyncio.sleep(wait_s)
         return True
 
+    def _store(
+        self, name: str, version: int, value: dict[str, Any], result: CallResult
+    ) -> None:
+        task = self.ctx.spawn(self._finish(name, version, value, result))
+        self.storing.add(task)
+        task.add_done_callback(self.storing.discard)
+
     async def _finish(
         self, name: str, version: int, value: dict[str, Any], result: CallResult
     ) -> None:
