--- /dev/null
+++ b/lentilsill/documents/border.py
@@ -0,0 +1,96 @@
+"""Pydantic models of a service document as operators write it."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+
+__all__ = ["NAME_PATTERN", "DocumentModel"]
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+MAX_ROUTES = 256
+MAX_UPSTREAM_SETS = 64
+MAX_TARGETS = 64
+MAX_METHODS = 16
+MAX_LABELS = 16
+MAX_REQUIRES = 64
+MAX_PATH_CHARS = 512
+MAX_DEADLINE_MS = 600_000
+
+Name = Annotated[str, StringConstraints(pattern=NAME_PATTERN)]
+Label = Annotated[str, StringConstraints(min_length=1, max_length=63)]
+Method = Annotated[str, StringConstraints(pattern=r"^[A-Z]{1,16}$")]
+Path = Annotated[
+    str, StringConstraints(pattern=r"^/[^\s?#]*$", max_length=MAX_PATH_CHARS)
+]
+Percent = Annotated[float, Field(ge=0, le=100, allow_inf_nan=False)]
+
+
+class _Part(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+
+class UpstreamSetModel(_Part):
+    """Labels that select the upstreams of a set."""
+
+    labels: dict[Label, Label] = Field(default={}, max_length=MAX_LABELS)
+    leaving: bool = False
+
+
+class MatchModel(_Part):
+    """Which calls a route takes."""
+
+    path_prefix: Path
+    methods: list[Method] = Field(default=[], max_length=MAX_METHODS)
+
+
+class TargetModel(_Part):
+    """A share of a route's calls."""
+
+    service: Name
+    upstream_set: Name
+    weight: int = Field(default=100, ge=0, le=1_000_000)
+
+
+class RetryModel(_Part):
+    """Retry policy of a route."""
+
+    max_attempts: int = Field(default=3, ge=1, le=10)
+    budget_percent: Percent = 10.0
+
+
+class HedgeModel(_Part):
+    """Hedge policy of a route."""
+
+    delay_ms: float = Field(gt=0, le=MAX_DEADLINE_MS, allow_inf_nan=False)
+    budget_percent: Percent = 5.0
+
+
+class RouteModel(_Part):
+    """One route."""
+
+    name: Name
+    match: MatchModel
+    targets: list[TargetModel] = Field(min_length=1, max_length=MAX_TARGETS)
+    idempotent: bool = False
+    deadline_ms: int = Field(ge=1, le=MAX_DEADLINE_MS)
+    retry: RetryModel = RetryModel()
+    hedge: HedgeModel | None = None
+
+
+class LimitsModel(_Part):
+    """Limits per upstream."""
+
+    slots_per_upstream: int = Field(default=6, ge=1, le=100_000)
+    queue_per_upstream: int = Field(default=12, ge=0, le=1_000_000)
+
+
+class DocumentModel(_Part):
+    """A whole service document."""
+
+    service: Name
+    upstream_sets: dict[Name, UpstreamSetModel] = Field(
+        default={}, max_length=MAX_UPSTREAM_SETS
+    )
+    routes: list[RouteModel] = Field(default=[], max_length=MAX_ROUTES)
+    limits: LimitsModel = LimitsModel()
+    requires: list[Name] = Field(default=[], max_length=MAX_REQUIRES)
