Add the document store, resolution and its controller

Cause: nodes receive versions out of order, twice or not at all, and must never revert or refer to what they do not have. Change: records merged per service, gaps and full listings, resolution with reasons for held versions, and the documents controller over them.

--- /dev/null
+++ b/lentilsill/daemon/controllers/documents.py
@@ -0,0 +1,151 @@
+"""Keeps the node's documents and puts them in force."""
+
+from typing import Any
+
+import structlog
+
+from lentilsill.daemon.blackboard import Topic
+from lentilsill.daemon.context import Context
+from lentilsill.platform import Listing, WatchBatch
+from lentilsill.versioning import Changes, DocumentRecord, DocumentStore, Known, Merged
+from lentilsill.wire.messages import Delta
+
+__all__ = [
+    "DocumentsController",
+    "delta_from_batch",
+    "delta_from_listing",
+]
+
+log = structlog.get_logger()
+
+# Findings that one log event lists.
+LOGGED_FINDINGS = 5
+
+
+class DocumentsController:
+    """The `Documents` of a node; the only writer of the board's snapshot."""
+
+    def __init__(self, ctx: Context, store: DocumentStore | None = None) -> None:
+        self.ctx = ctx
+        self.store = store or DocumentStore()
+        self._logged_held: dict[str, tuple[int, tuple[str, ...]]] = {}
+        ctx.board.snapshot = self.store.snapshot
+        ctx.board.dump_parts["documents"] = self.dump
+
+    @property
+    def complete_as_of(self) -> int:
+        """Revision up to which the node's knowledge has no gap."""
+        return self.store.complete_as_of
+
+    @property
+    def content_hash(self) -> int:
+        """Hash of the newest known versions, 64 bits."""
+        return self.store.content_hash
+
+    def merge(self, delta: Delta) -> Delta | None:
+        """Take in documents; give what was new here, to pass on, or None."""
+        merged = self.store.merge(_to_changes(delta))
+        self._publish(merged)
+        return _to_delta(merged.changes) if merged.changes else None
+
+    def delta_since(self, base: int) -> Delta:
+        """Give the changes after `base`, or everything when those are not kept."""
+        return _to_delta(self.store.changes_since(base))
+
+    def dump(self) -> dict[str, Any]:
+        """Give the state for the state dump."""
+        in_force = self.store.snapshot.documents
+        return {
+            "complete_as_of": self.complete_as_of,
+            "content_hash": f"{self.content_hash:016x}",
+            "in_force": {name: doc.version for name, doc in in_force.items()},
+            "accepted": self.store.accepted_versions(),
+            "rejected": {
+                name: {
+                    "version": rejected.version,
+                    "findings": [str(finding) for finding in rejected.findings],
+                }
+                for name, rejected in self.store.rejected_versions().items()
+            },
+            "held": {
+                name: {
+                    "version": held.version,
+                    "deleted": held.deleted,
+                    "reasons": list(held.reasons),
+                }
+                for name, held in self.store.held_versions().items()
+            },
+        }
+
+    def _publish(self, merged: Merged) -> None:
+        board = self.ctx.board
+        board.snapshot = self.store.snapshot
+        if not merged.new:
+            return
+        for known in merged.new:
+            self._log_known(known)
+        self._log_held()
+        self.ctx.count("documents.merged", len(merged.new))
+        self.ctx.gauge("documents.complete_as_of", self.complete_as_of)
+        board.changed(Topic.DOCUMENTS)
+        if merged.in_force_changed:
+            self.ctx.count("documents.in_force_changed")
+            board.changed(Topic.IN_FORCE)
+
+    def _log_known(self, known: Known) -> None:
+        record = known.record
+        event = log.bind(service=record.service, version=record.version)
+        if record.deleted:
+            event.info("document_deleted")
+        elif known.findings is not None:
+            self.ctx.count("documents.rejected")
+            shown = [str(finding) for finding in known.findings][:LOGGED_FINDINGS]
+            event.warning(
+                "document_rejected", findings=shown, findings_count=len(known.findings)
+            )
+        else:
+            event.info("document_accepted")
+
+    def _log_held(self) -> None:
+        held = {
+            name: (version.version, version.reasons)
+            for name, version in self.store.held_versions().items()
+        }
+        for name, (version, reasons) in held.items():
+            if self._logged_held.get(name) != (version, reasons):
+                log.warning(
+                    "document_held", service=name, version=version, reasons=reasons
+                )
+        self._logged_held = held
+
+
+def delta_from_listing(listing: Listing) -> Delta:
+    """Make the delta of a full listing of kind ``service``."""
+    records = (
+        DocumentRecord.from_value(obj.name, obj.version, obj.value)
+        for obj in listing.objects
+    )
+    return Delta(0, listing.revision, True, tuple(record.row() for record in records))
+
+
+def delta_from_batch(since: int, batch: WatchBatch) -> Delta:
+    """Make the delta of a watch on kind ``service`` from revision `since`."""
+    records = (
+        DocumentRecord(obj.name, obj.version, True)
+        if obj.deleted
+        else DocumentRecord.from_value(obj.name, obj.version, obj.value)
+        for obj in batch.changes
+    )
+    return Delta(
+        since, batch.revision, False, tuple(record.row() for record in records)
+    )
+
+
+def _to_changes(delta: Delta) -> Changes:
+    records = tuple(DocumentRecord(*row) for row in delta.rows)
+    return Changes(delta.base, delta.complete_as_of, delta.full, records)
+
+
+def _to_delta(changes: Changes) -> Delta:
+    rows = tuple(record.row() for record in changes.records)
+    return Delta(changes.base, changes.complete_as_of, changes.full, rows)
--- a/lentilsill/documents/checks.py
+++ b/lentilsill/documents/checks.py
@@ -22,7 +22,9 @@
         return
     name = value.get("service")
     if isinstance(name, str) and name != service:
-        findings.add("service", f"is {name[:80]!r}, but the object is named {service!r}")
+        findings.add(
+            "service", f"is {name[:80]!r}, but the object is named {service!r}"
+        )
     if service in RESERVED_SERVICES:
         findings.add("service", f"{service!r} is reserved")
     sets = value.get("upstream_sets", {})
@@ -58,16 +60,16 @@
     seen = set()
     for target_place, target in _parts(route, "targets", f"{place}."):
         weights.append(target.get("weight", 100))
-        pair = (target.get("service"), target.get("upstream_set"))
-        if not all(isinstance(part, str) for part in pair):
+        other, name = target.get("service"), target.get("upstream_set")
+        if not isinstance(other, str) or not isinstance(name, str):
             continue
-        if pair in seen:
+        if (other, name) in seen:
             findings.add(target_place, "same target as an earlier one")
-        seen.add(pair)
-        if pair[0] == service and isinstance(sets, dict) and pair[1] not in sets:
+        seen.add((other, name))
+        if other == service and isinstance(sets, dict) and name not in sets:
             findings.add(
                 f"{target_place}.upstream_set",
-                f"this document has no upstream set {pair[1][:80]!r}",
+                f"this document has no upstream set {name[:80]!r}",
             )
     if weights and all(weight == 0 for weight in weights):
         findings.add(f"{place}.targets", "all weights are 0")
--- a/lentilsill/documents/parse.py
+++ b/lentilsill/documents/parse.py
@@ -151,6 +151,7 @@
             for target in route.targets
         ),
         retry=RetryPolicy(route.retry.max_attempts, float(route.retry.budget_percent)),
-        hedge=hedge
-        and HedgePolicy(float(hedge.delay_ms), float(hedge.budget_percent)),
+        hedge=None
+        if hedge is None
+        else HedgePolicy(float(hedge.delay_ms), float(hedge.budget_percent)),
     )
--- a/lentilsill/versioning/__init__.py
+++ b/lentilsill/versioning/__init__.py
@@ -1,5 +1,22 @@
 """Versions of documents and the snapshot that is in force."""
 
+from .records import Changes, DocumentRecord, Known, parse_record
+from .resolution import Resolution, broken_references, resolve
 from .snapshot import EMPTY_SNAPSHOT, Snapshot
+from .store import DocumentStore, HeldVersion, Merged, RejectedVersion
 
-__all__ = ["EMPTY_SNAPSHOT", "Snapshot"]
+__all__ = [
+    "EMPTY_SNAPSHOT",
+    "Changes",
+    "DocumentRecord",
+    "DocumentStore",
+    "HeldVersion",
+    "Known",
+    "Merged",
+    "RejectedVersion",
+    "Resolution",
+    "Snapshot",
+    "broken_references",
+    "parse_record",
+    "resolve",
+]
--- a/lentilsill/versioning/resolution.py
+++ b/lentilsill/versioning/resolution.py
@@ -25,7 +25,7 @@
 def resolve(
     newest: Mapping[str, ServiceDocument],
     previous: Mapping[str, ServiceDocument],
-    fallbacks: Mapping[str, ServiceDocument] | None = None,
+    at_peers: Mapping[str, ServiceDocument] | None = None,
 ) -> Resolution:
     """Choose a version of each service such that every reference is satisfied.
 
@@ -35,18 +35,26 @@
         Newest valid document by service; a service that is absent is deleted.
     previous : mapping
         Documents in force so far; every reference in it is satisfied.
-    fallbacks : mapping, optional
-        Older documents that peers have in force. They are tried between
-        `newest` and `previous`, so that a new node, which has no previous
-        version, is not left without the service.
+    at_peers : mapping, optional
+        Documents older than `newest` that peers have in force. Where they are
+        newer than `previous`, they take its place first, so that a new node,
+        which has no previous versions, comes to the set that its peers have.
 
     Notes
     -----
-    Every service starts at its first option and only moves on in its list,
-    whose last element is the previous state. The previous set is consistent,
-    so the procedure ends. A service never gets a version below its previous.
+    Every service starts at its newest state and is only moved back to its
+    previous one. The previous set is consistent, so the procedure ends. A
+    service never gets a version below its previous one.
     """
-    options = _options(newest, previous, fallbacks or {})
+    if at_peers:
+        previous = _choose({**newest, **at_peers}, previous).documents
+    return _choose(newest, previous)
+
+
+def _choose(
+    newest: Mapping[str, ServiceDocument], previous: Mapping[str, ServiceDocument]
+) -> Resolution:
+    options = _options(newest, previous)
     index = dict.fromkeys(sorted(options), 0)
     while moves := _moves(options, index):
         for service in moves:
@@ -68,31 +76,19 @@
 
 
 def _options(
-    newest: Mapping[str, ServiceDocument],
-    previous: Mapping[str, ServiceDocument],
-    fallbacks: Mapping[str, ServiceDocument],
+    newest: Mapping[str, ServiceDocument], previous: Mapping[str, ServiceDocument]
 ) -> dict[str, list[ServiceDocument | None]]:
+    """List the states of each service that may be chosen, the preferred first."""
     options: dict[str, list[ServiceDocument | None]] = {}
     for service in {**newest, **previous}:
-        last = previous.get(service)
-        below = last.version if last else 0
-        listed: list[ServiceDocument | None] = []
-        for doc in (newest.get(service), fallbacks.get(service)):
-            if doc is None and not listed:
-                listed.append(None)
-            elif doc is not None and listed != [None] and doc.version > below:
-                if not listed or doc.version < _version(listed[-1]):
-                    listed.append(doc)
-        if not listed or listed[-1] is not last:
-            listed.append(last)
-        options[service] = listed
+        first, last = newest.get(service), previous.get(service)
+        if first is not None and last is not None and first.version <= last.version:
+            options[service] = [last]
+        else:
+            options[service] = [first, last]
     return options
 
 
-def _version(doc: ServiceDocument | None) -> int:
-    return doc.version if doc else 0
-
-
 def _chosen(
     options: Mapping[str, list[ServiceDocument | None]], index: Mapping[str, int]
 ) -> dict[str, ServiceDocument | None]:
@@ -153,8 +149,7 @@
     while again:
         again = False
         for service, position in index.items():
-            for earlier in range(position):
-                if not _violations(_chosen(options, {**index, service: earlier})):
-                    index[service] = earlier
-                    again = True
-                    break
+            if position == 0 or _violations(_chosen(options, {**index, service: 0})):
+                continue
+            index[service] = 0
+            again = True
--- /dev/null
+++ b/lentilsill/versioning/store.py
@@ -0,0 +1,288 @@
+"""The documents that a node knows, and their merge."""
+
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+
+import xxhash
+
+from lentilsill.documents import references
+from lentilsill.findings import Findings
+
+from .records import Changes, DocumentRecord, Entry, Known, parse_record
+from .resolution import Resolution, resolve
+from .snapshot import EMPTY_SNAPSHOT, Snapshot
+
+__all__ = ["DocumentStore", "HeldVersion", "Merged", "RejectedVersion"]
+
+# Beyond this number the oldest tombstones are dropped, and a node that is
+# further behind gets all records in place of a delta.
+MAX_TOMBSTONES = 256
+
+
+@dataclass(frozen=True, slots=True)
+class RejectedVersion:
+    """A version that validation refused."""
+
+    version: int
+    findings: Findings
+
+
+@dataclass(frozen=True, slots=True)
+class HeldVersion:
+    """An accepted version or deletion that is not in force yet, and why."""
+
+    version: int
+    deleted: bool
+    reasons: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Merged:
+    """Effect of a merge.
+
+    `new` holds what was new here, and `changes` the same as a message to
+    peers, or None when nothing was new.
+    """
+
+    new: tuple[Known, ...]
+    changes: Changes | None
+    in_force_changed: bool
+
+
+class DocumentStore:
+    """Newest known version of every service's document, and those in force.
+
+    Records may arrive in any order and any number of times. Each part of an
+    `Entry` only moves forward, so a merge never lowers a version in force, and
+    stores that have seen the same records agree.
+
+    See Also
+    --------
+    resolve : chooses the documents in force.
+
+    Examples
+    --------
+    >>> store = DocumentStore()
+    >>> record = DocumentRecord("slots", 4, False, '{"service": "slots"}')
+    >>> _ = store.merge(Changes(0, 4, True, (record,)))
+    >>> store.snapshot.documents["slots"].version, store.complete_as_of
+    (4, 4)
+    """
+
+    def __init__(self, max_tombstones: int = MAX_TOMBSTONES) -> None:
+        self.snapshot: Snapshot = EMPTY_SNAPSHOT
+        self._entries: dict[str, Entry] = {}
+        self._held: Mapping[str, tuple[str, ...]] = {}
+        self._max_tombstones = max_tombstones
+        # Deletions up to this revision may have been dropped.
+        self._dropped_up_to = 0
+        self._hash = 0
+
+    @property
+    def complete_as_of(self) -> int:
+        """Revision up to which this store's knowledge has no gap."""
+        return self.snapshot.complete_as_of
+
+    @property
+    def content_hash(self) -> int:
+        """Hash of (service, newest version, accepted version), 64 bits.
+
+        Deleted services are left out, so dropping a tombstone has no effect.
+        """
+        return self._hash
+
+    def merge(self, changes: Changes) -> Merged:
+        """Take in records of a peer or of the platform.
+
+        The revision `complete_as_of` moves on only when the changes connect to
+        it; records behind a gap are still taken in.
+        """
+        before = self.complete_as_of
+        new = self._take_records(changes)
+        if changes.full:
+            new += self._delete_absent(changes)
+        complete = before
+        if changes.full or changes.base <= before:
+            complete = max(before, changes.complete_as_of)
+        in_force_changed = self._put_in_force(complete, bool(new))
+        self._drop_tombstones()
+        passed_on = self._changes_of(new, before) if new else None
+        return Merged(tuple(new), passed_on, in_force_changed)
+
+    def changes_since(self, base: int) -> Changes:
+        """Give the records that a store complete as of `base` may lack.
+
+        All records are given when deletions after `base` have been dropped.
+        Older versions that are still in force in place of a rejected or held
+        one are always included.
+        """
+        complete = self.complete_as_of
+        base = min(base, complete)
+        full = base <= 0 or base < self._dropped_up_to
+        records: list[DocumentRecord] = []
+        for _, entry in sorted(self._entries.items()):
+            if entry.newest is None:
+                continue
+            extras = tuple(entry.extras())
+            listed = not entry.is_deleted or entry.version > complete
+            if listed if full else entry.version > base or extras:
+                records += (entry.newest.record, *extras)
+        return Changes(
+            0 if full else self._widest_base(base), complete, full, tuple(records)
+        )
+
+    def newest_versions(self) -> dict[str, tuple[int, bool]]:
+        """Give (newest version, whether it is a deletion) by service."""
+        return {
+            name: (entry.version, entry.is_deleted)
+            for name, entry in sorted(self._entries.items())
+        }
+
+    def accepted_versions(self) -> dict[str, int]:
+        """Give the newest valid version by service; deleted ones are left out."""
+        return {
+            name: entry.accepted.record.version
+            for name, entry in sorted(self._entries.items())
+            if entry.accepted is not None
+        }
+
+    def rejected_versions(self) -> dict[str, RejectedVersion]:
+        """Give the services whose newest version is rejected, with findings."""
+        return {
+            name: RejectedVersion(entry.version, entry.newest.findings)
+            for name, entry in sorted(self._entries.items())
+            if entry.newest is not None and entry.newest.findings is not None
+        }
+
+    def held_versions(self) -> dict[str, HeldVersion]:
+        """Give the accepted versions and deletions that are not in force."""
+        held = {}
+        for name, reasons in sorted(self._held.items()):
+            entry = self._entries[name]
+            if entry.accepted is not None:
+                version, deleted = entry.accepted.record.version, False
+            else:
+                version, deleted = entry.absent_at, True
+            held[name] = HeldVersion(version, deleted, reasons)
+        return held
+
+    def _take_records(self, changes: Changes) -> list[Known]:
+        by_service: dict[str, list[DocumentRecord]] = defaultdict(list)
+        for record in changes.records:
+            by_service[record.service].append(record)
+        new: list[Known] = []
+        for service, records in sorted(by_service.items()):
+            records.sort(key=lambda record: record.version, reverse=True)
+            new += self._take_service(service, records)
+        return new
+
+    def _take_service(self, service: str, records: list[DocumentRecord]) -> list[Known]:
+        """Merge records of one service, highest version first."""
+        entry = self._entries.get(service)
+        if entry is None:
+            # The service did not exist as of complete_as_of, so an older
+            # version comes from a peer that has not seen the deletion.
+            if records[0].version <= self.complete_as_of:
+                return []
+            entry = self._entries[service] = Entry(absent_at=self.complete_as_of)
+        new = []
+        self._hash ^= _entry_hash(service, entry)
+        for record in records:
+            if entry.may_change(record):
+                known = parse_record(record)
+                if entry.merge(known):
+                    new.append(known)
+        self._hash ^= _entry_hash(service, entry)
+        return new
+
+    def _delete_absent(self, changes: Changes) -> list[Known]:
+        listed = {record.service for record in changes.records}
+        new = []
+        for service, entry in sorted(self._entries.items()):
+            if service in listed or entry.is_deleted:
+                continue
+            record = DocumentRecord(service, changes.complete_as_of, True)
+            new += self._take_service(service, [record])
+        return new
+
+    def _put_in_force(self, complete: int, entries_changed: bool) -> bool:
+        documents = self.snapshot.documents
+        if not entries_changed:
+            if complete != self.complete_as_of:
+                self.snapshot = Snapshot(documents, complete)
+            return False
+        resolution = self._resolve()
+        self._held = resolution.held
+        changed = _versions(resolution.documents) != _versions(documents)
+        if changed:
+            documents = MappingProxyType(dict(sorted(resolution.documents.items())))
+        self.snapshot = Snapshot(documents, complete)
+        for service, entry in self._entries.items():
+            entry.keep_in_force(documents.get(service))
+        return changed
+
+    def _resolve(self) -> Resolution:
+        newest, at_peers = {}, {}
+        for service, entry in self._entries.items():
+            if entry.accepted is not None and entry.accepted.document is not None:
+                newest[service] = entry.accepted.document
+            if entry.fallback is not None and entry.fallback.document is not None:
+                at_peers[service] = entry.fallback.document
+        return resolve(newest, self.snapshot.documents, at_peers)
+
+    def _changes_of(self, new: list[Known], before: int) -> Changes:
+        """Give what was new, with the other changes that its revisions cover."""
+        if self.complete_as_of > before:
+            changes = self.changes_since(before)
+        else:
+            changes = Changes(before, before, False, ())
+        records = dict.fromkeys((*changes.records, *(known.record for known in new)))
+        return Changes(
+            changes.base, changes.complete_as_of, changes.full, tuple(records)
+        )
+
+    def _widest_base(self, base: int) -> int:
+        """Give the lowest base for which the same records are the changes.
+
+        Revisions of other kinds of objects lie between those of documents. The
+        lower base connects to receivers that have not heard of them.
+        """
+        versions = [e.version for e in self._entries.values() if e.version <= base]
+        return max([self._dropped_up_to, *versions])
+
+    def _drop_tombstones(self) -> None:
+        """Drop the oldest deletions beyond the limit that nothing refers to.
+
+        Once `complete_as_of` covers a deletion, an older record of the service
+        is recognised as stale without the tombstone.
+        """
+        deleted = [e for e in self._entries.values() if e.is_deleted]
+        excess = len(deleted) - self._max_tombstones
+        if excess <= 0:
+            return
+        wanted = set(self.snapshot.documents)
+        for document in self.snapshot.documents.values():
+            needs = references(document)
+            wanted |= needs.services | {service for service, _ in needs.upstream_sets}
+        for service, entry in sorted(
+            self._entries.items(), key=lambda item: item[1].version
+        ):
+            if excess <= 0 or not entry.is_deleted:
+                continue
+            if service not in wanted and entry.version <= self.complete_as_of:
+                del self._entries[service]
+                self._dropped_up_to = max(self._dropped_up_to, entry.version)
+                excess -= 1
+
+
+def _versions(documents: Mapping) -> dict[str, int]:
+    return {service: document.version for service, document in documents.items()}
+
+
+def _entry_hash(service: str, entry: Entry) -> int:
+    if entry.newest is None or entry.is_deleted:
+        return 0
+    accepted = entry.accepted.record.version if entry.accepted else 0
+    return xxhash.xxh3_64_intdigest(f"{service}\0{entry.version}\0{accepted}".encode())
