Serve a full listing for bases before a store's own listing

Cause: a store that listed the platform does not know the deletions before the listing, yet gave deltas across them; a peer kept a deleted service. Found by 2000 random runs of the state machine (case: invalid b written and listed by one store, b deleted, another store lists and serves a delta). Conclusion: the bound covers dropped tombstones and listings alike.

--- a/lentilsill/versioning/store.py
+++ b/lentilsill/versioning/store.py
@@ -76,8 +76,9 @@
         self._entries: dict[str, Entry] = {}
         self._held: Mapping[str, tuple[str, ...]] = {}
         self._max_tombstones = max_tombstones
-        # Deletions up to this revision may have been dropped.
-        self._dropped_up_to = 0
+        # Deletions up to this revision may be missing here: their tombstones
+        # were dropped, or they lie before a listing, which does not show them.
+        self._deletions_unknown_to = 0
         self._hash = 0
 
     @property
@@ -103,6 +104,8 @@
         new = self._take_records(changes)
         if changes.full:
             new += self._delete_absent(changes)
+            if changes.complete_as_of > before:
+                self._deletions_unknown_to = changes.complete_as_of
         complete = before
         if changes.full or changes.base <= before:
             complete = max(before, changes.complete_as_of)
@@ -114,13 +117,13 @@
     def changes_since(self, base: int) -> Changes:
         """Give the records that a store complete as of `base` may lack.
 
-        All records are given when deletions after `base` have been dropped.
+        All records are given when deletions after `base` may be missing here.
         Older versions that are still in force in place of a rejected or held
         one are always included.
         """
         complete = self.complete_as_of
         base = min(base, complete)
-        full = base <= 0 or base < self._dropped_up_to
+        full = base <= 0 or base < self._deletions_unknown_to
         records: list[DocumentRecord] = []
         for _, entry in sorted(self._entries.items()):
             if entry.newest is None:
@@ -250,7 +253,7 @@
         lower base connects to receivers that have not heard of them.
         """
         versions = [e.version for e in self._entries.values() if e.version <= base]
-        return max([self._dropped_up_to, *versions])
+        return max([self._deletions_unknown_to, *versions])
 
     def _drop_tombstones(self) -> None:
         """Drop the oldest deletions beyond the limit that nothing refers to.
@@ -273,7 +276,9 @@
                 continue
             if service not in wanted and entry.version <= self.complete_as_of:
                 del self._entries[service]
-                self._dropped_up_to = max(self._dropped_up_to, entry.version)
+                self._deletions_unknown_to = max(
+                    self._deletions_unknown_to, entry.version
+                )
                 excess -= 1
 
 
