--- /dev/null
+++ b/lentilsill/status/model.py
@@ -0,0 +1,138 @@
+"""What is in force in a failure domain, and the merge of two reports."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+__all__ = ["DomainStatus", "Held", "ServiceStatus", "merge_status"]
+
+# Older rejected versions of a service are left out of the status.
+MAX_REJECTED = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """An accepted version that is not in force, and why.
+
+    `deleted` tells that the version is a deletion of the service.
+    """
+
+    version: int
+    deleted: bool
+    reasons: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceStatus:
+    """State of one service in a domain.
+
+    Parameters
+    ----------
+    as_of : int
+        The writer's `complete_as_of` when it wrote the entry.
+    newest : int
+        Newest known version, which may be rejected or a deletion.
+    accepted : int
+        Newest valid version; 0 for none.
+    in_force : int
+        Highest version that a node of the domain has in force; 0 for none.
+    nodes, nodes_heard : int
+        Nodes that have `in_force` in force, of those that reported.
+    rejected : mapping of int to tuple of str
+        Findings by rejected version.
+    held : Held or None
+    """
+
+    as_of: int
+    newest: int
+    accepted: int = 0
+    in_force: int = 0
+    nodes: int = 0
+    nodes_heard: int = 0
+    rejected: Mapping[int, tuple[str, ...]] = field(default_factory=dict)
+    held: Held | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class DomainStatus:
+    """State of all services in a domain, complete as of revision `as_of`."""
+
+    domain: str
+    as_of: int
+    services: Mapping[str, ServiceStatus] = field(default_factory=dict)
+
+
+def merge_status(old: DomainStatus, new: DomainStatus) -> DomainStatus:
+    """Combine two reports on a domain; the higher version wins in each entry.
+
+    The merge is commutative and idempotent, so writers may repeat it in any
+    order, and a writer that is behind lowers nothing. An entry that only one
+    report has is dropped when the other report is complete up to the entry's
+    newest version: the service has been deleted.
+
+    Raises
+    ------
+    ValueError
+        The reports are on different domains.
+
+    Examples
+    --------
+    >>> old = DomainStatus("lahore", 9, {"slots": ServiceStatus(9, 9, 9, 9, 2, 2)})
+    >>> new = DomainStatus("lahore", 7, {"slots": ServiceStatus(7, 5, 5, 5, 3, 3)})
+    >>> merge_status(old, new) == old
+    True
+    """
+    if old.domain != new.domain:
+        raise ValueError(f"status of {old.domain!r} merged with {new.domain!r}")
+    services = {}
+    for name in sorted({**old.services, **new.services}):
+        entry = _merge_entries(
+            old.services.get(name), new.services.get(name), old.as_of, new.as_of
+        )
+        if entry is not None:
+            services[name] = entry
+    return DomainStatus(old.domain, max(old.as_of, new.as_of), services)
+
+
+def _merge_entries(
+    old: ServiceStatus | None, new: ServiceStatus | None, old_as_of: int, new_as_of: int
+) -> ServiceStatus | None:
+    if old is not None and new is not None:
+        return _merge_service(old, new)
+    if old is not None:
+        return old if old.newest > new_as_of else None
+    assert new is not None
+    return new if new.newest > old_as_of else None
+
+
+def _merge_service(old: ServiceStatus, new: ServiceStatus) -> ServiceStatus:
+    count = max(old, new, key=_count_order)
+    # What the writer decided itself comes from the one that knows more.
+    later = max(old, new, key=_knowledge_order)
+    accepted = max(old.accepted, new.accepted)
+    rejected = {**old.rejected, **new.rejected}
+    kept = sorted(version for version in rejected if version > accepted)[-MAX_REJECTED:]
+    return replace(
+        later,
+        as_of=max(old.as_of, new.as_of),
+        newest=max(old.newest, new.newest),
+        accepted=accepted,
+        in_force=count.in_force,
+        nodes=count.nodes,
+        nodes_heard=count.nodes_heard,
+        rejected={version: rejected[version] for version in kept},
+    )
+
+
+def _count_order(entry: ServiceStatus) -> tuple[int, int, int, int]:
+    """Order of node counts.
+
+    A later report with the same count is preferred for its number of nodes
+    heard; a writer that has just started has a low count and changes nothing.
+    """
+    return (entry.in_force, entry.nodes, entry.as_of, entry.nodes_heard)
+
+
+def _knowledge_order(entry: ServiceStatus) -> tuple:
+    held = entry.held
+    rank = (held.version, held.deleted, held.reasons) if held else (0, False, ())
+    return (entry.newest, entry.accepted, entry.in_force, entry.as_of, rank)
--- /dev/null
+++ b/lentilsill/status/values.py
@@ -0,0 +1,113 @@
+"""Status as a JSON value, as it is kept in the platform."""
+
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from lentilsill.findings import Findings
+
+from .model import DomainStatus, Held, ServiceStatus
+
+__all__ = ["status_from_value", "status_to_value"]
+
+
+class _Part(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+
+class _Held(_Part):
+    version: int = Field(ge=0)
+    deleted: bool
+    reasons: list[str]
+
+
+class _Rejected(_Part):
+    version: int = Field(ge=0)
+    findings: list[str]
+
+
+class _Service(_Part):
+    as_of: int = Field(ge=0)
+    newest: int = Field(ge=0)
+    accepted: int = Field(ge=0)
+    in_force: int = Field(ge=0)
+    nodes: int = Field(ge=0)
+    nodes_heard: int = Field(ge=0)
+    rejected: list[_Rejected] = []
+    held: _Held | None = None
+
+
+class _Domain(_Part):
+    domain: str
+    as_of: int = Field(ge=0)
+    services: dict[str, _Service]
+
+
+def status_to_value(status: DomainStatus) -> dict[str, Any]:
+    """Give the JSON value of a status.
+
+    Examples
+    --------
+    >>> status_to_value(DomainStatus("lahore", 9))
+    {'domain': 'lahore', 'as_of': 9, 'services': {}}
+    """
+    return {
+        "domain": status.domain,
+        "as_of": status.as_of,
+        "services": {
+            name: _service_value(entry) for name, entry in status.services.items()
+        },
+    }
+
+
+def status_from_value(value: Any) -> Result[DomainStatus, Findings]:
+    """Check a JSON value and give the status, or all findings."""
+    try:
+        model = _Domain.model_validate(value)
+    except ValidationError as exc:
+        findings = Findings()
+        for error in exc.errors(include_url=False, include_input=False):
+            place = ".".join(str(part) for part in error["loc"]) or "status"
+            findings.add(place, error["msg"])
+        return Err(findings)
+    services = {name: _service(part) for name, part in sorted(model.services.items())}
+    return Ok(DomainStatus(model.domain, model.as_of, services))
+
+
+def _service_value(entry: ServiceStatus) -> dict[str, Any]:
+    value: dict[str, Any] = {
+        "as_of": entry.as_of,
+        "newest": entry.newest,
+        "accepted": entry.accepted,
+        "in_force": entry.in_force,
+        "nodes": entry.nodes,
+        "nodes_heard": entry.nodes_heard,
+        "rejected": [
+            {"version": version, "findings": list(findings)}
+            for version, findings in entry.rejected.items()
+        ],
+    }
+    if entry.held is not None:
+        value["held"] = {
+            "version": entry.held.version,
+            "deleted": entry.held.deleted,
+            "reasons": list(entry.held.reasons),
+        }
+    return value
+
+
+def _service(part: _Service) -> ServiceStatus:
+    held = part.held
+    return ServiceStatus(
+        as_of=part.as_of,
+        newest=part.newest,
+        accepted=part.accepted,
+        in_force=part.in_force,
+        nodes=part.nodes,
+        nodes_heard=part.nodes_heard,
+        rejected={item.version: tuple(item.findings) for item in part.rejected},
+        held=None
+        if held is None
+        else Held(held.version, held.deleted, tuple(held.reasons)),
+    )
