--- a/lentilsill/daemon/controllers/status.py
+++ b/lentilsill/daemon/controllers/status.py
@@ -129,6 +129,11 @@
         while True:
             await self._report_due.wait()
             self._report_due.clear()
+            self._sent = {
+                address: sent
+                for address, sent in self._sent.items()
+                if sent.link.is_open
+            }
             await asyncio.gather(*(self._report_to(rec) for rec in self._writers()))
             await asyncio.sleep(self.interval_s)
 
@@ -216,11 +221,12 @@
                 return
             # After a conflict or a lost answer the stored version is unknown.
             self._stored = None
-            self._note_error(str(exc))
             delay_s = self.ctx.rng.random() * backoff_s
             if isinstance(exc, RateLimited):
                 delay_s += exc.retry_after_s
+            # The other writer was faster, which is no failure.
             if not isinstance(exc, Conflict):
+                self._note_error(str(exc))
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
             await asyncio.sleep(delay_s)
 
--- /dev/null
+++ b/lentilsill/daemon/tests/test_documents_controller.py
@@ -0,0 +1,67 @@
+"""The documents controller and the blackboard."""
+
+import unittest
+from functools import partial
+
+from lentilsill.daemon.blackboard import Topic
+from lentilsill.daemon.controllers.documents import (
+    DocumentsController,
+    delta_from_batch,
+    delta_from_listing,
+)
+from lentilsill.daemon.node import make_context
+from lentilsill.daemon.tests.builders import node_settings
+from lentilsill.platform import Listing, StoredObject, WatchBatch
+from lentilsill.versioning.tests.builders import value
+
+
+def _object(service, version, content=None):
+    return StoredObject("service", service, version, content or value(service))
+
+
+class DocumentsControllerTests(unittest.TestCase):
+    def setUp(self):
+        self.ctx = make_context(node_settings("n1"))
+        self.documents = DocumentsController(self.ctx)
+        self.told: list[Topic] = []
+        for topic in (Topic.DOCUMENTS, Topic.IN_FORCE):
+            self.ctx.board.follow(topic, partial(self.told.append, topic))
+
+    def test_followers_see_the_new_snapshot_and_only_changes(self):
+        """Guards against followers told too early, or for nothing."""
+        listing = Listing(5, (_object("a", 3),))
+        seen = []
+        self.ctx.board.follow(
+            Topic.IN_FORCE, lambda: seen.append(set(self.ctx.board.snapshot.documents))
+        )
+        self.assertIsNotNone(self.documents.merge(delta_from_listing(listing)))
+        self.assertEqual(seen, [{"a"}])
+        self.assertEqual(self.told, [Topic.DOCUMENTS, Topic.IN_FORCE])
+        self.assertIsNone(self.documents.merge(delta_from_listing(listing)))
+        self.assertEqual(len(self.told), 2)
+        self.assertIs(self.ctx.board.snapshot, self.documents.store.snapshot)
+
+    def test_rejected_version_tells_only_of_documents(self):
+        """Guards against a rejected version that looks like a change in force."""
+        self.documents.merge(delta_from_listing(Listing(5, (_object("a", 3),))))
+        self.told.clear()
+        batch = WatchBatch(7, (_object("a", 6, {"service": "b"}),))
+        self.documents.merge(delta_from_batch(5, batch))
+        self.assertEqual(self.told, [Topic.DOCUMENTS])
+        dump = self.documents.dump()
+        self.assertEqual(dump["in_force"], {"a": 3})
+        self.assertEqual(dump["rejected"]["a"]["version"], 6)
+
+    def test_delta_brings_a_peer_to_the_same_hash(self):
+        """Guards against digests that differ for ever."""
+        self.documents.merge(delta_from_listing(Listing(5, (_object("a", 3),))))
+        deletion = StoredObject("service", "a", 8, None, deleted=True)
+        peer = DocumentsController(make_context(node_settings("n2")))
+        peer.merge(self.documents.delta_since(peer.complete_as_of))
+        batch = WatchBatch(9, (deletion, _object("c", 9)))
+        passed_on = self.documents.merge(delta_from_batch(5, batch))
+        assert passed_on is not None
+        peer.merge(passed_on)
+        self.assertEqual(peer.content_hash, self.documents.content_hash)
+        self.assertEqual(peer.complete_as_of, 9)
+        self.assertEqual(set(peer.store.snapshot.documents), {"c"})
--- a/lentilsill/status/model.py
+++ b/lentilsill/status/model.py
@@ -98,10 +98,11 @@
 ) -> ServiceStatus | None:
     if old is not None and new is not None:
         return _merge_service(old, new)
-    if old is not None:
-        return old if old.newest > new_as_of else None
-    assert new is not None
-    return new if new.newest > old_as_of else None
+    entry, other_as_of = (old, new_as_of) if old is not None else (new, old_as_of)
+    if entry is None or entry.newest <= other_as_of:
+        return None
+    # The merge with itself drops rejected versions that are out of date.
+    return _merge_service(entry, entry)
 
 
 def _merge_service(old: ServiceStatus, new: ServiceStatus) -> ServiceStatus:
