--- /dev/null
+++ b/lentilsill/distribution/ranking.py
@@ -0,0 +1,58 @@
+"""Order of a domain's members, the fan-out tree over it, and peer choice."""
+
+from collections.abc import Collection, Iterable
+from random import Random
+
+import xxhash
+
+__all__ = ["choose_peers", "fanout_children", "rank_members"]
+
+
+def rank_members(members: Iterable[str], key: str) -> tuple[str, ...]:
+    """Rank members by rendezvous hash for `key`, the highest weight first.
+
+    A member that joins or leaves changes no order among the others (Thaler and
+    Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998).
+
+    Examples
+    --------
+    >>> ranked = rank_members(["a", "b", "c"], "lahore")
+    >>> [m for m in ranked if m != "b"] == list(rank_members(["c", "a"], "lahore"))
+    True
+    """
+    return tuple(sorted(set(members), key=lambda m: (-_weight(key, m), m)))
+
+
+def fanout_children(
+    me: str, root: str, members: Collection[str], fanout: int
+) -> tuple[str, ...]:
+    """Give the members that `me` passes a push of `root` on to.
+
+    Members form a `fanout`-ary heap in the hash order for `root`, with the root
+    at index 0. A root that is no member still takes index 0, so that its
+    children are well defined. A `me` outside the tree has no children.
+
+    Examples
+    --------
+    >>> sorted(fanout_children("a", "a", ["a", "b", "c"], 8))
+    ['b', 'c']
+    """
+    order = (root, *(m for m in rank_members(members, root) if m != root))
+    try:
+        index = order.index(me)
+    except ValueError:
+        return ()
+    return order[fanout * index + 1 : fanout * (index + 1) + 1]
+
+
+def choose_peers(
+    members: Collection[str], count: int, rng: Random, exclude: Collection[str] = ()
+) -> list[str]:
+    """Choose up to `count` distinct members at random."""
+    pool = sorted(m for m in members if m not in exclude)
+    return rng.sample(pool, min(count, len(pool)))
+
+
+def _weight(key: str, member: str) -> int:
+    # NUL occurs in no name, so ("ab", "c") and ("a", "bc") hash differently.
+    return xxhash.xxh64_intdigest(f"{key}\0{member}")
--- /dev/null
+++ b/lentilsill/membership/table.py
@@ -0,0 +1,209 @@
+"""Records of the own domain's nodes with liveness verdicts."""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+import xxhash
+
+from .records import Liveness, NodeRecord
+
+__all__ = ["Entry", "MemberTable"]
+
+# SWIM spreads a change to all members with high probability when each member
+# repeats it a small multiple of log2(n) times (Das et al. 2002, section 4.1).
+RETRANSMIT_FACTOR = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A record, the verdict on it, and when this table learned it (seconds)."""
+
+    record: NodeRecord
+    liveness: Liveness
+    changed_at: float
+
+    @property
+    def precedence(self) -> tuple[int, int, str, int]:
+        """Total order of what can be said about one node.
+
+        The instance decides between two processes that were started under one
+        name in the same millisecond, so that all tables keep the same one.
+        """
+        record = self.record
+        return (*record.order, record.instance, int(self.liveness))
+
+
+class MemberTable:
+    """Merges records; the result does not depend on order or repetition.
+
+    Parameters
+    ----------
+    own : NodeRecord
+        Record of this node; only this table raises its `seq` and `generation`.
+    dead_memory_s : float
+        How long a dead node's (generation, seq) is kept, in seconds. During
+        that time a peer that missed the death can't bring the record back.
+    max_members : int
+        Records of further nodes are refused.
+    """
+
+    def __init__(
+        self, own: NodeRecord, dead_memory_s: float = 120.0, max_members: int = 4096
+    ) -> None:
+        self._me = own.node
+        self._domain = own.domain
+        self._dead_memory_s = dead_memory_s
+        self._max_members = max_members
+        self._entries: dict[str, Entry] = {}
+        self._recent: dict[str, int] = {}
+        self._hash = 0
+        self._put(Entry(own, Liveness.ALIVE, 0.0))
+
+    @property
+    def own(self) -> NodeRecord:
+        """Record of this node."""
+        return self._entries[self._me].record
+
+    @property
+    def records_hash(self) -> int:
+        """64-bit hash of the records and verdicts, apart from dead nodes.
+
+        Dead nodes are left out, so that tables which forget them at different
+        times stay equal.
+        """
+        return self._hash
+
+    def get(self, node: str) -> Entry | None:
+        """Give the entry of a node, dead or not."""
+        return self._entries.get(node)
+
+    def entries(self) -> list[Entry]:
+        """List all entries, with those of dead nodes that are remembered."""
+        return list(self._entries.values())
+
+    def live(self) -> list[Entry]:
+        """List the entries of nodes that are alive or suspect."""
+        return [e for e in self._entries.values() if e.liveness != Liveness.DEAD]
+
+    def changed_since(self, since: float) -> list[Entry]:
+        """List the entries that this table learned after `since` (seconds)."""
+        return [e for e in self._entries.values() if e.changed_at > since]
+
+    def update_own(self, record: NodeRecord, now: float) -> bool:
+        """Replace the own record; its generation and seq are set here."""
+        own = self.own
+        if replace(record, generation=own.generation, seq=own.seq) == own:
+            return False
+        self._put_own(replace(record, generation=own.generation, seq=own.seq + 1), now)
+        return True
+
+    def merge(
+        self, rows: Iterable[tuple[NodeRecord, Liveness]], now: float
+    ) -> list[Entry]:
+        """Take in records with verdicts and give the entries that changed.
+
+        A verdict on the own record, or a record of an earlier process under the
+        own name, is refuted: the own record is raised above it.
+        """
+        changed = []
+        for record, liveness in rows:
+            if record.domain != self._domain:
+                continue
+            if record.node == self._me:
+                entry = self._refute(record, liveness, now)
+            else:
+                entry = self._merge_one(Entry(record, liveness, now))
+            if entry is not None:
+                changed.append(entry)
+        return changed
+
+    def judge(
+        self, node: str, order: tuple[int, int], liveness: Liveness, now: float
+    ) -> Entry | None:
+        """Add a verdict on the record of `node` with this (generation, seq).
+
+        None when the record has been replaced or has a graver verdict already.
+        """
+        entry = self._entries.get(node)
+        if node == self._me or entry is None or entry.record.order != order:
+            return None
+        return self._merge_one(Entry(entry.record, liveness, now))
+
+    def expire(self, now: float) -> None:
+        """Forget nodes that have been dead for the memory time."""
+        for node, entry in list(self._entries.items()):
+            is_old = now - entry.changed_at >= self._dead_memory_s
+            if entry.liveness == Liveness.DEAD and is_old:
+                del self._entries[node]
+                self._recent.pop(node, None)
+
+    def take_recent(self, limit: int) -> list[Entry]:
+        """Give up to `limit` changed entries that were sent least often."""
+        nodes = sorted(self._recent, key=lambda n: -self._recent[n])[:limit]
+        for node in nodes:
+            self._recent[node] -= 1
+            if self._recent[node] <= 0:
+                del self._recent[node]
+        return [self._entries[node] for node in nodes]
+
+    def _merge_one(self, new: Entry) -> Entry | None:
+        node = new.record.node
+        old = self._entries.get(node)
+        if old is not None and new.precedence <= old.precedence:
+            return None
+        if old is None and not self._make_room():
+            return None
+        if new.liveness == Liveness.DEAD:
+            # Only the order is needed to refuse late records.
+            new = replace(new, record=replace(new.record, upstreams=()))
+        self._put(new)
+        return new
+
+    def _make_room(self) -> bool:
+        if len(self._entries) < self._max_members:
+            return True
+        dead = [e for e in self._entries.values() if e.liveness == Liveness.DEAD]
+        if not dead:
+            return False
+        oldest = min(dead, key=lambda e: e.changed_at).record.node
+        del self._entries[oldest]
+        self._recent.pop(oldest, None)
+        return True
+
+    def _refute(
+        self, record: NodeRecord, liveness: Liveness, now: float
+    ) -> Entry | None:
+        own = self.own
+        is_same = record.instance == own.instance
+        is_accused = liveness != Liveness.ALIVE and record.order >= own.order
+        is_newer = record.order > own.order
+        if not (is_newer or is_accused or (record.order == own.order and not is_same)):
+            return None
+        if is_same and record.generation == own.generation:
+            raised = replace(own, seq=record.seq + 1)
+        else:
+            raised = replace(own, generation=record.generation + 1, seq=0)
+        return self._put_own(raised, now)
+
+    def _put_own(self, record: NodeRecord, now: float) -> Entry:
+        entry = Entry(record, Liveness.ALIVE, now)
+        self._put(entry)
+        return entry
+
+    def _put(self, entry: Entry) -> None:
+        node = entry.record.node
+        old = self._entries.get(node)
+        if old is not None:
+            self._hash ^= _entry_hash(old)
+        self._hash ^= _entry_hash(entry)
+        self._entries[node] = entry
+        self._recent[node] = RETRANSMIT_FACTOR * math.ceil(
+            math.log2(len(self._entries) + 1)
+        )
+
+
+def _entry_hash(entry: Entry) -> int:
+    if entry.liveness == Liveness.DEAD:
+        return 0
+    return xxhash.xxh64_intdigest(f"{entry.record.node}\0{entry.precedence}")
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -109,10 +109,15 @@
 
 
 class Records(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """Node records of the sender's domain; `want_reply` asks for the receiver's."""
+    """Node records of the sender's domain; `want_reply` asks for the receiver's.
+
+    With `push`, the receiver passes on what is new to it, down the tree that is
+    rooted at each record's node.
+    """
 
     rows: tuple[NodeRow, ...]
     want_reply: bool = False
+    push: bool = False
 
 
 class DeltaRequest(msgspec.Struct, frozen=True, array_like=True, tag=6):
@@ -124,13 +129,16 @@
 class Delta(msgspec.Struct, frozen=True, array_like=True, tag=7):
     """Documents changed after `base`, complete up to `complete_as_of`.
 
-    With `full`, the rows are all documents and `base` is 0.
+    With `full`, the rows are all documents and `base` is 0. `root` names the
+    node at the root of the tree that a push travels down; it is empty in the
+    answer to a `DeltaRequest`.
     """
 
     base: int
     complete_as_of: int
     full: bool
     rows: tuple[DocumentRow, ...]
+    root: str = ""
 
 
 class Busy(msgspec.Struct, frozen=True, array_like=True, tag=8):
@@ -153,13 +161,14 @@
     """Summary of a domain for other domains.
 
     `nodes` holds the records of the nodes that host the named upstreams, and
-    `totals` holds (service, ready upstreams, slots).
+    `totals` holds (service, ready upstreams, slots). `root` is as in `Delta`.
     """
 
     domain: str
     generation: int
     totals: tuple[tuple[str, int, int], ...]
     nodes: tuple[NodeRow, ...]
+    root: str = ""
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag=11):
