--- /dev/null
+++ b/lentilsill/daemon/controllers/membership.py
@@ -0,0 +1,449 @@
+"""Membership of the own domain: join, probes and spread of node records."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import Any
+
+import structlog
+
+from lentilsill.daemon.blackboard import Topic
+from lentilsill.daemon.context import Context
+from lentilsill.daemon.interfaces import Documents
+from lentilsill.distribution import (
+    Backoff,
+    Convergence,
+    choose_peers,
+    fanout_children,
+    policy_for,
+    rank_members,
+)
+from lentilsill.membership import (
+    DeclareDead,
+    DeclareSuspect,
+    Entry,
+    FailureDetector,
+    Liveness,
+    MemberTable,
+    NodeRecord,
+    NodeState,
+    RowError,
+    SendIndirectProbe,
+    SendProbe,
+    UpstreamState,
+    record_from_row,
+    record_to_row,
+)
+from lentilsill.wire import CONTROL, Link
+from lentilsill.wire.links import LinkError
+from lentilsill.wire.messages import IndirectProbe, NodeRow, Probe, ProbeAck, Records
+
+from .summaries import SummaryExchange
+
+__all__ = ["DigestTuple", "MembershipController"]
+
+# complete_as_of, documents_hash, records_hash; NO_DIGEST is "none sent".
+DigestTuple = tuple[int, int, int]
+NO_DIGEST: DigestTuple = (0, 0, 0)
+
+PIGGYBACK_ROWS = 6
+# Beside the tree, so that one dead child does not delay its whole subtree.
+EXTRA_PUSHES = 2
+JOIN_SEEDS = 3
+SMALL_TABLE_ROWS = 64
+# A large table is sent whole only when its recent changes did not settle the
+# difference; 511 records take about 100 KB.
+FULL_EXCHANGE_INTERVAL_S = 30.0
+RECENT_CHANGE_S = 30.0
+RELAY_LIFETIME_S = 5.0
+# Separates the ids of relayed probes from those of the own detector.
+FIRST_RELAY_ID = 1 << 40
+
+log = structlog.get_logger()
+
+
+class MembershipController:
+    """Keeps `board.members` and the own record.
+
+    See Also
+    --------
+    lentilsill.membership.MemberTable : the merge of records.
+    lentilsill.daemon.controllers.summaries : what other domains are told.
+    """
+
+    def __init__(self, ctx: Context, documents: Documents) -> None:
+        self._ctx = ctx
+        self._documents = documents
+        me = ctx.links.identity
+        cfg = ctx.cfg.membership
+        self.table = MemberTable(
+            NodeRecord(
+                me.node,
+                me.domain,
+                me.instance,
+                ctx.wall_ms(),
+                0,
+                me.peer_address,
+                ctx.cfg.caller_address,
+                NodeState.JOINING,
+            )
+        )
+        self.summaries = SummaryExchange(ctx, self.is_gateway, self.tree_children)
+        self._detector = FailureDetector(
+            cfg.probe_interval_s, cfg.probe_timeout_s, cfg.suspect_timeout_s, ctx.rng
+        )
+        self._policy = policy_for(ctx.cfg.distribution.optimise_for)
+        self._digest_due = 0.0
+        self._digest_followers: list[Callable[[Link, DigestTuple], None]] = []
+        self._relays: dict[int, tuple[Link, int, str, float]] = {}
+        self._next_relay = FIRST_RELAY_ID
+        self._seeds_met: set[str] = set()
+        self._last_exchange = float("-inf")
+        self._last_full = float("-inf")
+        self._publish_pending = False
+
+    @classmethod
+    def from_context(cls, ctx: Context, documents: Documents) -> "MembershipController":
+        """Make the controller of a node."""
+        return cls(ctx, documents)
+
+    def start(self) -> None:
+        """Register handlers and start the probe and join loops."""
+        ctx = self._ctx
+        for message_type, handler in (
+            (Probe, self._on_probe),
+            (ProbeAck, self._on_probe_ack),
+            (IndirectProbe, self._on_indirect_probe),
+            (Records, self._on_records),
+        ):
+            ctx.links.on(message_type, handler)
+        for topic in (Topic.UPSTREAMS, Topic.READY, Topic.DRAIN):
+            ctx.board.follow(topic, self._refresh_own)
+        ctx.board.dump_parts["membership"] = self._dump
+        self.summaries.start()
+        self._refresh_own()
+        self._publish()
+        ctx.spawn(self._probe_loop())
+        ctx.spawn(self._join_loop())
+
+    def follow_digests(self, callback: Callable[[Link, DigestTuple], None]) -> None:
+        """Call `callback` with each digest that a probe or its answer carries."""
+        self._digest_followers.append(callback)
+
+    def alive_names(self) -> list[str]:
+        """List nodes that are alive and not suspect, this node included."""
+        return [
+            e.record.node for e in self.table.live() if e.liveness == Liveness.ALIVE
+        ]
+
+    def ranked(self) -> tuple[str, ...]:
+        """Rank the live nodes of the domain; the first ones are watchers."""
+        return rank_members(self.alive_names(), self._ctx.cfg.domain)
+
+    def is_first_ranked(self, count: int) -> bool:
+        """Whether this node is among the first `count` in the ranking."""
+        return self._ctx.cfg.node in self.ranked()[:count]
+
+    def is_gateway(self) -> bool:
+        """Whether this node talks to other domains."""
+        return self.is_first_ranked(2)
+
+    def tree_children(self, root: str) -> list[str]:
+        """Give the peer addresses that pass on a push of `root` below this node."""
+        names = self.alive_names()
+        fanout = self._ctx.cfg.distribution.fanout
+        children = fanout_children(self._ctx.cfg.node, root, names, fanout)
+        return [self._address(name) for name in children]
+
+    def random_peers(self, count: int, ready_only: bool = False) -> list[str]:
+        """Give the peer addresses of up to `count` random live nodes."""
+        me = self._ctx.cfg.node
+        names = [
+            e.record.node
+            for e in self.table.live()
+            if not ready_only or e.record.state == NodeState.READY
+        ]
+        chosen = choose_peers(names, count, self._ctx.rng, exclude=(me,))
+        return [self._address(name) for name in chosen]
+
+    # Own record
+
+    def _refresh_own(self) -> None:
+        """Rebuild the own record from the blackboard and push a change."""
+        board = self._ctx.board
+        upstreams = [board.upstreams[name] for name in sorted(board.upstreams)]
+        if board.draining:
+            state = NodeState.LEAVING
+            upstreams = [replace(u, state=UpstreamState.LEAVING) for u in upstreams]
+        else:
+            state = NodeState.READY if board.ready else NodeState.JOINING
+        record = replace(self.table.own, state=state, upstreams=tuple(upstreams))
+        if self.table.update_own(record, self._ctx.now()):
+            self._push_own()
+            self._publish_soon()
+
+    def _push_own(self) -> None:
+        me = self._ctx.cfg.node
+        row = record_to_row(self.table.own)
+        targets = [*self.tree_children(me), *self.random_peers(EXTRA_PUSHES)]
+        self._ctx.count("membership.own_pushed")
+        for address in dict.fromkeys(targets):
+            self._send(address, Records((row,), push=True))
+
+    # Probes
+
+    async def _probe_loop(self) -> None:
+        interval = self._ctx.cfg.membership.probe_timeout_s / 2
+        while True:
+            await asyncio.sleep(interval)
+            now = self._ctx.now()
+            self.table.expire(now)
+            peers = {
+                e.record.node: e
+                for e in self.table.live()
+                if e.record.node != self._ctx.cfg.node
+            }
+            suspects = [n for n, e in peers.items() if e.liveness == Liveness.SUSPECT]
+            orders = {n: e.record.order for n, e in peers.items()}
+            for action in self._detector.tick(now, orders, suspects):
+                self._act(action, now)
+            self._drop_old_relays(now)
+
+    def _act(self, action: object, now: float) -> None:
+        match action:
+            case SendProbe(node, probe_id):
+                probe = Probe(probe_id, self._digest_if_due(now), self._recent_rows())
+                self._send(self._address(node), probe)
+            case SendIndirectProbe(via, node, probe_id):
+                # The link may be silent while a new one would work.
+                self._ctx.links.forget(self._address(node), CONTROL)
+                message = IndirectProbe(probe_id, self._address(node), node)
+                self._send(self._address(via), message)
+            case DeclareSuspect(node, order):
+                self._judge(node, order, Liveness.SUSPECT, now)
+            case DeclareDead(node, order):
+                self._ctx.links.forget(self._address(node), CONTROL)
+                self._judge(node, order, Liveness.DEAD, now)
+
+    def _judge(
+        self, node: str, order: tuple[int, int], liveness: Liveness, now: float
+    ) -> None:
+        if self.table.judge(node, order, liveness, now) is not None:
+            log.info("member_judged", member=node, verdict=liveness.name.lower())
+            self._ctx.count(f"membership.{liveness.name.lower()}")
+            self._publish_soon()
+
+    def _digest_if_due(self, now: float) -> DigestTuple:
+        if isinstance(self._policy, Convergence) or now >= self._digest_due:
+            self._digest_due = now + self._policy.digest_interval_s
+            return self._digest()
+        return NO_DIGEST
+
+    def _digest(self) -> DigestTuple:
+        docs = self._documents
+        return (docs.complete_as_of, docs.content_hash, self.table.records_hash)
+
+    def _recent_rows(self) -> tuple[NodeRow, ...]:
+        return _rows(self.table.take_recent(PIGGYBACK_ROWS))
+
+    def _on_probe(self, link: Link, message: Probe) -> None:
+        self._merge(link, message.rows)
+        digest = NO_DIGEST if message.digest == NO_DIGEST else self._digest()
+        link.send(ProbeAck(message.probe_id, digest, self._recent_rows()))
+        if link.hello.domain != self._ctx.cfg.domain:
+            return
+        entry = self.table.get(link.hello.node)
+        if entry is None:
+            own = (record_to_row(self.table.own),)
+            link.send(Records(own, want_reply=True))
+        elif entry.liveness != Liveness.ALIVE:
+            # Only the sender itself can refute the verdict.
+            link.send(Records(_rows([entry])))
+        self._on_digest(link, message.digest)
+
+    def _on_probe_ack(self, link: Link, message: ProbeAck) -> None:
+        relay = self._relays.pop(message.probe_id, None)
+        if relay is not None:
+            origin, probe_id, node, _ = relay
+            if link.hello.node == node:
+                origin.send(ProbeAck(probe_id, NO_DIGEST, (), node))
+            return
+        self._merge(link, message.rows)
+        # A relayed answer names the node that was probed.
+        self._detector.ack(message.probe_id, message.node or link.hello.node)
+        self._on_digest(link, message.digest)
+
+    def _on_indirect_probe(self, link: Link, message: IndirectProbe) -> None:
+        self._next_relay += 1
+        relay = (link, message.probe_id, message.node, self._ctx.now())
+        self._relays[self._next_relay] = relay
+        self._send(message.address, Probe(self._next_relay, NO_DIGEST))
+
+    def _drop_old_relays(self, now: float) -> None:
+        for relay_id, (_, _, _, since) in list(self._relays.items()):
+            if now - since > RELAY_LIFETIME_S:
+                del self._relays[relay_id]
+
+    # Exchange of records
+
+    def _on_digest(self, link: Link, digest: DigestTuple) -> None:
+        if digest == NO_DIGEST or link.hello.domain != self._ctx.cfg.domain:
+            return
+        for callback in self._digest_followers:
+            callback(link, digest)
+        if digest[2] != self.table.records_hash:
+            self._exchange(link)
+
+    def _exchange(self, link: Link) -> None:
+        """Send records to a peer whose table differs, at a bounded rate."""
+        now = self._ctx.now()
+        if now - self._last_exchange < self._ctx.cfg.membership.probe_interval_s:
+            return
+        self._last_exchange = now
+        entries = self.table.entries()
+        is_small = len(entries) <= SMALL_TABLE_ROWS
+        if is_small or now - self._last_full >= FULL_EXCHANGE_INTERVAL_S:
+            self._last_full = now
+            link.send(Records(_rows(entries), want_reply=True))
+        else:
+            recent = self.table.changed_since(now - RECENT_CHANGE_S)
+            link.send(Records(_rows(recent[:SMALL_TABLE_ROWS])))
+        self._ctx.count("membership.exchanges")
+
+    def _on_records(self, link: Link, message: Records) -> None:
+        changed = self._merge(link, message.rows)
+        if message.push:
+            self._pass_on(changed)
+        if message.want_reply:
+            link.send(Records(_rows(self._newer_than(message.rows))))
+
+    def _newer_than(self, rows: Iterable[NodeRow]) -> list[Entry]:
+        """List the entries that the sender of `rows` lacks or has older."""
+        known = {row[0]: (row[3], row[4], row[2], row[9]) for row in rows}
+        lowest = (-1, -1, "", 0)
+        return [
+            e
+            for e in self.table.entries()
+            if e.precedence > known.get(e.record.node, lowest)
+        ]
+
+    def _merge(self, link: Link, rows: Iterable[NodeRow]) -> list[Entry]:
+        if not rows:
+            return []
+        records = []
+        for row in rows:
+            try:
+                records.append(record_from_row(row))
+            except RowError as exc:
+                self._ctx.count("membership.bad_rows")
+                log.warning("bad_record", peer=link.hello.node, error=str(exc))
+        own_before = self.table.own
+        changed = self.table.merge(records, self._ctx.now())
+        if changed:
+            self._publish_soon()
+        if self.table.own is not own_before:
+            self._ctx.count("membership.refuted")
+            self._push_own()
+            link.send(Records((record_to_row(self.table.own),)))
+        return changed
+
+    def _pass_on(self, changed: list[Entry]) -> None:
+        """Pass new records down the trees that are rooted at their nodes."""
+        rows: dict[str, list[NodeRow]] = defaultdict(list)
+        for entry in changed:
+            if entry.record.node != self._ctx.cfg.node:
+                for address in self.tree_children(entry.record.node):
+                    rows[address].append(record_to_row(entry.record, entry.liveness))
+        for address, address_rows in rows.items():
+            self._send(address, Records(tuple(address_rows), push=True))
+
+    # Join
+
+    async def _join_loop(self) -> None:
+        rng = self._ctx.rng
+        backoff = Backoff(0.5, 5.0, rng)
+        seeds = set(self._ctx.cfg.membership.seeds) - {self.table.own.peer_address}
+        await asyncio.sleep(rng.uniform(0, 0.3))
+        while True:
+            await self._meet(seeds)
+            if len(self.table.live()) > 1 and self._seeds_met >= seeds:
+                await asyncio.sleep(rng.uniform(5.0, 15.0))
+            else:
+                await asyncio.sleep(backoff.next_delay())
+
+    async def _meet(self, seeds: set[str]) -> None:
+        """Contact seeds, or a node taken for dead, which heals a partition."""
+        unmet = seeds - self._seeds_met
+        dead = {
+            e.record.peer_address
+            for e in self.table.entries()
+            if e.liveness == Liveness.DEAD
+        }
+        count = JOIN_SEEDS if unmet else 1
+        pool = unmet or (seeds | dead)
+        chosen = choose_peers(pool, count, self._ctx.rng)
+        await asyncio.gather(*(self._greet(address) for address in chosen))
+
+    async def _greet(self, address: str) -> None:
+        try:
+            link = await self._ctx.links.connect(address, CONTROL)
+        except LinkError:
+            self._ctx.count("membership.seed_unreachable")
+            return
+        self._seeds_met.add(address)
+        if link.hello.domain != self._ctx.cfg.domain:
+            self.summaries.note_address(link.hello)
+            return
+        entry = self.table.get(link.hello.node)
+        if entry is None or entry.liveness == Liveness.DEAD:
+            rows = [self.table.get(self._ctx.cfg.node), entry]
+            known = [e for e in rows if e is not None]
+            link.send(Records(_rows(known), want_reply=True))
+        else:
+            link.send(Probe(0, self._digest()))
+
+    # Blackboard
+
+    def _publish_soon(self) -> None:
+        if not self._publish_pending:
+            self._publish_pending = True
+            asyncio.get_running_loop().call_soon(self._publish)
+
+    def _publish(self) -> None:
+        self._publish_pending = False
+        live = self.table.live()
+        board = self._ctx.board
+        board.members = {e.record.node: e.record for e in live}
+        self.summaries.members_changed(board.members, self.ranked()[:2])
+        self._ctx.gauge("membership.live", len(live))
+        board.changed(Topic.MEMBERS)
+
+    def _dump(self) -> dict[str, Any]:
+        return {
+            "own": {"generation": self.table.own.generation, "seq": self.table.own.seq},
+            "records_hash": f"{self.table.records_hash:016x}",
+            "ranked": list(self.ranked()[:2]),
+            "members": {
+                e.record.node: {
+                    "verdict": e.liveness.name.lower(),
+                    "state": e.record.state.name.lower(),
+                    "order": list(e.record.order),
+                    "upstreams": len(e.record.upstreams),
+                }
+                for e in self.table.entries()
+            },
+            "summaries": self.summaries.dump(),
+        }
+
+    def _address(self, node: str) -> str:
+        entry = self.table.get(node)
+        return entry.record.peer_address if entry is not None else ""
+
+    def _send(self, address: str, message: Any) -> None:
+        if address:
+            self._ctx.links.send(address, CONTROL, message)
+
+
+def _rows(entries: Iterable[Entry]) -> tuple[NodeRow, ...]:
+    return tuple(record_to_row(e.record, e.liveness) for e in entries)  # type: ignore[misc]
--- a/lentilsill/distribution/ranking.py
+++ b/lentilsill/distribution/ranking.py
@@ -55,4 +55,4 @@
 
 def _weight(key: str, member: str) -> int:
     # NUL occurs in no name, so ("ab", "c") and ("a", "bc") hash differently.
-    return xxhash.xxh64_intdigest(f"{key}\0{member}")
+    return xxhash.xxh64_intdigest(f"{key}\0{member}".encode())
--- a/lentilsill/membership/detector.py
+++ b/lentilsill/membership/detector.py
@@ -116,9 +116,15 @@
             self._start_probe(now, peers, actions)
         return actions
 
-    def ack(self, probe_id: int) -> None:
-        """Take in an answer; one that is late or repeated is ignored."""
-        self._probes.pop(probe_id, None)
+    def ack(self, probe_id: int, node: str) -> None:
+        """Take in an answer of `node`; one that is late or repeated is ignored.
+
+        Another node that has taken over the address does not answer for the
+        node that was probed.
+        """
+        probe = self._probes.get(probe_id)
+        if probe is not None and probe.node == node:
+            del self._probes[probe_id]
 
     def _forgive_pause(self, now: float) -> None:
         # After a pause of this process, answers wait unread and deadlines have
--- a/lentilsill/membership/table.py
+++ b/lentilsill/membership/table.py
@@ -206,4 +206,5 @@
 def _entry_hash(entry: Entry) -> int:
     if entry.liveness == Liveness.DEAD:
         return 0
-    return xxhash.xxh64_intdigest(f"{entry.record.node}\0{entry.precedence}")
+    text = f"{entry.record.node}\0{entry.precedence}"
+    return xxhash.xxh64_intdigest(text.encode())
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -94,18 +94,20 @@
 
 
 class ProbeAck(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Answer to `Probe`, or to `IndirectProbe` on behalf of its target."""
+    """Answer to `Probe`, or to `IndirectProbe` on behalf of its target `node`."""
 
     probe_id: int
     digest: tuple[int, int, int]
     rows: tuple[NodeRow, ...] = ()
+    node: str = ""
 
 
 class IndirectProbe(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """Asks the receiver to probe the node at `address`."""
+    """Asks the receiver to probe `node` at `address`."""
 
     probe_id: int
     address: str
+    node: str = ""
 
 
 class Records(msgspec.Struct, frozen=True, array_like=True, tag=5):
