--- a/lentilsill/daemon/controllers/membership.py
+++ b/lentilsill/daemon/controllers/membership.py
@@ -12,7 +12,6 @@
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import Documents
 from lentilsill.distribution import (
-    Backoff,
     Convergence,
     choose_peers,
     fanout_children,
@@ -36,9 +35,9 @@
     record_to_row,
 )
 from lentilsill.wire import CONTROL, Link
-from lentilsill.wire.links import LinkError
 from lentilsill.wire.messages import IndirectProbe, NodeRow, Probe, ProbeAck, Records
 
+from .seeds import SeedContacts
 from .summaries import SummaryExchange
 
 __all__ = ["DigestTuple", "MembershipController"]
@@ -50,7 +49,6 @@
 PIGGYBACK_ROWS = 6
 # Beside the tree, so that one dead child does not delay its whole subtree.
 EXTRA_PUSHES = 2
-JOIN_SEEDS = 3
 SMALL_TABLE_ROWS = 64
 # A large table is sent whole only when its recent changes did not settle the
 # difference; 511 records take about 100 KB.
@@ -98,7 +96,7 @@
         self._digest_followers: list[Callable[[Link, DigestTuple], None]] = []
         self._relays: dict[int, tuple[Link, int, str, float]] = {}
         self._next_relay = FIRST_RELAY_ID
-        self._seeds_met: set[str] = set()
+        self._seeds = SeedContacts(ctx, self.table, self.summaries, self._digest)
         self._last_exchange = float("-inf")
         self._last_full = float("-inf")
         self._publish_pending = False
@@ -125,7 +123,7 @@
         self._refresh_own()
         self._publish()
         ctx.spawn(self._probe_loop())
-        ctx.spawn(self._join_loop())
+        self._seeds.start()
 
     def follow_digests(self, callback: Callable[[Link, DigestTuple], None]) -> None:
         """Call `callback` with each digest that a probe or its answer carries."""
@@ -358,51 +356,6 @@
         for address, address_rows in rows.items():
             self._send(address, Records(tuple(address_rows), push=True))
 
-    # Join
-
-    async def _join_loop(self) -> None:
-        rng = self._ctx.rng
-        backoff = Backoff(0.5, 5.0, rng)
-        seeds = set(self._ctx.cfg.membership.seeds) - {self.table.own.peer_address}
-        await asyncio.sleep(rng.uniform(0, 0.3))
-        while True:
-            await self._meet(seeds)
-            if len(self.table.live()) > 1 and self._seeds_met >= seeds:
-                await asyncio.sleep(rng.uniform(5.0, 15.0))
-            else:
-                await asyncio.sleep(backoff.next_delay())
-
-    async def _meet(self, seeds: set[str]) -> None:
-        """Contact seeds, or a node taken for dead, which heals a partition."""
-        unmet = seeds - self._seeds_met
-        dead = {
-            e.record.peer_address
-            for e in self.table.entries()
-            if e.liveness == Liveness.DEAD
-        }
-        count = JOIN_SEEDS if unmet else 1
-        pool = unmet or (seeds | dead)
-        chosen = choose_peers(pool, count, self._ctx.rng)
-        await asyncio.gather(*(self._greet(address) for address in chosen))
-
-    async def _greet(self, address: str) -> None:
-        try:
-            link = await self._ctx.links.connect(address, CONTROL)
-        except LinkError:
-            self._ctx.count("membership.seed_unreachable")
-            return
-        self._seeds_met.add(address)
-        if link.hello.domain != self._ctx.cfg.domain:
-            self.summaries.note_address(link.hello)
-            return
-        entry = self.table.get(link.hello.node)
-        if entry is None or entry.liveness == Liveness.DEAD:
-            rows = [self.table.get(self._ctx.cfg.node), entry]
-            known = [e for e in rows if e is not None]
-            link.send(Records(_rows(known), want_reply=True))
-        else:
-            link.send(Probe(0, self._digest()))
-
     # Blackboard
 
     def _publish_soon(self) -> None:
--- /dev/null
+++ b/lentilsill/daemon/controllers/platform_watch.py
@@ -0,0 +1,153 @@
+"""Watch of the service documents in the platform."""
+
+import asyncio
+import json
+from typing import Any
+
+import structlog
+from result import Err, Ok
+
+from lentilsill.daemon.context import Context
+from lentilsill.daemon.interfaces import Documents
+from lentilsill.distribution import Backoff
+from lentilsill.platform import (
+    Compacted,
+    ObjectApi,
+    PlatformError,
+    RateLimited,
+    StoredObject,
+)
+from lentilsill.wire.messages import Delta, DocumentRow
+
+from .distribution import DistributionController
+from .membership import MembershipController
+
+__all__ = ["PlatformWatchController"]
+
+KIND = "service"
+RANK_CHECK_INTERVAL_S = 0.5
+# Bounds the call rate when the platform answers empty watches at once.
+MIN_WATCH_S = 0.2
+BACKOFF_BASE_S = 0.2
+BACKOFF_CAP_S = 10.0
+
+log = structlog.get_logger()
+
+
+class PlatformWatchController:
+    """Watches documents while this node is among its domain's first-ranked.
+
+    `has_listed` tells whether this node has had the platform's own list, or a
+    watch answer that continues what it holds.
+    """
+
+    def __init__(
+        self,
+        ctx: Context,
+        api: ObjectApi,
+        documents: Documents,
+        membership: MembershipController,
+        distribution: DistributionController,
+    ) -> None:
+        self._ctx = ctx
+        self._api = api
+        self._documents = documents
+        self._membership = membership
+        self._distribution = distribution
+        self._backoff = Backoff(BACKOFF_BASE_S, BACKOFF_CAP_S, ctx.rng)
+        self._must_list = False
+        self._last_error = ""
+        self._is_watching = False
+        self.has_listed = False
+
+    @classmethod
+    def from_context(
+        cls,
+        ctx: Context,
+        api: ObjectApi,
+        documents: Documents,
+        membership: MembershipController,
+        distribution: DistributionController,
+    ) -> "PlatformWatchController":
+        """Make the controller of a node."""
+        return cls(ctx, api, documents, membership, distribution)
+
+    def start(self) -> None:
+        """Start the watch loop."""
+        self._ctx.board.dump_parts["platform_watch"] = self._dump
+        self._ctx.spawn(self._watch_loop())
+
+    async def _watch_loop(self) -> None:
+        # Nodes that start together each rank first until they know their
+        # peers; the jitter lets most of them find out before they list.
+        await asyncio.sleep(self._ctx.rng.uniform(0, RANK_CHECK_INTERVAL_S))
+        while True:
+            count = self._ctx.cfg.distribution.watchers_per_domain
+            # A node without peers ranks first by itself.
+            self._is_watching = self._membership.is_first_ranked(count)
+            if not self._is_watching:
+                await asyncio.sleep(RANK_CHECK_INTERVAL_S)
+                continue
+            await self._step()
+
+    async def _step(self) -> None:
+        since = self._documents.complete_as_of
+        # A platform without any writes lists at revision 0 as well.
+        if self._must_list or (since == 0 and not self.has_listed):
+            listed = await self._api.list(KIND)
+            match listed:
+                case Ok(listing):
+                    self._must_list = False
+                    self._take(0, listing.revision, True, listing.objects)
+                case Err(exc):
+                    await self._failed(exc)
+            return
+        timeout_s = self._ctx.cfg.platform.watch_timeout_s
+        started_at = self._ctx.now()
+        watched = await self._api.watch(KIND, since, timeout_s)
+        match watched:
+            case Ok(batch):
+                self._take(since, batch.revision, False, batch.changes)
+                if not batch.changes and self._ctx.now() - started_at < MIN_WATCH_S:
+                    await asyncio.sleep(MIN_WATCH_S)
+            case Err(Compacted()):
+                self._must_list = True
+            case Err(exc):
+                await self._failed(exc)
+
+    def _take(
+        self, base: int, revision: int, full: bool, objects: tuple[StoredObject, ...]
+    ) -> None:
+        self._backoff.reset()
+        self._last_error = ""
+        rows = tuple(_to_row(obj) for obj in objects)
+        self._ctx.count("platform_watch.changes", len(rows))
+        self._distribution.take(Delta(base, revision, full, rows))
+        self.has_listed = True
+
+    async def _failed(self, exc: PlatformError) -> None:
+        self._ctx.count("platform_watch.errors")
+        if not self._last_error:
+            log.warning("platform_watch_failed", error=str(exc))
+        self._last_error = str(exc)
+        delay_s = self._backoff.next_delay()
+        if isinstance(exc, RateLimited):
+            delay_s += exc.retry_after_s
+        await asyncio.sleep(delay_s)
+
+    def _dump(self) -> dict[str, Any]:
+        return {
+            "is_watching": self._is_watching,
+            "has_listed": self.has_listed,
+            "must_list": self._must_list,
+            "last_error": self._last_error,
+        }
+
+
+def _to_row(obj: StoredObject) -> DocumentRow:
+    if obj.deleted:
+        return (obj.name, obj.version, True, "")
+    text = json.dumps(
+        obj.value, sort_keys=True, separators=(",", ":"), ensure_ascii=False
+    )
+    return (obj.name, obj.version, False, text)
--- /dev/null
+++ b/lentilsill/daemon/controllers/seeds.py
@@ -0,0 +1,88 @@
+"""Contact with seed addresses: join, and healing of partitions."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from lentilsill.daemon.context import Context
+from lentilsill.distribution import Backoff, choose_peers
+from lentilsill.membership import Liveness, MemberTable, record_to_row
+from lentilsill.wire import CONTROL
+from lentilsill.wire.links import LinkError
+from lentilsill.wire.messages import Probe, Records
+
+from .summaries import SummaryExchange
+
+__all__ = ["SeedContacts"]
+
+JOIN_SEEDS = 3
+BACKOFF_BASE_S = 0.5
+BACKOFF_CAP_S = 5.0
+# Probes reach live nodes only, so two halves of a domain that took each other
+# for dead find each other again by these contacts.
+HEAL_INTERVAL_S = (5.0, 15.0)
+
+
+class SeedContacts:
+    """Contacts seeds until each has answered once, and then now and again."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        table: MemberTable,
+        summaries: SummaryExchange,
+        digest: Callable[[], tuple[int, int, int]],
+    ) -> None:
+        self._ctx = ctx
+        self._table = table
+        self._summaries = summaries
+        self._digest = digest
+        self._met: set[str] = set()
+
+    def start(self) -> None:
+        """Start the contact loop."""
+        self._ctx.spawn(self._loop())
+
+    async def _loop(self) -> None:
+        rng = self._ctx.rng
+        backoff = Backoff(BACKOFF_BASE_S, BACKOFF_CAP_S, rng)
+        seeds = set(self._ctx.cfg.membership.seeds) - {self._table.own.peer_address}
+        await asyncio.sleep(rng.uniform(0, BACKOFF_BASE_S))
+        while True:
+            await self._meet(seeds)
+            if len(self._table.live()) > 1 and self._met >= seeds:
+                await asyncio.sleep(rng.uniform(*HEAL_INTERVAL_S))
+            else:
+                await asyncio.sleep(backoff.next_delay())
+
+    async def _meet(self, seeds: set[str]) -> None:
+        """Contact seeds that have not answered yet, or any seed or dead node."""
+        unmet = seeds - self._met
+        dead = {
+            e.record.peer_address
+            for e in self._table.entries()
+            if e.liveness == Liveness.DEAD
+        }
+        count = JOIN_SEEDS if unmet else 1
+        chosen = choose_peers(unmet or (seeds | dead), count, self._ctx.rng)
+        await asyncio.gather(*(self._greet(address) for address in chosen))
+
+    async def _greet(self, address: str) -> None:
+        try:
+            link = await self._ctx.links.connect(address, CONTROL)
+        except LinkError:
+            self._ctx.count("membership.seed_unreachable")
+            return
+        self._met.add(address)
+        if link.hello.domain != self._ctx.cfg.domain:
+            self._summaries.note_address(link.hello)
+            return
+        entry = self._table.get(link.hello.node)
+        if entry is not None and entry.liveness != Liveness.DEAD:
+            link.send(Probe(0, self._digest()))
+            return
+        rows: list[Any] = [record_to_row(self._table.own)]
+        if entry is not None:
+            # The peer refutes the verdict on itself.
+            rows.append(record_to_row(entry.record, entry.liveness))
+        link.send(Records(tuple(rows), want_reply=True))
--- /dev/null
+++ b/lentilsill/daemon/controllers/tests/builders.py
@@ -0,0 +1,152 @@
+"""Builders of nodes with a fake document store and a fake platform."""
+
+import asyncio
+import socket
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from lentilsill.daemon.context import Context
+from lentilsill.daemon.controllers.distribution import DistributionController
+from lentilsill.daemon.controllers.membership import MembershipController
+from lentilsill.daemon.controllers.platform_watch import PlatformWatchController
+from lentilsill.daemon.controllers.readiness import ReadinessController
+from lentilsill.daemon.node import make_context
+from lentilsill.platform import Listing, StoredObject, Unavailable, WatchBatch
+from lentilsill.settings import NodeSettings
+from lentilsill.wire.messages import Delta
+
+__all__ = ["FakeDocuments", "FakePlatform", "Node", "make_node", "until"]
+
+
+class FakeDocuments:
+    """Newest row of each service, and the revision without a gap."""
+
+    def __init__(self):
+        self.rows = {}
+        self.complete_as_of = 0
+
+    @property
+    def content_hash(self):
+        return hash(frozenset((r[0], r[1]) for r in self.rows.values())) & (2**64 - 1)
+
+    def merge(self, delta):
+        known = {row[0]: row[1] for row in self.rows.values()}
+        new = tuple(row for row in delta.rows if row[1] > known.get(row[0], 0))
+        self.rows.update((row[0], row) for row in new)
+        if delta.full or delta.base <= self.complete_as_of:
+            self.complete_as_of = max(self.complete_as_of, delta.complete_as_of)
+        if not new:
+            return None
+        return Delta(delta.base, delta.complete_as_of, delta.full, new)
+
+    def delta_since(self, base):
+        rows = tuple(row for row in self.rows.values() if row[1] > base)
+        return Delta(base, self.complete_as_of, base == 0, rows)
+
+
+class FakePlatform:
+    """Object API over a dict; `is_up` False gives an outage."""
+
+    def __init__(self, is_up=True):
+        self.is_up = is_up
+        self.revision = 0
+        self.objects = {}
+        self.changed = asyncio.Condition()
+        self.waiting = 0
+
+    async def write(self, name, value):
+        async with self.changed:
+            self.revision += 1
+            self.objects[name] = StoredObject("service", name, self.revision, value)
+            self.changed.notify_all()
+
+    async def list(self, kind):
+        if not self.is_up:
+            return Err(Unavailable("outage"))
+        return Ok(Listing(self.revision, tuple(self.objects.values())))
+
+    async def watch(self, kind, since, timeout_s):
+        if not self.is_up:
+            return Err(Unavailable("outage"))
+        self.waiting += 1
+        try:
+            async with self.changed:
+                await asyncio.wait_for(
+                    self.changed.wait_for(lambda: self.revision > since), timeout_s
+                )
+        except TimeoutError:
+            pass
+        finally:
+            self.waiting -= 1
+        news = tuple(o for o in self.objects.values() if o.version > since)
+        return Ok(WatchBatch(self.revision, news))
+
+
+@dataclass
+class Node:
+    """A started node without call path."""
+
+    ctx: Context
+    documents: FakeDocuments
+    membership: MembershipController
+    distribution: DistributionController
+    addresses: list = field(default_factory=list)
+
+    @property
+    def address(self):
+        return self.ctx.cfg.peer_address
+
+    @property
+    def member_names(self):
+        return set(self.ctx.board.members)
+
+    def stop(self):
+        for task in list(self.ctx.tasks):
+            task.cancel()
+        self.ctx.links.close()
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def make_node(name, platform, seeds=(), domain="lahore", **distribution):
+    """Start a node on loopback with short probe times."""
+    cfg = NodeSettings(
+        node=name,
+        domain=domain,
+        bind_ip="127.0.0.1",
+        peer_address=free_address(),
+        caller_address="127.0.0.1:1",
+        admin_address="127.0.0.1:1",
+        platform={"url": "http://127.0.0.1:1"},
+        distribution={"ready_bound_s": 1.0, **distribution},
+        membership={
+            "seeds": seeds,
+            "probe_interval_s": 0.2,
+            "probe_timeout_s": 0.2,
+            "suspect_timeout_s": 0.5,
+        },
+    )
+    ctx = make_context(cfg)
+    ctx.links.listen(cfg.peer_address)
+    documents = FakeDocuments()
+    membership = MembershipController.from_context(ctx, documents)
+    distribution_ = DistributionController.from_context(ctx, documents, membership)
+    watch = PlatformWatchController.from_context(
+        ctx, platform, documents, membership, distribution_
+    )
+    readiness = ReadinessController.from_context(ctx, distribution_, watch)
+    for controller in (membership, distribution_, watch, readiness):
+        controller.start()
+    return Node(ctx, documents, membership, distribution_)
+
+
+async def until(condition, timeout_s=15.0):
+    """Wait until `condition` holds; fails after `timeout_s`."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/lentilsill/daemon/controllers/tests/test_spread.py
@@ -0,0 +1,81 @@
+"""Nodes on loopback find each other and hold the same."""
+
+import time
+import unittest
+
+from lentilsill.daemon.blackboard import Topic
+from lentilsill.membership import UpstreamState
+from lentilsill.membership.tests.builders import make_upstream
+
+from .builders import FakePlatform, make_node, until
+
+
+class SpreadTests(unittest.IsolatedAsyncioTestCase):
+    def start(self, *args, **kwargs):
+        node = make_node(*args, **kwargs)
+        self.addCleanup(node.stop)
+        return node
+
+    async def start_domain(self, platform, **kwargs):
+        first = self.start("a", platform, **kwargs)
+        seeds = (first.address,)
+        nodes = [first, *(self.start(n, platform, seeds, **kwargs) for n in "bc")]
+        await until(lambda: all(n.member_names == set("abc") for n in nodes))
+        await until(lambda: all(n.ctx.board.ready for n in nodes))
+        return nodes
+
+    async def test_three_nodes_join_by_one_seed_and_spread_a_document(self):
+        """Guards against nodes that miss a document written after their start."""
+        for policy in ("convergence", "control_bytes"):
+            with self.subTest(policy):
+                platform = FakePlatform()
+                nodes = await self.start_domain(platform, optimise_for=policy)
+                await until(lambda p=platform: p.waiting >= 2)
+                await platform.write("slots", {"service": "slots"})
+                started = time.monotonic()
+                await until(lambda ns=nodes: all(n.documents.rows for n in ns))
+                self.assertLess(time.monotonic() - started, 2.0)
+                await until(
+                    lambda ns=nodes: all(n.documents.complete_as_of == 1 for n in ns)
+                )
+
+    async def test_leaving_upstream_is_known_everywhere_within_2_s(self):
+        """Guards against new work for an upstream that leaves."""
+        a, b, c = await self.start_domain(FakePlatform())
+        b.ctx.board.upstreams["u1"] = make_upstream()
+        b.ctx.board.changed(Topic.UPSTREAMS)
+        await until(lambda: c.ctx.board.members["b"].upstreams)
+        b.ctx.board.draining = True
+        b.ctx.board.changed(Topic.DRAIN)
+
+        def is_known(node):
+            upstreams = node.ctx.board.members["b"].upstreams
+            return upstreams and upstreams[0].state == UpstreamState.LEAVING
+
+        await until(lambda: is_known(a) and is_known(c), timeout_s=2.0)
+
+    async def test_killed_node_is_found_dead_and_its_successor_joins(self):
+        """Guards against calls to a dead node, and a restart taken for it."""
+        a, b, c = await self.start_domain(FakePlatform())
+        c.stop()
+        await until(lambda: a.member_names == b.member_names == {"a", "b"})
+        again = self.start("c", FakePlatform(), (a.address,))
+        await until(lambda: a.member_names == b.member_names == set("abc"))
+        instance = again.ctx.links.identity.instance
+        await until(lambda: b.ctx.board.members["c"].instance == instance)
+
+    async def test_domain_starts_from_another_one_in_an_outage(self):
+        """Guards against a domain that restarts as a whole and stays unready."""
+        platform = FakePlatform()
+        await platform.write("slots", {"service": "slots"})
+        nodes = await self.start_domain(platform)
+        nodes[0].ctx.board.upstreams["u1"] = make_upstream()
+        nodes[0].ctx.board.changed(Topic.UPSTREAMS)
+        down = FakePlatform(is_up=False)
+        first = self.start("x", down, (nodes[1].address,), domain="multan")
+        seeds = (first.address,)
+        others = [first, *(self.start(n, down, seeds, domain="multan") for n in "yz")]
+        await until(lambda: all(n.documents.rows for n in others))
+        await until(lambda: all(n.ctx.board.ready for n in others))
+        await until(lambda: all("a" in n.ctx.board.remote_nodes for n in others))
+        await until(lambda: all("x" in n.ctx.board.remote_nodes for n in nodes))
--- /dev/null
+++ b/lentilsill/membership/tests/test_table.py
@@ -0,0 +1,110 @@
+"""Tables converge, forget nothing too early, and refute verdicts."""
+
+import unittest
+
+from hypothesis import given, strategies as st
+
+from lentilsill.membership import Liveness, MemberTable, RowError
+from lentilsill.membership.rows import record_from_row, record_to_row
+
+from .builders import make_record, make_upstream
+
+rows = st.lists(
+    st.builds(
+        lambda node, gen, seq, live: (make_record(node, gen, seq), live),
+        st.sampled_from("abc"),
+        st.integers(0, 2),
+        st.integers(0, 2),
+        st.sampled_from(Liveness),
+    ),
+    max_size=12,
+)
+
+
+def make_table():
+    return MemberTable(make_record("me"), dead_memory_s=60.0)
+
+
+class MemberTableTests(unittest.TestCase):
+    @given(rows, st.randoms(use_true_random=False))
+    def test_order_and_repetition_do_not_matter(self, facts, rng):
+        """Guards against tables that stay different after the same news."""
+        one, two = make_table(), make_table()
+        shuffled = facts + facts[: len(facts) // 2]
+        rng.shuffle(shuffled)
+        one.merge(facts, 1.0)
+        for fact in shuffled:
+            two.merge([fact], 1.0)
+        self.assertEqual(one.records_hash, two.records_hash)
+        seen = [
+            {(e.record, e.liveness) for e in t.entries() if e.record.node != "me"}
+            for t in (one, two)
+        ]
+        self.assertEqual(seen[0], seen[1])
+
+    def test_late_peer_does_not_revive_a_dead_node(self):
+        """Guards against calls to a dead node that a lagging peer still lists."""
+        table = make_table()
+        record = make_record("a", 5, 1, [make_upstream()])
+        table.merge([(record, Liveness.ALIVE)], 0.0)
+        table.judge("a", (5, 1), Liveness.DEAD, 1.0)
+        table.expire(60.0)
+        self.assertEqual(table.merge([(record, Liveness.ALIVE)], 60.0), [])
+        self.assertEqual([e.record.node for e in table.live()], ["me"])
+        table.expire(61.0)
+        self.assertIsNone(table.get("a"))
+
+    def test_restarted_node_replaces_its_dead_record(self):
+        """Guards against a successor refused for its predecessor's death."""
+        table = make_table()
+        table.merge([(make_record("a", 5, 9), Liveness.DEAD)], 0.0)
+        table.merge([(make_record("a", 6, 0, instance="j"), Liveness.ALIVE)], 1.0)
+        self.assertEqual(table.get("a").liveness, Liveness.ALIVE)
+
+    def test_verdict_on_a_replaced_record_is_ignored(self):
+        """Guards against a suspicion that outlives its refutation."""
+        table = make_table()
+        table.merge([(make_record("a", 5, 2), Liveness.ALIVE)], 0.0)
+        self.assertIsNone(table.judge("a", (5, 1), Liveness.DEAD, 1.0))
+
+    def test_own_record_rises_above_verdicts_and_predecessors(self):
+        """Guards against a live node that stays dead for its peers."""
+        cases = (
+            (make_record("me", 1, 0), Liveness.SUSPECT, (1, 1)),
+            (make_record("me", 1, 7), Liveness.DEAD, (1, 8)),
+            (make_record("me", 9, 3, instance="old"), Liveness.ALIVE, (10, 0)),
+            (make_record("me", 1, 0, instance="old"), Liveness.ALIVE, (2, 0)),
+        )
+        for record, liveness, expected in cases:
+            with self.subTest(record=record.order, liveness=liveness):
+                table = make_table()
+                self.assertTrue(table.merge([(record, liveness)], 1.0))
+                self.assertEqual(table.own.order, expected)
+                self.assertEqual(table.own.instance, "i")
+
+    def test_size_is_bounded(self):
+        """Guards against growth by records that a faulty peer makes up."""
+        table = MemberTable(make_record("me"), max_members=3)
+        facts = [(make_record(n), Liveness.ALIVE) for n in "abcd"]
+        self.assertEqual(len(table.merge(facts, 0.0)), 2)
+
+    def test_recent_changes_are_sent_a_bounded_number_of_times(self):
+        """Guards against old changes that fill every probe."""
+        table = make_table()
+        table.merge([(make_record("a"), Liveness.ALIVE)], 0.0)
+        sent = sum(len(table.take_recent(4)) for _ in range(50))
+        self.assertTrue(6 <= sent <= 14, sent)
+
+
+class RowTests(unittest.TestCase):
+    def test_round_trip(self):
+        """Guards against a field that is lost between record and row."""
+        record = make_record("a", 3, 4, [make_upstream()])
+        row = record_to_row(record, Liveness.SUSPECT)
+        self.assertEqual(record_from_row(row), (record, Liveness.SUSPECT))
+
+    def test_unknown_state_is_refused(self):
+        """Guards against a record with a state that no code handles."""
+        row = record_to_row(make_record("a"))
+        with self.assertRaisesRegex(RowError, "'a'"):
+            record_from_row((*row[:7], 9, *row[8:]))
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgpack
 import structlog
@@ -78,7 +79,8 @@
         self.stream.close()
 
 
-Handler = Callable[[Link, Message], None]
+# Each handler takes the one message type that it is registered for.
+Handler = Callable[[Link, Any], None]
 
 
 class PeerLinks:
