--- a/lentilsill/daemon/controllers/tests/test_claims.py
+++ b/lentilsill/daemon/controllers/tests/test_claims.py
@@ -12,7 +12,7 @@
 from lentilsill.drain import DrainReason
 from lentilsill.outcomes import Answer, Outcome, Refused
 
-from .builders import FakeApi, introduce, make_node, wait_for
+from .claim_builders import FakeApi, introduce, make_node, wait_for
 
 ANSWER = Answer(200, (("a", "b"),), b"done")
 NOT_RUN = Refused(Outcome.NOT_RUN, "refused by the upstream")
