--- a/lentilsill/daemon/blackboard.py
+++ b/lentilsill/daemon/blackboard.py
@@ -39,6 +39,9 @@
     remote_nodes : dict
         Node records of other domains, from their summaries, by node name.
         Written by the membership controller.
+    suspects : frozenset of str
+        Names of nodes in `members` and `remote_nodes` that are suspect.
+        Written by the membership controller.
     ready, draining : bool
         Whether calls are taken; whether the node leaves.
     dump_parts : dict
@@ -49,6 +52,7 @@
     upstreams: dict[str, UpstreamRecord] = field(default_factory=dict)
     members: dict[str, NodeRecord] = field(default_factory=dict)
     remote_nodes: dict[str, NodeRecord] = field(default_factory=dict)
+    suspects: frozenset[str] = frozenset()
     ready: bool = False
     draining: bool = False
     dump_parts: dict[str, Callable[[], Any]] = field(default_factory=dict)
--- a/lentilsill/routing/__init__.py
+++ b/lentilsill/routing/__init__.py
@@ -1,1 +1,14 @@
 """Choice of the route and the upstream of a call."""
+
+from .candidates import Candidate, build_candidates, is_leaving
+from .match import choose_target, match_route
+from .selector import Selector
+
+__all__ = [
+    "Candidate",
+    "Selector",
+    "build_candidates",
+    "choose_target",
+    "is_leaving",
+    "match_route",
+]
--- /dev/null
+++ b/lentilsill/routing/selector.py
@@ -0,0 +1,236 @@
+"""Choice among the upstreams of a set."""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from lentilsill.membership import NodeRecord
+from lentilsill.versioning import Snapshot
+
+from .candidates import Candidate, build_candidates
+
+__all__ = ["Selector"]
+
+SLOW_START_S = 10.0
+# A cold upstream gets at least a tenth of its share, so that it warms up.
+MIN_WARMTH = 0.1
+# Load reports describe the past; older ones mislead more than they help.
+LOAD_REPORT_VALID_S = 1.0
+FAILURES_TO_EJECT = 5
+EJECTION_S = 5.0
+MAX_EJECTION_S = 60.0
+# After a refusal for overload, others are tried first for this time.
+REFUSAL_HOLD_S = 0.2
+
+
+@dataclass(slots=True)
+class _Load:
+    """What this node knows about the work of an upstream."""
+
+    first_seen: float
+    outstanding: int = 0
+    others: int = 0
+    reported_at: float = float("-inf")
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = float("-inf")
+    refusing_until: float = float("-inf")
+
+
+@dataclass(slots=True)
+class _Pool:
+    """Candidates of one set, and those not ejected until `valid_until`."""
+
+    candidates: tuple[Candidate, ...]
+    local: list[Candidate] = field(default_factory=list)
+    remote: list[Candidate] = field(default_factory=list)
+    valid_until: float = float("-inf")
+
+
+class Selector:
+    """Chooses upstreams by outstanding work, own domain first.
+
+    The better of two random candidates is taken (Mitzenmacher 2001). Lists of
+    candidates are built once per change of snapshot or members. Times are in
+    seconds of one clock that never steps.
+    """
+
+    def __init__(self, domain: str, rng: Random) -> None:
+        self.domain = domain
+        self._rng = rng
+        self._snapshot: Snapshot | None = None
+        self._nodes: tuple[NodeRecord, ...] = ()
+        self._suspects: frozenset[str] = frozenset()
+        self._pools: dict[tuple[str, str], _Pool] = {}
+        self._loads: dict[str, _Load] = {}
+
+    def update(
+        self,
+        snapshot: Snapshot,
+        nodes: Iterable[NodeRecord],
+        suspects: Iterable[str] = (),
+    ) -> None:
+        """Replace what candidates are built from."""
+        self._snapshot = snapshot
+        self._nodes = tuple(nodes)
+        self._suspects = frozenset(suspects)
+        self._pools.clear()
+        known = {u.upstream for node in self._nodes for u in node.upstreams}
+        for upstream, load in list(self._loads.items()):
+            if upstream not in known and load.outstanding <= 0:
+                del self._loads[upstream]
+
+    def has_candidates(self, service: str, upstream_set: str) -> bool:
+        """Whether any upstream of the set may take calls."""
+        return bool(self._pool(service, upstream_set).candidates)
+
+    def pick(
+        self,
+        service: str,
+        upstream_set: str,
+        now: float,
+        wall_ms: int,
+        tried: Collection[str] = (),
+    ) -> Candidate | None:
+        """Choose an upstream that is not in `tried`, or None.
+
+        Other domains are used when each upstream of the own domain is absent,
+        ejected, tried, or has refused a call within 0.2 s.
+        """
+        pool = self._pool(service, upstream_set)
+        if now >= pool.valid_until:
+            self._refresh(pool, now)
+        for strict in (True, False):
+            for group in (pool.local, pool.remote):
+                chosen = self._best_of_two(group, now, wall_ms, tried, strict)
+                if chosen is not None:
+                    return chosen
+        return None
+
+    def started(self, upstream: str, now: float) -> None:
+        """Count a call as outstanding."""
+        self._load(upstream, now).outstanding += 1
+
+    def finished(self, upstream: str, now: float, failed: bool) -> None:
+        """Count the end of a call; failures in a row eject the upstream."""
+        load = self._load(upstream, now)
+        load.outstanding -= 1
+        if not failed:
+            load.failures = 0
+            if now >= load.ejected_until + EJECTION_S:
+                load.ejections = 0
+            return
+        load.failures += 1
+        if load.failures >= FAILURES_TO_EJECT:
+            load.failures = 0
+            length = min(MAX_EJECTION_S, EJECTION_S * 2**load.ejections)
+            load.ejections = min(load.ejections + 1, 8)
+            load.ejected_until = now + length
+            for pool in self._pools.values():
+                pool.valid_until = float("-inf")
+
+    def refused(self, upstream: str, now: float) -> None:
+        """Prefer others for a short time after a refusal."""
+        self._load(upstream, now).refusing_until = now + REFUSAL_HOLD_S
+
+    def report(self, upstream: str, work: int, now: float) -> None:
+        """Take a load report: calls running or queued there, this node's too."""
+        load = self._load(upstream, now)
+        load.others = max(0, work - load.outstanding)
+        load.reported_at = now
+
+    def dump(self, now: float) -> dict[str, dict[str, float | bool]]:
+        """Give the state per upstream for the state dump."""
+        return {
+            upstream: {
+                "outstanding": load.outstanding,
+                "others": load.others,
+                "ejected": now < load.ejected_until,
+            }
+            for upstream, load in self._loads.items()
+        }
+
+    def _pool(self, service: str, upstream_set: str) -> _Pool:
+        key = (service, upstream_set)
+        pool = self._pools.get(key)
+        if pool is None:
+            candidates: tuple[Candidate, ...] = ()
+            document = self._snapshot and self._snapshot.documents.get(service)
+            if document:
+                candidates = build_candidates(
+                    document, upstream_set, self._nodes, self._suspects
+                )
+            pool = self._pools[key] = _Pool(candidates)
+        return pool
+
+    def _refresh(self, pool: _Pool, now: float) -> None:
+        """Leave out ejected candidates, at most half of the set."""
+        ejected = sorted(
+            (load.ejected_until, c.upstream)
+            for c in pool.candidates
+            if now < (load := self._load(c.upstream, now)).ejected_until
+        )
+        ejected = ejected[-(len(pool.candidates) // 2) :] if ejected else []
+        if len(pool.candidates) < 2:
+            ejected = []
+        out = {upstream for _, upstream in ejected}
+        stay = [c for c in pool.candidates if c.upstream not in out]
+        pool.local = [c for c in stay if c.domain == self.domain]
+        pool.remote = [c for c in stay if c.domain != self.domain]
+        pool.valid_until = ejected[0][0] if ejected else float("inf")
+
+    def _best_of_two(
+        self,
+        group: list[Candidate],
+        now: float,
+        wall_ms: int,
+        tried: Collection[str],
+        strict: bool,
+    ) -> Candidate | None:
+        count = len(group)
+        if not count:
+            return None
+        if count > 1 and strict:
+            i = int(self._rng.random() * count)
+            j = int(self._rng.random() * (count - 1))
+            pair = [group[i], group[j + (j >= i)]]
+            if all(self._usable(c, now, tried, strict) for c in pair):
+                return self._better(pair, now, wall_ms)
+        usable = [c for c in group if self._usable(c, now, tried, strict)]
+        if len(usable) > 2:
+            usable = self._rng.sample(usable, 2)
+        return self._better(usable, now, wall_ms) if usable else None
+
+    def _usable(
+        self, candidate: Candidate, now: float, tried: Collection[str], strict: bool
+    ) -> bool:
+        if candidate.upstream in tried:
+            return False
+        if not strict:
+            return True
+        load = self._loads.get(candidate.upstream)
+        return load is None or now >= load.refusing_until
+
+    def _better(self, pair: list[Candidate], now: float, wall_ms: int) -> Candidate:
+        if len(pair) == 1:
+            return pair[0]
+        first, second = pair
+        if self._score(first, now, wall_ms) <= self._score(second, now, wall_ms):
+            return first
+        return second
+
+    def _score(self, candidate: Candidate, now: float, wall_ms: int) -> float:
+        load = self._load(candidate.upstream, now)
+        work = load.outstanding + 1
+        if now - load.reported_at < LOAD_REPORT_VALID_S:
+            work += load.others
+        # The time since first sight bounds the slow start when clocks differ.
+        age_s = max((wall_ms - candidate.ready_at_ms) / 1000, now - load.first_seen)
+        warmth = min(1.0, max(MIN_WARMTH, age_s / SLOW_START_S))
+        return work / (candidate.slots * warmth)
+
+    def _load(self, upstream: str, now: float) -> _Load:
+        load = self._loads.get(upstream)
+        if load is None:
+            load = self._loads[upstream] = _Load(now)
+        return load
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -176,6 +176,8 @@
 
     `call_id` is unique per (sender instance, attempt). `deadline_ms` is the
     time that remains. `document_version` is the version the sender routed by.
+    The sender needs no record of calls with ids up to `settled` any more; the
+    receiver drops those records and refuses such ids if they arrive late.
     """
 
     call_id: int
@@ -189,6 +191,7 @@
     request_key: str
     service: str
     document_version: int
+    settled: int = -1
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag=21):
