Add the destination of calls and the client to upstreams

Cause: calls must be admitted, run at most once and classified at the node of their upstream. Change: DestinationController with ledger, admission, cancellation and outcome queries; UpstreamClient over kept streams that never resends by itself.

--- /dev/null
+++ b/lentilsill/daemon/controllers/destination.py
@@ -0,0 +1,364 @@
+"""Execution of calls on the upstreams of this node."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import xxhash
+
+from lentilsill.admission import AdmissionQueue, Refuse, Start
+from lentilsill.documents import Limits
+from lentilsill.membership import UpstreamRecord, UpstreamState
+from lentilsill.outcomes import (
+    Answer,
+    Begin,
+    CallLedger,
+    CallResult,
+    CallState,
+    Outcome,
+    Refused,
+)
+from lentilsill.routing import is_leaving
+from lentilsill.wire import CALLS, Link
+from lentilsill.wire.messages import (
+    Answer as AnswerMessage,
+    Call,
+    Cancel,
+    GoAway,
+    OutcomeQuery,
+    OutcomeReply,
+    Ping,
+    Pong,
+    Refusal,
+)
+
+from ..blackboard import Topic
+from ..context import Context
+from ..interfaces import CrashGuard
+from .reasons import LEAVING, UNREACHABLE, not_run
+from .upstream_client import Exchange, UpstreamClient
+
+__all__ = ["DestinationController", "Execution", "fingerprint_of"]
+
+EXPIRY_INTERVAL_S = 1.0
+# All connections of a crashed upstream have closed after this time.
+CRASH_CHECK_DELAY_S = 0.05
+DEFAULT_LIMITS = Limits()
+
+
+def fingerprint_of(
+    request_key: str, service: str, method: str, path: str, body: bytes
+) -> str:
+    """Identify requests that are the same for the quarantine."""
+    if request_key:
+        return request_key
+    head = f"{service}\0{method}\0{path}\0".encode()
+    return xxhash.xxh3_128_hexdigest(head + body)
+
+
+@dataclass(eq=False, slots=True)
+class Execution:
+    """A call at its destination; `link` is None for a call of this node."""
+
+    call: Call
+    deadline: float
+    link: Link | None = None
+    fingerprint: str = ""
+    admitted: asyncio.Future[Refused | None] | None = None
+    exchange: Exchange = field(default_factory=Exchange)
+
+
+class _Upstream:
+    """An upstream of this node with its queue and connections."""
+
+    def __init__(self, record: UpstreamRecord, guard: CrashGuard | None) -> None:
+        self.record = record
+        self.guard = guard
+        self.running: dict[Execution, None] = {}
+        self.lost: list[str] = []
+        self.client = UpstreamClient(record.address)
+        may_start = None if guard is None else self._may_start
+        self.queue = AdmissionQueue(max(1, record.slots), 0, may_start)
+
+    def fingerprints(self) -> tuple[str, ...]:
+        return tuple(execution.fingerprint for execution in self.running)
+
+    def _may_start(self, execution) -> bool:
+        assert self.guard is not None
+        return self.guard.may_start(execution.fingerprint, self.fingerprints())
+
+
+class DestinationController:
+    """Runs calls for this node's upstreams, each at most once.
+
+    `guard` is the quarantine of requests that crash upstreams, or None.
+    """
+
+    def __init__(self, ctx: Context, guard: CrashGuard | None = None) -> None:
+        self.ctx = ctx
+        self.guard = guard
+        self.ledger = CallLedger(ctx.cfg.calls.execution_record_s)
+        self._upstreams: dict[str, _Upstream] = {}
+        self._remote: dict[tuple[str, int], Execution] = {}
+        ctx.links.on(Call, self._on_call)
+        ctx.links.on(Cancel, self._on_cancel)
+        ctx.links.on(OutcomeQuery, self._on_outcome_query)
+        ctx.links.on(Ping, self._on_ping)
+        for topic in (Topic.UPSTREAMS, Topic.IN_FORCE, Topic.DRAIN):
+            ctx.board.follow(topic, self.refresh)
+        ctx.board.dump_parts["destination"] = self._dump
+
+    def start(self) -> None:
+        """Start the expiry of execution records."""
+        self.refresh()
+        self.ctx.spawn(self._expire_records())
+
+    @property
+    def in_flight_total(self) -> int:
+        """Calls that run or wait on all upstreams."""
+        return sum(up.queue.work for up in self._upstreams.values())
+
+    def in_flight(self, upstream: str) -> int:
+        """Calls that run or wait on one upstream."""
+        own = self._upstreams.get(upstream)
+        return own.queue.work if own else 0
+
+    def load(self, upstream: str) -> int:
+        """Load as reported on answers."""
+        return self.in_flight(upstream)
+
+    def on_upstream_gone(self, upstream: str) -> None:
+        """An upstream stopped announcing itself without leaving: it crashed."""
+        own = self._upstreams.get(upstream)
+        if own is not None:
+            self._report_death(own)
+
+    def refresh(self) -> None:
+        """Follow changes of upstreams, documents and drain state."""
+        board = self.ctx.board
+        now = self.ctx.now()
+        for upstream, own in list(self._upstreams.items()):
+            record = board.upstreams.get(upstream)
+            if record is None or record.address != own.record.address:
+                self._apply(own.queue.drain())
+                own.client.close()
+                del self._upstreams[upstream]
+        for upstream, record in board.upstreams.items():
+            own = self._upstreams.get(upstream) or _Upstream(record, self.guard)
+            self._upstreams[upstream] = own
+            own.record = record
+            document = board.snapshot.documents.get(record.service)
+            limits = document.limits if document else DEFAULT_LIMITS
+            slots = min(record.slots or limits.slots_per_upstream, 10_000)
+            slots = max(1, min(slots, limits.slots_per_upstream))
+            self._apply(own.queue.set_limits(slots, limits.queue_per_upstream, now))
+            if self._is_closed_to_calls(record):
+                self._apply(own.queue.drain())
+            else:
+                own.queue.resume()
+        if board.draining:
+            for link in self.ctx.links.accepted:
+                if link.hello.purpose == CALLS:
+                    link.send(GoAway("node is leaving"))
+
+    async def execute(self, execution: Execution) -> CallResult:
+        """Admit and run a call of this node or of a peer."""
+        call = execution.call
+        own = self._upstreams.get(call.upstream)
+        if own is None or self._is_closed_to_calls(own.record):
+            return not_run(LEAVING)
+        if self.guard is not None:
+            execution.fingerprint = execution.fingerprint or fingerprint_of(
+                call.request_key, call.service, call.method, call.path, call.body
+            )
+            if self.guard.is_quarantined(execution.fingerprint):
+                return not_run("request is quarantined")
+        now = self.ctx.now()
+        actions = own.queue.offer(execution, now, execution.deadline)
+        if len(actions) == 1 and actions[0] == Start(execution):
+            return await self._run(own, execution)
+        refused = await self._wait(own, execution, actions, now)
+        return refused or await self._run(own, execution)
+
+    async def _wait(
+        self, own: _Upstream, execution: Execution, actions: list, now: float
+    ) -> Refused | None:
+        """Wait for a slot; give the refusal when there is none in time."""
+        loop = asyncio.get_running_loop()
+        execution.admitted = loop.create_future()
+        self._apply(actions)
+        timer = loop.call_later(
+            execution.deadline - now, self._drop_waiting, execution, "deadline passed"
+        )
+        try:
+            return await execution.admitted
+        except asyncio.CancelledError:
+            if not own.queue.cancel(execution):
+                self._apply(own.queue.finished(execution, self.ctx.now()))
+            raise
+        finally:
+            timer.cancel()
+
+    async def _run(self, own: _Upstream, execution: Execution) -> CallResult:
+        call = execution.call
+        remaining_s = execution.deadline - self.ctx.now()
+        own.running[execution] = None
+        headers = [*call.headers, ("Lentilsill-Deadline-Ms", str(_ms(remaining_s)))]
+        if call.request_key:
+            headers.append(("Idempotency-Key", call.request_key))
+        timer = asyncio.get_running_loop().call_later(
+            remaining_s, execution.exchange.abort, "deadline passed"
+        )
+        result: CallResult | None = None
+        try:
+            result = await own.client.send(
+                execution.exchange,
+                call.method,
+                call.path,
+                headers,
+                call.body,
+                call.idempotent,
+            )
+        finally:
+            timer.cancel()
+            del own.running[execution]
+            if self.guard is not None:
+                self._judge(own, execution, result)
+            self._apply(own.queue.finished(execution, self.ctx.now()))
+        return result
+
+    def _judge(
+        self, own: _Upstream, execution: Execution, result: CallResult | None
+    ) -> None:
+        """Keep the fingerprint when the connection was lost by the upstream."""
+        assert self.guard is not None
+        match result:
+            case Answer():
+                self.guard.finished(execution.fingerprint)
+            case Refused(outcome=Outcome.NOT_RUN, reason=reason):
+                if reason.startswith(UNREACHABLE) and own.lost:
+                    self._report_death(own)
+            case Refused() if not execution.exchange.aborted:
+                if not own.lost:
+                    self.ctx.spawn(self._check_crash(own))
+                own.lost.append(execution.fingerprint)
+
+    async def _check_crash(self, own: _Upstream) -> None:
+        await asyncio.sleep(CRASH_CHECK_DELAY_S)
+        if await own.client.is_accepting():
+            own.lost.clear()
+        else:
+            self._report_death(own)
+
+    def _report_death(self, own: _Upstream) -> None:
+        suspects = (*own.lost, *own.fingerprints())
+        own.lost.clear()
+        if self.guard is not None and suspects:
+            self.guard.upstream_died(suspects)
+
+    def _is_closed_to_calls(self, record: UpstreamRecord) -> bool:
+        board = self.ctx.board
+        if board.draining or record.state is not UpstreamState.READY:
+            return True
+        document = board.snapshot.documents.get(record.service)
+        return document is not None and is_leaving(document, record)
+
+    def _apply(self, actions: list) -> None:
+        for action in actions:
+            fut = action.call.admitted
+            if fut is None or fut.done():
+                continue
+            match action:
+                case Start():
+                    fut.set_result(None)
+                case Refuse(reason=reason):
+                    fut.set_result(not_run(reason))
+
+    def _drop_waiting(self, execution: Execution, reason: str) -> bool:
+        """Refuse a call that waits for a slot; False when it does not wait."""
+        own = self._upstreams.get(execution.call.upstream)
+        if own is None or not own.queue.cancel(execution):
+            return False
+        self._apply([Refuse(execution, reason)])
+        return True
+
+    def _on_call(self, link: Link, call) -> None:
+        now = self.ctx.now()
+        instance = link.hello.instance
+        match self.ledger.begin(instance, call.call_id, call.settled, now):
+            case Begin.RUN:
+                execution = Execution(call, now + call.deadline_ms / 1000, link)
+                self._remote[instance, call.call_id] = execution
+                self.ctx.spawn(self._serve(instance, execution))
+            case Begin.DUPLICATE:
+                self._tell(link, instance, call.call_id)
+            case Begin.FENCED:
+                self._refuse(link, call, "call was given up by its entry node")
+            case Begin.FULL:
+                self._refuse(link, call, "too many execution records")
+
+    async def _serve(self, instance: str, execution: Execution) -> None:
+        call = execution.call
+        result: CallResult = Refused(Outcome.UNKNOWN, "node stopped")
+        try:
+            result = await self.execute(execution)
+        finally:
+            del self._remote[instance, call.call_id]
+            self.ledger.finish(instance, call.call_id, result, self.ctx.now())
+            if execution.link is not None:
+                self._send_result(execution.link, call.call_id, call.upstream, result)
+
+    def _send_result(
+        self, link: Link, call_id: int, upstream: str, result: CallResult
+    ) -> None:
+        load = self.load(upstream)
+        match result:
+            case Answer(status, headers, body):
+                link.send(
+                    AnswerMessage(call_id, status, headers, body, len(body), load)
+                )
+            case Refused(outcome, reason):
+                link.send(Refusal(call_id, outcome.value, reason, load))
+
+    def _refuse(self, link: Link, call: Call, reason: str) -> None:
+        self._send_result(link, call.call_id, call.upstream, not_run(reason))
+
+    def _tell(self, link: Link, instance: str, call_id: int) -> None:
+        state = self.ledger.ask(instance, call_id, self.ctx.now())
+        if not isinstance(state, CallState):
+            self._send_result(link, call_id, "", state)
+            return
+        if state is CallState.RUNNING:
+            execution = self._remote.get((instance, call_id))
+            if execution is not None:
+                execution.link = link
+        link.send(OutcomeReply(call_id, state.value))
+
+    def _on_outcome_query(self, link: Link, query) -> None:
+        for call_id in query.call_ids:
+            self._tell(link, query.instance, call_id)
+
+    def _on_cancel(self, link: Link, message) -> None:
+        execution = self._remote.get((link.hello.instance, message.call_id))
+        if execution is not None and not self._drop_waiting(execution, "cancelled"):
+            execution.exchange.abort("cancelled")
+
+    def _on_ping(self, link: Link, message) -> None:
+        link.send(Pong(message.token))
+
+    async def _expire_records(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            self.ledger.expire(self.ctx.now())
+
+    def _dump(self) -> dict[str, object]:
+        return {
+            "records": len(self.ledger),
+            "upstreams": {
+                name: {"running": len(own.running), "work": own.queue.work}
+                for name, own in self._upstreams.items()
+            },
+        }
+
+
+def _ms(seconds: float) -> int:
+    return max(0, int(seconds * 1000))
--- /dev/null
+++ b/lentilsill/daemon/controllers/reasons.py
@@ -0,0 +1,17 @@
+"""Refusals that controllers tell apart."""
+
+from lentilsill.outcomes import Outcome, Refused
+
+__all__ = ["LEAVING", "NO_ROUTE", "NO_UPSTREAM", "OVERLOADED", "UNREACHABLE", "not_run"]
+
+LEAVING = "upstream is leaving"
+NO_ROUTE = "no route"
+NO_UPSTREAM = "no upstream is ready"
+OVERLOADED = "too many calls"
+# Prefix of reasons that speak against the upstream or its host.
+UNREACHABLE = "unreachable: "
+
+
+def not_run(reason: str) -> Refused:
+    """Make a refusal of a call that was not executed."""
+    return Refused(Outcome.NOT_RUN, reason)
--- /dev/null
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -0,0 +1,259 @@
+"""HTTP client to one upstream, over kept connections.
+
+`HTTP1Connection` never resends a request by itself, whereas libcurl resends on
+a kept connection that closes before an answer.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Iterable
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+
+from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
+from lentilsill.wire.links import split_address
+
+from .reasons import UNREACHABLE, not_run
+
+__all__ = ["HOP_BY_HOP", "Exchange", "UpstreamClient"]
+
+CONNECT_TIMEOUT_S = 1.0
+# One answer must fit in a message of 8 MB beside its headers.
+MAX_ANSWER_BYTES = 7 * 1024 * 1024
+MAX_IDLE_CONNECTIONS = 32
+# Servers commonly close idle connections after 5 s or more.
+MAX_IDLE_S = 4.0
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class Exchange:
+    """One request on its connection; `abort` closes the connection."""
+
+    __slots__ = ("aborted", "stream")
+
+    def __init__(self) -> None:
+        self.aborted = ""
+        self.stream: IOStream | None = None
+
+    def abort(self, reason: str) -> None:
+        """Stop waiting for the answer."""
+        self.aborted = reason
+        if self.stream is not None:
+            self.stream.close()
+
+
+class _Reader(HTTPMessageDelegate):
+    """Collects one answer."""
+
+    def __init__(self, method: str) -> None:
+        self.method = method
+        self.status = 0
+        self.headers: HTTPHeaders | None = None
+        self.chunks: list[bytes] = []
+        self.is_whole = False
+        self.keeps = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, ResponseStartLine)
+        if 100 <= start_line.code < 200:
+            return
+        self.status = start_line.code
+        self.headers = headers
+        self.keeps = (
+            start_line.version == "HTTP/1.1"
+            and headers.get("Connection", "").lower() != "close"
+        )
+
+    def data_received(self, chunk: bytes) -> None:
+        self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        self.is_whole = self.status > 0 and self._is_delimited()
+
+    def on_connection_close(self) -> None:
+        self.is_whole = False
+
+    def _is_delimited(self) -> bool:
+        """Whether the end of the body is told from a lost connection."""
+        assert self.headers is not None
+        return (
+            "Content-Length" in self.headers
+            or "Transfer-Encoding" in self.headers
+            or self.status in (204, 304)
+            or self.method == "HEAD"
+        )
+
+    def answer(self) -> Answer:
+        assert self.headers is not None
+        headers = tuple(
+            (name, value)
+            for name, value in self.headers.get_all()
+            if name.lower() not in HOP_BY_HOP
+        )
+        return Answer(self.status, headers, b"".join(self.chunks))
+
+
+class UpstreamClient:
+    """Sends requests to the upstream at `address` (``ip:port``)."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._target = split_address(address)
+        self._idle: deque[tuple[float, IOStream]] = deque()
+        self._params = HTTP1ConnectionParameters(
+            max_body_size=MAX_ANSWER_BYTES, decompress=False
+        )
+
+    async def send(
+        self,
+        exchange: Exchange,
+        method: str,
+        path: str,
+        headers: Iterable[tuple[str, str]],
+        body: bytes,
+        idempotent: bool,
+    ) -> CallResult:
+        """Send a request once and give the whole answer or what is known.
+
+        A request that is not idempotent goes over a new connection: a kept one
+        may close while the request is on its way, which leaves its execution
+        unknown. An idempotent one is sent again over a new connection then.
+        """
+        stream = self._take_idle() if idempotent else None
+        if stream is not None:
+            result = await self._exchange(exchange, stream, method, path, headers, body)
+            if result is not None:
+                return result
+        try:
+            stream = await self._connect(exchange)
+        except (OSError, StreamClosedError, TimeoutError) as exc:
+            return not_run(exchange.aborted or f"{UNREACHABLE}{exc}")
+        result = await self._exchange(exchange, stream, method, path, headers, body)
+        return result or _closed_early(exchange)
+
+    async def is_accepting(self) -> bool:
+        """Whether the upstream accepts connections."""
+        try:
+            stream = await self._connect(Exchange())
+        except (OSError, StreamClosedError, TimeoutError):
+            return False
+        stream.close()
+        return True
+
+    def close(self) -> None:
+        """Close idle connections."""
+        while self._idle:
+            self._idle.pop()[1].close()
+
+    def _take_idle(self) -> IOStream | None:
+        limit = asyncio.get_running_loop().time() - MAX_IDLE_S
+        while self._idle:
+            since, stream = self._idle.pop()
+            if not stream.closed():
+                if since >= limit:
+                    return stream
+                stream.close()
+        return None
+
+    async def _connect(self, exchange: Exchange) -> IOStream:
+        if exchange.aborted:
+            raise StreamClosedError()
+        stream = IOStream(
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM),
+            max_buffer_size=2 * MAX_ANSWER_BYTES,
+        )
+        exchange.stream = stream
+        timer = asyncio.get_running_loop().call_later(CONNECT_TIMEOUT_S, stream.close)
+        try:
+            await stream.connect(self._target)
+        finally:
+            timer.cancel()
+        stream.set_nodelay(True)
+        return stream
+
+    async def _exchange(
+        self,
+        exchange: Exchange,
+        stream: IOStream,
+        method: str,
+        path: str,
+        headers: Iterable[tuple[str, str]],
+        body: bytes,
+    ) -> CallResult | None:
+        """Run one request; None when the connection closed before any answer."""
+        exchange.stream = stream
+        conn = HTTP1Connection(stream, True, self._params)
+        reader = _Reader(method)
+        fields = HTTPHeaders()
+        done = False
+        try:
+            fields["Host"] = self.address
+            for name, value in headers:
+                fields.add(name, value)
+            if body or method in ("POST", "PUT", "PATCH"):
+                fields["Content-Length"] = str(len(body))
+            conn.write_headers(RequestStartLine(method, path, ""), fields, body)
+            conn.finish()
+            stream.set_nodelay(True)
+        except Exception as exc:
+            # Headers that can't be sent raise before the first byte is written.
+            stream.close()
+            return not_run(f"request can't be sent: {exc}")
+        try:
+            done = await conn.read_response(reader)
+        except (StreamClosedError, UnsatisfiableReadError):
+            pass
+        finally:
+            if not (done and reader.is_whole and reader.keeps):
+                stream.close()
+        if not reader.status:
+            return _closed_early(exchange) if exchange.aborted else None
+        if not reader.is_whole:
+            return Refused(
+                Outcome.RUN_ANSWER_LOST, exchange.aborted or "answer is incomplete"
+            )
+        if not stream.closed():
+            self._keep(stream)
+        return reader.answer()
+
+    def _keep(self, stream: IOStream) -> None:
+        if len(self._idle) >= MAX_IDLE_CONNECTIONS:
+            self._idle.popleft()[1].close()
+        # With a close callback the stream notices the peer's close when idle.
+        stream.set_close_callback(_ignore_close)
+        self._idle.append((asyncio.get_running_loop().time(), stream))
+
+
+def _ignore_close() -> None:
+    """Take the close of an idle stream, which `_take_idle` then skips."""
+
+
+def _closed_early(exchange: Exchange) -> Refused:
+    return Refused(
+        Outcome.UNKNOWN, exchange.aborted or "connection closed before the answer"
+    )
