--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -6,6 +6,9 @@
 import xxhash
 
 from lentilsill.admission import AdmissionQueue, Refuse, Start
+from lentilsill.daemon.blackboard import Topic
+from lentilsill.daemon.context import Context
+from lentilsill.daemon.interfaces import CrashGuard
 from lentilsill.documents import Limits
 from lentilsill.membership import UpstreamRecord, UpstreamState
 from lentilsill.outcomes import (
@@ -31,9 +34,6 @@
     Refusal,
 )
 
-from ..blackboard import Topic
-from ..context import Context
-from ..interfaces import CrashGuard
 from .reasons import LEAVING, UNREACHABLE, not_run
 from .upstream_client import Exchange, UpstreamClient
 
@@ -98,6 +98,8 @@
         self.guard = guard
         self.ledger = CallLedger(ctx.cfg.calls.execution_record_s)
         self._upstreams: dict[str, _Upstream] = {}
+        # Removed upstreams whose last calls have not ended.
+        self._departed: dict[str, _Upstream] = {}
         self._remote: dict[tuple[str, int], Execution] = {}
         ctx.links.on(Call, self._on_call)
         ctx.links.on(Cancel, self._on_cancel)
@@ -115,7 +117,8 @@
     @property
     def in_flight_total(self) -> int:
         """Calls that run or wait on all upstreams."""
-        return sum(up.queue.work for up in self._upstreams.values())
+        owned = (*self._upstreams.values(), *self._departed.values())
+        return sum(own.queue.work for own in owned)
 
     def in_flight(self, upstream: str) -> int:
         """Calls that run or wait on one upstream."""
@@ -128,7 +131,7 @@
 
     def on_upstream_gone(self, upstream: str) -> None:
         """An upstream stopped announcing itself without leaving: it crashed."""
-        own = self._upstreams.get(upstream)
+        own = self._upstreams.get(upstream) or self._departed.get(upstream)
         if own is not None:
             self._report_death(own)
 
@@ -142,6 +145,8 @@
                 self._apply(own.queue.drain())
                 own.client.close()
                 del self._upstreams[upstream]
+                if own.running:
+                    self._departed[upstream] = own
         for upstream, record in board.upstreams.items():
             own = self._upstreams.get(upstream) or _Upstream(record, self.guard)
             self._upstreams[upstream] = own
@@ -224,6 +229,8 @@
             if self.guard is not None:
                 self._judge(own, execution, result)
             self._apply(own.queue.finished(execution, self.ctx.now()))
+            if self._departed and not own.running:
+                self._departed.pop(call.upstream, None)
         return result
 
     def _judge(
--- /dev/null
+++ b/lentilsill/daemon/controllers/entry.py
@@ -0,0 +1,318 @@
+"""Calls of this node's callers: route, select, send, retry."""
+
+import asyncio
+import itertools
+
+from lentilsill.daemon.blackboard import Topic
+from lentilsill.daemon.context import Context
+from lentilsill.daemon.interfaces import CallRequest, CrashGuard, Granted, KeyClaims
+from lentilsill.documents import Route, ServiceDocument
+from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
+from lentilsill.retries import RetryBudget, decide_hedge, decide_retry
+from lentilsill.routing import Candidate, Selector, choose_target, match_route
+from lentilsill.wire import CALLS, Link
+from lentilsill.wire.messages import Call, GoAway
+
+from .destination import DestinationController, Execution, fingerprint_of
+from .peer_calls import PeerCalls, Reply
+from .reasons import (
+    LEAVING,
+    NO_ROUTE,
+    NO_UPSTREAM,
+    NOT_READY,
+    OVERLOADED,
+    UNREACHABLE,
+    not_run,
+)
+
+__all__ = ["EntryController"]
+
+# Reasons of refusals that say nothing about the health of an upstream and
+# don't come from overload; a retry after them takes nothing from the budget.
+FREE_REASONS = frozenset({LEAVING})
+
+
+class _Plan:
+    """A call on its way, with what its attempts have shown."""
+
+    __slots__ = ("attempts", "deadline", "document", "fingerprint", "req", "route")
+
+    def __init__(
+        self,
+        req: CallRequest,
+        document: ServiceDocument,
+        route: Route,
+        deadline: float,
+        fingerprint: str,
+    ) -> None:
+        self.req = req
+        self.document = document
+        self.route = route
+        self.deadline = deadline
+        self.fingerprint = fingerprint
+        self.attempts: set[str] = set()
+
+
+class EntryController:
+    """Implements `CallService` for the callers of this node.
+
+    `claims` makes calls with a request key run at most once in total; without
+    it such calls are refused as unknown. `guard` is the quarantine, or None.
+    """
+
+    def __init__(
+        self,
+        ctx: Context,
+        destination: DestinationController,
+        claims: KeyClaims | None = None,
+        guard: CrashGuard | None = None,
+    ) -> None:
+        self.ctx = ctx
+        self.destination = destination
+        self.claims = claims
+        self.guard = guard
+        self.peers = PeerCalls(ctx)
+        self.selector = Selector(ctx.cfg.domain, ctx.rng)
+        self.in_flight = 0
+        self._attempt_ids = itertools.count(1)
+        self._budgets: dict[tuple[str, str, str], RetryBudget] = {}
+        self._gone_away: dict[str, str] = {}
+        ctx.links.on(GoAway, self._on_go_away)
+        for topic in (Topic.IN_FORCE, Topic.MEMBERS, Topic.UPSTREAMS):
+            ctx.board.follow(topic, self.refresh)
+        ctx.board.dump_parts["entry"] = self._dump
+
+    def start(self) -> None:
+        """Take in the blackboard and start the search for silent links."""
+        self.refresh()
+        self.peers.start()
+
+    def refresh(self) -> None:
+        """Follow changes of documents and members."""
+        board = self.ctx.board
+        nodes = [*board.members.values(), *board.remote_nodes.values()]
+        present = {node.node: node.instance for node in nodes}
+        self._gone_away = {
+            node: instance
+            for node, instance in self._gone_away.items()
+            if present.get(node) == instance
+        }
+        self.selector.update(board.snapshot, nodes, {*board.suspects, *self._gone_away})
+
+    async def handle(self, req: CallRequest) -> CallResult:
+        """Run the call; never raises for a failed call."""
+        board = self.ctx.board
+        if not board.ready:
+            return not_run(NOT_READY)
+        document = board.snapshot.documents.get(req.service)
+        if document is None:
+            return not_run(NO_ROUTE)
+        route = match_route(document, req.method, req.path)
+        if route is None:
+            return not_run(NO_ROUTE)
+        if self.in_flight >= self.ctx.cfg.calls.max_calls:
+            return not_run(OVERLOADED)
+        claimed = bool(req.request_key) and not route.idempotent
+        fingerprint = ""
+        if claimed or self.guard is not None:
+            fingerprint = fingerprint_of(
+                req.request_key, req.service, req.method, req.path, req.body
+            )
+        if self.guard is not None and self.guard.is_quarantined(fingerprint):
+            # A keyed request has been run before, as its crashes show.
+            outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
+            return Refused(outcome, "request is quarantined")
+        deadline_s = route.deadline_ms / 1000
+        if req.deadline_ms > 0:
+            deadline_s = min(deadline_s, req.deadline_ms / 1000)
+        plan = _Plan(req, document, route, self.ctx.now() + deadline_s, fingerprint)
+        self.in_flight += 1
+        try:
+            if not claimed:
+                return await self._run(plan)
+            # The claim outlives a caller that goes away: its outcome is stored.
+            return await asyncio.shield(self.ctx.spawn(self._run_claimed(plan)))
+        finally:
+            self.in_flight -= 1
+
+    async def _run_claimed(self, plan: _Plan) -> CallResult:
+        if self.claims is None:
+            return Refused(Outcome.UNKNOWN, "request keys are not supported")
+        key = plan.req.request_key
+        attempt = f"{self.ctx.links.identity.instance}:{next(self._attempt_ids)}"
+        remaining_s = plan.deadline - self.ctx.now()
+        claim = await self.claims.claim(
+            key, attempt, _content_fingerprint(plan), remaining_s
+        )
+        if not isinstance(claim, Granted):
+            return claim
+        result: CallResult = Refused(Outcome.UNKNOWN, "node stopped")
+        try:
+            result = await self._run(plan)
+        finally:
+            self.claims.finish(key, attempt, result)
+        return result
+
+    async def _run(self, plan: _Plan) -> CallResult:
+        """Make attempts until an answer, or until no other may be made."""
+        route = plan.route
+        budget = self._budget("retry", plan, route.retry.budget_percent)
+        budget.add_call()
+        attempts = 0
+        worst: Refused | None = None
+        while True:
+            now = self.ctx.now()
+            candidate = self._pick(plan, now)
+            if candidate is None:
+                return worst or not_run(NO_UPSTREAM)
+            plan.attempts.add(candidate.upstream)
+            hedge_s = decide_hedge(route.hedge, route.idempotent, plan.deadline - now)
+            if hedge_s is None:
+                result = await self._attempt(plan, candidate)
+            else:
+                result = await self._hedged(plan, candidate, hedge_s)
+            if isinstance(result, Answer):
+                return result
+            worst = _worse(worst, result)
+            free = result.reason in FREE_REASONS
+            attempts += not free
+            if not decide_retry(
+                result,
+                route.idempotent,
+                attempts,
+                route.retry.max_attempts,
+                plan.deadline - self.ctx.now(),
+                None if free else budget,
+            ):
+                return worst
+
+    async def _attempt(self, plan: _Plan, candidate: Candidate) -> CallResult:
+        upstream = candidate.upstream
+        selector = self.selector
+        selector.started(upstream, self.ctx.now())
+        failed = False
+        try:
+            reply = await self._send(plan, candidate)
+            failed = _speaks_against(reply.result)
+        finally:
+            selector.finished(upstream, self.ctx.now(), failed)
+        if reply.load >= 0:
+            selector.report(upstream, reply.load, self.ctx.now())
+        if isinstance(reply.result, Refused) and not failed:
+            selector.refused(upstream, self.ctx.now())
+        return reply.result
+
+    async def _send(self, plan: _Plan, candidate: Candidate) -> Reply:
+        req = plan.req
+        call = Call(
+            0,
+            candidate.upstream,
+            req.method,
+            req.path,
+            req.headers,
+            req.body,
+            0,
+            plan.route.idempotent,
+            req.request_key,
+            req.service,
+            plan.document.version,
+        )
+        if candidate.node != self.ctx.cfg.node:
+            return await self.peers.send(candidate.peer_address, call, plan.deadline)
+        execution = Execution(call, plan.deadline, None, plan.fingerprint)
+        result = await self.destination.execute(execution)
+        return Reply(result, self.destination.load(candidate.upstream))
+
+    async def _hedged(
+        self, plan: _Plan, candidate: Candidate, delay_s: float
+    ) -> CallResult:
+        """Add a second attempt when the first is slow; the loser is cancelled."""
+        policy = plan.route.hedge
+        assert policy is not None
+        budget = self._budget("hedge", plan, policy.budget_percent)
+        budget.add_call()
+        first = asyncio.ensure_future(self._attempt(plan, candidate))
+        running = {first}
+        try:
+            done, _ = await asyncio.wait(running, timeout=delay_s)
+            if done:
+                return first.result()
+            other = self._pick(plan, self.ctx.now())
+            if other is not None and budget.take():
+                plan.attempts.add(other.upstream)
+                self.ctx.count("calls.hedge")
+                running.add(asyncio.ensure_future(self._attempt(plan, other)))
+            worst: Refused | None = None
+            while running:
+                done, running = await asyncio.wait(
+                    running, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    result = task.result()
+                    if isinstance(result, Answer):
+                        return result
+                    worst = _worse(worst, result)
+            return worst or not_run(NO_UPSTREAM)
+        finally:
+            for task in running:
+                task.cancel()
+
+    def _pick(self, plan: _Plan, now: float) -> Candidate | None:
+        """Choose a target by weight; when it has no upstream, another one."""
+        targets = plan.route.targets
+        wall_ms = self.ctx.wall_ms()
+        while True:
+            target = choose_target(targets, self.ctx.rng)
+            if target is None:
+                return None
+            candidate = self.selector.pick(
+                target.service, target.upstream_set, now, wall_ms, plan.attempts
+            )
+            if candidate is not None:
+                return candidate
+            targets = tuple(t for t in targets if t is not target)
+            if not targets:
+                return None
+
+    def _budget(self, kind: str, plan: _Plan, percent: float) -> RetryBudget:
+        key = (kind, plan.document.service, plan.route.name)
+        budget = self._budgets.get(key)
+        if budget is None or budget.percent != percent:
+            budget = self._budgets[key] = RetryBudget(percent)
+        return budget
+
+    def _on_go_away(self, link: Link, message) -> None:
+        if link.hello.purpose == CALLS:
+            self._gone_away[link.hello.node] = link.hello.instance
+            self.refresh()
+
+    def _dump(self) -> dict[str, object]:
+        return {
+            "in_flight": self.in_flight,
+            "outstanding": self.peers.outstanding,
+            "upstreams": self.selector.dump(self.ctx.now()),
+        }
+
+
+def _speaks_against(result: CallResult) -> bool:
+    """Whether the result counts as a failure of the upstream or its host."""
+    match result:
+        case Answer(status=status):
+            return status >= 500
+        case Refused(outcome=Outcome.NOT_RUN, reason=reason):
+            return reason.startswith(UNREACHABLE)
+    return True
+
+
+def _worse(worst: Refused | None, result: Refused) -> Refused:
+    """Keep what is known over all attempts: one that may have run stays."""
+    order = (Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.RUN_ANSWER_LOST)
+    if worst is None or order.index(result.outcome) >= order.index(worst.outcome):
+        return result
+    return worst
+
+
+def _content_fingerprint(plan: _Plan) -> str:
+    """Identify the content of a keyed request, to tell a reused key."""
+    req = plan.req
+    return fingerprint_of("", req.service, req.method, req.path, req.body)
--- /dev/null
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -0,0 +1,255 @@
+"""Calls sent to other nodes and the resolution of those on lost links."""
+
+import asyncio
+import itertools
+from dataclasses import dataclass, field
+
+from lentilsill.daemon.context import Context
+from lentilsill.outcomes import Answer, CallResult, CallState, Outcome, Refused
+from lentilsill.wire import CALLS, Link
+from lentilsill.wire.links import LinkError
+from lentilsill.wire.messages import (
+    Answer as AnswerMessage,
+    Call,
+    Cancel,
+    OutcomeQuery,
+    OutcomeReply,
+    Ping,
+    Pong,
+    Refusal,
+)
+
+from .reasons import UNREACHABLE, not_run
+
+__all__ = ["PeerCalls", "Reply"]
+
+# The destination keeps the deadline; its own refusal says more than a timeout.
+DEADLINE_GRACE_S = 0.02
+# A silent link is given up when its probe is not answered in this share of
+# `silent_link_s`.
+PING_WAIT_SHARE = 0.5
+SWEEPS_PER_SILENCE = 5
+RECONNECTS = 3
+RECONNECT_PAUSE_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Result of one attempt; `load` is -1 when the destination told none."""
+
+    result: CallResult
+    load: int = -1
+
+
+@dataclass(eq=False, slots=True)
+class _Attempt:
+    call_id: int
+    link: Link
+    idempotent: bool
+    sent_at: float
+    fut: asyncio.Future[Reply]
+
+    def settle(self, result: CallResult, load: int = -1) -> None:
+        if not self.fut.done():
+            self.fut.set_result(Reply(result, load))
+
+
+@dataclass(slots=True)
+class _Peer:
+    """Attempts at one address in the order of their ids."""
+
+    outstanding: dict[int, _Attempt] = field(default_factory=dict)
+    probed: Link | None = None
+    probed_at: float = 0.0
+
+
+class PeerCalls:
+    """Sends calls over links and matches what comes back by call id."""
+
+    def __init__(self, ctx: Context) -> None:
+        self.ctx = ctx
+        self.links = ctx.links
+        self.silent_link_s = ctx.cfg.calls.silent_link_s
+        self._ids = itertools.count(1)
+        self._peers: dict[str, _Peer] = {}
+        ctx.links.on(AnswerMessage, self._on_answer)
+        ctx.links.on(Refusal, self._on_refusal)
+        ctx.links.on(OutcomeReply, self._on_outcome_reply)
+        ctx.links.on(Pong, _on_pong)
+        ctx.links.close_handlers.append(self._on_link_closed)
+
+    def start(self) -> None:
+        """Start the search for silent links."""
+        self.ctx.spawn(self._find_silent_links())
+
+    @property
+    def outstanding(self) -> int:
+        """Attempts without a result."""
+        return sum(len(peer.outstanding) for peer in self._peers.values())
+
+    async def send(self, address: str, call: Call, deadline: float) -> Reply:
+        """Send `call` with an id of its own and wait for what becomes of it.
+
+        The call's ``call_id``, ``deadline_ms`` and ``settled`` are filled in.
+        When cancelled, an idempotent call is cancelled at the destination.
+        """
+        link = self.links.find(address, CALLS)
+        if link is None:
+            try:
+                link = await self.links.connect(address, CALLS)
+            except LinkError as exc:
+                return Reply(not_run(f"{UNREACHABLE}{exc}"))
+        now = self.ctx.now()
+        remaining_s = deadline - now
+        if remaining_s <= 0:
+            return Reply(not_run("deadline passed"))
+        loop = asyncio.get_running_loop()
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = _Peer()
+        call_id = next(self._ids)
+        oldest = next(iter(peer.outstanding), call_id)
+        attempt = _Attempt(call_id, link, call.idempotent, now, loop.create_future())
+        message = Call(
+            call_id,
+            call.upstream,
+            call.method,
+            call.path,
+            call.headers,
+            call.body,
+            int(remaining_s * 1000),
+            call.idempotent,
+            call.request_key,
+            call.service,
+            call.document_version,
+            oldest - 1,
+        )
+        if not link.send(message):
+            return Reply(not_run(f"{UNREACHABLE}link to {address} is closed"))
+        peer.outstanding[call_id] = attempt
+        timer = loop.call_later(remaining_s + DEADLINE_GRACE_S, self._give_up, attempt)
+        try:
+            return await attempt.fut
+        except asyncio.CancelledError:
+            self._cancel(attempt)
+            raise
+        finally:
+            timer.cancel()
+            peer.outstanding.pop(call_id, None)
+
+    def _give_up(self, attempt: _Attempt) -> None:
+        self._cancel(attempt)
+        attempt.settle(Refused(Outcome.UNKNOWN, "deadline passed"))
+
+    def _cancel(self, attempt: _Attempt) -> None:
+        has_result = attempt.fut.done() and not attempt.fut.cancelled()
+        if attempt.idempotent and not has_result:
+            attempt.link.send(Cancel(attempt.call_id))
+
+    def _find(self, link: Link, call_id: int) -> _Attempt | None:
+        peer = self._peers.get(link.address)
+        return peer.outstanding.get(call_id) if peer else None
+
+    def _on_answer(self, link: Link, message) -> None:
+        attempt = self._find(link, message.call_id)
+        if attempt is None:
+            return
+        if len(message.body) != message.body_length:
+            lost = Refused(Outcome.RUN_ANSWER_LOST, "answer has a wrong length")
+            attempt.settle(lost, message.load)
+            return
+        attempt.settle(
+            Answer(message.status, message.headers, message.body), message.load
+        )
+
+    def _on_refusal(self, link: Link, message) -> None:
+        attempt = self._find(link, message.call_id)
+        if attempt is not None:
+            try:
+                outcome = Outcome(message.outcome)
+            except ValueError:
+                outcome = Outcome.UNKNOWN
+            attempt.settle(Refused(outcome, message.reason), message.load)
+
+    def _on_outcome_reply(self, link: Link, message) -> None:
+        attempt = self._find(link, message.call_id)
+        if attempt is None:
+            return
+        if message.state == CallState.NEVER_SEEN.value:
+            attempt.settle(not_run("call did not arrive"))
+        elif message.state != CallState.RUNNING.value:
+            attempt.settle(Refused(Outcome.UNKNOWN, "call record is forgotten"))
+
+    def _on_link_closed(self, link: Link) -> None:
+        peer = self._peers.get(link.address) if link.dialed else None
+        if peer is None:
+            return
+        lost = [a for a in peer.outstanding.values() if a.link is link]
+        resolve = []
+        for attempt in lost:
+            if attempt.idempotent:
+                attempt.settle(Refused(Outcome.UNKNOWN, "link was lost"))
+            else:
+                resolve.append(attempt)
+        if resolve:
+            self.ctx.spawn(self._resolve(link, resolve))
+
+    async def _resolve(self, lost: Link, attempts: list[_Attempt]) -> None:
+        """Ask over a new link what became of calls on a lost one."""
+        link = await self._reconnect(lost.address)
+        same = link is not None and link.hello.instance == lost.hello.instance
+        ids = []
+        for attempt in attempts:
+            if attempt.fut.done():
+                continue
+            if not same or link is None:
+                attempt.settle(Refused(Outcome.UNKNOWN, "node of the upstream is lost"))
+                continue
+            attempt.link = link
+            attempt.sent_at = self.ctx.now()
+            ids.append(attempt.call_id)
+        if not ids or link is None:
+            return
+        me = self.links.identity.instance
+        if not link.send(OutcomeQuery(me, tuple(ids))):
+            self._on_link_closed(link)
+
+    async def _reconnect(self, address: str) -> Link | None:
+        for _ in range(RECONNECTS):
+            try:
+                return await self.links.connect(address, CALLS)
+            except LinkError:
+                await asyncio.sleep(RECONNECT_PAUSE_S)
+        return None
+
+    async def _find_silent_links(self) -> None:
+        while True:
+            await asyncio.sleep(self.silent_link_s / SWEEPS_PER_SILENCE)
+            now = self.ctx.now()
+            for address, peer in list(self._peers.items()):
+                if peer.outstanding:
+                    self._check_silence(address, peer, now)
+                elif self.links.find(address, CALLS) is None:
+                    del self._peers[address]
+
+    def _check_silence(self, address: str, peer: _Peer, now: float) -> None:
+        """Probe the link of the oldest attempt, and close it when it is dead."""
+        oldest = next(iter(peer.outstanding.values()))
+        link = oldest.link
+        heard_at = max(link.last_received, oldest.sent_at)
+        if now - heard_at < self.silent_link_s:
+            peer.probed = None
+        elif peer.probed is not link:
+            peer.probed = link
+            peer.probed_at = now
+            link.send(Ping(oldest.call_id))
+        elif now - peer.probed_at >= self.silent_link_s * PING_WAIT_SHARE:
+            peer.probed = None
+            self.ctx.count("calls.silent_link")
+            if self.links.find(address, CALLS) is link:
+                self.links.forget(address, CALLS)
+            link.close()
+
+
+def _on_pong(link: Link, message) -> None:
+    """Take a `Pong`; its arrival has already refreshed `last_received`."""
--- a/lentilsill/daemon/controllers/reasons.py
+++ b/lentilsill/daemon/controllers/reasons.py
@@ -2,10 +2,19 @@
 
 from lentilsill.outcomes import Outcome, Refused
 
-__all__ = ["LEAVING", "NO_ROUTE", "NO_UPSTREAM", "OVERLOADED", "UNREACHABLE", "not_run"]
+__all__ = [
+    "LEAVING",
+    "NOT_READY",
+    "NO_ROUTE",
+    "NO_UPSTREAM",
+    "OVERLOADED",
+    "UNREACHABLE",
+    "not_run",
+]
 
 LEAVING = "upstream is leaving"
 NO_ROUTE = "no route"
+NOT_READY = "node is not ready"
 NO_UPSTREAM = "no upstream is ready"
 OVERLOADED = "too many calls"
 # Prefix of reasons that speak against the upstream or its host.
--- /dev/null
+++ b/lentilsill/daemon/controllers/tests/builders.py
@@ -0,0 +1,196 @@
+"""Builders of nodes and upstreams on loopback."""
+
+import asyncio
+import random
+import socket
+from types import MappingProxyType
+
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from lentilsill.daemon.blackboard import Blackboard
+from lentilsill.daemon.context import Context
+from lentilsill.daemon.controllers.destination import DestinationController
+from lentilsill.daemon.controllers.entry import EntryController
+from lentilsill.daemon.interfaces import CallRequest
+from lentilsill.documents import (
+    Limits,
+    RetryPolicy,
+    Route,
+    RouteTarget,
+    ServiceDocument,
+    UpstreamSet,
+)
+from lentilsill.membership import NodeRecord, NodeState, UpstreamRecord, UpstreamState
+from lentilsill.settings import NodeSettings
+from lentilsill.versioning import Snapshot
+from lentilsill.wire import PeerLinks
+from lentilsill.wire.links import Identity
+
+HOST = "127.0.0.1"
+
+
+def make_document(leaving: bool = False) -> ServiceDocument:
+    """Service `slots`: GET is idempotent, POST is not."""
+    targets = (RouteTarget("slots", "all", 1),)
+    policy = RetryPolicy(3, 10.0)
+    routes = (
+        Route("get", "/", frozenset({"GET"}), True, 3000, targets, policy, None),
+        Route("post", "/", frozenset({"POST"}), False, 3000, targets, policy, None),
+    )
+    sets = {"all": UpstreamSet("all", (), leaving)}
+    return ServiceDocument(
+        "slots", 1, MappingProxyType(sets), routes, Limits(6, 12), ()
+    )
+
+
+def make_request(method: str = "GET", path: str = "/a", body: bytes = b""):
+    return CallRequest("slots", method, path, (), body, "", 0)
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+class FakeUpstream(TCPServer):
+    """HTTP upstream that answers its path after `delay_s`, or as `raw` says.
+
+    `raw` maps paths to bytes that are written before the connection is closed.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.seen: list[str] = []
+        self.raw: dict[str, bytes] = {}
+        self.gates: dict[str, asyncio.Event] = {}
+        self.port = free_port()
+        self.listen(self.port, HOST)
+
+    async def handle_stream(self, stream, address) -> None:
+        try:
+            while True:
+                head = await stream.read_until(b"\r\n\r\n")
+                path = head.split(b" ", 2)[1].decode()
+                for line in head.lower().split(b"\r\n"):
+                    if line.startswith(b"content-length:"):
+                        await stream.read_bytes(int(line.split(b":")[1]))
+                self.seen.append(path)
+                if path in self.gates:
+                    await self.gates[path].wait()
+                if path in self.raw:
+                    await stream.write(self.raw[path])
+                    stream.close()
+                    return
+                body = path.encode()
+                await stream.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+                )
+        except StreamClosedError:
+            pass
+
+
+class FakeNode:
+    """Controllers of the call path of one node."""
+
+    def __init__(self, name: str, silent_link_s: float = 1.0) -> None:
+        self.port = free_port()
+        cfg = NodeSettings.model_validate(
+            {
+                "node": name,
+                "domain": "lahore",
+                "bind_ip": HOST,
+                "peer_address": f"{HOST}:{self.port}",
+                "caller_address": f"{HOST}:1",
+                "admin_address": f"{HOST}:1",
+                "platform": {"url": "http://127.0.0.1:1"},
+                "calls": {"silent_link_s": silent_link_s},
+            }
+        )
+        links = PeerLinks(Identity(name, f"i-{name}", "lahore", cfg.peer_address), HOST)
+        links.listen(cfg.peer_address)
+        board = Blackboard(Snapshot({"slots": make_document()}, 1), ready=True)
+        self.ctx = Context(cfg, board, links, None, random.Random(1))
+        self.destination = DestinationController(self.ctx)
+        self.entry = EntryController(self.ctx, self.destination)
+        self.destination.start()
+        self.entry.start()
+
+    def serve(self, upstream: str, port: int) -> None:
+        """Give the node an upstream."""
+        self.ctx.board.upstreams[upstream] = UpstreamRecord(
+            upstream, "slots", f"{HOST}:{port}", 6, (), UpstreamState.READY
+        )
+        self.destination.refresh()
+
+    def record(self, address: str = "") -> NodeRecord:
+        """The node's record; `address` replaces the peer address."""
+        cfg = self.ctx.cfg
+        return NodeRecord(
+            cfg.node,
+            cfg.domain,
+            f"i-{cfg.node}",
+            1,
+            1,
+            address or cfg.peer_address,
+            cfg.caller_address,
+            NodeState.READY,
+            tuple(self.ctx.board.upstreams.values()),
+        )
+
+    def learn(self, *records: NodeRecord) -> None:
+        """Set the members that the node knows."""
+        self.ctx.board.members = {record.node: record for record in records}
+        self.entry.refresh()
+
+    def close(self) -> None:
+        for task in list(self.ctx.tasks):
+            task.cancel()
+        self.ctx.links.close()
+
+
+class MutableRelay(TCPServer):
+    """Relays to `target`; `mute` stops bytes on the connections open then."""
+
+    def __init__(self, target: int) -> None:
+        super().__init__()
+        self.target = target
+        self.muted: set = set()
+        self.open: set = set()
+        self.tasks: list[asyncio.Task] = []
+        self.port = free_port()
+        self.listen(self.port, HOST)
+
+    def mute(self, directions: tuple[str, ...] = ("up", "down")) -> None:
+        """Drop further bytes on open connections, which stay open."""
+        self.muted |= {(key, way) for key in self.open for way in directions}
+
+    async def handle_stream(self, stream, address) -> None:
+        other = await TCPClient().connect(HOST, self.target)
+        key = object()
+        self.open.add(key)
+        for source, sink, way in ((stream, other, "up"), (other, stream, "down")):
+            self.tasks.append(
+                asyncio.ensure_future(self._copy(source, sink, (key, way)))
+            )
+
+    async def _copy(self, source, sink, way) -> None:
+        try:
+            while True:
+                data = await source.read_bytes(65536, partial=True)
+                if way not in self.muted:
+                    await sink.write(data)
+        except StreamClosedError:
+            sink.close()
+
+
+async def wait_for(condition, bound_s: float = 5.0) -> None:
+    """Wait until `condition()` holds; fails after the bound."""
+
+    async def poll() -> None:
+        while not condition():
+            await asyncio.sleep(0.005)
+
+    await asyncio.wait_for(poll(), bound_s)
--- /dev/null
+++ b/lentilsill/daemon/controllers/tests/test_calls.py
@@ -0,0 +1,149 @@
+"""Calls between two nodes over loopback."""
+
+import asyncio
+import unittest
+
+from lentilsill.daemon.controllers.tests.builders import (
+    HOST,
+    FakeNode,
+    FakeUpstream,
+    MutableRelay,
+    free_port,
+    make_document,
+    make_request,
+    wait_for,
+)
+from lentilsill.outcomes import Answer, Outcome, Refused
+from lentilsill.versioning import Snapshot
+
+
+class CallTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.upstream = FakeUpstream()
+        self.addCleanup(self.upstream.stop)
+        self.near = self.node("near")
+        self.far = self.node("far")
+        self.far.serve("w1", self.upstream.port)
+        self.near.learn(self.far.record())
+
+    def node(self, name, silent_link_s=0.1):
+        node = FakeNode(name, silent_link_s)
+        self.addCleanup(node.close)
+        return node
+
+    def through_relay(self):
+        relay = MutableRelay(self.far.port)
+        self.addCleanup(relay.stop)
+        self.near.learn(self.far.record(f"{HOST}:{relay.port}"))
+        return relay
+
+    async def test_answers_out_of_order_reach_their_own_calls(self):
+        """Guards against an answer given to another request (G4)."""
+        for i in range(5):
+            self.upstream.gates[f"/{i}"] = asyncio.Event()
+        calls = [
+            asyncio.ensure_future(self.near.entry.handle(make_request(path=f"/{i}")))
+            for i in range(5)
+        ]
+        await wait_for(lambda: len(self.upstream.seen) == 5)
+        for i in reversed(range(5)):
+            self.upstream.gates[f"/{i}"].set()
+            self.assertEqual((await calls[i]).body, f"/{i}".encode())
+
+    async def test_call_answered_into_a_silent_link_runs_once(self):
+        """Guards against a second run when an answer is lost on a link (G6)."""
+        relay = self.through_relay()
+        self.assertIsInstance(await self.near.entry.handle(make_request()), Answer)
+        self.upstream.seen.clear()
+        relay.mute(("down",))
+        result = await self.near.entry.handle(make_request("POST", "/p"))
+        self.assertEqual(result.body, b"/p")
+        self.assertEqual(self.upstream.seen, ["/p"])
+
+    async def test_call_lost_on_a_silent_link_is_proved_not_run(self):
+        """Guards against `unknown` for a call that never arrived."""
+        relay = self.through_relay()
+        self.assertIsInstance(await self.near.entry.handle(make_request()), Answer)
+        self.upstream.seen.clear()
+        relay.mute()
+        # One upstream: after `not_run` there is no other to try.
+        result = await self.near.entry.handle(make_request("POST", "/p"))
+        self.assertEqual(result, Refused(Outcome.NOT_RUN, "call did not arrive"))
+        self.assertEqual(self.upstream.seen, [])
+
+    async def test_running_call_is_answered_over_the_new_link(self):
+        """Guards against an answer lost with the link that it was asked on."""
+        relay = self.through_relay()
+        self.upstream.gates["/p"] = asyncio.Event()
+        call = asyncio.ensure_future(self.near.entry.handle(make_request("POST", "/p")))
+        await wait_for(lambda: self.upstream.seen == ["/p"])
+        relay.mute()
+        await wait_for(lambda: len(relay.open) == 2)
+        self.upstream.gates["/p"].set()
+        self.assertEqual((await call).body, b"/p")
+        self.assertEqual(self.upstream.seen, ["/p"])
+
+    async def test_lost_answers_are_classified_and_not_repeated(self):
+        """Guards against a wrong outcome or a repeat of a POST (G5, G6)."""
+        self.far.serve("w2", self.upstream.port)
+        self.near.learn(self.far.record())
+        self.upstream.raw = {
+            "/early": b"",
+            "/part": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+            "/open": b"HTTP/1.1 200 OK\r\n\r\nabc",
+        }
+        cases = {
+            "/early": Outcome.UNKNOWN,
+            "/part": Outcome.RUN_ANSWER_LOST,
+            "/open": Outcome.RUN_ANSWER_LOST,
+        }
+        for path, outcome in cases.items():
+            self.upstream.seen.clear()
+            result = await self.near.entry.handle(make_request("POST", path))
+            self.assertEqual(result.outcome, outcome, path)
+            self.assertEqual(self.upstream.seen, [path])
+
+    async def test_refused_connection_is_retried_elsewhere(self):
+        """Guards against a POST failed although it was proved not run."""
+        self.far.serve("w2", free_port())
+        self.near.learn(self.far.record())
+        for _ in range(8):
+            result = await self.near.entry.handle(make_request("POST", "/p"))
+            self.assertEqual(result.body, b"/p")
+        self.assertEqual(len(self.upstream.seen), 8)
+
+    async def test_lost_node_makes_a_post_unknown_and_a_get_retried(self):
+        """Guards against a lost call reported as not run (G5)."""
+        other = self.node("other")
+        other.serve("w2", self.upstream.port)
+        self.upstream.gates["/p"] = asyncio.Event()
+        call = asyncio.ensure_future(self.near.entry.handle(make_request("POST", "/p")))
+        get = asyncio.ensure_future(self.near.entry.handle(make_request("GET", "/p")))
+        await wait_for(lambda: len(self.upstream.seen) == 2)
+        self.near.learn(self.far.record(), other.record())
+        self.far.close()
+        self.upstream.gates["/p"].set()
+        result = await call
+        self.assertIsInstance(result, Refused)
+        self.assertEqual(result.outcome, Outcome.UNKNOWN)
+        self.assertEqual((await get).body, b"/p")
+
+    async def test_leaving_set_is_refused_at_the_destination(self):
+        """Guards against work for a departing upstream from a stale node (G7)."""
+        board = self.far.ctx.board
+        board.snapshot = Snapshot({"slots": make_document(leaving=True)}, 2)
+        self.far.destination.refresh()
+        result = await self.near.entry.handle(make_request("POST", "/p"))
+        self.assertEqual(result.outcome, Outcome.NOT_RUN)
+        self.assertEqual(self.upstream.seen, [])
+
+    async def test_deadline_stops_the_call_everywhere(self):
+        """Guards against work that goes on after its caller has given up."""
+        self.upstream.gates["/p"] = asyncio.Event()
+        self.addCleanup(self.upstream.gates["/p"].set)
+        req = make_request("POST", "/p")
+        req = type(req)("slots", "POST", "/p", (), b"", "", 50)
+        result = await self.near.entry.handle(req)
+        self.assertEqual(result.outcome, Outcome.UNKNOWN)
+        await wait_for(lambda: self.far.destination.in_flight_total == 0)
+        self.assertEqual(self.near.entry.peers.outstanding, 0)
--- /dev/null
+++ b/lentilsill/daemon/tests/test_caller_server.py
@@ -0,0 +1,73 @@
+"""The callers' HTTP interface."""
+
+import unittest
+
+from tornado.httpclient import AsyncHTTPClient
+
+from lentilsill.daemon.caller_server import CallerServer
+from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
+
+
+class FakeCalls:
+    def __init__(self):
+        self.result: CallResult = Answer(201, (("X-A", "1"),), b"ok")
+        self.seen = []
+
+    async def handle(self, req):
+        self.seen.append(req)
+        return self.result
+
+
+class CallerServerTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.calls = FakeCalls()
+        self.server = CallerServer(self.calls, 10, lambda n: (["k"] * n, 7))
+        self.port = self.server.listen("127.0.0.1:0")
+        self.addAsyncCleanup(self.server.close)
+
+    async def fetch(self, path, **kwargs):
+        return await AsyncHTTPClient().fetch(
+            f"http://127.0.0.1:{self.port}{path}", raise_error=False, **kwargs
+        )
+
+    async def test_call_is_passed_without_hop_by_hop_headers(self):
+        """Guards against connection headers that reach an upstream."""
+        headers = {
+            "Connection": "X-Hop",
+            "X-Hop": "1",
+            "X-End": "2",
+            "Idempotency-Key": "key",
+            "Lentilsill-Deadline-Ms": "50",
+        }
+        got = await self.fetch("/slots/a?b=1", method="PUT", body="hi", headers=headers)
+        self.assertEqual((got.code, got.body, got.headers["X-A"]), (201, b"ok", "1"))
+        (req,) = self.calls.seen
+        self.assertEqual((req.service, req.path), ("slots", "/a?b=1"))
+        self.assertEqual(
+            (req.body, req.request_key, req.deadline_ms), (b"hi", "key", 50)
+        )
+        names = {name for name, _ in req.headers}
+        self.assertIn("X-End", names)
+        self.assertFalse(names & {"X-Hop", "Connection", "Host", "Idempotency-Key"})
+
+    async def test_failed_calls_get_their_status(self):
+        """Guards against a caller that repeats a call which may have run."""
+        cases = {"not_run": 503, "run_answer_lost": 502, "unknown": 504}
+        for outcome, status in cases.items():
+            self.calls.result = Refused(Outcome(outcome), "why")
+            got = await self.fetch("/slots/a")
+            self.assertEqual(got.code, status)
+            self.assertEqual(got.headers["Lentilsill-Outcome"], outcome)
+        self.calls.result = Refused(Outcome.NOT_RUN, "no route")
+        self.assertEqual((await self.fetch("/slots/a")).code, 404)
+
+    async def test_body_over_the_limit_does_not_run(self):
+        """Guards against a call with a cut body."""
+        got = await self.fetch("/slots/a", method="POST", body="x" * 11)
+        self.assertEqual(got.code, 413)
+        self.assertEqual(self.calls.seen, [])
+
+    async def test_keys(self):
+        """Guards against a changed form of issued keys."""
+        got = await self.fetch("/lentilsill/keys?count=2", method="POST", body="")
+        self.assertEqual(got.body, b'{"keys": ["k", "k"], "expires_at_ms": 7}')
--- a/lentilsill/outcomes/ledger.py
+++ b/lentilsill/outcomes/ledger.py
@@ -42,6 +42,7 @@
 
     records: dict[int, _Mark | CallResult] = field(default_factory=dict)
     floor: int = -1
+    settled: int = -1
     used_at: float = 0.0
 
 
@@ -77,7 +78,7 @@
         `settled` is an id up to which the entry node needs no record any more.
         """
         own = self._instance(instance, now)
-        if settled > own.floor:
+        if settled > own.settled:
             self._settle(own, settled)
         record = own.records.get(call_id)
         if record is not None:
@@ -149,7 +150,8 @@
         return own
 
     def _settle(self, own: _Instance, settled: int) -> None:
-        own.floor = settled
+        own.settled = settled
+        own.floor = max(own.floor, settled)
         records = own.records
         while records and (call_id := next(iter(records))) <= settled:
             self._drop(own, call_id)
--- /dev/null
+++ b/lentilsill/routing/tests/test_selector.py
@@ -0,0 +1,83 @@
+"""Selection avoids upstreams that can't or shouldn't take calls."""
+
+import collections
+import random
+import unittest
+
+from lentilsill.documents import Limits, RetryPolicy, Route, ServiceDocument
+from lentilsill.membership import NodeState
+from lentilsill.routing import Selector, match_route
+from lentilsill.routing.selector import FAILURES_TO_EJECT
+from lentilsill.routing.tests.builders import make_document, make_node
+from lentilsill.versioning import Snapshot
+
+OLD_MS = 10**9
+
+
+class SelectorTests(unittest.TestCase):
+    def selector(self, *nodes, leaving=False, suspects=()):
+        selector = Selector("lahore", random.Random(1))
+        snapshot = Snapshot({"slots": make_document(leaving)}, 1)
+        selector.update(snapshot, nodes, suspects)
+        return selector
+
+    def picks(self, selector, now=0.0, tried=(), count=200, wall_ms=OLD_MS):
+        chosen = [
+            selector.pick("slots", "all", now, wall_ms, tried) for _ in range(count)
+        ]
+        return collections.Counter(c and c.node for c in chosen)
+
+    def test_unfit_nodes_and_leaving_sets_get_nothing(self):
+        """Guards against calls to leaving or doubtful nodes (G7)."""
+        nodes = make_node("a"), make_node("b", state=NodeState.LEAVING), make_node("c")
+        self.assertEqual(set(self.picks(self.selector(*nodes, suspects={"c"}))), {"a"})
+        self.assertEqual(set(self.picks(self.selector(*nodes, leaving=True))), {None})
+
+    def test_less_loaded_upstream_is_preferred(self):
+        """Guards against load that is ignored."""
+        selector = self.selector(make_node("a"), make_node("b"))
+        selector.started("w-a", 0.0)
+        self.assertEqual(set(self.picks(selector)), {"b"})
+        selector.report("w-b", 5, 0.0)
+        self.assertEqual(set(self.picks(selector)), {"a"})
+
+    def test_other_domain_only_when_the_own_is_used_up(self):
+        """Guards against spillover too early, and against none at all."""
+        selector = self.selector(make_node("a"), make_node("b", "multan"))
+        self.assertEqual(set(self.picks(selector)), {"a"})
+        self.assertEqual(set(self.picks(selector, tried={"w-a"})), {"b"})
+        selector.refused("w-a", 0.0)
+        self.assertEqual(set(self.picks(selector, now=0.1)), {"b"})
+        self.assertEqual(set(self.picks(selector, now=1.0)), {"a"})
+        self.assertEqual(set(self.picks(selector, now=0.1, tried={"w-b"})), {"a"})
+
+    def test_at_most_half_is_ejected_and_returns(self):
+        """Guards against a set that ejects itself, or ejects forever."""
+        selector = self.selector(*(make_node(name) for name in "abc"))
+        for name in "abc":
+            for _ in range(FAILURES_TO_EJECT):
+                selector.started(f"w-{name}", 0.0)
+                selector.finished(f"w-{name}", 0.0, True)
+        self.assertEqual(len(self.picks(selector, now=1.0)), 2)
+        self.assertEqual(len(self.picks(selector, now=100.0)), 3)
+
+    def test_cold_upstream_gets_less(self):
+        """Guards against a cold upstream that is flooded."""
+        selector = self.selector(make_node("a"), make_node("b"))
+        cold = selector._nodes[0].upstreams[0]
+        self.assertEqual(cold.ready_at_ms, 0)
+        self.picks(selector, wall_ms=0, count=1)
+        selector.started("w-b", 0.0)
+        selector._loads["w-b"].first_seen = -100.0
+        self.assertEqual(set(self.picks(selector, wall_ms=1000)), {"b"})
+
+    def test_longest_prefix_wins_and_the_query_is_ignored(self):
+        """Guards against calls on the wrong route."""
+        routes = tuple(
+            Route(prefix, prefix, frozenset(methods), True, 1, (), RetryPolicy(), None)
+            for prefix, methods in (("/", ()), ("/a/b", ("GET",)), ("/a/b", ()))
+        )
+        document = ServiceDocument("slots", 1, {}, routes, Limits(), ())
+        self.assertIs(match_route(document, "GET", "/a/b?x"), routes[1])
+        self.assertIs(match_route(document, "PUT", "/a/b"), routes[2])
+        self.assertIs(match_route(document, "GET", "/c?/a/b"), routes[0])
