--- /dev/null
+++ b/bench/call_path.py
@@ -0,0 +1,117 @@
+"""Measures the latency that the call path adds, one process per role.
+
+Roles, each ``python -m bench.call_path ROLE ...`` in a process of its own:
+``upstream PORT``, ``node PEER_PORT CALLER_PORT FAR_PORT UPSTREAM_PORT`` (the far
+node when CALLER_PORT is 0), ``server raw|web PORT`` (a caller server without the
+call path) and ``load PORT CALLS CONCURRENCY [METHOD]``.
+"""
+
+import asyncio
+import sys
+import time
+
+from hdrh.histogram import HdrHistogram
+from tornado.iostream import StreamClosedError
+from tornado.tcpserver import TCPServer
+from tornado.web import Application, RequestHandler
+
+from lentilsill.daemon.caller_server import CallerServer
+from lentilsill.daemon.controllers.tests.builders import HOST, FakeNode
+from lentilsill.daemon.controllers.upstream_client import Exchange, UpstreamClient
+from lentilsill.daemon.interfaces import CallRequest
+from lentilsill.outcomes import Answer, CallResult
+
+__all__ = ["main"]
+
+BODY = b"x" * 200
+WARM_UP_CALLS = 200
+
+
+class _Upstream(TCPServer):
+    async def handle_stream(self, stream, address) -> None:
+        stream.set_nodelay(True)
+        try:
+            while True:
+                await stream.read_until(b"\r\n\r\n")
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BODY)
+                await stream.write(head + BODY)
+        except StreamClosedError:
+            pass
+
+
+class _Fixed:
+    async def handle(self, req: CallRequest) -> CallResult:
+        return Answer(200, (), BODY)
+
+
+class _WebHandler(RequestHandler):
+    async def get(self, path: str) -> None:
+        self.finish(BODY)
+
+
+def _server(kind: str, port: int) -> None:
+    if kind == "raw":
+        CallerServer(_Fixed(), 1 << 20).listen(f"{HOST}:{port}")
+    else:
+        Application([("/(.*)", _WebHandler)]).listen(port, HOST)
+
+
+def _node(peer_port: int, caller_port: int, far_port: int, upstream_port: int) -> None:
+    if not caller_port:
+        FakeNode("far", port=peer_port).serve("w1", upstream_port)
+        return
+    near = FakeNode("near", port=peer_port)
+    shape = FakeNode("far")
+    shape.serve("w1", upstream_port)
+    near.learn(shape.record(f"{HOST}:{far_port}"))
+    if not far_port:
+        near.serve("w1", upstream_port)
+        near.learn(near.record())
+    CallerServer(near.entry, 1 << 20).listen(f"{HOST}:{caller_port}")
+
+
+async def _load(port: int, calls: int, concurrency: int, method: str) -> None:
+    hist = HdrHistogram(1, 10_000_000, 3)
+    client = UpstreamClient(f"{HOST}:{port}")
+
+    async def worker(count: int, record: bool) -> None:
+        for _ in range(count):
+            start = time.perf_counter_ns()
+            result = await client.send(Exchange(), method, "/slots/a", (), b"", True)
+            if not isinstance(result, Answer) or result.status != 200:
+                raise SystemExit(f"failed call: {result}")
+            if record:
+                hist.record_value((time.perf_counter_ns() - start) // 1000)
+
+    await worker(WARM_UP_CALLS, False)
+    start = time.perf_counter()
+    await asyncio.gather(
+        *(worker(calls // concurrency, True) for _ in range(concurrency))
+    )
+    rate = hist.total_count / (time.perf_counter() - start)
+    p50, p99 = (hist.get_value_at_percentile(p) for p in (50, 99))
+    print(f"p50 {p50} us, p99 {p99} us, {rate:.0f} calls/s")
+
+
+async def _run(role: str, args: list[str]) -> None:
+    match role:
+        case "upstream":
+            _Upstream().listen(int(args[0]), HOST)
+        case "server":
+            _server(args[0], int(args[1]))
+        case "node":
+            _node(*map(int, args))
+        case "load":
+            method = args[3] if args[3:] else "GET"
+            await _load(int(args[0]), int(args[1]), int(args[2]), method)
+            return
+    await asyncio.Event().wait()
+
+
+def main(argv: list[str]) -> None:
+    """Run the role that the arguments name."""
+    asyncio.run(_run(argv[0], argv[1:]))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/lentilsill/daemon/controllers/tests/builders.py
+++ b/lentilsill/daemon/controllers/tests/builders.py
@@ -95,8 +95,8 @@
 class FakeNode:
     """Controllers of the call path of one node."""
 
-    def __init__(self, name: str, silent_link_s: float = 1.0) -> None:
-        self.port = free_port()
+    def __init__(self, name: str, silent_link_s: float = 1.0, port: int = 0) -> None:
+        self.port = port or free_port()
         cfg = NodeSettings.model_validate(
             {
                 "node": name,
