Keep calls that may not be repeated running when their caller leaves

Cause: a review of the call path showed that a lost caller cut a local POST in the middle, that an idempotent call sent again over a new connection could be reported as not run although the first sending may have run, and that dialing a peer ignored the call's deadline. Change: such calls run in a task of their own; the second connection's refusal gives unknown; dialing is bounded by the deadline. Tests for hedging, claims, lost callers and crash reports.

--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -129,6 +129,11 @@
         """Load as reported on answers."""
         return self.in_flight(upstream)
 
+    def has_lost(self, upstream: str) -> bool:
+        """Whether lost connections wait for a check for a crash."""
+        own = self._upstreams.get(upstream)
+        return bool(own and own.lost)
+
     def on_upstream_gone(self, upstream: str) -> None:
         """An upstream stopped announcing itself without leaving: it crashed."""
         own = self._upstreams.get(upstream) or self._departed.get(upstream)
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import itertools
+from collections.abc import Coroutine
+from typing import Any
 
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
@@ -126,12 +128,17 @@
         if req.deadline_ms > 0:
             deadline_s = min(deadline_s, req.deadline_ms / 1000)
         plan = _Plan(req, document, route, self.ctx.now() + deadline_s, fingerprint)
+        if route.idempotent:
+            return await self._counted(self._run(plan))
+        # A caller that goes away must not cut a call that may not be repeated,
+        # and the outcome of a claimed one is stored.
+        run = self._run_claimed(plan) if claimed else self._run(plan)
+        return await asyncio.shield(self.ctx.spawn(self._counted(run)))
+
+    async def _counted(self, run: Coroutine[Any, Any, CallResult]) -> CallResult:
         self.in_flight += 1
         try:
-            if not claimed:
-                return await self._run(plan)
-            # The claim outlives a caller that goes away: its outcome is stored.
-            return await asyncio.shield(self.ctx.spawn(self._run_claimed(plan)))
+            return await run
         finally:
             self.in_flight -= 1
 
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -96,8 +96,10 @@
         link = self.links.find(address, CALLS)
         if link is None:
             try:
-                link = await self.links.connect(address, CALLS)
-            except LinkError as exc:
+                link = await asyncio.wait_for(
+                    self.links.connect(address, CALLS), deadline - self.ctx.now()
+                )
+            except (LinkError, TimeoutError) as exc:
                 return Reply(not_run(f"{UNREACHABLE}{exc}"))
         now = self.ctx.now()
         remaining_s = deadline - now
--- a/lentilsill/daemon/controllers/tests/builders.py
+++ b/lentilsill/daemon/controllers/tests/builders.py
@@ -15,6 +15,7 @@
 from lentilsill.daemon.controllers.entry import EntryController
 from lentilsill.daemon.interfaces import CallRequest
 from lentilsill.documents import (
+    HedgePolicy,
     Limits,
     RetryPolicy,
     Route,
@@ -31,12 +32,14 @@
 HOST = "127.0.0.1"
 
 
-def make_document(leaving: bool = False) -> ServiceDocument:
+def make_document(
+    leaving: bool = False, hedge: HedgePolicy | None = None
+) -> ServiceDocument:
     """Service `slots`: GET is idempotent, POST is not."""
     targets = (RouteTarget("slots", "all", 1),)
     policy = RetryPolicy(3, 10.0)
     routes = (
-        Route("get", "/", frozenset({"GET"}), True, 3000, targets, policy, None),
+        Route("get", "/", frozenset({"GET"}), True, 3000, targets, policy, hedge),
         Route("post", "/", frozenset({"POST"}), False, 3000, targets, policy, None),
     )
     sets = {"all": UpstreamSet("all", (), leaving)}
@@ -95,7 +98,9 @@
 class FakeNode:
     """Controllers of the call path of one node."""
 
-    def __init__(self, name: str, silent_link_s: float = 1.0, port: int = 0) -> None:
+    def __init__(
+        self, name: str, silent_link_s: float = 1.0, port: int = 0, guard=None
+    ) -> None:
         self.port = port or free_port()
         cfg = NodeSettings.model_validate(
             {
@@ -113,8 +118,8 @@
         links.listen(cfg.peer_address)
         board = Blackboard(Snapshot({"slots": make_document()}, 1), ready=True)
         self.ctx = Context(cfg, board, links, None, random.Random(1))
-        self.destination = DestinationController(self.ctx)
-        self.entry = EntryController(self.ctx, self.destination)
+        self.destination = DestinationController(self.ctx, guard)
+        self.entry = EntryController(self.ctx, self.destination, None, guard)
         self.destination.start()
         self.entry.start()
 
--- a/lentilsill/daemon/controllers/tests/test_calls.py
+++ b/lentilsill/daemon/controllers/tests/test_calls.py
@@ -1,6 +1,7 @@
 """Calls between two nodes over loopback."""
 
 import asyncio
+import dataclasses
 import unittest
 
 from lentilsill.daemon.controllers.tests.builders import (
@@ -13,10 +14,47 @@
     make_request,
     wait_for,
 )
+from lentilsill.daemon.interfaces import Granted
+from lentilsill.documents import HedgePolicy
 from lentilsill.outcomes import Answer, Outcome, Refused
 from lentilsill.versioning import Snapshot
 
 
+class FakeClaims:
+    """Grants each key once."""
+
+    def __init__(self):
+        self.records = {}
+
+    async def claim(self, request_key, attempt, fingerprint, timeout_s):
+        if request_key in self.records:
+            return self.records[request_key]
+        return Granted()
+
+    def finish(self, request_key, attempt, result):
+        self.records[request_key] = result
+
+
+class FakeGuard:
+    """Records crash reports and quarantines nothing."""
+
+    def __init__(self):
+        self.deaths = []
+        self.cleared = []
+
+    def is_quarantined(self, fingerprint):
+        return False
+
+    def may_start(self, fingerprint, in_flight):
+        return True
+
+    def upstream_died(self, in_flight):
+        self.deaths.append(in_flight)
+
+    def finished(self, fingerprint):
+        self.cleared.append(fingerprint)
+
+
 class CallTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.upstream = FakeUpstream()
@@ -141,9 +179,100 @@
         """Guards against work that goes on after its caller has given up."""
         self.upstream.gates["/p"] = asyncio.Event()
         self.addCleanup(self.upstream.gates["/p"].set)
-        req = make_request("POST", "/p")
-        req = type(req)("slots", "POST", "/p", (), b"", "", 50)
+        req = dataclasses.replace(make_request("POST", "/p"), deadline_ms=50)
         result = await self.near.entry.handle(req)
         self.assertEqual(result.outcome, Outcome.UNKNOWN)
         await wait_for(lambda: self.far.destination.in_flight_total == 0)
         self.assertEqual(self.near.entry.peers.outstanding, 0)
+
+    async def test_hedge_answers_and_the_loser_is_cancelled(self):
+        """Guards against a slow upstream that delays a call that may be hedged."""
+        other = self.node("other")
+        quick = FakeUpstream()
+        self.addCleanup(quick.stop)
+        other.serve("w2", quick.port)
+        document = make_document(hedge=HedgePolicy(10, 100))
+        self.near.ctx.board.snapshot = Snapshot({"slots": document}, 2)
+        self.near.learn(self.far.record(), other.record())
+        self.upstream.gates["/p"] = asyncio.Event()
+        self.addCleanup(self.upstream.gates["/p"].set)
+        for _ in range(5):
+            result = await self.near.entry.handle(make_request("GET", "/p"))
+            self.assertEqual(result.body, b"/p")
+        self.assertTrue(self.upstream.seen)
+        await wait_for(lambda: self.far.destination.in_flight_total == 0)
+
+    async def test_keyed_call_outlives_its_caller_and_runs_once(self):
+        """Guards against a repeat by the caller that runs a keyed call again."""
+        self.near.entry.claims = FakeClaims()
+        self.upstream.gates["/p"] = asyncio.Event()
+        req = dataclasses.replace(make_request("POST", "/p"), request_key="key")
+        call = asyncio.ensure_future(self.near.entry.handle(req))
+        await wait_for(lambda: self.upstream.seen == ["/p"])
+        call.cancel()
+        self.upstream.gates["/p"].set()
+        await wait_for(lambda: self.near.entry.in_flight == 0)
+        self.assertEqual((await self.near.entry.handle(req)).body, b"/p")
+        self.assertEqual(self.upstream.seen, ["/p"])
+
+    async def test_lost_keyless_caller_cancels_a_get_but_not_a_post(self):
+        """Guards against a POST cut in the middle, and a GET that runs on."""
+        self.near.serve("w0", self.upstream.port)
+        for record in (self.near.record(), self.far.record()):
+            self.near.learn(record)
+            self.assertEqual(await self.left_after_cancel("GET"), 0)
+            self.assertEqual(await self.left_after_cancel("POST"), 1)
+
+    async def left_after_cancel(self, method):
+        """Give the calls in flight after the caller of one has gone."""
+
+        def left():
+            nodes = (self.near.destination, self.far.destination)
+            return sum(node.in_flight_total for node in nodes)
+
+        self.upstream.seen.clear()
+        gate = self.upstream.gates["/p"] = asyncio.Event()
+        call = asyncio.ensure_future(self.near.entry.handle(make_request(method, "/p")))
+        await wait_for(lambda: self.upstream.seen == ["/p"])
+        call.cancel()
+        await wait_for(call.cancelled)
+        if method == "GET":
+            await wait_for(lambda: not left())
+        # A later call on the same link shows that a `Cancel` would have arrived.
+        await self.near.entry.handle(make_request("GET", "/after"))
+        count = left()
+        gate.set()
+        await wait_for(lambda: not left())
+        return count
+
+    async def test_crash_on_a_kept_connection_is_not_reported_as_not_run(self):
+        """Guards against `not_run` from the second connection of a GET (G5)."""
+        self.assertIsInstance(await self.near.entry.handle(make_request()), Answer)
+        self.upstream.raw["/p"] = b""
+        self.upstream.gates["/p"] = asyncio.Event()
+        call = asyncio.ensure_future(self.near.entry.handle(make_request("GET", "/p")))
+        await wait_for(lambda: self.upstream.seen[-1] == "/p")
+        self.upstream.stop()
+        self.upstream.gates["/p"].set()
+        self.assertEqual((await call).outcome, Outcome.UNKNOWN)
+
+    async def test_crash_is_reported_with_its_request_only_when_it_is_one(self):
+        """Guards against a closed connection counted as a crash, and none counted."""
+        guard = FakeGuard()
+        node = FakeNode("guarded", guard=guard)
+        self.addCleanup(node.close)
+        node.serve("w2", self.upstream.port)
+        node.learn(node.record())
+        self.upstream.raw["/p"] = b""
+        await node.entry.handle(make_request("POST", "/p"))
+        await node.entry.handle(make_request("GET", "/ok"))
+        await wait_for(lambda: not node.destination.has_lost("w2"))
+        self.assertEqual((guard.deaths, len(guard.cleared)), ([], 1))
+        self.upstream.gates["/p"] = asyncio.Event()
+        call = asyncio.ensure_future(node.entry.handle(make_request("POST", "/p")))
+        await wait_for(lambda: self.upstream.seen[-1] == "/p")
+        self.upstream.stop()
+        self.upstream.gates["/p"].set()
+        await call
+        await wait_for(lambda: guard.deaths)
+        self.assertEqual(len(guard.deaths[0]), 1)
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -145,6 +145,7 @@
         unknown. An idempotent one is sent again over a new connection then.
         """
         stream = self._take_idle() if idempotent else None
+        sent_before = stream is not None
         if stream is not None:
             result = await self._exchange(exchange, stream, method, path, headers, body)
             if result is not None:
@@ -152,6 +153,8 @@
         try:
             stream = await self._connect(exchange)
         except (OSError, StreamClosedError, TimeoutError) as exc:
+            if sent_before:
+                return _closed_early(exchange)
             return not_run(exchange.aborted or f"{UNREACHABLE}{exc}")
         result = await self._exchange(exchange, stream, method, path, headers, body)
         return result or _closed_early(exchange)
