Convert messages by their number and bound the ledger's expiry queue

Cause: msgspec analyses the union of all messages in each convert call, and the ledger kept an expiry entry for each settled record. Change: decode looks up the struct by message number; the expiry queue is rebuilt when most of its entries are settled.

--- a/lentilsill/outcomes/ledger.py
+++ b/lentilsill/outcomes/ledger.py
@@ -10,6 +10,8 @@
 
 MAX_RECORDS = 100_000
 MAX_KEPT_BYTES = 16 * 1024 * 1024
+# Settled entries that may stay in the expiry queue before it is rebuilt.
+EXPIRY_SLACK = 1024
 # Floors are kept longer than records: a late call of the instance may arrive.
 FLOOR_RETENTION_FACTOR = 10
 
@@ -108,6 +110,8 @@
         own.records[call_id] = result
         own.used_at = now
         self._expiry.append((now + self.retention_s, instance, call_id))
+        if len(self._expiry) > 2 * self._size + EXPIRY_SLACK:
+            self._drop_settled_from_expiry()
 
     def ask(self, instance: str, call_id: int, now: float) -> CallState | CallResult:
         """Give what became of a call; an unknown id is fenced first."""
@@ -142,6 +146,14 @@
             if not own.records and own.used_at < limit:
                 del self._instances[instance]
 
+    def _drop_settled_from_expiry(self) -> None:
+        """Forget when settled records, which are gone already, would expire."""
+        self._expiry = deque(
+            entry
+            for entry in self._expiry
+            if (own := self._instances.get(entry[1])) and entry[2] in own.records
+        )
+
     def _instance(self, instance: str, now: float) -> _Instance:
         own = self._instances.get(instance)
         if own is None:
--- a/lentilsill/outcomes/tests/test_ledger.py
+++ b/lentilsill/outcomes/tests/test_ledger.py
@@ -56,3 +56,10 @@
             self.ledger.finish("i", call_id, DONE, 0.0)
         lost = self.ledger.ask("i", 2, 0.0)
         self.assertEqual(lost, Refused(Outcome.RUN_ANSWER_LOST, "answer was not kept"))
+
+    def test_settled_records_leave_nothing_behind(self):
+        """Guards against an expiry queue that grows with the call rate."""
+        for call_id in range(10_000):
+            self.begin(call_id, settled=call_id - 1)
+            self.ledger.finish("i", call_id, DONE, 0.0)
+        self.assertLessEqual(len(self.ledger._expiry), 2000)
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -4,7 +4,7 @@
 travel as rows (tuples); the package that owns a record converts it.
 """
 
-from typing import Any, Union
+from typing import Any, Union, get_args
 
 import msgpack
 import msgspec
@@ -328,6 +328,11 @@
     Release,
 ]
 
+_TYPE_BY_NUMBER: dict[int, Any] = {
+    message_type.__struct_config__.tag: message_type
+    for message_type in get_args(Message)
+}
+
 encode = msgspec.msgpack.encode
 
 
@@ -339,8 +344,11 @@
     WireError
         The value is no message; the text names the offending element.
     """
+    known = isinstance(obj, list) and obj and isinstance(obj[0], int)
+    # msgspec analyses a union anew in each call, but keeps that of a struct.
+    message_type = _TYPE_BY_NUMBER.get(obj[0], Message) if known else Message
     try:
-        return msgspec.convert(obj, Message)
+        return msgspec.convert(obj, message_type)
     except msgspec.ValidationError as exc:
         raise WireError(str(exc)) from exc
 
