--- a/harness/recorder.py
+++ b/harness/recorder.py
@@ -27,6 +27,9 @@
     def testOutcome(self, event: TestOutcomeEvent) -> None:  # noqa: N802
         """Record the verdict of one test."""
         faulthandler.cancel_dump_traceback_later()
+        # nose2 reports each part of a test with `subTest` as an outcome too.
+        if event.outcome == "subtest" and event.exc_info is None:
+            return
         self.ran.append(event.test.id())
         if event.outcome != "passed":
             self.failed.append(event.test.id())
--- a/lentilsill/daemon/controllers/claims.py
+++ b/lentilsill/daemon/controllers/claims.py
@@ -8,7 +8,7 @@
 
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
-from lentilsill.daemon.interfaces import Granted
+from lentilsill.daemon.interfaces import Granted, IssuedKeys
 from lentilsill.membership import NodeRecord, NodeState
 from lentilsill.outcomes import (
     Attempt,
@@ -39,7 +39,7 @@
 )
 from .platform_claims import PlatformClaims
 
-__all__ = ["ClaimsController", "IssuedKeys"]
+__all__ = ["ClaimsController"]
 
 ROUND_BOUND_S = 1.0
 """A replica that has not answered by then counts as unreachable."""
@@ -48,14 +48,6 @@
 MAX_KEYS_PER_REQUEST = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class IssuedKeys:
-    """Keys for a caller, and when the first of them stops being granted."""
-
-    keys: tuple[str, ...]
-    expires_at_ms: int
-
-
 @dataclass(eq=False)
 class _OpenRound:
     """A round whose replies are awaited."""
--- a/lentilsill/daemon/interfaces.py
+++ b/lentilsill/daemon/interfaces.py
@@ -12,6 +12,7 @@
     "CrashGuard",
     "Documents",
     "Granted",
+    "IssuedKeys",
     "KeyClaims",
 ]
 
@@ -63,6 +64,14 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class IssuedKeys:
+    """Keys for a caller, and when the first of them stops being granted."""
+
+    keys: tuple[str, ...]
+    expires_at_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Granted:
     """The attempt holds the key and may run."""
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -7,16 +7,33 @@
 
 import statsd
 
+from lentilsill.membership import NodeRecord
+from lentilsill.platform import HttpObjectApi
 from lentilsill.settings import NodeSettings
 from lentilsill.versioning import EMPTY_SNAPSHOT
 from lentilsill.wire import PeerLinks
 from lentilsill.wire.links import Identity
 
+from .admin_server import AdminServer
 from .blackboard import Blackboard
+from .caller_server import CallerServer
 from .context import Context
+from .controllers.claims import ClaimsController
+from .controllers.destination import DestinationController
+from .controllers.distribution import DistributionController
+from .controllers.documents import DocumentsController
+from .controllers.entry import EntryController
+from .controllers.membership import MembershipController
+from .controllers.platform_watch import PlatformWatchController
+from .controllers.quarantine import QuarantineController
+from .controllers.readiness import ReadinessController
+from .controllers.status import StatusController
 
 __all__ = ["make_context", "running_node"]
 
+# A peer that reads nothing for so long does not delay the exit any further.
+FLUSH_BOUND_S = 1.0
+
 
 def make_context(cfg: NodeSettings) -> Context:
     """Make the context that the node's controllers share."""
@@ -39,10 +56,55 @@
 async def running_node(cfg: NodeSettings) -> AsyncIterator[Context]:
     """Run a node's controllers and servers while the context is entered."""
     ctx = make_context(cfg)
+    api = HttpObjectApi.from_config(cfg.platform)
+    membership = _start_control_plane(ctx, api)
+    entry, destination, claims = _start_call_path(ctx, api, membership)
+    ctx.in_flight = lambda: (
+        entry.in_flight + destination.in_flight_total + claims.unfinished()
+    )
+    callers = CallerServer(entry, cfg.calls.max_body_bytes, claims.issue_keys)
+    admin = AdminServer(ctx, destination.on_upstream_gone, destination.in_flight)
     ctx.links.listen(cfg.peer_address)
+    callers.listen(cfg.caller_address)
+    admin.start()
     try:
         yield ctx
+        await callers.close()
+        await ctx.links.flush(FLUSH_BOUND_S)
     finally:
+        admin.stop()
         for task in list(ctx.tasks):
             task.cancel()
         ctx.links.close()
+        api.close()
+
+
+def _start_control_plane(ctx: Context, api: HttpObjectApi) -> MembershipController:
+    documents = DocumentsController(ctx)
+    membership = MembershipController.from_context(ctx, documents)
+    distribution = DistributionController.from_context(ctx, documents, membership)
+    watch = PlatformWatchController.from_context(
+        ctx, api, documents, membership, distribution
+    )
+    readiness = ReadinessController.from_context(ctx, distribution, watch)
+
+    def rank() -> list[NodeRecord]:
+        members = ctx.board.members
+        return [members[name] for name in membership.ranked() if name in members]
+
+    status = StatusController(ctx, documents.store, api, rank)
+    for controller in (membership, distribution, watch, readiness, status):
+        controller.start()
+    return membership
+
+
+def _start_call_path(
+    ctx: Context, api: HttpObjectApi, membership: MembershipController
+) -> tuple[EntryController, DestinationController, ClaimsController]:
+    guard = QuarantineController(ctx)
+    destination = DestinationController(ctx, guard)
+    claims = ClaimsController(ctx, api, lambda: membership.is_first_ranked(1))
+    entry = EntryController(ctx, destination, claims, guard)
+    for controller in (guard, destination, claims, entry):
+        controller.start()
+    return entry, destination, claims
--- a/lentilsill/daemon/tests/test_admin_server.py
+++ b/lentilsill/daemon/tests/test_admin_server.py
@@ -12,7 +12,7 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from lentilsill.daemon.admin_server import AdminServer
-from lentilsill.daemon.controllers.tests.builders import make_node, wait_for
+from lentilsill.daemon.controllers.tests.claim_builders import make_node, wait_for
 from lentilsill.membership import UpstreamState
 
 BODY = {"service": "slots", "address": "127.0.0.1:9", "slots": 6, "state": "starting"}
--- a/lentilsill/outcomes/__init__.py
+++ b/lentilsill/outcomes/__init__.py
@@ -11,13 +11,17 @@
     bounded_result,
 )
 from .keys import RequestKey, is_issued_form, issue_key
+from .ledger import Begin, CallLedger, CallState
 from .model import Answer, CallResult, Outcome, Refused
 from .rounds import ClaimRound, Decision, MayRun, Recorded, Waiting
 
 __all__ = [
     "Answer",
     "Attempt",
+    "Begin",
+    "CallLedger",
     "CallResult",
+    "CallState",
     "ClaimAnswer",
     "ClaimRound",
     "ClaimTable",
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -173,6 +173,17 @@
             return
         self._spawn(self._send_later(address, purpose, message))
 
+    async def flush(self, timeout_s: float) -> None:
+        """Wait until queued messages are handed to the kernel, or the timeout."""
+        links = [*self.accepted, *self._dialed_links()]
+        pending = [link.stream.write(b"") for link in links if link.is_open]
+        if pending:
+            await asyncio.wait(pending, timeout=timeout_s)
+
+    def _dialed_links(self) -> list[Link]:
+        futs = [fut for fut in self._dialed.values() if fut.done() and _is_open(fut)]
+        return [fut.result() for fut in futs]
+
     def close(self) -> None:
         """Stop accepting and close every link."""
         if self._server is not None:
