Test the drain of a node with a call in flight

Cause: no test covered GoAway and the end of calls in flight on a drain. Change: the test, and one setsockopt per upstream request less: HTTP1Connection.finish sets TCP_NODELAY already. Conclusion: a drain at the destination cuts no call in flight.

--- a/lentilsill/daemon/controllers/tests/test_calls.py
+++ b/lentilsill/daemon/controllers/tests/test_calls.py
@@ -4,6 +4,7 @@
 import dataclasses
 import unittest
 
+from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.controllers.tests.builders import (
     HOST,
     FakeNode,
@@ -175,6 +176,23 @@
         self.assertEqual(result.outcome, Outcome.NOT_RUN)
         self.assertEqual(self.upstream.seen, [])
 
+    async def test_draining_node_finishes_calls_and_takes_no_more(self):
+        """Guards against a shutdown that cuts a call in flight (G8)."""
+        gate = self.upstream.gates["/p"] = asyncio.Event()
+        call = asyncio.ensure_future(self.near.entry.handle(make_request("POST", "/p")))
+        await wait_for(lambda: self.upstream.seen == ["/p"])
+        self.far.ctx.board.draining = True
+        self.far.ctx.board.changed(Topic.DRAIN)
+        result = await self.near.entry.handle(make_request("POST", "/q"))
+        self.assertEqual(result.outcome, Outcome.NOT_RUN)
+        # `GoAway` takes the node out of the selection before its record does.
+        await wait_for(
+            lambda: not self.near.entry.selector.has_candidates("slots", "all")
+        )
+        gate.set()
+        self.assertEqual((await call).body, b"/p")
+        self.assertEqual(self.upstream.seen, ["/p"])
+
     async def test_deadline_stops_the_call_everywhere(self):
         """Guards against work that goes on after its caller has given up."""
         self.upstream.gates["/p"] = asyncio.Event()
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -222,7 +222,6 @@
                 fields["Content-Length"] = str(len(body))
             conn.write_headers(RequestStartLine(method, path, ""), fields, body)
             conn.finish()
-            stream.set_nodelay(True)
         except Exception as exc:
             # Headers that can't be sent raise before the first byte is written.
             stream.close()
