--- a/lentilsill/daemon/tests/test_caller_server.py
+++ b/lentilsill/daemon/tests/test_caller_server.py
@@ -5,6 +5,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from lentilsill.daemon.caller_server import CallerServer
+from lentilsill.daemon.interfaces import IssuedKeys
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 
 
