--- a/harness/demo.py
+++ b/harness/demo.py
@@ -231,7 +231,7 @@
         for report in reports:
             for name, entry in report["services"].items():
                 versions.setdefault(name, set()).add(entry["in_force"])
-                if entry["nodes_in_force"] != report["nodes"] or report["nodes"] != 3:
+                if not entry["nodes"] == entry["nodes_heard"] == 3:
                     raise DemoError(f"{report['domain']}: {name}: {entry}")
         if sorted(versions) != sorted(SERVICES) or any(
             len(found) != 1 for found in versions.values()
--- a/lentilsill/cli/checks.py
+++ b/lentilsill/cli/checks.py
@@ -6,7 +6,7 @@
 
 import json5
 
-from lentilsill import documents
+from lentilsill.documents import parse_document
 from lentilsill.findings import Finding, Findings, FindingsError
 from lentilsill.settings import parse_settings
 
@@ -22,22 +22,10 @@
 
 def document_findings(value: Any, service: str) -> Findings:
     """Check a service document and give what is wrong with it."""
-    parse_document = getattr(documents, "parse_document", None)
-    if parse_document is None:
-        return _minimal_findings(value, service)
     result = parse_document(value, service, 0)
     return result.unwrap_err() if result.is_err() else Findings()
 
 
-def _minimal_findings(value: Any, service: str) -> Findings:
-    findings = Findings()
-    if not isinstance(value, dict):
-        findings.add("document", "must be an object")
-    elif value.get("service") != service:
-        findings.add("service", f"must be {service}")
-    return findings
-
-
 def read_document(text: str, source: str) -> tuple[str, Any, Findings]:
     """Read a document with comments; give its service, value and findings."""
     findings = Findings()
--- a/lentilsill/cli/reports.py
+++ b/lentilsill/cli/reports.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from datetime import UTC, datetime
 
-from pydantic import BaseModel, Field, ValidationError
 from result import Err, Ok
 
 from lentilsill.platform import Compacted, ObjectApi, StoredObject
+from lentilsill.status import DomainStatus, ServiceStatus, status_from_value
 
 from .edits import describe
 from .exits import ExitCode
@@ -19,35 +18,12 @@
 STATUS_KIND = "status"
 WATCH_S = 30.0
 RETRY_S = 0.5
-HEADINGS = ("DOMAIN", "SERVICE", "ACCEPTED", "IN FORCE", "NODES", "UPDATED (UTC)")
+HEADINGS = ("DOMAIN", "SERVICE", "ACCEPTED", "IN FORCE", "NODES", "AS OF")
 
 Say = Callable[[str], None]
 
 
-class _Rejected(BaseModel):
-    version: int
-    findings: list[str] = Field(default_factory=list)
-
-
-class _Held(BaseModel):
-    version: int
-    reasons: list[str] = Field(default_factory=list)
-
-
-class _Service(BaseModel):
-    accepted: int | None = None
-    in_force: int | None = None
-    nodes_in_force: int = 0
-    rejected: list[_Rejected] = Field(default_factory=list)
-    held: list[_Held] = Field(default_factory=list)
-
-
-class _Domain(BaseModel):
-    domain: str
-    revision: int = 0
-    updated_at_ms: int = 0
-    nodes: int = 0
-    services: dict[str, _Service] = Field(default_factory=dict)
+NO_REPORT = ServiceStatus(as_of=0, newest=0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +88,7 @@
     while (left_s := end - loop.time()) > 0:
         bound_left_s = min(left_s, WATCH_S)
         revision = await _follow(api, objects, revision, bound_left_s, say)
-        reports = [r for r in map(_read, objects.values()) if isinstance(r, _Domain)]
+        reports = _read_all(objects.values())
         rejected = _rejections(reports, target)
         if rejected:
             for line in rejected:
@@ -121,7 +97,7 @@
         if not _missing(reports, target, domains):
             say(f"{target.service}: version {target.version} is in force everywhere")
             return ExitCode.OK
-    reports = [r for r in map(_read, objects.values()) if isinstance(r, _Domain)]
+    reports = _read_all(objects.values())
     for line in _missing(reports, target, domains):
         say(line)
     say(f"{target.service}: version {target.version} not everywhere in {bound_s:g} s")
@@ -162,16 +138,22 @@
     return None
 
 
-def _read(obj: StoredObject) -> _Domain | str:
-    try:
-        return _Domain.model_validate(obj.value)
-    except ValidationError as exc:
-        error = exc.errors()[0]
-        place = ".".join(str(part) for part in error["loc"])
-        return f"status/{obj.name}: {place}: {error['msg']}"
+def _read(obj: StoredObject) -> DomainStatus | str:
+    match status_from_value(obj.value):
+        case Ok(status):
+            return status
+        case Err(findings):
+            return "\n".join(f"status/{obj.name}: {found}" for found in findings)
+    raise AssertionError("unreachable")
 
 
-def _missing(reports: list[_Domain], target: Target, domains: list[str]) -> list[str]:
+def _read_all(objects: Iterable[StoredObject]) -> list[DomainStatus]:
+    return [r for r in map(_read, objects) if isinstance(r, DomainStatus)]
+
+
+def _missing(
+    reports: list[DomainStatus], target: Target, domains: list[str]
+) -> list[str]:
     """Name what still differs from the target, one line per domain."""
     by_name = {report.domain: report for report in reports}
     lines = []
@@ -180,24 +162,28 @@
         if report is None:
             lines.append(f"{name}: has not reported")
             continue
-        entry = report.services.get(target.service, _Service())
-        reached = (entry.in_force or 0) >= target.version
-        if not reached or entry.nodes_in_force < max(report.nodes, 1):
+        entry = report.services.get(target.service, NO_REPORT)
+        reached = entry.in_force >= target.version
+        if not reached or entry.nodes < max(entry.nodes_heard, 1):
             lines.append(
                 f"{name}: {target.service} in force: {entry.in_force or '-'} "
-                f"on {entry.nodes_in_force} of {report.nodes} nodes"
+                f"on {entry.nodes} of {entry.nodes_heard} nodes"
             )
     return lines
 
 
-def _rejections(reports: list[_Domain], target: Target) -> list[str]:
-    return [
-        f"{report.domain}: {target.service} version {entry.version} rejected: {text}"
-        for report in reports
-        for entry in report.services.get(target.service, _Service()).rejected
-        if entry.version == target.version
-        for text in entry.findings or ["no findings"]
-    ]
+def _rejections(reports: list[DomainStatus], target: Target) -> list[str]:
+    lines = []
+    for report in reports:
+        entry = report.services.get(target.service, NO_REPORT)
+        if target.version in entry.rejected:
+            place = f"{report.domain}: {target.service} version {target.version}"
+            lines += _rejected_lines(place, entry.rejected[target.version])
+    return lines
+
+
+def _rejected_lines(place: str, findings: tuple[str, ...]) -> list[str]:
+    return [f"{place} rejected: {text}" for text in findings or ("no findings",)]
 
 
 def _print(objects: tuple[StoredObject, ...], as_json: bool, say: Say) -> None:
@@ -222,29 +208,27 @@
         say(note)
 
 
-def _rows(report: _Domain) -> list[tuple[str, ...]]:
-    updated = datetime.fromtimestamp(report.updated_at_ms / 1000, UTC)
+def _rows(report: DomainStatus) -> list[tuple[str, ...]]:
     return [
         (
             report.domain,
             name,
             str(entry.accepted or "-"),
             str(entry.in_force or "-"),
-            f"{entry.nodes_in_force}/{report.nodes}",
-            updated.strftime("%Y-%m-%d %H:%M:%S"),
+            f"{entry.nodes}/{entry.nodes_heard}",
+            str(entry.as_of),
         )
         for name, entry in sorted(report.services.items())
     ]
 
 
-def _notes(report: _Domain) -> list[str]:
+def _notes(report: DomainStatus) -> list[str]:
     notes = []
     for name, entry in sorted(report.services.items()):
         place = f"{report.domain}: {name} version"
-        for rejected in entry.rejected:
-            found = rejected.findings or ["no findings"]
-            notes += [f"{place} {rejected.version} rejected: {text}" for text in found]
-        for held in entry.held:
-            reasons = "; ".join(held.reasons)
-            notes.append(f"{place} {held.version} held: {reasons}")
+        for version, findings in entry.rejected.items():
+            notes += _rejected_lines(f"{place} {version}", findings)
+        if entry.held is not None:
+            reasons = "; ".join(entry.held.reasons)
+            notes.append(f"{place} {entry.held.version} held: {reasons}")
     return notes
--- a/lentilsill/cli/tests/builders.py
+++ b/lentilsill/cli/tests/builders.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from lentilsill.platform import AnswerLost, Conflict, PlatformError, StoredObject
+from lentilsill.status import DomainStatus, Held, ServiceStatus, status_to_value
 from standins.store import ConflictError, Store
 
 __all__ = ["StoreApi", "a_document", "a_status"]
@@ -34,20 +35,17 @@
 
 def a_status(domain: str, in_force: int, nodes_in_force: int = 3) -> dict[str, Any]:
     """Make the status of a domain of three nodes."""
-    entry = {
-        "accepted": 7,
-        "in_force": in_force,
-        "nodes_in_force": nodes_in_force,
-        "rejected": [{"version": 8, "findings": ["limits: unknown key"]}],
-        "held": [{"version": 7, "reasons": ["needs ledger"]}],
-    }
-    return {
-        "domain": domain,
-        "revision": 9,
-        "updated_at_ms": 1_700_000_000_000,
-        "nodes": 3,
-        "services": {"slots": entry},
-    }
+    entry = ServiceStatus(
+        as_of=9,
+        newest=8,
+        accepted=7,
+        in_force=in_force,
+        nodes=nodes_in_force,
+        nodes_heard=3,
+        rejected={8: ("limits: unknown key",)},
+        held=Held(7, False, ("needs ledger",)),
+    )
+    return status_to_value(DomainStatus(domain, 9, {"slots": entry}))
 
 
 class StoreApi:
