--- /dev/null
+++ b/bench/raw_upstream.py
@@ -0,0 +1,134 @@
+"""Upstream with a fixed answer and little CPU per request, which announces itself.
+
+It runs `slots` requests at once for `service_ms` each; others wait in an unbounded
+queue, as in a worker without admission control. ``GET /set?ms=<ms>&fail=<0|1>``
+changes its behaviour.
+"""
+
+import asyncio
+import json
+from collections import deque
+from typing import Annotated
+from urllib.parse import parse_qs
+
+import typer
+from tornado.httpclient import HTTPRequest
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+__all__ = ["RawUpstream", "main"]
+
+ANNOUNCE_INTERVAL_S = 1.0
+BODY = b"x" * 200
+
+
+class RawUpstream:
+    """Slots and queue shared by the connections."""
+
+    def __init__(self, name: str, slots: int, service_ms: float) -> None:
+        self.name = name
+        self.slots = slots
+        self.service_ms = service_ms
+        self.fail = False
+        self.running = 0
+        self.executed = 0
+        self.waiting: deque[_Connection] = deque()
+
+    def offer(self, conn: "_Connection") -> None:
+        """Run a request now or later."""
+        if self.running < self.slots:
+            self._start(conn)
+        else:
+            self.waiting.append(conn)
+
+    def configure(self, query: str) -> None:
+        """Take ``ms`` and ``fail``."""
+        values = parse_qs(query)
+        self.service_ms = float(values.get("ms", [self.service_ms])[0])
+        self.fail = values.get("fail", [str(int(self.fail))])[0] == "1"
+
+    def _start(self, conn: "_Connection") -> None:
+        self.executed += 1
+        if self.service_ms <= 0:
+            conn.answer()
+            return
+        self.running += 1
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.service_ms / 1000, self._finish, conn)
+
+    def _finish(self, conn: "_Connection") -> None:
+        self.running -= 1
+        conn.answer()
+        if self.waiting:
+            self._start(self.waiting.popleft())
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, upstream: RawUpstream) -> None:
+        self.upstream = upstream
+        self.buffer = b""
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        head, end, rest = self.buffer.partition(b"\r\n\r\n")
+        if not end:
+            return
+        _, mark, tail = head.lower().partition(b"content-length:")
+        if mark and len(rest) < int(tail.split(b"\r\n", 1)[0]):
+            return
+        self.buffer = b""
+        path = head.split(b" ", 2)[1].decode()
+        if path.startswith("/set?"):
+            self.upstream.configure(path.partition("?")[2])
+            self._write(b"200 OK", b"%d" % self.upstream.executed)
+        else:
+            self.upstream.offer(self)
+
+    def answer(self) -> None:
+        status = b"500 Error" if self.upstream.fail else b"200 OK"
+        self._write(status, self.upstream.name.encode() + b" " + BODY)
+
+    def _write(self, status: bytes, body: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            head = b"HTTP/1.1 %s\r\nContent-Length: %d\r\n" % (status, len(body))
+            self.transport.write(head + b"Content-Type: text/plain\r\n\r\n" + body)
+
+
+async def _serve(upstream: RawUpstream, service: str, address: str, admin: str) -> None:
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    await loop.create_server(lambda: _Connection(upstream), host, int(port))
+    body = json.dumps(
+        {
+            "service": service,
+            "address": address,
+            "slots": upstream.slots,
+            "labels": {},
+            "state": "ready",
+        }
+    )
+    client = SimpleAsyncHTTPClient(force_instance=True)
+    url = f"http://{admin}/lentilsill/upstreams/{upstream.name}"
+    while True:
+        await client.fetch(HTTPRequest(url, method="PUT", body=body), raise_error=False)
+        await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+
+def main(
+    service: Annotated[str, typer.Option()],
+    address: Annotated[str, typer.Option(help="ip:port")],
+    admin: Annotated[str, typer.Option(help="Admin address of the node")],
+    name: Annotated[str, typer.Option()],
+    slots: Annotated[int, typer.Option()] = 64,
+    service_ms: Annotated[float, typer.Option()] = 0.0,
+) -> None:
+    """Run the upstream until it is killed."""
+    asyncio.run(_serve(RawUpstream(name, slots, service_ms), service, address, admin))
+
+
+if __name__ == "__main__":
+    typer.run(main)
