Put HTTP and peer links on asyncio transports

Profile: tornado's IOStream makes a future per write, reads before data has arrived and changes the event loop's interest several times per message; the HTTP server makes a timer per request.

--- a/bench/latency.py
+++ b/bench/latency.py
@@ -1,6 +1,6 @@
 """Latency that nodes add to calls, and what a call costs them.
 
-Run as ``python -m bench.latency``. Direct calls to an upstream, calls over one
+Run as ``python -m bench.latency [KIND,... [CONCURRENCY,...]]``. Direct calls to an upstream, calls over one
 node and calls over two nodes take turns, so that all see the same machine. One
 JSON object per line; under 60 s.
 """
@@ -9,7 +9,7 @@
 import json
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from functools import partial
 from pathlib import Path
 from urllib.request import Request, urlopen
@@ -159,25 +159,29 @@
                 added = total[way].percentile_ms(percent) - direct
                 self.report.add(f"added.{way}.{name}.p{percent}", added, "ms")
 
-    def run(self) -> None:
-        """Warm up and measure everything."""
+    def run(self, kinds: Sequence[str], concurrencies: Sequence[int]) -> None:
+        """Warm up and measure."""
         for way, (address, _) in self.paths.items():
             run_load(address, self.requests(way, "get"), 8, WARM_UP_S)
-        for concurrency in CONCURRENCIES:
-            for kind in KINDS:
+        for concurrency in concurrencies:
+            for kind in kinds:
                 self.measure(kind, concurrency)
 
 
-def main() -> int:
-    """Run the measurements."""
+def main(argv: list[str]) -> int:
+    """Run the measurements: ``[KIND,... [CONCURRENCY,...]]``."""
+    kinds = argv[0].split(",") if argv else KINDS
+    concurrencies = (
+        [int(text) for text in argv[1].split(",")] if argv[1:] else CONCURRENCIES
+    )
     start = time.monotonic()
     layout = Layout(BASE, ("lahore",), 3)
     with running_cluster(layout) as cluster:
         start_services(cluster)
-        Bench(cluster, Report(len(layout.hosts), SEED)).run()
+        Bench(cluster, Report(len(layout.hosts), SEED)).run(kinds, concurrencies)
     print(f"{time.monotonic() - start:.1f} s", file=sys.stderr)
     return 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -6,12 +6,13 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Awaitable, Callable
 from http.client import responses
 from urllib.parse import parse_qs
 
 import structlog
-from tornado.httpserver import HTTPServer
+from tornado.http1connection import HTTP1ConnectionParameters, HTTP1ServerConnection
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -21,10 +22,11 @@
     ResponseStartLine,
 )
 from tornado.iostream import StreamClosedError
-from tornado.netutil import bind_sockets
+from tornado.netutil import add_accept_handler, bind_sockets
 
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.wire.links import split_address
+from lentilsill.wire.streams import ProtocolStream
 
 from .controllers.reasons import NO_ROUTE
 from .controllers.upstream_client import HOP_BY_HOP
@@ -37,6 +39,8 @@
 IssueKeys = Callable[[int], IssuedKeys]
 
 MAX_KEYS_PER_REQUEST = 1000
+# As tornado's own server; a slow sender of headers is closed by it too.
+IDLE_CONNECTION_S = 3600.0
 KEYS_PATH = "/lentilsill/keys"
 OUTCOME_HEADER = "Lentilsill-Outcome"
 STATUS_OF_OUTCOME = {
@@ -64,32 +68,84 @@
         self.calls = calls
         self.max_body_bytes = max_body_bytes
         self.issue_keys = issue_keys
-        # The delegate checks the limit itself, to answer 413 and not 400.
-        self._server = HTTPServer(self, max_body_size=2**40)
+        # The delegate checks the limit itself, to answer 413 and not 400. A
+        # timer per request for the headers costs more than one for all.
+        self._params = HTTP1ConnectionParameters(max_body_size=2**40)
+        self._connections: dict[HTTP1ServerConnection, float] = {}
+        self._stop_accepting: list[Callable[[], None]] = []
+        self._sweeper: asyncio.TimerHandle | None = None
         self._requests: set[asyncio.Task[None]] = set()
+        self._opening: set[asyncio.Task] = set()
 
     def listen(self, address: str) -> int:
         """Accept connections; gives the port."""
         host, port = split_address(address)
         sockets = bind_sockets(port, host)
-        self._server.add_sockets(sockets)
+        for sock in sockets:
+            remove = add_accept_handler(sock, self._accept)
+            self._stop_accepting += [remove, sock.close]
+        self._sweep()
         return sockets[0].getsockname()[1]
 
     def stop(self) -> None:
         """Stop accepting connections; requests in progress continue."""
-        self._server.stop()
+        for stop in self._stop_accepting:
+            stop()
+        self._stop_accepting.clear()
 
     async def close(self) -> None:
         """Close idle connections after the requests in progress."""
-        self._server.stop()
+        self.stop()
         if self._requests:
             await asyncio.wait(self._requests)
-        await self._server.close_all_connections()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        while self._connections:
+            await next(iter(self._connections)).close()
+
+    def _accept(self, sock: socket.socket, address: object) -> None:
+        loop = asyncio.get_running_loop()
+        opening = loop.create_task(
+            loop.connect_accepted_socket(
+                lambda: ProtocolStream(on_connect=self._serve), sock
+            )
+        )
+        self._opening.add(opening)
+        opening.add_done_callback(self._opened)
+
+    def _opened(self, opening: asyncio.Task) -> None:
+        self._opening.discard(opening)
+        if not opening.cancelled() and opening.exception() is not None:
+            log.warning("connection_failed", error=str(opening.exception()))
+
+    def _serve(self, stream: ProtocolStream) -> None:
+        # tornado types the stream as an `IOStream`, of which it uses a part.
+        conn = HTTP1ServerConnection(stream, self._params)  # type: ignore[arg-type]
+        self._touch(conn)
+        conn.start_serving(self)
+
+    def _touch(self, conn: HTTP1ServerConnection) -> None:
+        self._connections[conn] = asyncio.get_running_loop().time()
+
+    def _sweep(self) -> None:
+        """Close connections without a request for a long time."""
+        loop = asyncio.get_running_loop()
+        limit = loop.time() - IDLE_CONNECTION_S
+        for conn, used_at in list(self._connections.items()):
+            if used_at < limit:
+                conn.stream.close()
+        self._sweeper = loop.call_later(IDLE_CONNECTION_S / 10, self._sweep)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a closed connection (tornado's interface)."""
+        self._connections.pop(server_conn, None)  # type: ignore[call-overload]
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Take a new request (tornado's interface)."""
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        self._touch(server_conn)
         return _Request(self, request_conn)
 
     def run(self, request: "_Request") -> None:
--- a/lentilsill/daemon/controllers/tests/claim_builders.py
+++ b/lentilsill/daemon/controllers/tests/claim_builders.py
@@ -47,9 +47,7 @@
 def introduce(*nodes: Context) -> None:
     """Put the record of every node on every node's blackboard."""
     for ctx in nodes:
-        assert ctx.links._server is not None
-        socket = next(iter(ctx.links._server._sockets.values()))
-        address = f"127.0.0.1:{socket.getsockname()[1]}"
+        address = f"127.0.0.1:{ctx.links.port}"
         rec = NodeRecord(
             ctx.cfg.node,
             ctx.cfg.domain,
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Iterable
 
@@ -16,10 +15,11 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.wire.links import split_address
+from lentilsill.wire.streams import ProtocolStream
 
 from .reasons import UNREACHABLE, not_run
 
@@ -52,15 +52,18 @@
 class Exchange:
     """One request on its connection; `abort` closes the connection."""
 
-    __slots__ = ("aborted", "stream")
+    __slots__ = ("aborted", "connecting", "stream")
 
     def __init__(self) -> None:
         self.aborted = ""
-        self.stream: IOStream | None = None
+        self.stream: ProtocolStream | None = None
+        self.connecting: asyncio.Future | None = None
 
     def abort(self, reason: str) -> None:
         """Stop waiting for the answer."""
         self.aborted = reason
+        if self.connecting is not None:
+            self.connecting.cancel()
         if self.stream is not None:
             self.stream.close()
 
@@ -124,7 +127,7 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self._target = split_address(address)
-        self._idle: deque[tuple[float, IOStream]] = deque()
+        self._idle: deque[tuple[float, ProtocolStream]] = deque()
         self._params = HTTP1ConnectionParameters(
             max_body_size=MAX_ANSWER_BYTES, decompress=False
         )
@@ -173,7 +176,7 @@
         while self._idle:
             self._idle.pop()[1].close()
 
-    def _take_idle(self) -> IOStream | None:
+    def _take_idle(self) -> ProtocolStream | None:
         limit = asyncio.get_running_loop().time() - MAX_IDLE_S
         while self._idle:
             since, stream = self._idle.pop()
@@ -183,26 +186,34 @@
                 stream.close()
         return None
 
-    async def _connect(self, exchange: Exchange) -> IOStream:
+    async def _connect(self, exchange: Exchange) -> ProtocolStream:
         if exchange.aborted:
             raise StreamClosedError()
-        stream = IOStream(
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM),
-            max_buffer_size=2 * MAX_ANSWER_BYTES,
+        loop = asyncio.get_running_loop()
+        connecting = asyncio.ensure_future(
+            loop.create_connection(ProtocolStream, *self._target)
         )
-        exchange.stream = stream
-        timer = asyncio.get_running_loop().call_later(CONNECT_TIMEOUT_S, stream.close)
+        exchange.connecting = connecting
+        timer = loop.call_later(CONNECT_TIMEOUT_S, connecting.cancel)
         try:
-            await stream.connect(self._target)
+            await asyncio.wait([connecting])
+        except asyncio.CancelledError:
+            connecting.cancel()
+            connecting.add_done_callback(_drop_connection)
+            raise
         finally:
             timer.cancel()
-        stream.set_nodelay(True)
+            exchange.connecting = None
+        if connecting.cancelled():
+            raise TimeoutError("no connection in time")
+        _, stream = connecting.result()
+        exchange.stream = stream
         return stream
 
     async def _exchange(
         self,
         exchange: Exchange,
-        stream: IOStream,
+        stream: ProtocolStream,
         method: str,
         path: str,
         headers: Iterable[tuple[str, str]],
@@ -210,7 +221,8 @@
     ) -> CallResult | None:
         """Run one request; None when the connection closed before any answer."""
         exchange.stream = stream
-        conn = HTTP1Connection(stream, True, self._params)
+        # tornado types the stream as an `IOStream`, of which it uses a part.
+        conn = HTTP1Connection(stream, True, self._params)  # type: ignore[arg-type]
         reader = _Reader(method)
         fields = HTTPHeaders()
         done = False
@@ -243,7 +255,7 @@
             self._keep(stream)
         return reader.answer()
 
-    def _keep(self, stream: IOStream) -> None:
+    def _keep(self, stream: ProtocolStream) -> None:
         if len(self._idle) >= MAX_IDLE_CONNECTIONS:
             self._idle.popleft()[1].close()
         # With a close callback the stream notices the peer's close when idle.
@@ -251,6 +263,12 @@
         self._idle.append((asyncio.get_running_loop().time(), stream))
 
 
+def _drop_connection(connecting: asyncio.Future) -> None:
+    """Close a connection that was made when nobody waited for it any more."""
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result()[0].abort()
+
+
 def _ignore_close() -> None:
     """Take the close of an idle stream, which `_take_idle` then skips."""
 
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -1,6 +1,7 @@
 """Links to other nodes: dialing, accepting and dispatching messages."""
 
 import asyncio
+import socket
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -9,10 +10,8 @@
 import msgpack
 import msgspec
 import structlog
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
-from tornado.netutil import bind_sockets
-from tornado.tcpclient import TCPClient
-from tornado.tcpserver import TCPServer
+from tornado.iostream import StreamBufferFullError, StreamClosedError
+from tornado.netutil import add_accept_handler, bind_sockets
 
 from .messages import (
     CALLS,
@@ -26,6 +25,7 @@
     encode,
     make_unpacker,
 )
+from .streams import ProtocolStream
 
 __all__ = ["Identity", "Link", "LinkError", "PeerLinks", "Traffic"]
 
@@ -68,13 +68,14 @@
     `last_received` is in seconds of the event loop's clock.
     """
 
-    stream: IOStream
+    stream: ProtocolStream
     hello: Hello
     address: str
     dialed: bool
     last_received: float
     traffic: Traffic
     on_close: list[Callable[["Link"], None]] = field(default_factory=list)
+    is_closed: bool = False
 
     @property
     def is_open(self) -> bool:
@@ -116,7 +117,8 @@
         self.accepted: set[Link] = set()
         self.traffic: dict[str, Traffic] = defaultdict(Traffic)
         self._dialed: dict[tuple[str, str], asyncio.Future[Link]] = {}
-        self._server: _Server | None = None
+        self._stop_accepting: list[Callable[[], None]] = []
+        self.port = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
     def on(self, message_type: type[M], handler: Callable[[Link, M], object]) -> None:
@@ -126,8 +128,21 @@
     def listen(self, address: str) -> None:
         """Accept links on ``ip:port``."""
         host, port = split_address(address)
-        self._server = _Server(self)
-        self._server.add_sockets(bind_sockets(port, host))
+        for sock in bind_sockets(port, host):
+            self.port = sock.getsockname()[1]
+            remove = add_accept_handler(sock, self._accept)
+            self._stop_accepting += [remove, sock.close]
+
+    def _accept(self, sock: socket.socket, address: tuple) -> None:
+        self._spawn(self._open_accepted(sock, f"{address[0]}:{address[1]}"))
+
+    async def _open_accepted(self, sock: socket.socket, address: str) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            _, stream = await loop.connect_accepted_socket(_make_stream, sock)
+            await self._open(stream, address, "")
+        except (OSError, LinkError) as exc:
+            log.warning("peer_handshake_failed", error=str(exc))
 
     async def connect(self, address: str, purpose: str) -> Link:
         """Give the open link to `address`, dialing it when there is none.
@@ -186,8 +201,9 @@
 
     def close(self) -> None:
         """Stop accepting and close every link."""
-        if self._server is not None:
-            self._server.stop()
+        for stop in self._stop_accepting:
+            stop()
+        self._stop_accepting.clear()
         for link in list(self.accepted):
             link.close()
         for address, purpose in list(self._dialed):
@@ -214,21 +230,22 @@
     async def _dial(self, address: str, purpose: str) -> Link:
         host, port = split_address(address)
         try:
-            stream = await TCPClient().connect(
-                host,
-                port,
-                timeout=CONNECT_TIMEOUT_S,
-                max_buffer_size=MAX_MESSAGE_BYTES,
-                source_ip=self.bind_ip or None,
+            _, stream = await asyncio.wait_for(
+                asyncio.get_running_loop().create_connection(
+                    _make_stream,
+                    host,
+                    port,
+                    local_addr=(self.bind_ip, 0) if self.bind_ip else None,
+                ),
+                CONNECT_TIMEOUT_S,
             )
-        except (OSError, StreamClosedError, TimeoutError) as exc:
-            raise LinkError(f"no connection to {address}: {exc}") from exc
+        except (OSError, TimeoutError) as exc:
+            reason = str(exc) or "timed out"
+            raise LinkError(f"no connection to {address}: {reason}") from exc
         return await self._open(stream, address, purpose)
 
-    async def _open(self, stream: IOStream, address: str, purpose: str) -> Link:
+    async def _open(self, stream: ProtocolStream, address: str, purpose: str) -> Link:
         """Exchange `Hello` and start reading; `purpose` is empty when accepting."""
-        stream.max_write_buffer_size = MAX_WRITE_BUFFER_BYTES
-        stream.set_nodelay(True)
         unpacker = make_unpacker()
         dialed = bool(purpose)
         try:
@@ -247,34 +264,41 @@
         link = Link(stream, hello, address, dialed, loop.time(), traffic)
         if not dialed:
             self.accepted.add(link)
-        self._spawn(self._read(link, unpacker, pending))
+        stream.set_close_callback(lambda: self._closed(link))
+        try:
+            for obj in pending:
+                self._dispatch(link, decode(obj))
+        except WireError as exc:
+            self._fail(link, exc)
+        stream.consume(lambda chunk: self._receive(link, unpacker, chunk))
+        if stream.closed():
+            # The connection was lost before its close callback was set.
+            loop.call_soon(self._closed, link)
         return link
 
-    async def _read(
-        self, link: Link, unpacker: msgpack.Unpacker, pending: list
-    ) -> None:
-        loop = asyncio.get_running_loop()
+    def _receive(self, link: Link, unpacker: msgpack.Unpacker, chunk: bytes) -> None:
+        link.last_received = asyncio.get_running_loop().time()
+        link.traffic.received_bytes += len(chunk)
         try:
-            for obj in pending:
+            unpacker.feed(chunk)
+            for obj in unpacker:
                 self._dispatch(link, decode(obj))
-            while True:
-                chunk = await link.stream.read_bytes(READ_CHUNK_BYTES, partial=True)
-                link.last_received = loop.time()
-                link.traffic.received_bytes += len(chunk)
-                unpacker.feed(chunk)
-                for obj in unpacker:
-                    self._dispatch(link, decode(obj))
-        except StreamClosedError:
-            pass
         except (WireError, msgpack.UnpackException, ValueError) as exc:
-            log.warning(
-                "peer_protocol_error",
-                peer=link.hello.node,
-                address=link.address,
-                error=str(exc),
-            )
-        finally:
-            self._closed(link)
+            self._fail(link, exc)
+        except Exception:
+            # A handler failed; the messages after this one can't be told apart
+            # from those that it has taken.
+            log.exception("peer_message_failed", peer=link.hello.node)
+            link.close()
+
+    def _fail(self, link: Link, exc: Exception) -> None:
+        log.warning(
+            "peer_protocol_error",
+            peer=link.hello.node,
+            address=link.address,
+            error=str(exc),
+        )
+        link.close()
 
     def _dispatch(self, link: Link, message: Message) -> None:
         handler = self.handlers.get(type(message))
@@ -284,28 +308,20 @@
         handler(link, message)
 
     def _closed(self, link: Link) -> None:
-        link.close()
+        if link.is_closed:
+            return
+        link.is_closed = True
         self.accepted.discard(link)
         for handler in [*link.on_close, *self.close_handlers]:
             handler(link)
 
 
-class _Server(TCPServer):
-    """Accepts peer links for a `PeerLinks`."""
-
-    def __init__(self, links: PeerLinks) -> None:
-        super().__init__(max_buffer_size=MAX_MESSAGE_BYTES)
-        self.links = links
-
-    async def handle_stream(self, stream: IOStream, address: tuple) -> None:
-        try:
-            await self.links._open(stream, f"{address[0]}:{address[1]}", "")
-        except LinkError as exc:
-            log.warning("peer_handshake_failed", error=str(exc))
+def _make_stream() -> ProtocolStream:
+    return ProtocolStream(MAX_WRITE_BUFFER_BYTES)
 
 
 async def _read_hello(
-    stream: IOStream, unpacker: msgpack.Unpacker
+    stream: ProtocolStream, unpacker: msgpack.Unpacker
 ) -> tuple[Hello, list]:
     """Read up to and including `Hello`; also give what came after it."""
     objs: list = []
--- /dev/null
+++ b/lentilsill/wire/streams.py
@@ -0,0 +1,265 @@
+"""Byte stream for tornado's HTTP/1 connections and for peer links.
+
+`tornado.iostream.IOStream` makes a future per write, tries to read before data
+has arrived, and changes what the event loop waits for several times per message.
+`ProtocolStream` has the part of its interface that `HTTP1Connection` uses, on an
+asyncio transport that stays registered for reading.
+"""
+
+import asyncio
+import re
+from collections.abc import Callable
+
+from tornado.ioloop import IOLoop
+from tornado.iostream import (
+    StreamBufferFullError,
+    StreamClosedError,
+    UnsatisfiableReadError,
+)
+
+__all__ = ["ProtocolStream"]
+
+# Received bytes that nobody reads stop the transport from reading more.
+MAX_UNREAD_BYTES = 256 * 1024
+DEFAULT_MAX_BUFFER_BYTES = 100 * 1024 * 1024
+
+Find = Callable[[bytearray], int]
+
+
+class ProtocolStream(asyncio.Protocol):
+    """One connection; at most one read waits at a time.
+
+    Parameters
+    ----------
+    max_write_buffer_size : int or None
+        Bytes that may wait for the peer; more raise `StreamBufferFullError`.
+    on_connect : callable, optional
+        Called with the stream when its connection is made.
+    """
+
+    def __init__(
+        self,
+        max_write_buffer_size: int | None = None,
+        on_connect: Callable[["ProtocolStream"], None] | None = None,
+    ) -> None:
+        self.max_buffer_size = DEFAULT_MAX_BUFFER_BYTES
+        self.max_write_buffer_size = max_write_buffer_size
+        self._on_connect = on_connect
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+        self._closed = False
+        self._is_reading_paused = False
+        self._is_writing_paused = False
+        self._read: tuple[asyncio.Future[bytes], Find] | None = None
+        self._writes: list[asyncio.Future[None]] = []
+        self._written: asyncio.Future[None] = self._loop.create_future()
+        self._written.set_result(None)
+        self._close_callback: Callable[[], None] | None = None
+        self._consumer: Callable[[bytes], None] | None = None
+
+    @property
+    def io_loop(self) -> IOLoop:
+        """The event loop as tornado sees it."""
+        return IOLoop.current()
+
+    # Reading
+
+    def read_bytes(self, size: int, partial: bool = False) -> asyncio.Future[bytes]:
+        """Read `size` bytes, or up to `size` with `partial`."""
+
+        def find(buffer: bytearray) -> int:
+            if partial:
+                return min(len(buffer), size)
+            return size if len(buffer) >= size else 0
+
+        return self._start_read(find)
+
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> asyncio.Future[bytes]:
+        """Read up to and including `delimiter`."""
+        return self.read_until_regex(re.escape(delimiter), max_bytes)
+
+    def read_until_regex(
+        self, regex: bytes, max_bytes: int | None = None
+    ) -> asyncio.Future[bytes]:
+        """Read up to and including a match of `regex`."""
+        search = re.compile(regex).search
+
+        def find(buffer: bytearray) -> int:
+            match = search(buffer)
+            end = match.end() if match else 0
+            if max_bytes is not None and (end or len(buffer)) > max_bytes:
+                raise UnsatisfiableReadError(f"nothing found in {max_bytes} bytes")
+            return end
+
+        return self._start_read(find)
+
+    def consume(self, consumer: Callable[[bytes], None]) -> None:
+        """Give all further bytes to `consumer` as they arrive.
+
+        It is called at once with what has arrived already. The stream is
+        closed when it raises.
+        """
+        self._consumer = consumer
+        self._resume_reading()
+        data = bytes(self._buffer)
+        self._buffer.clear()
+        if data:
+            consumer(data)
+
+    def _start_read(self, find: Find) -> asyncio.Future[bytes]:
+        if self._read is not None:
+            raise StreamClosedError() if self._closed else RuntimeError("is reading")
+        fut: asyncio.Future[bytes] = self._loop.create_future()
+        self._read = (fut, find)
+        if self._buffer:
+            self._satisfy_read()
+        if self._read is not None:
+            if self._closed:
+                self._read = None
+                raise StreamClosedError()
+            self._resume_reading()
+        return fut
+
+    def _satisfy_read(self) -> None:
+        assert self._read is not None
+        fut, find = self._read
+        try:
+            size = find(self._buffer)
+        except UnsatisfiableReadError:
+            self.close()
+            return
+        if not size:
+            return
+        self._read = None
+        data = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        if len(self._buffer) <= MAX_UNREAD_BYTES:
+            self._resume_reading()
+        if not fut.done():
+            fut.set_result(data)
+
+    def _resume_reading(self) -> None:
+        if self._is_reading_paused and not self._closed:
+            self._is_reading_paused = False
+            assert self._transport is not None
+            self._transport.resume_reading()
+
+    # Writing
+
+    def write(self, data: bytes) -> asyncio.Future[None]:
+        """Send bytes; the result is done when the kernel has taken them all.
+
+        Raises
+        ------
+        StreamClosedError
+            The stream is closed.
+        StreamBufferFullError
+            Too many bytes wait for the peer.
+        """
+        if self._closed:
+            raise StreamClosedError()
+        transport = self._transport
+        assert transport is not None
+        if self._is_writing_paused and self.max_write_buffer_size is not None:
+            waiting = transport.get_write_buffer_size()
+            if waiting + len(data) > self.max_write_buffer_size:
+                raise StreamBufferFullError("too many bytes wait for the peer")
+        if data:
+            transport.write(data)
+        if not self._is_writing_paused:
+            return self._written
+        fut: asyncio.Future[None] = self._loop.create_future()
+        fut.add_done_callback(_take_exception)
+        self._writes.append(fut)
+        return fut
+
+    def writing(self) -> bool:
+        """Whether bytes wait for the peer."""
+        return self._is_writing_paused
+
+    def set_nodelay(self, value: bool) -> None:
+        """Do nothing: asyncio has set TCP_NODELAY for the whole connection."""
+
+    # Closing
+
+    def closed(self) -> bool:
+        """Whether the stream is closed; received bytes can still be read."""
+        return self._closed
+
+    def close(self) -> None:
+        """Close at once; bytes that wait for the peer are dropped."""
+        if self._transport is not None:
+            self._transport.abort()
+        self._set_closed()
+
+    def set_close_callback(self, callback: Callable[[], None] | None) -> None:
+        """Set what is called once after the connection has closed."""
+        self._close_callback = callback
+
+    def _set_closed(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        if self._read is not None:
+            fut, _ = self._read
+            self._read = None
+            if not fut.done():
+                fut.set_exception(StreamClosedError())
+                fut.exception()
+        for write in self._writes:
+            if not write.done():
+                write.set_exception(StreamClosedError())
+        self._writes.clear()
+
+    # Callbacks of the transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        # `pause_writing` is called as soon as the kernel does not take all.
+        transport.set_write_buffer_limits(0)
+        self._transport = transport
+        if self._on_connect is not None:
+            self._on_connect(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self._closed:
+            return
+        if self._consumer is not None:
+            self._consumer(data)
+            return
+        self._buffer += data
+        if self._read is not None:
+            self._satisfy_read()
+        if len(self._buffer) > MAX_UNREAD_BYTES and self._read is None:
+            self._pause_reading()
+
+    def _pause_reading(self) -> None:
+        if not self._is_reading_paused and not self._closed:
+            self._is_reading_paused = True
+            assert self._transport is not None
+            self._transport.pause_reading()
+
+    def pause_writing(self) -> None:
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        self._is_writing_paused = False
+        for write in self._writes:
+            if not write.done():
+                write.set_result(None)
+        self._writes.clear()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._set_closed()
+        callback = self._close_callback
+        if callback is not None:
+            self._close_callback = None
+            callback()
+
+
+def _take_exception(fut: "asyncio.Future[None]") -> None:
+    if not fut.cancelled():
+        fut.exception()
