Keep connections for POST, one timer for deadlines, plain outgoing headers

POST: a fresh connection per call cost more than the call. A connection that was used within calls.post_reuse_s (1 s) and of which the kernel knows no close now takes a request that may not be repeated; it is never sent twice. Deadlines share one timer of the loop; headers that were parsed before are not checked anew when written.

--- a/bench/latency.py
+++ b/bench/latency.py
@@ -1,8 +1,8 @@
 """Latency that nodes add to calls, and what a call costs them.
 
-Run as ``python -m bench.latency [KIND,... [CONCURRENCY,...]]``. Direct calls to an upstream, calls over one
-node and calls over two nodes take turns, so that all see the same machine. One
-JSON object per line; under 60 s.
+Run as ``python -m bench.latency [KIND,... [CONCURRENCY,...]]``. Direct calls to an
+upstream, calls over one node and calls over two nodes take turns, so that all see
+the same machine. One JSON object per line; under 60 s.
 """
 
 import itertools
--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -31,6 +31,7 @@
 from .controllers.reasons import NO_ROUTE
 from .controllers.upstream_client import HOP_BY_HOP
 from .interfaces import CallRequest, CallService, IssuedKeys
+from .outgoing import OutgoingHeaders
 
 __all__ = ["CallerServer", "IssueKeys"]
 
@@ -278,13 +279,10 @@
         if self.is_answered:
             return
         self.is_answered = True
-        fields = HTTPHeaders()
-        for name, value in headers:
-            fields.add(name, value)
+        length: int | None = len(body)
         if self.method == "HEAD" or status in (204, 304):
-            body = b""
-        else:
-            fields["Content-Length"] = str(len(body))
+            body, length = b"", None
+        fields = OutgoingHeaders(headers, length)
         start_line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "?"))
         try:
             fut = self.conn.write_headers(start_line, fields, body)
--- a/lentilsill/daemon/context.py
+++ b/lentilsill/daemon/context.py
@@ -13,6 +13,7 @@
 from lentilsill.wire import PeerLinks
 
 from .blackboard import Blackboard
+from .deadlines import Deadlines
 
 __all__ = ["Context"]
 
@@ -24,7 +25,8 @@
     Decision logic gets time from `now` (seconds, never steps) or
     `wall_ms` (milliseconds since the epoch as of the process start, carried
     on by the monotonic clock, so that it never steps either). `in_flight`
-    counts the calls that a drain waits for; the assembly sets it.
+    counts the calls that a drain waits for; the assembly sets it. `deadlines`
+    calls back for calls that run late.
     """
 
     cfg: NodeSettings
@@ -34,6 +36,7 @@
     rng: random.Random
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     in_flight: Callable[[], int] = lambda: 0
+    deadlines: Deadlines = field(default_factory=Deadlines)
     now: Callable[[], float] = time.monotonic
     _wall_offset_ms: float = field(
         default_factory=lambda: time.time() * 1000 - time.monotonic() * 1000
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -70,12 +70,14 @@
 class _Upstream:
     """An upstream of this node with its queue and connections."""
 
-    def __init__(self, record: UpstreamRecord, guard: CrashGuard | None) -> None:
+    def __init__(
+        self, record: UpstreamRecord, guard: CrashGuard | None, reuse_s: float
+    ) -> None:
         self.record = record
         self.guard = guard
         self.running: dict[Execution, None] = {}
         self.lost: list[str] = []
-        self.client = UpstreamClient(record.address)
+        self.client = UpstreamClient(record.address, reuse_s)
         may_start = None if guard is None else self._may_start
         self.queue = AdmissionQueue(max(1, record.slots), 0, may_start)
 
@@ -153,7 +155,9 @@
                 if own.running:
                     self._departed[upstream] = own
         for upstream, record in board.upstreams.items():
-            own = self._upstreams.get(upstream) or _Upstream(record, self.guard)
+            own = self._upstreams.get(upstream) or _Upstream(
+                record, self.guard, self.ctx.cfg.calls.post_reuse_s
+            )
             self._upstreams[upstream] = own
             own.record = record
             document = board.snapshot.documents.get(record.service)
@@ -196,8 +200,9 @@
         loop = asyncio.get_running_loop()
         execution.admitted = loop.create_future()
         self._apply(actions)
-        timer = loop.call_later(
-            execution.deadline - now, self._drop_waiting, execution, "deadline passed"
+        entry = self.ctx.deadlines.add(
+            execution.deadline - now,
+            lambda: self._drop_waiting(execution, "deadline passed"),
         )
         try:
             return await execution.admitted
@@ -206,7 +211,7 @@
                 self._apply(own.queue.finished(execution, self.ctx.now()))
             raise
         finally:
-            timer.cancel()
+            self.ctx.deadlines.remove(entry)
 
     async def _run(self, own: _Upstream, execution: Execution) -> CallResult:
         call = execution.call
@@ -215,8 +220,8 @@
         headers = [*call.headers, ("Lentilsill-Deadline-Ms", str(_ms(remaining_s)))]
         if call.request_key:
             headers.append(("Idempotency-Key", call.request_key))
-        timer = asyncio.get_running_loop().call_later(
-            remaining_s, execution.exchange.abort, "deadline passed"
+        entry = self.ctx.deadlines.add(
+            remaining_s, lambda: execution.exchange.abort("deadline passed")
         )
         result: CallResult | None = None
         try:
@@ -229,7 +234,7 @@
                 call.idempotent,
             )
         finally:
-            timer.cancel()
+            self.ctx.deadlines.remove(entry)
             del own.running[execution]
             if self.guard is not None:
                 self._judge(own, execution, result)
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -129,14 +129,17 @@
         if not link.send(message):
             return Reply(not_run(f"{UNREACHABLE}link to {address} is closed"))
         peer.outstanding[call_id] = attempt
-        timer = loop.call_later(remaining_s + DEADLINE_GRACE_S, self._give_up, attempt)
+        deadlines = self.ctx.deadlines
+        entry = deadlines.add(
+            remaining_s + DEADLINE_GRACE_S, lambda: self._give_up(attempt)
+        )
         try:
             return await attempt.fut
         except asyncio.CancelledError:
             self._cancel(attempt)
             raise
         finally:
-            timer.cancel()
+            deadlines.remove(entry)
             peer.outstanding.pop(call_id, None)
 
     def _give_up(self, attempt: _Attempt) -> None:
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -17,6 +17,7 @@
 )
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
+from lentilsill.daemon.outgoing import OutgoingHeaders
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.wire.links import split_address
 from lentilsill.wire.streams import ProtocolStream
@@ -122,10 +123,15 @@
 
 
 class UpstreamClient:
-    """Sends requests to the upstream at `address` (``ip:port``)."""
+    """Sends requests to the upstream at `address` (``ip:port``).
 
-    def __init__(self, address: str) -> None:
+    A request that may not be repeated goes over a connection that was used
+    within `reuse_s` seconds, or over a new one.
+    """
+
+    def __init__(self, address: str, reuse_s: float = 0.0) -> None:
         self.address = address
+        self.reuse_s = reuse_s
         self._target = split_address(address)
         self._idle: deque[tuple[float, ProtocolStream]] = deque()
         self._params = HTTP1ConnectionParameters(
@@ -143,16 +149,19 @@
     ) -> CallResult:
         """Send a request once and give the whole answer or what is known.
 
-        A request that is not idempotent goes over a new connection: a kept one
-        may close while the request is on its way, which leaves its execution
-        unknown. An idempotent one is sent again over a new connection then.
+        A kept connection may close while the request is on its way, which leaves
+        its execution unknown. An idempotent one is sent again over a new
+        connection then. For others the chance is kept small: the connection was
+        used a short time ago, and the kernel knows of no close before use.
         """
-        stream = self._take_idle() if idempotent else None
+        stream = self._take_idle(MAX_IDLE_S if idempotent else self.reuse_s)
         sent_before = stream is not None
         if stream is not None:
             result = await self._exchange(exchange, stream, method, path, headers, body)
             if result is not None:
                 return result
+            if not idempotent:
+                return _closed_early(exchange)
         try:
             stream = await self._connect(exchange)
         except (OSError, StreamClosedError, TimeoutError) as exc:
@@ -176,12 +185,18 @@
         while self._idle:
             self._idle.pop()[1].close()
 
-    def _take_idle(self) -> ProtocolStream | None:
-        limit = asyncio.get_running_loop().time() - MAX_IDLE_S
+    def _take_idle(self, max_idle_s: float) -> ProtocolStream | None:
+        """Take the connection that was used last, if that is recent enough."""
+        now = asyncio.get_running_loop().time()
         while self._idle:
-            since, stream = self._idle.pop()
-            if not stream.closed():
-                if since >= limit:
+            since, stream = self._idle[-1]
+            if since < now - MAX_IDLE_S:
+                self.close()
+            elif since < now - max_idle_s:
+                break
+            else:
+                self._idle.pop()
+                if stream.is_quiet():
                     return stream
                 stream.close()
         return None
@@ -224,14 +239,10 @@
         # tornado types the stream as an `IOStream`, of which it uses a part.
         conn = HTTP1Connection(stream, True, self._params)  # type: ignore[arg-type]
         reader = _Reader(method)
-        fields = HTTPHeaders()
+        length = len(body) if body or method in ("POST", "PUT", "PATCH") else None
+        fields = OutgoingHeaders((("Host", self.address), *headers), length)
         done = False
         try:
-            fields["Host"] = self.address
-            for name, value in headers:
-                fields.add(name, value)
-            if body or method in ("POST", "PUT", "PATCH"):
-                fields["Content-Length"] = str(len(body))
             conn.write_headers(RequestStartLine(method, path, ""), fields, body)
             conn.finish()
         except Exception as exc:
@@ -258,8 +269,6 @@
     def _keep(self, stream: ProtocolStream) -> None:
         if len(self._idle) >= MAX_IDLE_CONNECTIONS:
             self._idle.popleft()[1].close()
-        # With a close callback the stream notices the peer's close when idle.
-        stream.set_close_callback(_ignore_close)
         self._idle.append((asyncio.get_running_loop().time(), stream))
 
 
@@ -269,10 +278,6 @@
         connecting.result()[0].abort()
 
 
-def _ignore_close() -> None:
-    """Take the close of an idle stream, which `_take_idle` then skips."""
-
-
 def _closed_early(exchange: Exchange) -> Refused:
     return Refused(
         Outcome.UNKNOWN, exchange.aborted or "connection closed before the answer"
--- /dev/null
+++ b/lentilsill/daemon/deadlines.py
@@ -0,0 +1,68 @@
+"""Deadlines of calls, with one timer of the event loop for all of them."""
+
+import asyncio
+from collections.abc import Callable
+
+__all__ = ["Deadlines"]
+
+# Deadlines are met up to this much late, which is small beside those of routes.
+TICK_S = 0.005
+
+Entry = tuple[int, Callable[[], object]]
+
+
+class Deadlines:
+    """Calls back after deadlines.
+
+    Almost all calls end before their deadline. A timer of the event loop per
+    call stays in its heap until then, even when cancelled, and the loop cleans
+    the heap up in pauses that grow with the call rate.
+    """
+
+    def __init__(self) -> None:
+        self._buckets: dict[int, dict[Entry, None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_tick = 0
+
+    def __len__(self) -> int:
+        return sum(len(bucket) for bucket in self._buckets.values())
+
+    def add(self, delay_s: float, callback: Callable[[], object]) -> Entry:
+        """Call back once after `delay_s` unless removed; gives what to remove."""
+        loop = asyncio.get_running_loop()
+        tick = int((loop.time() + delay_s) / TICK_S) + 1
+        entry = (tick, callback)
+        bucket = self._buckets.get(tick)
+        if bucket is None:
+            bucket = self._buckets[tick] = {}
+            if self._timer is None or tick < self._timer_tick:
+                self._schedule(loop, tick)
+        bucket[entry] = None
+        return entry
+
+    def remove(self, entry: Entry) -> None:
+        """Forget an entry, also one that has been called back."""
+        bucket = self._buckets.get(entry[0])
+        if bucket is not None:
+            bucket.pop(entry, None)
+            if not bucket:
+                del self._buckets[entry[0]]
+
+    def _schedule(self, loop: asyncio.AbstractEventLoop, tick: int) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_tick = tick
+        self._timer = loop.call_at(tick * TICK_S, self._run)
+
+    def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        now_tick = int(loop.time() / TICK_S)
+        due = [
+            tick for tick in self._buckets if tick <= max(now_tick, self._timer_tick)
+        ]
+        for tick in sorted(due):
+            for _, callback in self._buckets.pop(tick):
+                loop.call_soon(callback)
+        self._timer = None
+        if self._buckets:
+            self._schedule(loop, min(self._buckets))
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -73,6 +73,12 @@
     silent_link_s: float = Field(
         default=1.0, gt=0, description="A link with calls and no bytes is probed"
     )
+    post_reuse_s: float = Field(
+        default=1.0,
+        ge=0,
+        description="A connection to an upstream that was idle for less may take a "
+        "request that may not be repeated; 0 opens one for each",
+    )
     execution_record_s: float = Field(default=60.0, gt=0)
     drain_bound_s: float = Field(default=30.0, gt=0)
 
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import re
+import select
 from collections.abc import Callable
 
 from tornado.ioloop import IOLoop
@@ -189,6 +190,17 @@
         """Whether the stream is closed; received bytes can still be read."""
         return self._closed
 
+    def is_quiet(self) -> bool:
+        """Whether the stream is open and nothing has arrived, a close included.
+
+        It asks the kernel, since the event loop may not have seen it yet.
+        """
+        if self._closed or self._buffer or self._transport is None:
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     def close(self) -> None:
         """Close at once; bytes that wait for the peer are dropped."""
         if self._transport is not None:
