Probe silent links in the rhythm of their answers; test faults of calls

A link was found silent after about 1.7 x silent_link_s (1 s), later than the deadline of a lookup (800 ms). The link of the oldest call is now probed when it has been silent for four usual answer times (at least 50 ms, at most silent_link_s), again at ages that double, and closed when the probe has no answer for 250 ms. Nothing is probed or timed while no call is outstanding. A response that can't be written (a line end in a header) left its caller waiting; it now gets run_answer_lost. New tests: full ledger, quarantine, chunked and 1xx answers, spillover to another domain, cancellation at the upstream, POST on kept connections, silent link within 800 ms, streams, deadlines, chunked body over the limit.

--- a/bench/raw_upstream.py
+++ b/bench/raw_upstream.py
@@ -1,8 +1,10 @@
 """Upstream with a fixed answer and little CPU per request, which announces itself.
 
 It runs `slots` requests at once for `service_ms` each; others wait in an unbounded
-queue, as in a worker without admission control. ``GET /set?ms=<ms>&fail=<0|1>``
-changes its behaviour.
+queue, as in a worker without admission control. ``GET /set?ms=<ms>&fail=<mode>``
+changes its behaviour (``status``: 500 to all, ``close``: no answer at all) and
+``reset=1`` drops what waits; the answer is the count of executions. A closed
+connection cancels its request.
 """
 
 import asyncio
@@ -28,7 +30,7 @@
         self.name = name
         self.slots = slots
         self.service_ms = service_ms
-        self.fail = False
+        self.fail = ""
         self.running = 0
         self.executed = 0
         self.waiting: deque[_Connection] = deque()
@@ -41,10 +43,12 @@
             self.waiting.append(conn)
 
     def configure(self, query: str) -> None:
-        """Take ``ms`` and ``fail``."""
+        """Take ``ms``, ``fail`` and ``reset``."""
         values = parse_qs(query)
         self.service_ms = float(values.get("ms", [self.service_ms])[0])
-        self.fail = values.get("fail", [str(int(self.fail))])[0] == "1"
+        self.fail = values.get("fail", [self.fail])[0]
+        if "reset" in values:
+            self.waiting.clear()
 
     def _start(self, conn: "_Connection") -> None:
         self.executed += 1
@@ -53,11 +57,24 @@
             return
         self.running += 1
         loop = asyncio.get_running_loop()
-        loop.call_later(self.service_ms / 1000, self._finish, conn)
+        conn.timer = loop.call_later(self.service_ms / 1000, self._finish, conn)
+
+    def cancel(self, conn: "_Connection") -> None:
+        """Stop work for a closed connection."""
+        if conn in self.waiting:
+            self.waiting.remove(conn)
+        if conn.timer is not None:
+            conn.timer.cancel()
+            conn.timer = None
+            self._release()
 
     def _finish(self, conn: "_Connection") -> None:
-        self.running -= 1
+        conn.timer = None
         conn.answer()
+        self._release()
+
+    def _release(self) -> None:
+        self.running -= 1
         if self.waiting:
             self._start(self.waiting.popleft())
 
@@ -67,6 +84,10 @@
         self.upstream = upstream
         self.buffer = b""
         self.transport: asyncio.Transport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.upstream.cancel(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -89,7 +110,10 @@
             self.upstream.offer(self)
 
     def answer(self) -> None:
-        status = b"500 Error" if self.upstream.fail else b"200 OK"
+        if self.upstream.fail == "close" and self.transport is not None:
+            self.transport.close()
+            return
+        status = b"500 Error" if self.upstream.fail == "status" else b"200 OK"
         self._write(status, self.upstream.name.encode() + b" " + BODY)
 
     def _write(self, status: bytes, body: bytes) -> None:
--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -290,6 +290,12 @@
             self.conn.finish()
         except StreamClosedError:
             pass
+        except ValueError:
+            # Nothing has been written; the caller would wait without an answer.
+            log.exception("answer_not_written", path=self.path)
+            self.is_answered = False
+            reason = "answer can't be written"
+            self.respond(*_response(Refused(Outcome.RUN_ANSWER_LOST, reason)))
 
 
 def _response(result: CallResult) -> tuple[int, tuple[tuple[str, str], ...], bytes]:
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -25,10 +25,18 @@
 
 # The destination keeps the deadline; its own refusal says more than a timeout.
 DEADLINE_GRACE_S = 0.02
-# A silent link is given up when its probe is not answered in this share of
-# `silent_link_s`.
+# A link is probed when it is silent for this many usual answer times, so that a
+# call on a dead link has time left for a second attempt.
+ANSWER_TIMES = 4.0
+ANSWER_TIME_WEIGHT = 0.1
+MIN_SILENCE_S = 0.05
+# A long call is probed at ages that double, not at a fixed interval.
+SILENCE_SHARE_OF_AGE = 0.5
+# A probe is answered by the node itself; the wait covers a short stall of its
+# event loop, after which closing the link would only cost calls.
+MAX_PING_WAIT_S = 0.25
 PING_WAIT_SHARE = 0.5
-SWEEPS_PER_SILENCE = 5
+SWEEP_S = 0.02
 RECONNECTS = 3
 RECONNECT_PAUSE_S = 0.1
 
@@ -61,6 +69,20 @@
     outstanding: dict[int, _Attempt] = field(default_factory=dict)
     probed: Link | None = None
     probed_at: float = 0.0
+    answer_s: float = 0.0
+
+    def add_answer_time(self, taken_s: float) -> None:
+        """Take one into the moving average; the first sets it."""
+        if not self.answer_s:
+            self.answer_s = taken_s
+        self.answer_s += ANSWER_TIME_WEIGHT * (taken_s - self.answer_s)
+
+    def silence_s(self, age_s: float, longest_s: float) -> float:
+        """Silence after which the link of a call of age `age_s` is probed."""
+        if not self.answer_s:
+            return longest_s
+        usual_s = max(MIN_SILENCE_S, ANSWER_TIMES * self.answer_s)
+        return min(longest_s, max(usual_s, SILENCE_SHARE_OF_AGE * age_s))
 
 
 class PeerCalls:
@@ -72,6 +94,7 @@
         self.silent_link_s = ctx.cfg.calls.silent_link_s
         self._ids = itertools.count(1)
         self._peers: dict[str, _Peer] = {}
+        self._is_busy = asyncio.Event()
         ctx.links.on(AnswerMessage, self._on_answer)
         ctx.links.on(Refusal, self._on_refusal)
         ctx.links.on(OutcomeReply, self._on_outcome_reply)
@@ -129,12 +152,16 @@
         if not link.send(message):
             return Reply(not_run(f"{UNREACHABLE}link to {address} is closed"))
         peer.outstanding[call_id] = attempt
+        self._is_busy.set()
         deadlines = self.ctx.deadlines
         entry = deadlines.add(
             remaining_s + DEADLINE_GRACE_S, lambda: self._give_up(attempt)
         )
         try:
-            return await attempt.fut
+            reply = await attempt.fut
+            if isinstance(reply.result, Answer):
+                peer.add_answer_time(self.ctx.now() - now)
+            return reply
         except asyncio.CancelledError:
             self._cancel(attempt)
             raise
@@ -229,7 +256,10 @@
 
     async def _find_silent_links(self) -> None:
         while True:
-            await asyncio.sleep(self.silent_link_s / SWEEPS_PER_SILENCE)
+            if not self.outstanding:
+                self._is_busy.clear()
+            await self._is_busy.wait()
+            await asyncio.sleep(min(SWEEP_S, self.silent_link_s / 5))
             now = self.ctx.now()
             for address, peer in list(self._peers.items()):
                 if peer.outstanding:
@@ -242,13 +272,15 @@
         oldest = next(iter(peer.outstanding.values()))
         link = oldest.link
         heard_at = max(link.last_received, oldest.sent_at)
-        if now - heard_at < self.silent_link_s:
+        age_s = now - oldest.sent_at
+        ping_wait_s = min(MAX_PING_WAIT_S, self.silent_link_s * PING_WAIT_SHARE)
+        if now - heard_at < peer.silence_s(age_s, self.silent_link_s):
             peer.probed = None
         elif peer.probed is not link:
             peer.probed = link
             peer.probed_at = now
             link.send(Ping(oldest.call_id))
-        elif now - peer.probed_at >= self.silent_link_s * PING_WAIT_SHARE:
+        elif now - peer.probed_at >= ping_wait_s:
             peer.probed = None
             self.ctx.count("calls.silent_link")
             if self.links.find(address, CALLS) is link:
--- a/lentilsill/daemon/controllers/tests/call_builders.py
+++ b/lentilsill/daemon/controllers/tests/call_builders.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+from functools import partial
 from types import MappingProxyType
 
 from tornado.iostream import StreamClosedError
@@ -67,12 +68,20 @@
     def __init__(self) -> None:
         super().__init__()
         self.seen: list[str] = []
+        self.cancelled: list[str] = []
+        self.streams: set = set()
         self.raw: dict[str, bytes] = {}
         self.gates: dict[str, asyncio.Event] = {}
         self.port = free_port()
         self.listen(self.port, HOST)
 
+    def close_idle(self) -> None:
+        """Close all connections, as an upstream with a short idle time does."""
+        for stream in list(self.streams):
+            stream.close()
+
     async def handle_stream(self, stream, address) -> None:
+        self.streams.add(stream)
         try:
             while True:
                 head = await stream.read_until(b"\r\n\r\n")
@@ -82,7 +91,9 @@
                         await stream.read_bytes(int(line.split(b":")[1]))
                 self.seen.append(path)
                 if path in self.gates:
+                    stream.set_close_callback(partial(self.cancelled.append, path))
                     await self.gates[path].wait()
+                    stream.set_close_callback(None)
                 if path in self.raw:
                     await stream.write(self.raw[path])
                     stream.close()
@@ -93,6 +104,8 @@
                 )
         except StreamClosedError:
             pass
+        finally:
+            self.streams.discard(stream)
 
 
 class FakeNode:
--- /dev/null
+++ b/lentilsill/daemon/controllers/tests/test_call_faults.py
@@ -0,0 +1,160 @@
+"""Faults of upstreams, links and nodes on the path of a call."""
+
+import asyncio
+import dataclasses
+import unittest
+
+from lentilsill.daemon.controllers.tests.call_builders import (
+    HOST,
+    FakeNode,
+    FakeUpstream,
+    MutableRelay,
+    free_port,
+    make_request,
+    wait_for,
+)
+from lentilsill.outcomes import Answer, Outcome
+
+
+class QuarantineAll:
+    """Quarantines every request."""
+
+    def is_quarantined(self, fingerprint):
+        return True
+
+
+class CallFaultTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.upstream = FakeUpstream()
+        self.addCleanup(self.upstream.stop)
+        self.near = self.node("near")
+        self.far = self.node("far")
+        self.far.serve("w1", self.upstream.port)
+        self.near.learn(self.far.record())
+
+    def node(self, name, silent_link_s=1.0):
+        node = FakeNode(name, silent_link_s)
+        self.addCleanup(node.close)
+        return node
+
+    async def call(self, method="GET", path="/a", **fields):
+        req = dataclasses.replace(make_request(method, path), **fields)
+        return await self.near.entry.handle(req)
+
+    async def test_full_ledger_refuses_a_call_as_not_run(self):
+        """Guards against a call that runs without a record of it (G6)."""
+        self.far.destination.ledger.max_records = 1
+        gate = self.upstream.gates["/p"] = asyncio.Event()
+        first = asyncio.ensure_future(self.call("POST", "/p"))
+        await wait_for(lambda: self.upstream.seen == ["/p"])
+        second = await self.call("POST", "/q")
+        self.assertEqual(second.outcome, Outcome.NOT_RUN)
+        gate.set()
+        self.assertEqual((await first).body, b"/p")
+        # The entry node has settled the first call, which makes room.
+        self.assertEqual((await self.call("POST", "/r")).body, b"/r")
+        self.assertEqual(self.upstream.seen, ["/p", "/r"])
+
+    async def test_quarantined_request_does_not_run(self):
+        """Guards against a further crash, and `not_run` for a key that has run."""
+        self.near.entry.guard = QuarantineAll()
+        self.assertEqual((await self.call("POST")).outcome, Outcome.NOT_RUN)
+        keyed = await self.call("POST", request_key="key")
+        self.assertEqual(keyed.outcome, Outcome.UNKNOWN)
+        # An entry node that has not heard of the crashes is told by the other.
+        self.near.entry.guard = None
+        self.far.destination.guard = QuarantineAll()
+        self.assertEqual((await self.call("POST")).outcome, Outcome.NOT_RUN)
+        self.assertEqual(self.upstream.seen, [])
+
+    async def test_chunked_and_interim_answers_are_whole_or_lost(self):
+        """Guards against an answer cut at a chunk, and 1xx taken as the answer."""
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        final = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        self.upstream.raw = {
+            "/chunked": chunked + b"2\r\nde\r\n0\r\n\r\n",
+            "/cut": chunked + b"2\r\nd",
+            "/interim": interim + interim + final,
+            "/only-interim": interim,
+        }
+        answer = await self.call("POST", "/chunked")
+        self.assertEqual(answer.body, b"abcde")
+        self.assertNotIn("Transfer-Encoding", dict(answer.headers))
+        lost = await self.call("POST", "/cut")
+        self.assertEqual(lost.outcome, Outcome.RUN_ANSWER_LOST)
+        answer = await self.call("POST", "/interim")
+        self.assertEqual((answer.status, answer.body), (200, b"ok"))
+        self.assertNotIn("Link", dict(answer.headers))
+        unknown = await self.call("POST", "/only-interim")
+        self.assertEqual(unknown.outcome, Outcome.UNKNOWN)
+        self.assertEqual(len(self.upstream.seen), 4)
+
+    async def test_calls_spill_over_to_another_domain_and_return(self):
+        """Guards against calls refused while another domain can answer them."""
+        remote = dataclasses.replace(self.far.record(), domain="multan")
+        self.near.serve("w0", free_port())
+        self.near.learn(self.near.record(), remote)
+        self.assertEqual((await self.call("POST", "/p")).body, b"/p")
+        local = FakeUpstream()
+        self.addCleanup(local.stop)
+        self.near.serve("w0", local.port)
+        self.near.learn(self.near.record(), remote)
+        for _ in range(5):
+            await self.call("POST", "/q")
+        self.assertEqual((self.upstream.seen, len(local.seen)), (["/p"], 5))
+
+    async def test_cancellation_reaches_the_upstream(self):
+        """Guards against an upstream that works for a caller that has gone."""
+        self.upstream.gates["/p"] = asyncio.Event()
+        self.addCleanup(self.upstream.gates["/p"].set)
+        call = asyncio.ensure_future(self.call("GET", "/p"))
+        await wait_for(lambda: self.upstream.seen == ["/p"])
+        call.cancel()
+        await wait_for(lambda: self.upstream.cancelled == ["/p"])
+
+    async def test_post_after_idle_close_uses_a_new_connection(self):
+        """Guards against `unknown` from a kept connection that was closed."""
+        for i in range(5):
+            self.assertEqual((await self.call("POST", f"/{i}")).body, f"/{i}".encode())
+            self.assertEqual(len(self.upstream.streams), 1)
+            self.upstream.close_idle()
+        self.assertEqual(len(self.upstream.seen), 5)
+
+    async def test_post_lost_on_a_kept_connection_is_not_sent_again(self):
+        """Guards against a repeat after a close that follows the request (G6)."""
+        self.upstream.raw["/p"] = b""
+        self.assertIsInstance(await self.call("POST"), Answer)
+        result = await self.call("POST", "/p")
+        self.assertEqual(result.outcome, Outcome.UNKNOWN)
+        self.assertEqual(self.upstream.seen, ["/a", "/p"])
+
+    async def test_silent_link_leaves_time_for_a_second_attempt(self):
+        """Guards against a lookup that times out on a dead link (800 ms)."""
+        other = self.node("other")
+        other.serve("w2", self.upstream.port)
+        relay = MutableRelay(self.far.port)
+        self.addCleanup(relay.stop)
+        self.near.learn(self.far.record(f"{HOST}:{relay.port}"))
+        self.assertIsInstance(await self.call(), Answer)
+        relay.mute()
+        call = asyncio.ensure_future(self.call("GET", "/b", deadline_ms=800))
+        await wait_for(lambda: self.near.entry.peers.outstanding == 1)
+        self.near.learn(self.far.record(f"{HOST}:{relay.port}"), other.record())
+        self.assertEqual((await call).body, b"/b")
+
+    async def test_long_call_keeps_its_link(self):
+        """Guards against a link closed because one call takes long."""
+        self.assertIsInstance(await self.call(), Answer)
+        (link,) = self.far.ctx.links.accepted
+        gate = self.upstream.gates["/p"] = asyncio.Event()
+        call = asyncio.ensure_future(self.call("POST", "/p"))
+        # Hello, two calls, and at least two probes that were answered.
+        await wait_for(lambda: link.traffic.received_messages >= 4)
+        gate.set()
+        self.assertEqual((await call).body, b"/p")
+        self.assertTrue(link.is_open)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/lentilsill/daemon/tests/test_caller_server.py
+++ b/lentilsill/daemon/tests/test_caller_server.py
@@ -1,8 +1,10 @@
 """The callers' HTTP interface."""
 
+import asyncio
 import unittest
 
 from tornado.httpclient import AsyncHTTPClient
+from tornado.tcpclient import TCPClient
 
 from lentilsill.daemon.caller_server import CallerServer
 from lentilsill.daemon.interfaces import IssuedKeys
@@ -68,6 +70,26 @@
         self.assertEqual(got.code, 413)
         self.assertEqual(self.calls.seen, [])
 
+    async def test_chunked_body_over_the_limit_does_not_run(self):
+        """Guards against a body without a length that is cut or kept in memory."""
+        stream = await TCPClient().connect("127.0.0.1", self.port)
+        self.addCleanup(stream.close)
+        stream.write(
+            b"POST /slots/a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"8\r\nxxxxxxxx\r\n8\r\nxxxxxxxx\r\n"
+        )
+        head = await asyncio.wait_for(stream.read_until(b"\r\n\r\n"), 5)
+        self.assertIn(b" 413 ", head)
+        self.assertIn(b"Lentilsill-Outcome: not_run", head)
+        self.assertEqual(self.calls.seen, [])
+
+    async def test_header_with_a_line_end_is_not_written(self):
+        """Guards against a second response in a header, and a caller left waiting."""
+        self.calls.result = Answer(200, (("X-A", "1\r\nX-B: 2"),), b"ok")
+        got = await self.fetch("/slots/a")
+        self.assertEqual(got.headers["Lentilsill-Outcome"], "run_answer_lost")
+        self.assertNotIn("X-B", got.headers)
+
     async def test_keys(self):
         """Guards against a changed form of issued keys."""
         got = await self.fetch("/lentilsill/keys?count=2", method="POST", body="")
--- /dev/null
+++ b/lentilsill/wire/tests/test_streams.py
@@ -0,0 +1,91 @@
+"""The stream under HTTP connections and peer links."""
+
+import asyncio
+import socket
+import unittest
+
+from tornado.iostream import StreamBufferFullError, StreamClosedError
+
+from lentilsill.wire.streams import MAX_UNREAD_BYTES, ProtocolStream
+
+BOUND_S = 5
+
+
+class StreamTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.peer, sock = socket.socketpair()
+        self.peer.setblocking(False)
+        self.addCleanup(self.peer.close)
+        self.loop = asyncio.get_running_loop()
+        _, self.stream = await self.loop.create_connection(
+            lambda: ProtocolStream(max_write_buffer_size=1 << 20), sock=sock
+        )
+        self.addCleanup(self.stream.close)
+
+    async def test_bytes_before_a_close_can_be_read(self):
+        """Guards against an answer lost because its connection closed at once."""
+        closed = asyncio.Event()
+        self.stream.set_close_callback(closed.set)
+        self.peer.send(b"head\r\n\r\nbody")
+        self.peer.close()
+        await asyncio.wait_for(closed.wait(), BOUND_S)
+        self.assertFalse(self.stream.is_quiet())
+        head = await self.stream.read_until_regex(b"\r?\n\r?\n", 100)
+        body = await self.stream.read_bytes(10, partial=True)
+        self.assertEqual((head, body), (b"head\r\n\r\n", b"body"))
+        with self.assertRaises(StreamClosedError):
+            await self.stream.read_bytes(1)
+
+    async def test_head_over_the_limit_closes_the_stream(self):
+        """Guards against headers that are buffered without bound."""
+        read = self.stream.read_until_regex(b"\r\n\r\n", 10)
+        self.peer.send(b"x" * 11)
+        with self.assertRaises(StreamClosedError):
+            await asyncio.wait_for(read, BOUND_S)
+
+    async def test_unread_bytes_stay_with_the_peer(self):
+        """Guards against a caller that fills the memory of the node."""
+        sent = 0
+        data = b"x" * 65536
+        while sent < 64 * MAX_UNREAD_BYTES:
+            try:
+                sent += await asyncio.wait_for(self.send_some(data), 0.2)
+            except TimeoutError:
+                break
+        self.assertLess(sent, 16 * MAX_UNREAD_BYTES)
+        left = sent
+        while left > 0:
+            part = self.stream.read_bytes(left, partial=True)
+            left -= len(await asyncio.wait_for(part, BOUND_S))
+        self.assertEqual(left, 0)
+
+    async def send_some(self, data):
+        while True:
+            try:
+                return self.peer.send(data)
+            except BlockingIOError:
+                await asyncio.sleep(0.005)
+
+    async def test_slow_peer_holds_writes_up_to_the_bound(self):
+        """Guards against writes that are queued without bound, or done early."""
+        last = self.stream.write(b"x" * (1 << 20))
+        self.assertFalse(last.done())
+        with self.assertRaises(StreamBufferFullError):
+            self.stream.write(b"x" * (1 << 20))
+        while not last.done():
+            try:
+                self.peer.recv(1 << 16)
+            except BlockingIOError:
+                await asyncio.sleep(0)
+        self.assertIsNone(last.result())
+
+    async def test_close_ends_reads_and_writes(self):
+        """Guards against a call that waits for a connection closed here."""
+        write = self.stream.write(b"x" * (1 << 20))
+        read = self.stream.read_bytes(1)
+        self.stream.close()
+        for fut in (read, write):
+            with self.assertRaises(StreamClosedError):
+                await asyncio.wait_for(fut, BOUND_S)
+        with self.assertRaises(StreamClosedError):
+            self.stream.write(b"x")
