--- a/bench/overload.py
+++ b/bench/overload.py
@@ -40,7 +40,7 @@
 CAPACITY = UPSTREAMS * SLOTS * 1000 / SERVICE_MS
 OUTCOME = "lentilsill-outcome"
 
-SCENARIOS = ("overload", "slow_one", "failing", "all_failing", "slow_start")
+SCENARIOS = ("overload", "slow_one", "slow_start", "failing", "all_failing")
 EJECTION_S = 5.2
 # Above the share of calls that a slow upstream gets.
 HEDGE_PERCENT = 30
--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -97,6 +97,8 @@
     async def close(self) -> None:
         """Close idle connections after the requests in progress."""
         self.stop()
+        if self._opening:
+            await asyncio.wait(self._opening)
         if self._requests:
             await asyncio.wait(self._requests)
         if self._sweeper is not None:
