--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -264,6 +264,13 @@
         link = Link(stream, hello, address, dialed, loop.time(), traffic)
         if not dialed:
             self.accepted.add(link)
+        # Handlers must find the link, which is known when this method has ended.
+        loop.call_soon(self._start, link, unpacker, pending)
+        return link
+
+    def _start(self, link: Link, unpacker: msgpack.Unpacker, pending: list) -> None:
+        """Dispatch what came with `Hello`, and then what arrives."""
+        stream = link.stream
         stream.set_close_callback(lambda: self._closed(link))
         try:
             for obj in pending:
@@ -273,8 +280,7 @@
         stream.consume(lambda chunk: self._receive(link, unpacker, chunk))
         if stream.closed():
             # The connection was lost before its close callback was set.
-            loop.call_soon(self._closed, link)
-        return link
+            self._closed(link)
 
     def _receive(self, link: Link, unpacker: msgpack.Unpacker, chunk: bytes) -> None:
         link.last_received = asyncio.get_running_loop().time()
