Test that versions from before a deletion stay out

Cause: the state machine does not reach a stale version behind a rejected new one. Change: a directed test. Measured: it passes, and fails when an entry is created without the revision at which the service was absent.

--- a/lentilsill/versioning/tests/test_store.py
+++ b/lentilsill/versioning/tests/test_store.py
@@ -142,3 +142,13 @@
         """Guards against one broken team that stops all others."""
         newest = {"a": document("a", 1, targets=[("q", "x")]), "b": document("b", 2)}
         self.assertEqual(set(resolve(newest, {}).documents), {"b"})
+
+
+class EarlierLifeTests(unittest.TestCase):
+    def test_version_from_before_a_deletion_stays_out(self):
+        """Guards against an old life of a service behind a rejected new one (G1)."""
+        store = DocumentStore()
+        store.merge(changes(0, 5, full=True))
+        store.merge(changes(5, 6, DocumentRecord("a", 6, False, INVALID)))
+        self.assertIsNone(store.merge(changes(0, 3, record("a", 3))).changes)
+        self.assertEqual(_in_force(store), {})
