--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -25,7 +25,8 @@
 from lentilsill.wire import CONTROL, Link
 from lentilsill.wire.messages import Busy, Delta, DeltaRequest, Digest
 
-from .membership import DigestTuple, MembershipController
+from .membership import MembershipController
+from .relays import DigestTuple
 
 __all__ = ["DistributionController", "coalesce"]
 
--- a/lentilsill/daemon/controllers/membership.py
+++ b/lentilsill/daemon/controllers/membership.py
@@ -37,26 +37,20 @@
 from lentilsill.wire import CONTROL, Link
 from lentilsill.wire.messages import IndirectProbe, NodeRow, Probe, ProbeAck, Records
 
+from .relays import NO_DIGEST, DigestTuple, ProbeRelays
 from .seeds import SeedContacts
 from .summaries import SummaryExchange
 
-__all__ = ["DigestTuple", "MembershipController"]
-
-# complete_as_of, documents_hash, records_hash; NO_DIGEST is "none sent".
-DigestTuple = tuple[int, int, int]
-NO_DIGEST: DigestTuple = (0, 0, 0)
+__all__ = ["MembershipController"]
 
 PIGGYBACK_ROWS = 6
 # Beside the tree, so that one dead child does not delay its whole subtree.
 EXTRA_PUSHES = 2
 SMALL_TABLE_ROWS = 64
 # A large table is sent whole only when its recent changes did not settle the
-# difference; 511 records take about 100 KB.
+# difference; 511 records of one upstream each take 52 KB.
 FULL_EXCHANGE_INTERVAL_S = 30.0
 RECENT_CHANGE_S = 30.0
-RELAY_LIFETIME_S = 5.0
-# Separates the ids of relayed probes from those of the own detector.
-FIRST_RELAY_ID = 1 << 40
 
 log = structlog.get_logger()
 
@@ -94,8 +88,7 @@
         self._policy = policy_for(ctx.cfg.distribution.optimise_for)
         self._digest_due = 0.0
         self._digest_followers: list[Callable[[Link, DigestTuple], None]] = []
-        self._relays: dict[int, tuple[Link, int, str, float]] = {}
-        self._next_relay = FIRST_RELAY_ID
+        self._relays = ProbeRelays(ctx)
         self._seeds = SeedContacts(ctx, self.table, self.summaries, self._digest)
         self._last_exchange = float("-inf")
         self._last_full = float("-inf")
@@ -114,7 +107,6 @@
         for message_type, handler in (
             (Probe, self._on_probe),
             (ProbeAck, self._on_probe_ack),
-            (IndirectProbe, self._on_indirect_probe),
             (Records, self._on_records),
         ):
             ctx.links.on(message_type, handler)
@@ -126,6 +118,7 @@
         self._publish()
         ctx.spawn(self._probe_loop())
         self._seeds.start()
+        self._relays.start()
 
     def follow_digests(self, callback: Callable[[Link, DigestTuple], None]) -> None:
         """Call `callback` with each digest that a probe or its answer carries."""
@@ -229,7 +222,7 @@
             orders = {n: e.record.order for n, e in peers.items()}
             for action in self._detector.tick(now, orders, suspects):
                 self._act(action, now)
-            self._drop_old_relays(now)
+            self._relays.expire(now)
 
     def _act(self, action: object, now: float) -> None:
         match action:
@@ -284,28 +277,13 @@
         self._on_digest(link, message.digest)
 
     def _on_probe_ack(self, link: Link, message: ProbeAck) -> None:
-        relay = self._relays.pop(message.probe_id, None)
-        if relay is not None:
-            origin, probe_id, node, _ = relay
-            if link.hello.node == node:
-                origin.send(ProbeAck(probe_id, NO_DIGEST, (), node))
+        if self._relays.answer(link, message.probe_id):
             return
         self._merge(link, message.rows)
         # A relayed answer names the node that was probed.
         self._detector.ack(message.probe_id, message.node or link.hello.node)
         self._on_digest(link, message.digest)
 
-    def _on_indirect_probe(self, link: Link, message: IndirectProbe) -> None:
-        self._next_relay += 1
-        relay = (link, message.probe_id, message.node, self._ctx.now())
-        self._relays[self._next_relay] = relay
-        self._send(message.address, Probe(self._next_relay, NO_DIGEST))
-
-    def _drop_old_relays(self, now: float) -> None:
-        for relay_id, (_, _, _, since) in list(self._relays.items()):
-            if now - since > RELAY_LIFETIME_S:
-                del self._relays[relay_id]
-
     # Exchange of records
 
     def _on_digest(self, link: Link, digest: DigestTuple) -> None:
@@ -338,17 +316,8 @@
         if message.push:
             self._pass_on(changed)
         if message.want_reply:
-            link.send(Records(_rows(self._newer_than(message.rows))))
-
-    def _newer_than(self, rows: Iterable[NodeRow]) -> list[Entry]:
-        """List the entries that the sender of `rows` lacks or has older."""
-        known = {row[0]: (row[3], row[4], row[2], row[9]) for row in rows}
-        lowest = (-1, -1, "", 0)
-        return [
-            e
-            for e in self.table.entries()
-            if e.precedence > known.get(e.record.node, lowest)
-        ]
+            known = {r[0]: (r[3], r[4], r[2], r[9]) for r in message.rows}
+            link.send(Records(_rows(self.table.newer_than(known))))
 
     def _merge(self, link: Link, rows: Iterable[NodeRow]) -> list[Entry]:
         if not rows or self._has_left:
--- /dev/null
+++ b/lentilsill/daemon/controllers/relays.py
@@ -0,0 +1,51 @@
+"""Probes on behalf of other nodes."""
+
+from lentilsill.daemon.context import Context
+from lentilsill.wire import CONTROL, Link
+from lentilsill.wire.messages import IndirectProbe, Probe, ProbeAck
+
+__all__ = ["NO_DIGEST", "DigestTuple", "ProbeRelays"]
+
+# complete_as_of, documents_hash, records_hash; NO_DIGEST is "none sent".
+DigestTuple = tuple[int, int, int]
+NO_DIGEST: DigestTuple = (0, 0, 0)
+
+RELAY_LIFETIME_S = 5.0
+# Separates the ids of relayed probes from those of the own detector.
+FIRST_RELAY_ID = 1 << 40
+
+
+class ProbeRelays:
+    """Serves `IndirectProbe`: probes the target and hands the answer back."""
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+        # Link and probe id of the asking node, target, time of the probe.
+        self._relays: dict[int, tuple[Link, int, str, float]] = {}
+        self._next_id = FIRST_RELAY_ID
+
+    def start(self) -> None:
+        """Register the handler."""
+        self._ctx.links.on(IndirectProbe, self._on_indirect_probe)
+
+    def answer(self, link: Link, probe_id: int) -> bool:
+        """Hand an answer back; False when the probe is not a relayed one."""
+        if probe_id < FIRST_RELAY_ID:
+            return False
+        relay = self._relays.pop(probe_id, None)
+        if relay is not None and link.hello.node == relay[2]:
+            relay[0].send(ProbeAck(relay[1], NO_DIGEST, (), relay[2]))
+        return True
+
+    def expire(self, now: float) -> None:
+        """Drop relays that got no answer."""
+        for relay_id, (_, _, _, since) in list(self._relays.items()):
+            if now - since > RELAY_LIFETIME_S:
+                del self._relays[relay_id]
+
+    def _on_indirect_probe(self, link: Link, message: IndirectProbe) -> None:
+        self._next_id += 1
+        relay = (link, message.probe_id, message.node, self._ctx.now())
+        self._relays[self._next_id] = relay
+        probe = Probe(self._next_id, NO_DIGEST)
+        self._ctx.links.send(message.address, CONTROL, probe)
--- a/lentilsill/daemon/controllers/tests/test_spread.py
+++ b/lentilsill/daemon/controllers/tests/test_spread.py
@@ -71,6 +71,23 @@
 
         await until(lambda: is_known(a) and is_known(c), timeout_s=2.0)
 
+    async def test_node_behind_a_broken_path_is_not_suspected(self):
+        """Guards against a verdict on a node that others still reach."""
+        a, b, c = await self.start_domain(FakePlatform())
+        unsent = []
+        send = a.ctx.links.send
+
+        def send_not_to_c(address, purpose, message):
+            if address == c.address:
+                unsent.append(message)
+            else:
+                send(address, purpose, message)
+
+        a.ctx.links.send = send_not_to_c
+        generation, seq = c.membership.table.own.order
+        await until(lambda: len(unsent) >= 4)
+        self.assertEqual(c.membership.table.own.order, (generation, seq))
+
     async def test_killed_node_is_found_dead_and_its_successor_joins(self):
         """Guards against calls to a dead node, and a restart taken for it."""
         a, b, c = await self.start_domain(FakePlatform())
--- a/lentilsill/membership/table.py
+++ b/lentilsill/membership/table.py
@@ -1,7 +1,7 @@
 """Records of the own domain's nodes with liveness verdicts."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
 import xxhash
@@ -14,6 +14,9 @@
 # repeats it a small multiple of log2(n) times (Das et al. 2002, section 4.1).
 RETRANSMIT_FACTOR = 3
 
+# generation, seq, instance, verdict
+Precedence = tuple[int, int, str, int]
+
 
 @dataclass(frozen=True, slots=True)
 class Entry:
@@ -24,7 +27,7 @@
     changed_at: float
 
     @property
-    def precedence(self) -> tuple[int, int, str, int]:
+    def precedence(self) -> Precedence:
         """Total order of what can be said about one node.
 
         The instance decides between two processes that were started under one
@@ -96,6 +99,14 @@
         """List the entries that this table learned after `since` (seconds)."""
         return [e for e in self._entries.values() if e.changed_at > since]
 
+    def newer_than(self, known: Mapping[str, Precedence]) -> list[Entry]:
+        """List the entries that a peer with `known` lacks or has older."""
+        return [
+            e
+            for node, e in self._entries.items()
+            if node not in known or e.precedence > known[node]
+        ]
+
     def update_own(self, record: NodeRecord, now: float) -> bool:
         """Replace the own record; its generation and seq are set here."""
         own = self.own
