Send known summaries to nodes that join

Cause: a node that joined after an unchanged summary was spread never got it; test_domain_starts_from_another_one_in_an_outage failed in 3 of 9 runs. Change: the reply to a join carries the other domains' summaries. Measured: the test passed in 8 of 8 parallel runs. Conclusion: a summary that the tree loses among members is still not repaired.

--- a/lentilsill/daemon/controllers/membership.py
+++ b/lentilsill/daemon/controllers/membership.py
@@ -318,6 +318,7 @@
         if message.want_reply:
             known = {r[0]: (r[3], r[4], r[2], r[9]) for r in message.rows}
             link.send(Records(_rows(self.table.newer_than(known))))
+            self.summaries.send_all(link)
 
     def _merge(self, link: Link, rows: Iterable[NodeRow]) -> list[Entry]:
         if not rows or self._has_left:
--- a/lentilsill/daemon/controllers/summaries.py
+++ b/lentilsill/daemon/controllers/summaries.py
@@ -94,6 +94,16 @@
                 found.setdefault(summary.domain, {}).update(named)
         return {domain: list(known) for domain, known in found.items() if known}
 
+    def send_all(self, link: Link) -> None:
+        """Send the other domains' summaries to a node of the own domain.
+
+        A node that joins after a summary was spread gets it in this way only.
+        """
+        if link.hello.domain == self._ctx.cfg.domain:
+            for summary in self._table.all():
+                if summary.domain != self._ctx.cfg.domain:
+                    link.send(_to_message(summary, ""))
+
     def dump(self) -> dict[str, Any]:
         """Give this part of the state dump."""
         return {
@@ -175,6 +185,8 @@
         root = message.root
         if link.hello.domain != self._ctx.cfg.domain:
             root = self._ctx.cfg.node
+        if not root:
+            return
         passed_on = msgspec.structs.replace(message, root=root)
         for address in self._tree_children(root):
             self._ctx.links.send(address, CONTROL, passed_on)
