--- a/lentilsill/daemon/controllers/membership.py
+++ b/lentilsill/daemon/controllers/membership.py
@@ -104,12 +104,9 @@
     def start(self) -> None:
         """Register handlers and start the probe and join loops."""
         ctx = self._ctx
-        for message_type, handler in (
-            (Probe, self._on_probe),
-            (ProbeAck, self._on_probe_ack),
-            (Records, self._on_records),
-        ):
-            ctx.links.on(message_type, handler)
+        ctx.links.on(Probe, self._on_probe)
+        ctx.links.on(ProbeAck, self._on_probe_ack)
+        ctx.links.on(Records, self._on_records)
         for topic in (Topic.UPSTREAMS, Topic.READY, Topic.DRAIN):
             ctx.board.follow(topic, self._refresh_own)
         ctx.board.dump_parts["membership"] = self._dump
@@ -362,6 +359,9 @@
         live = self.table.live()
         board = self._ctx.board
         board.members = {e.record.node: e.record for e in live}
+        board.suspects = frozenset(
+            e.record.node for e in live if e.liveness == Liveness.SUSPECT
+        )
         self.summaries.members_changed(board.members, self.ranked()[:2])
         self._ctx.gauge("membership.live", len(live))
         board.changed(Topic.MEMBERS)
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -70,6 +70,7 @@
     try:
         yield ctx
         await callers.close()
+        membership.leave()
         await ctx.links.flush(FLUSH_BOUND_S)
     finally:
         admin.stop()
