Run a suspect request alone, and never blame a shared crash twice

Cause: an innocent suspect in flight beside a new crash-causing request took the blame for its crash and was quarantined, and a request whose first crash was shared needed three crashes. Found by reading; the state was reachable with four calls. A second fault: one step of the queue could start several calls, because the check saw only those that had reached their connection. Change: a suspect runs with nothing else in flight; a crash with several requests raises none above one; the queue passes the calls that it has started, and does not let later calls overtake one that must run alone. Two tests that fixed the former rule are replaced by tests of the same guards under the new one. Conclusion: two dead upstreams quarantine the cause, innocents never.

--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -1,6 +1,6 @@
 """Bounded queue before the slots of one upstream."""
 
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Collection, Hashable
 from dataclasses import dataclass
 
 __all__ = ["AdmissionQueue", "Refuse", "Start"]
@@ -31,8 +31,9 @@
     """Decides which calls run on an upstream, wait for it, or are refused.
 
     Each event gives the actions to take. Times are in seconds of one clock
-    that never steps. `may_start` can hold back a waiting call; it is asked
-    again after each finished call.
+    that never steps. `may_start` is given a call and those that run, and can
+    hold the call back; it is asked again after each finished call. Calls behind
+    one that is held back wait too.
 
     Examples
     --------
@@ -51,7 +52,7 @@
         self,
         slots: int,
         queue_limit: int,
-        may_start: Callable[[Hashable], bool] | None = None,
+        may_start: Callable[[Hashable, Collection[Hashable]], bool] | None = None,
     ) -> None:
         self.slots = slots
         self.queue_limit = queue_limit
@@ -126,7 +127,7 @@
         self.draining = False
 
     def _startable(self, call: Hashable) -> bool:
-        return self._may_start is None or self._may_start(call)
+        return self._may_start is None or self._may_start(call, self._running.keys())
 
     def _advance(self, now: float) -> list[Action]:
         actions: list[Action] = []
@@ -138,7 +139,11 @@
             if deadline <= now:
                 del self._waiting[call]
                 actions.append(Refuse(call, "deadline passed"))
-            elif self._startable(call):
+            elif not self._startable(call):
+                # Calls behind it would otherwise keep the upstream busy, and one
+                # that must run alone would wait for ever.
+                break
+            else:
                 del self._waiting[call]
                 self._running[call] = now
                 actions.append(Start(call))
--- a/lentilsill/admission/tests/test_queue.py
+++ b/lentilsill/admission/tests/test_queue.py
@@ -33,9 +33,12 @@
         self.assertIsInstance(queue.offer("c", 0.0, 9.0)[0], Refuse)
         self.assertEqual(queue.work, 1)
 
-    def test_held_back_call_does_not_block_others(self):
-        """Guards against a suspect request that stops the whole queue."""
-        queue = AdmissionQueue(2, 5, lambda call: call != "held")
+    def test_call_that_runs_alone_neither_starves_nor_stops_the_queue(self):
+        """Guards against a suspect that later calls overtake for ever, and against
+        calls behind it that never start."""
+        queue = AdmissionQueue(2, 5, lambda call, running: not running)
         queue.offer("a", 0.0, 9.0)
-        self.assertEqual(queue.offer("held", 0.0, 9.0), [])
-        self.assertEqual(queue.offer("b", 0.0, 9.0), [Start("b")])
+        self.assertEqual(queue.offer("alone", 0.0, 9.0), [])
+        self.assertEqual(queue.offer("b", 0.0, 9.0), [])
+        self.assertEqual(queue.finished("a", 1.0), [Start("alone")])
+        self.assertEqual(queue.finished("alone", 2.0), [Start("b")])
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -82,9 +82,10 @@
     def fingerprints(self) -> tuple[str, ...]:
         return tuple(execution.fingerprint for execution in self.running)
 
-    def _may_start(self, execution) -> bool:
+    def _may_start(self, execution, running) -> bool:
         assert self.guard is not None
-        return self.guard.may_start(execution.fingerprint, self.fingerprints())
+        others = tuple(other.fingerprint for other in running)
+        return self.guard.may_start(execution.fingerprint, others)
 
 
 class DestinationController:
--- a/lentilsill/quarantine/tracker.py
+++ b/lentilsill/quarantine/tracker.py
@@ -22,20 +22,24 @@
 class CrashTracker:
     """Suspects: requests that were in flight on an upstream that died.
 
-    A suspect runs only where no other suspect runs, so that a further crash can
-    be counted against it alone. Times are in seconds of a clock that never
-    steps. When the table is full, the entry with the fewest crashes that
-    expires first makes room.
+    A crash with several requests in flight makes each a suspect with one crash.
+    A suspect then runs on an upstream with nothing else in flight, so that a
+    further crash is its own and it is quarantined, or it finishes and is
+    cleared. An innocent request is therefore never counted twice, also when
+    another request, not yet a suspect, crashes upstreams at the same time.
+    Times are in seconds of a clock that never steps. When the table is full,
+    the entry with the fewest crashes that expires first makes room.
 
     Examples
     --------
     >>> tracker = CrashTracker()
     >>> _ = tracker.upstream_died(("a", "b"), now_s=0.0)
-    >>> tracker.may_start("a", ("b",), 1.0), tracker.may_start("a", ("c",), 1.0)
-    (False, True)
-    >>> _ = tracker.upstream_died(("a", "c"), now_s=1.0)
+    >>> tracker.may_start("a", ("c",), 1.0), tracker.may_start("c", ("a",), 1.0)
+    (False, False)
+    >>> tracker.may_start("a", (), 1.0), tracker.may_start("c", ("d",), 1.0)
+    (True, True)
     >>> _ = tracker.upstream_died(("a",), now_s=2.0)
-    >>> tracker.is_quarantined("a", 3.0), tracker.is_quarantined("c", 3.0)
+    >>> tracker.is_quarantined("a", 3.0), tracker.is_quarantined("b", 3.0)
     (True, False)
     """
 
@@ -59,23 +63,24 @@
     def may_start(
         self, fingerprint: str, in_flight: Iterable[str], now_s: float
     ) -> bool:
-        """Whether the request may run beside `in_flight`: one suspect at most."""
-        if not self.is_suspect(fingerprint, now_s):
-            return True
-        return not any(self.is_suspect(other, now_s) for other in in_flight)
+        """Whether the request may run beside `in_flight`: a suspect runs alone."""
+        others = tuple(in_flight)
+        if self.is_suspect(fingerprint, now_s):
+            return not others
+        return not any(self.is_suspect(other, now_s) for other in others)
 
     def upstream_died(
         self, in_flight: Iterable[str], now_s: float
     ) -> tuple[CrashRow, ...]:
-        """Count a crash; give the rows that peers must learn."""
+        """Count a crash; give the rows that peers must learn.
+
+        A crash that several requests share raises none of them above one.
+        """
         involved = sorted(set(in_flight))
-        known = [name for name in involved if self.is_suspect(name, now_s)]
-        if len(known) == 1:
-            involved = known
-        crashes = 1 if len(involved) == 1 else 0
         for name in involved:
             entry = self._find(name, now_s)
-            count = (entry.crashes if entry else 0) + crashes
+            count = entry.crashes if entry else 0
+            count = count + 1 if len(involved) == 1 else max(count, 1)
             self._set(name, count, now_s + self.lifetime_s, now_s)
         return self._rows(involved, now_s)
 
