--- a/lentilsill/quarantine/tests/test_tracker.py
+++ b/lentilsill/quarantine/tests/test_tracker.py
@@ -13,7 +13,7 @@
         """
         tracker = CrashTracker()
         for second in range(5):
-            tracker.upstream_died(("bad", "x"), float(second))
+            tracker.upstream_died((f"bad-{second}", "x"), float(second))
         self.assertFalse(tracker.is_quarantined("x", 5.0))
         self.assertFalse(tracker.may_start("x", ("y",), 5.0))
         tracker.finished("x", 5.0)
