Share the claim rate by the fleet, settle cut claims, spread crashes by the tree

Cause: the limit of platform claims held per node (2/s, 9,200/s over 4,600 nodes); a call cut during its create left the claim until expiry; a crash report dialed every member of the domain; the result of a keyed call whose entry node crashed was lost, so a resend got `unknown`.

Change: `platform.fleet_claims_per_s` (default 100) replaces `max_claims_per_s`; a node takes total / domains / live nodes of its domain. A create without a known answer is read back and deleted in the background, within the rate limit. Call gets `attempt`, so that the destination stores the result of a claimed call when the entry node's link is closed. `not_run` is never stored so: the entry node may try elsewhere.

--- a/lentilsill/daemon/controllers/claims.py
+++ b/lentilsill/daemon/controllers/claims.py
@@ -123,6 +123,7 @@
             )
             if isinstance(outcome, Granted):
                 self._granted[request_key, attempt] = wire_attempt
+                return Granted(wire_attempt)
             return outcome
         match RequestKey.parse(request_key):
             case Err(findings):
@@ -150,6 +151,25 @@
             message = Release(request_key, wire_attempt)
         self._send(key.instances, message)
 
+    def store_for_lost(
+        self, request_key: str, wire_attempt: str, result: CallResult
+    ) -> None:
+        """Store the result of an attempt whose entry node can't be reached.
+
+        ``not_run`` is not stored: the entry node may live and try elsewhere.
+        """
+        if isinstance(result, Refused) and result.outcome is Outcome.NOT_RUN:
+            return
+        self.ctx.count("claims.stored_for_lost")
+        result = bounded_result(result, self.ctx.cfg.keys.max_answer_bytes)
+        if not is_issued_form(request_key):
+            self.platform.settle(request_key, wire_attempt, result)
+            return
+        match RequestKey.parse(request_key):
+            case Ok(key):
+                message = store_message(request_key, wire_attempt, result)
+                self._send(key.instances, message)
+
     def unfinished(self) -> int:
         """Count attempts without a result, and results still being stored.
 
@@ -201,7 +221,7 @@
             match await self._run_round(key, wire_attempt, fingerprint, bound_s):
                 case MayRun():
                     self._granted[str(key), attempt] = wire_attempt
-                    return Granted()
+                    return Granted(wire_attempt)
                 case Recorded(result):
                     self._count_refusal(result)
                     return result
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -34,6 +34,7 @@
     Refusal,
 )
 
+from .keyed_calls import KeyedCalls, StoreForLost
 from .reasons import LEAVING, UNREACHABLE, not_run
 from .upstream_client import Exchange, UpstreamClient
 
@@ -91,11 +92,19 @@
     """Runs calls for this node's upstreams, each at most once.
 
     `guard` is the quarantine of requests that crash upstreams, or None.
+    `store_for_lost` stores the result of a call with a claimed request key when
+    the link of its entry node is gone.
     """
 
-    def __init__(self, ctx: Context, guard: CrashGuard | None = None) -> None:
+    def __init__(
+        self,
+        ctx: Context,
+        guard: CrashGuard | None = None,
+        store_for_lost: StoreForLost | None = None,
+    ) -> None:
         self.ctx = ctx
         self.guard = guard
+        self.keyed = KeyedCalls(store_for_lost, ctx.cfg.keys.max_answer_bytes)
         self.ledger = CallLedger(ctx.cfg.calls.execution_record_s)
         self._upstreams: dict[str, _Upstream] = {}
         # Removed upstreams whose last calls have not ended.
@@ -105,6 +114,7 @@
         ctx.links.on(Cancel, self._on_cancel)
         ctx.links.on(OutcomeQuery, self._on_outcome_query)
         ctx.links.on(Ping, self._on_ping)
+        ctx.links.close_handlers.append(self.keyed.on_link_closed)
         for topic in (Topic.UPSTREAMS, Topic.IN_FORCE, Topic.DRAIN):
             ctx.board.follow(topic, self.refresh)
         ctx.board.dump_parts["destination"] = self._dump
@@ -300,6 +310,7 @@
             case Begin.RUN:
                 execution = Execution(call, now + call.deadline_ms / 1000, link)
                 self._remote[instance, call.call_id] = execution
+                self.keyed.began(instance, call.settled)
                 self.ctx.spawn(self._serve(instance, execution))
             case Begin.DUPLICATE:
                 self._tell(link, instance, call.call_id)
@@ -316,6 +327,7 @@
         finally:
             del self._remote[instance, call.call_id]
             self.ledger.finish(instance, call.call_id, result, self.ctx.now())
+            self.keyed.finished(instance, call, result, execution.link)
             if execution.link is not None:
                 self._send_result(execution.link, call.call_id, call.upstream, result)
 
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -37,7 +37,15 @@
 class _Plan:
     """A call on its way, with what its attempts have shown."""
 
-    __slots__ = ("attempts", "deadline", "document", "fingerprint", "req", "route")
+    __slots__ = (
+        "attempts",
+        "claim",
+        "deadline",
+        "document",
+        "fingerprint",
+        "req",
+        "route",
+    )
 
     def __init__(
         self,
@@ -53,6 +61,8 @@
         self.deadline = deadline
         self.fingerprint = fingerprint
         self.attempts: set[str] = set()
+        # Attempt that holds the request key at its replicas.
+        self.claim = ""
 
 
 class EntryController:
@@ -153,6 +163,7 @@
         )
         if not isinstance(claim, Granted):
             return claim
+        plan.claim = claim.attempt
         result: CallResult = Refused(Outcome.UNKNOWN, "node stopped")
         try:
             result = await self._run(plan)
@@ -223,6 +234,7 @@
             req.request_key,
             req.service,
             plan.document.version,
+            attempt=plan.claim,
         )
         if candidate.node != self.ctx.cfg.node:
             return await self.peers.send(candidate.peer_address, call, plan.deadline)
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -125,6 +125,7 @@
             call.service,
             call.document_version,
             oldest - 1,
+            call.attempt,
         )
         if not link.send(message):
             return Reply(not_run(f"{UNREACHABLE}link to {address} is closed"))
--- a/lentilsill/daemon/controllers/platform_claims.py
+++ b/lentilsill/daemon/controllers/platform_claims.py
@@ -2,15 +2,22 @@
 
 import asyncio
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import structlog
 from result import Err, Ok
 
+from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import Granted
-from lentilsill.outcomes import CallResult, Outcome, Refused
+from lentilsill.outcomes import (
+    CallResult,
+    Outcome,
+    Refused,
+    TokenBucket,
+    node_claim_rate,
+)
 from lentilsill.platform import (
     AnswerLost,
     Conflict,
@@ -22,7 +29,7 @@
 
 from .claim_messages import result_from_value, value_from_result
 
-__all__ = ["PlatformClaims", "TokenBucket", "claim_name"]
+__all__ = ["PlatformClaims", "claim_name"]
 
 KIND = "claim"
 EXPIRY_INTERVAL_S = 60.0
@@ -33,6 +40,10 @@
 MAX_POLL_S = 1.0
 RETRY_S = 0.1
 FINISH_ATTEMPTS = 5
+SETTLE_ATTEMPTS = 4
+SETTLE_BOUND_S = 20.0
+"""A claim that the rate limit keeps from being settled stays until its expiry."""
+NOT_RUN = Refused(Outcome.NOT_RUN, "attempt ended before it was granted")
 
 log = structlog.get_logger()
 
@@ -48,34 +59,6 @@
     return hashlib.blake2b(request_key.encode(), digest_size=20).hexdigest()
 
 
-class TokenBucket:
-    """Limits a rate; `now_s` comes from a clock that never steps.
-
-    Examples
-    --------
-    >>> bucket = TokenBucket(2.0)
-    >>> bucket.wait_s(0.0), bucket.wait_s(0.0), bucket.wait_s(0.0)
-    (0.0, 0.0, 0.5)
-    """
-
-    def __init__(self, rate_per_s: float) -> None:
-        self.rate_per_s = rate_per_s
-        self.burst = max(rate_per_s, 1.0)
-        self._tokens = self.burst
-        self._at_s: float | None = None
-
-    def wait_s(self, now_s: float) -> float:
-        """Take a token and give 0, or give the time until one is there."""
-        if self._at_s is not None:
-            gained = (now_s - self._at_s) * self.rate_per_s
-            self._tokens = min(self._tokens + gained, self.burst)
-        self._at_s = now_s
-        if self._tokens >= 1.0:
-            self._tokens -= 1.0
-            return 0.0
-        return (1.0 - self._tokens) / self.rate_per_s
-
-
 class PlatformClaims:
     """Claims by conditional create of an object per key.
 
@@ -95,12 +78,13 @@
         self.api = api
         self.is_alive = is_alive
         self.is_first_ranked = is_first_ranked
-        self.bucket = TokenBucket(ctx.cfg.platform.max_claims_per_s)
+        self.bucket = TokenBucket(self.rate_per_s())
         self._versions: dict[str, tuple[int, dict[str, Any]]] = {}
         self.storing: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
-        """Start the expiry of old claims."""
+        """Follow the size of the fleet and start the expiry of old claims."""
+        self.ctx.board.follow(Topic.MEMBERS, self._follow_fleet)
         if self.api is not None:
             self.ctx.spawn(self._expire_forever())
 
@@ -120,7 +104,12 @@
             "domain": self.ctx.cfg.domain,
             "claimed_ms": self.ctx.wall_ms(),
         }
-        return await self._create(request_key, value, deadline)
+        try:
+            return await self._create(request_key, value, deadline)
+        except asyncio.CancelledError:
+            # The create may be on its way, and its attempt never runs.
+            self.settle(request_key, attempt, NOT_RUN)
+            raise
 
     def finish(self, request_key: str, attempt: str, result: CallResult) -> None:
         """Store the result, or delete the claim of an attempt not run."""
@@ -128,6 +117,23 @@
         if held is not None and self.api is not None:
             self._store(claim_name(request_key), *held, result)
 
+    def settle(self, request_key: str, attempt: str, result: CallResult) -> None:
+        """Store a result without the version of the claim, which is read back.
+
+        For an attempt whose create has no known answer and will not run, and for
+        a result whose entry node is gone.
+        """
+        if self.api is not None:
+            self._track(self._settle(request_key, attempt, result))
+
+    def rate_per_s(self) -> float:
+        """Give this node's share of the claims of the fleet."""
+        board = self.ctx.board
+        domains = {rec.domain for rec in board.remote_nodes.values()}
+        domains.add(self.ctx.cfg.domain)
+        total = self.ctx.cfg.platform.fleet_claims_per_s
+        return node_claim_rate(total, len(domains), len(board.members))
+
     async def expire_once(self) -> int:
         """Delete claims past the retention and margin; give how many.
 
@@ -172,7 +178,9 @@
                 case Err(RateLimited(retry_after_s)):
                     pause_s = retry_after_s
                 case Err(error):
-                    return await self._refuse(request_key, maybe_written, _text(error))
+                    return await self._refuse(
+                        request_key, value, maybe_written, _text(error)
+                    )
             # A lost write may still arrive, so what is read decides only when
             # the object exists; otherwise the create is sent again.
             if maybe_written:
@@ -180,9 +188,8 @@
                 if found is not None:
                     return found
             if self.ctx.now() + pause_s >= deadline:
-                return await self._refuse(
-                    request_key, maybe_written, "no answer of the platform in time"
-                )
+                reason = "no answer of the platform in time"
+                return await self._refuse(request_key, value, maybe_written, reason)
             await asyncio.sleep(pause_s)
 
     async def _existing(
@@ -231,12 +238,14 @@
         return Granted()
 
     async def _refuse(
-        self, request_key: str, maybe_written: bool, reason: str
+        self, request_key: str, value: dict[str, Any], maybe_written: bool, reason: str
     ) -> Refused:
         """Refuse; ``not_run`` when the platform shows that no claim exists."""
         assert self.api is not None
         self.ctx.count("claims.platform_refused")
-        if not maybe_written:
+        if maybe_written:
+            self.settle(request_key, value["attempt"], NOT_RUN)
+        else:
             match await self.api.get(KIND, claim_name(request_key)):
                 case Ok(None):
                     return Refused(Outcome.NOT_RUN, reason)
@@ -252,10 +261,32 @@
     def _store(
         self, name: str, version: int, value: dict[str, Any], result: CallResult
     ) -> None:
-        task = self.ctx.spawn(self._finish(name, version, value, result))
+        self._track(self._finish(name, version, value, result))
+
+    def _track(self, coro: Coroutine[Any, Any, None]) -> None:
+        task = self.ctx.spawn(coro)
         self.storing.add(task)
         task.add_done_callback(self.storing.discard)
 
+    async def _settle(self, request_key: str, attempt: str, result: CallResult) -> None:
+        name = claim_name(request_key)
+        deadline = self.ctx.now() + SETTLE_BOUND_S
+        assert self.api is not None
+        for number in range(SETTLE_ATTEMPTS):
+            if not await self._take_token(deadline):
+                break
+            match await self.api.get(KIND, name):
+                case Ok(StoredObject(version=version, value=dict(found))):
+                    if found.get("attempt") == attempt and "result" not in found:
+                        await self._finish(name, version, found, result)
+                    return
+            # Without an object the create may still arrive.
+            await asyncio.sleep(RETRY_S * 2**number)
+        self.ctx.count("claims.platform_unsettled")
+
+    def _follow_fleet(self) -> None:
+        self.bucket.set_rate(self.rate_per_s(), self.ctx.now())
+
     async def _finish(
         self, name: str, version: int, value: dict[str, Any], result: CallResult
     ) -> None:
--- a/lentilsill/daemon/controllers/tests/claim_builders.py
+++ b/lentilsill/daemon/controllers/tests/claim_builders.py
@@ -20,8 +20,9 @@
 from lentilsill.versioning import EMPTY_SNAPSHOT
 from lentilsill.wire import PeerLinks
 from lentilsill.wire.links import Identity
+from lentilsill.wire.messages import Call
 
-__all__ = ["FakeApi", "introduce", "make_node", "wait_for"]
+__all__ = ["FakeApi", "introduce", "make_call", "make_node", "wait_for"]
 
 
 def make_node(number: int, **sections) -> Context:
@@ -66,6 +67,13 @@
             other.board.changed(Topic.MEMBERS)
 
 
+def make_call(request_key: str, attempt: str) -> Call:
+    """Make a call that holds the claim of a key."""
+    return Call(
+        1, "w", "POST", "/", (), b"", 1000, False, request_key, "s", 1, attempt=attempt
+    )
+
+
 async def wait_for(condition, bound_s: float = 5.0) -> None:
     """Wait until `condition()` is true.
 
@@ -84,12 +92,16 @@
 
 @dataclass
 class FakeApi:
-    """Platform in memory; `faults` are used up by writes, one each."""
+    """Platform in memory; `faults` are used up by writes, one each.
+
+    Writes take effect and are answered once `gate` is set.
+    """
 
     objects: dict[str, StoredObject] = field(default_factory=dict)
     revision: int = 0
     faults: list[str] = field(default_factory=list)
     down: bool = False
+    gate: asyncio.Event | None = None
 
     async def get(self, kind, name):
         if self.down:
@@ -110,6 +122,8 @@
             return Err(Conflict(current))
         self.revision += 1
         self.objects[name] = StoredObject(kind, name, self.revision, value)
+        if self.gate is not None:
+            await self.gate.wait()
         if fault == "lost after":
             return Err(AnswerLost("fault"))
         return Ok(self.revision)
--- a/lentilsill/daemon/controllers/tests/test_claims.py
+++ b/lentilsill/daemon/controllers/tests/test_claims.py
@@ -7,12 +7,14 @@
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.controllers.claims import ClaimsController
 from lentilsill.daemon.controllers.drain import DrainController
+from lentilsill.daemon.controllers.keyed_calls import KeyedCalls
 from lentilsill.daemon.controllers.quarantine import QuarantineController
 from lentilsill.daemon.interfaces import Granted
 from lentilsill.drain import DrainReason
 from lentilsill.outcomes import Answer, Outcome, Refused
+from lentilsill.wire import CALLS, CONTROL
 
-from .claim_builders import FakeApi, introduce, make_node, wait_for
+from .claim_builders import FakeApi, introduce, make_call, make_node, wait_for
 
 ANSWER = Answer(200, (("a", "b"),), b"done")
 NOT_RUN = Refused(Outcome.NOT_RUN, "refused by the upstream")
@@ -102,6 +104,44 @@
         self.assertFalse([key for key in keys if a.instance in key])
 
 
+class LostEntryNodeTests(NodesTestCase):
+    async def check(self, is_sent_before_the_loss):
+        a, b, c = self.make_claims()
+        key = a.issue_keys(1).keys[0]
+        granted = await a.claim(key, "1", "f", 2.0)
+        keyed = KeyedCalls(c.store_for_lost, 4096)
+        address = self.nodes[2].board.members["n3"].peer_address
+        await self.nodes[0].links.connect(address, CALLS)
+        await wait_for(lambda: self.nodes[2].links.accepted)
+        (link,) = (k for k in self.nodes[2].links.accepted if k.hello.node == "n1")
+        link.on_close.append(keyed.on_link_closed)
+        call = make_call(key, granted.attempt)
+        if is_sent_before_the_loss:
+            keyed.finished(a.instance, call, ANSWER, link)
+        self.nodes[0].links.close()
+        await wait_for(lambda: not link.is_open)
+        if not is_sent_before_the_loss:
+            keyed.finished(a.instance, call, ANSWER, link)
+        self.assertEqual(await b.claim(key, "1", "f", 2.0), ANSWER)
+
+    async def test_result_after_the_loss_is_stored(self):
+        """Guards against ``unknown`` for a call that outlived its entry node."""
+        await self.check(is_sent_before_the_loss=False)
+
+    async def test_unacknowledged_result_is_stored(self):
+        """Guards against a result lost in the buffers of a crashed entry node."""
+        await self.check(is_sent_before_the_loss=True)
+
+    async def test_not_run_is_not_stored(self):
+        """Guards against a release while the entry node tries elsewhere."""
+        a, b, c = self.make_claims()
+        key = a.issue_keys(1).keys[0]
+        granted = await a.claim(key, "1", "f", 2.0)
+        c.store_for_lost(key, granted.attempt, NOT_RUN)
+        refused = await b.claim(key, "1", "f", 0.2)
+        self.assertEqual(refused.outcome, Outcome.UNKNOWN)
+
+
 class PlatformKeyTests(NodesTestCase):
     async def check_lost_answer(self, fault):
         (a,) = self.make_claims(1, FakeApi(faults=[fault]))
@@ -132,6 +172,34 @@
         result = await a.claim("k", "1", "f", 2.0)
         self.assertEqual(result.outcome, Outcome.UNKNOWN)
 
+    async def test_cancelled_create_is_settled(self):
+        """Guards against a key held until its expiry by a call that was cut."""
+        api = FakeApi()
+        api.gate = asyncio.Event()
+        (a,) = self.make_claims(1, api)
+        task = asyncio.ensure_future(a.claim("k", "1", "f", 2.0))
+        await wait_for(lambda: api.objects)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        api.gate.set()
+        await wait_for(lambda: not api.objects)
+
+    async def test_result_of_a_lost_entry_node_is_stored(self):
+        """Guards against ``unknown`` for a key whose entry node crashed."""
+        a, b = self.make_claims(2, FakeApi())
+        granted = await a.claim("k", "1", "f", 2.0)
+        self.nodes[0].links.close()
+        b.store_for_lost("k", granted.attempt, ANSWER)
+        self.assertEqual(await b.claim("k", "1", "f", 2.0), ANSWER)
+
+    async def test_claim_rate_is_shared_by_the_fleet(self):
+        """Guards against a limit per node that 4,600 nodes multiply."""
+        a, *_ = self.make_claims(4, FakeApi())
+        remote = replace(self.nodes[0].board.members["n1"], domain="multan")
+        self.nodes[0].board.remote_nodes["m1"] = remote
+        self.nodes[0].board.changed(Topic.MEMBERS)
+        self.assertEqual(a.platform.bucket.rate_per_s, 100.0 / 2 / 4)
+
     async def test_old_claims_expire(self):
         """Guards against claim objects that fill the platform."""
         api = FakeApi()
@@ -173,3 +241,32 @@
         await wait_for(lambda: len(guards[1].tracker) == 1)
         guards[1].upstream_died(("f",))
         await wait_for(lambda: guards[0].is_quarantined("f"))
+
+    async def test_started_node_learns_quarantines(self):
+        """Guards against a new node that executes a quarantined request."""
+        a, b = self.make_nodes(2)
+        old = QuarantineController(a, lambda root: [], lambda count: [])
+        old.start()
+        for _ in range(2):
+            old.upstream_died(("f",))
+        new = QuarantineController(b)
+        new.start()
+        await wait_for(lambda: new.is_quarantined("f"))
+
+    async def test_report_travels_down_the_tree_once(self):
+        """Guards against reports that each node sends to every other."""
+        nodes = self.make_nodes(4)
+        addresses = [rec.peer_address for rec in nodes[0].board.members.values()]
+        following = addresses[1:] + addresses[:1]
+
+        def make_guard(ctx, child):
+            return QuarantineController(ctx, lambda root: [child], lambda count: [])
+
+        guards = list(map(make_guard, nodes, following))
+        for guard in guards:
+            guard.start()
+        guards[0].upstream_died(("f",))
+        await wait_for(lambda: all(len(guard.tracker) for guard in guards))
+        received = [ctx.links.traffic[CONTROL] for ctx in nodes]
+        await wait_for(lambda: received[0].received_messages == 1)
+        self.assertEqual([t.sent_messages for t in received], [1, 1, 1, 1])
--- a/lentilsill/daemon/interfaces.py
+++ b/lentilsill/daemon/interfaces.py
@@ -1,6 +1,6 @@
 """What the controllers of a node ask of each other."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from lentilsill.outcomes import CallResult
@@ -74,7 +74,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Granted:
-    """The attempt holds the key and may run."""
+    """The attempt holds the key and may run.
+
+    `attempt` is the name of the attempt at the key's replicas.
+    """
+
+    attempt: str = field(default="", compare=False)
 
 
 class KeyClaims(Protocol):
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -101,10 +101,10 @@
 def _start_call_path(
     ctx: Context, api: HttpObjectApi, membership: MembershipController
 ) -> tuple[EntryController, DestinationController, ClaimsController]:
-    guard = QuarantineController(ctx)
-    destination = DestinationController(ctx, guard)
+    guard = QuarantineController(ctx, membership.tree_children, membership.random_peers)
     claims = ClaimsController(ctx, api, lambda: membership.is_first_ranked(1))
+    destination = DestinationController(ctx, guard, claims.store_for_lost)
     entry = EntryController(ctx, destination, claims, guard)
-    for controller in (guard, destination, claims, entry):
+    for controller in (guard, claims, destination, entry):
         controller.start()
     return entry, destination, claims
--- a/lentilsill/outcomes/__init__.py
+++ b/lentilsill/outcomes/__init__.py
@@ -13,6 +13,7 @@
 from .keys import RequestKey, is_issued_form, issue_key
 from .ledger import Begin, CallLedger, CallState
 from .model import Answer, CallResult, Outcome, Refused
+from .rates import TokenBucket, node_claim_rate
 from .rounds import ClaimRound, Decision, MayRun, Recorded, Waiting
 
 __all__ = [
@@ -35,8 +36,10 @@
     "Recorded",
     "Refused",
     "RequestKey",
+    "TokenBucket",
     "Waiting",
     "bounded_result",
     "is_issued_form",
     "issue_key",
+    "node_claim_rate",
 ]
--- a/lentilsill/quarantine/tracker.py
+++ b/lentilsill/quarantine/tracker.py
@@ -84,22 +84,35 @@
         if not self.is_quarantined(fingerprint, now_s):
             self._suspects.pop(fingerprint, None)
 
-    def merge(self, rows: Iterable[CrashRow], now_s: float) -> None:
-        """Take in a peer's report: the higher count and later expiry win."""
+    def merge(self, rows: Iterable[CrashRow], now_s: float) -> tuple[CrashRow, ...]:
+        """Take in a peer's report; give the rows that were new here.
+
+        The higher count and the later expiry win. A later expiry alone is no
+        news: rows lose a little lifetime on each way, so it would travel on.
+        """
+        news = []
         for name, crashes, remaining_ms in rows:
             left_s = min(remaining_ms / 1000, self.lifetime_s)
             if left_s <= 0 or len(name) > MAX_FINGERPRINT_CHARS:
                 continue
             entry = self._find(name, now_s)
             expires_s = now_s + left_s
+            if entry is None or crashes > entry.crashes:
+                news.append(name)
             if entry is not None:
                 crashes = max(crashes, entry.crashes)
                 expires_s = max(expires_s, entry.expires_s)
             self._set(name, max(crashes, 0), expires_s, now_s)
+        return self._rows(news, now_s)
 
     def report(self, now_s: float) -> tuple[CrashRow, ...]:
-        """Give every live row."""
-        return self._rows(sorted(self._suspects), now_s)
+        """Give every live row, those with the most crashes first."""
+        rows = self._rows(sorted(self._suspects), now_s)
+        return tuple(sorted(rows, key=lambda row: -row[1]))
+
+    def quarantined(self, now_s: float) -> tuple[CrashRow, ...]:
+        """Give the rows of quarantined requests."""
+        return tuple(row for row in self.report(now_s) if row[1] >= QUARANTINE_CRASHES)
 
     def _rows(self, names: list[str], now_s: float) -> tuple[CrashRow, ...]:
         found = ((name, self._find(name, now_s)) for name in names)
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -32,8 +32,11 @@
     watch_timeout_s: float = Field(
         default=30.0, gt=0, description="How long the platform may hold a watch"
     )
-    max_claims_per_s: float = Field(
-        default=2.0, gt=0, description="Conditional creates for caller-supplied keys"
+    fleet_claims_per_s: float = Field(
+        default=100.0,
+        gt=0,
+        description="Claims of caller-supplied keys by all nodes together; each "
+        "takes two writes",
     )
 
 
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -176,10 +176,13 @@
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag=11):
     """Crashes counted against request fingerprints, with expiry.
 
-    Rows are (fingerprint, crashes, remaining lifetime in ms).
+    Rows are (fingerprint, crashes, remaining lifetime in ms). `root` is as in
+    `Delta`; `want_reply` asks for the receiver's rows.
     """
 
     rows: tuple[tuple[str, int, int], ...]
+    root: str = ""
+    want_reply: bool = False
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=20):
@@ -189,6 +192,7 @@
     time that remains. `document_version` is the version the sender routed by.
     The sender needs no record of calls with ids up to `settled` any more; the
     receiver drops those records and refuses such ids if they arrive late.
+    `attempt` holds the claim of `request_key`; it is empty without a claim.
     """
 
     call_id: int
@@ -203,6 +207,7 @@
     service: str
     document_version: int
     settled: int = -1
+    attempt: str = ""
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag=21):
