Check the history of runs of real processes

Cause: the guarantees were checked on hand-written histories only. Change: a scenario runs the platform, nodes and workers as processes under a load and a fault, and its recorded history is checked.

--- /dev/null
+++ b/harness/documents.py
@@ -0,0 +1,53 @@
+"""Service documents of scenarios: one route of each kind per service."""
+
+from typing import Any
+
+__all__ = ["BOOK", "LOOKUP", "make_document"]
+
+LOOKUP = "lookup"
+BOOK = "book"
+DEADLINE_MS = 3000
+
+
+def make_document(
+    service: str,
+    *,
+    edit: int = 0,
+    requires: tuple[str, ...] = (),
+    upstream_set: str = "current",
+    leaving: bool = False,
+    slots: int = 12,
+) -> dict[str, Any]:
+    """Make a document with the idempotent `lookup` and the `book` route.
+
+    `edit` is a number that only makes one version differ from another.
+    `upstream_set` is "current" (label release=1) or "next" (release=2), the
+    set that the routes lead to; `leaving` is the flag of the set "current".
+    """
+    target = {"service": service, "upstream_set": upstream_set, "weight": 100}
+    sets = {"current": {"labels": {"release": "1"}, "leaving": leaving}}
+    if upstream_set == "next":
+        sets["next"] = {"labels": {"release": "2"}, "leaving": False}
+    common = {"targets": [target], "deadline_ms": DEADLINE_MS}
+    return {
+        "service": service,
+        "upstream_sets": sets,
+        "routes": [
+            common
+            | {
+                "name": LOOKUP,
+                "match": {"path_prefix": f"/{LOOKUP}", "methods": ["GET"]},
+                "idempotent": True,
+                "retry": {"max_attempts": 3, "budget_percent": 10},
+            },
+            common
+            | {
+                "name": BOOK,
+                "match": {"path_prefix": f"/{BOOK}", "methods": ["POST"]},
+                "idempotent": False,
+                "retry": {"max_attempts": 2, "budget_percent": 10},
+            },
+        ],
+        "limits": {"slots_per_upstream": slots, "queue_per_upstream": 100 + edit},
+        "requires": list(requires),
+    }
--- /dev/null
+++ b/harness/load.py
@@ -0,0 +1,84 @@
+"""Mixed load of calls that callers send again, with the same key, on failure."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from standins.caller import Caller, CallPlan, CallRecord
+
+__all__ = ["FAILED", "Load", "mixed_plans"]
+
+FAILED = frozenset({"not_run", "unknown", "run_answer_lost", "cut"})
+RESENDS = 8
+RESEND_PAUSE_S = 0.25
+
+
+def mixed_plans(services: Sequence[str], service_ms: float) -> tuple[CallPlan, ...]:
+    """Give lookups, and bookings with and without a key, for each service."""
+    return tuple(
+        plan
+        for service in services
+        for plan in (
+            CallPlan(f"/{service}/lookup/1", service_ms=service_ms),
+            CallPlan(f"/{service}/book", "POST", False, b"a", service_ms=service_ms),
+            CallPlan(
+                f"/{service}/book", "POST", False, b"b", True, service_ms=service_ms
+            ),
+        )
+    )
+
+
+@dataclass
+class Load:
+    """Callers that make calls until they are stopped.
+
+    Parameters
+    ----------
+    nodes : list of str
+        Callers' addresses; may change while the load runs.
+    concurrency : int
+        Calls at once.
+    pause_s : float
+        Time in seconds between the calls of one caller.
+    """
+
+    caller: Caller
+    nodes: list[str]
+    plans: Sequence[CallPlan]
+    rng: random.Random
+    concurrency: int = 12
+    pause_s: float = 0.01
+    stopped: bool = False
+    _tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Start the callers."""
+        self._tasks = [
+            asyncio.create_task(self._work()) for _ in range(self.concurrency)
+        ]
+
+    async def stop(self) -> None:
+        """Start no further calls and wait for those under way."""
+        self.stopped = True
+        await asyncio.gather(*self._tasks)
+
+    async def _work(self) -> None:
+        while not self.stopped:
+            await self.call(self.rng.choice(self.plans))
+            await asyncio.sleep(self.pause_s)
+
+    async def call(self, plan: CallPlan) -> CallRecord:
+        """Make one call; with a key, send it again after each failure."""
+        record = await self.caller.call(plan, node=self._node())
+        for _ in range(RESENDS):
+            if record.outcome not in FAILED or not record.request_key:
+                break
+            await asyncio.sleep(RESEND_PAUSE_S)
+            record = await self.caller.call(
+                plan, record.request_key, self._node(), record.call_id
+            )
+        return record
+
+    def _node(self) -> str:
+        return self.rng.choice(self.nodes)
--- /dev/null
+++ b/harness/proofs.py
@@ -0,0 +1,71 @@
+"""What each scenario's test proves: guarantees, and the fault they hold under."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+from unittest import TestCase
+
+__all__ = ["FAULTS", "GUARANTEES", "Proof", "proofs_of", "proves"]
+
+GUARANTEES = {
+    "G1": "no node reverts to an older version",
+    "G2": "no route references what the node does not have",
+    "G3": "an invalid version is never applied",
+    "G4": "a caller receives the complete answer to its own request",
+    "G5": "a request refused as not run was not executed",
+    "G6": "a non-idempotent request is executed at most once",
+    "G7": "a departing upstream receives no new work after 2 s",
+    "G8": "a graceful shutdown cuts no request in flight",
+    "G9": "an accepted configuration is in force within 13 s",
+}
+FAULTS = (
+    "herd death and reconnect storm",
+    "document source outage",
+    "crossed updates",
+    "platform down, slow, answer lost after write",
+    "holder paused past its lease",
+    "racing operators",
+    "crash-causing request resent",
+    "silent connections",
+    "cut between domains",
+    "cut from the platform",
+    "node freeze",
+    "kill -9 of node or worker mid-call",
+    "clock offset",
+    "none: retirement under load",
+)
+PROOFS_ATTRIBUTE = "proofs"
+
+T = TypeVar("T", bound=type[TestCase])
+
+
+@dataclass(frozen=True, slots=True)
+class Proof:
+    """One guarantee under one fault."""
+
+    guarantee: str
+    fault: str
+
+
+def proves(*guarantees: str, fault: str) -> Callable[[T], T]:
+    """Say which guarantees a test class checks under a fault; may be repeated.
+
+    Raises ValueError for a guarantee or fault that is not listed here.
+    """
+    unknown = [name for name in guarantees if name not in GUARANTEES]
+    if fault not in FAULTS:
+        unknown.append(fault)
+    if unknown:
+        raise ValueError(f"not listed in harness.proofs: {unknown}")
+    new = tuple(Proof(name, fault) for name in guarantees)
+
+    def mark(test: T) -> T:
+        setattr(test, PROOFS_ATTRIBUTE, (*proofs_of(test), *new))
+        return test
+
+    return mark
+
+
+def proofs_of(test: type[TestCase]) -> tuple[Proof, ...]:
+    """Give what a test class proves."""
+    return tuple(getattr(test, PROOFS_ATTRIBUTE, ()))
--- /dev/null
+++ b/harness/scenario.py
@@ -0,0 +1,325 @@
+"""Frame of a scenario: real processes, a load, faults, and the checked history."""
+
+import asyncio
+import json
+import random
+import socket
+import time
+import urllib.request
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from lentilsill.findings import Findings
+from standins.caller import Caller, CallPlan
+
+from .documents import make_document
+from .history import DocumentWrite, check_history
+from .layout import PLATFORM_PORT, Host, Layout
+from .load import Load, mixed_plans
+from .measures import Measures, measure
+from .processes import HTTP_TIMEOUT_S, Cluster, Process, fetch_json, running_cluster
+from .recording import Recording
+
+__all__ = ["Result", "Run", "Scenario", "run_scenario"]
+
+POLL_S = 0.05
+# Stated targets: an accepted configuration is in force everywhere within 13 s,
+# and a leaving upstream gets no new work after 2 s.
+CONVERGENCE_BOUND_S = 13.0
+START_BOUND_S = 20.0
+FIRST_BASE, LAST_BASE = 60, 250
+WORKER_SLOTS = 12
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """A run of processes under one kind of fault.
+
+    Parameters
+    ----------
+    body : callable
+        Gets the `Run`, with nodes, documents and workers up, and makes load and
+        faults. All calls must have ended when it returns.
+    hosts_per_domain : int
+        Hosts of each domain; each has one node, and one worker of a service,
+        the services in turn.
+    answers_lost : bool
+        Whether the faults may cost answers; without, G8 allows no cut call.
+    """
+
+    name: str
+    body: Callable[["Run"], Awaitable[None]]
+    domains: tuple[str, ...] = ("lahore", "faisalabad", "multan")
+    hosts_per_domain: int = 3
+    services: tuple[str, ...] = ("slots", "ledger")
+    seed: int = 1
+    with_relay: bool = False
+    answers_lost: bool = True
+    sections: dict[str, dict[str, Any]] = field(default_factory=dict)
+    parameters: dict[str, float] = field(default_factory=dict)
+    soak_parameters: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Result:
+    """Outcome of a run; it passed when there are no findings."""
+
+    scenario: str
+    seed: int
+    findings: Findings
+    measures: Measures
+    recovery_s: float | None
+    seconds: float
+
+    def lines(self) -> list[str]:
+        """Give the report."""
+        recovery = "-" if self.recovery_s is None else f"{self.recovery_s:.3f} s"
+        return [
+            *self.measures.lines(),
+            f"recovery time: {recovery}",
+            f"took: {self.seconds:.1f} s",
+            *(f"finding: {finding}" for finding in self.findings),
+        ]
+
+
+@dataclass
+class Run:
+    """What a scenario's body works with."""
+
+    scenario: Scenario
+    cluster: Cluster
+    recording: Recording
+    caller: Caller
+    rng: random.Random
+    parameters: dict[str, float]
+    findings: Findings = field(default_factory=Findings)
+    disturbed: set[str] = field(default_factory=set)
+    recovery_s: float | None = None
+    edits: int = 0
+
+    @property
+    def hosts(self) -> tuple[Host, ...]:
+        """All hosts."""
+        return self.cluster.layout.hosts
+
+    def hosts_of(self, domain: str) -> list[Host]:
+        """Give the hosts of a domain."""
+        return [host for host in self.hosts if host.domain == domain]
+
+    def node(self, host: Host) -> Process:
+        """Give the node's process of a host."""
+        return self.cluster.processes[host.node]
+
+    def service_of(self, host: Host) -> str:
+        """Give the service of the host's worker."""
+        services = self.scenario.services
+        return services[self.hosts.index(host) % len(services)]
+
+    def worker(self, host: Host) -> Process:
+        """Give the first worker's process of a host."""
+        return self.cluster.processes[f"{self.service_of(host)}-1-{host.node}"]
+
+    def start_worker(self, host: Host) -> Process:
+        """Start the first worker of a host."""
+        options = ("--slots", str(WORKER_SLOTS))
+        return self.cluster.start_worker(host, self.service_of(host), 0, "1", *options)
+
+    def load(
+        self,
+        plans: Iterable[CallPlan] = (),
+        hosts: Iterable[Host] = (),
+        service_ms: float = 30.0,
+        **options: Any,
+    ) -> Load:
+        """Make a load on the given hosts' nodes, by default on all."""
+        nodes = [host.caller_address for host in hosts or self.hosts]
+        used = tuple(plans) or mixed_plans(self.scenario.services, service_ms)
+        return Load(self.caller, nodes, used, self.rng, **options)
+
+    async def write(
+        self,
+        service: str,
+        value: dict[str, Any] | None = None,
+        *,
+        valid: bool = True,
+        **options: Any,
+    ) -> int:
+        """Write a document to the platform, record it and give its version.
+
+        Without a value it is `make_document` with the options and a new edit.
+        """
+        self.edits += 1
+        if value is None:
+            value = make_document(service, edit=self.edits, **options)
+        url = f"{self.cluster.layout.platform_url}/v1/objects/service/{service}"
+        asked = time.monotonic()
+        version = await asyncio.to_thread(_put, url, value)
+        references = tuple(value.get("requires", ()))
+        self.recording.writes.append(
+            DocumentWrite(service, version, asked, valid, references=references)
+        )
+        return version
+
+    async def until(
+        self, condition: Callable[[], bool], bound_s: float, what: str
+    ) -> float:
+        """Wait for a condition and give the time in seconds.
+
+        A condition that does not become true in time is a finding, and the run
+        goes on.
+        """
+        start = time.monotonic()
+        while not await asyncio.to_thread(condition):
+            if time.monotonic() - start > bound_s:
+                self.findings.add(what, f"not within {bound_s:g} s")
+                break
+            await asyncio.sleep(POLL_S)
+        return time.monotonic() - start
+
+    async def until_in_force(self, hosts: Iterable[Host] = (), what: str = "") -> float:
+        """Wait until the newest written versions are in force on the nodes."""
+        newest = {w.service: w.version for w in self.recording.writes if w.valid}
+        waiting = list(hosts or self.hosts)
+
+        def is_done() -> bool:
+            while waiting and self.in_force(waiting[0]) == newest:
+                waiting.pop(0)
+            return not waiting
+
+        return await self.until(
+            is_done, CONVERGENCE_BOUND_S, f"G9 {what or 'newest versions in force'}"
+        )
+
+    def in_force(self, host: Host) -> dict[str, int]:
+        """Give the versions in force on a node; empty when it does not answer."""
+        return self.state(host).get("documents", {}).get("in_force", {})
+
+    def state(self, host: Host) -> dict[str, Any]:
+        """Give a node's state dump; empty when it does not answer."""
+        try:
+            url = f"http://{host.admin_address}/lentilsill/state"
+            return fetch_json(url) or {}
+        except OSError:
+            return {}
+
+    async def stop_node(self, host: Host, bound_s: float = 40.0) -> None:
+        """End a node by SIGTERM and record the stop."""
+        process, asked = self.node(host), time.monotonic()
+        self.disturbed.add(host.node)
+        process.terminate()
+        status = await asyncio.to_thread(process.wait, bound_s)
+        self.recording.stopped_node(process, asked, status)
+
+    async def stop_worker(self, process: Process, bound_s: float = 40.0) -> None:
+        """End a worker by SIGTERM and record its retirement and stop."""
+        asked = time.monotonic()
+        self.recording.retired([process.name])
+        process.terminate()
+        status = await asyncio.to_thread(process.wait, bound_s)
+        self.recording.stopped_worker(process, asked, status)
+
+    def kill(self, process: Process) -> None:
+        """Kill a process at once; a node is then no longer up throughout."""
+        self.disturbed.add(process.name)
+        process.kill()
+
+    async def start(self) -> None:
+        """Bring up nodes, documents and workers, until every node serves."""
+        for host in self.hosts:
+            self.cluster.start_node(host)
+        for service in self.scenario.services:
+            await self.write(service)
+        for host in self.hosts:
+            await asyncio.to_thread(self.cluster.wait_ready, host, START_BOUND_S)
+            self.start_worker(host)
+        await self.until_in_force()
+        await self._until_served()
+
+    async def _until_served(self) -> None:
+        """Try lookups, outside the record, until each node answers each service."""
+        probe = Caller([host.caller_address for host in self.hosts])
+        try:
+            for service in self.scenario.services:
+                plan = CallPlan(f"/{service}/lookup/0", service_ms=0)
+                for host in self.hosts:
+                    await self._until_answered(probe, plan, host)
+        finally:
+            probe.close()
+
+    async def _until_answered(self, probe: Caller, plan: CallPlan, host: Host) -> None:
+        end_s = time.monotonic() + START_BOUND_S
+        while True:
+            record = await probe.call(plan, node=host.caller_address)
+            if record.outcome == "answered":
+                return
+            if time.monotonic() > end_s:
+                raise TimeoutError(f"{host.node}: {plan.path}: {record.reason}")
+            await asyncio.sleep(POLL_S)
+
+
+def run_scenario(
+    scenario: Scenario, seed: int | None = None, soak: bool = False
+) -> Result:
+    """Run a scenario and check its history.
+
+    Raises TimeoutError or RuntimeError when the processes do not come up.
+    """
+    seed = scenario.seed if seed is None else seed
+    layout = Layout(
+        _free_base(),
+        scenario.domains,
+        scenario.hosts_per_domain,
+        scenario.with_relay,
+        scenario.sections,
+    )
+    parameters = scenario.parameters | (scenario.soak_parameters if soak else {})
+    start = time.monotonic()
+    with running_cluster(layout) as cluster:
+        return asyncio.run(_run(scenario, seed, cluster, parameters, start))
+
+
+async def _run(
+    scenario: Scenario,
+    seed: int,
+    cluster: Cluster,
+    parameters: dict[str, float],
+    start: float,
+) -> Result:
+    caller = Caller([host.caller_address for host in cluster.layout.hosts])
+    recording = Recording(cluster, caller.records)
+    run = Run(scenario, cluster, recording, caller, random.Random(seed), parameters)
+    await run.start()
+    await scenario.body(run)
+    caller.close()
+    history = recording.history()
+    live = [host.node for host in run.hosts if host.node not in run.disturbed]
+    findings = check_history(history, live, scenario.answers_lost)
+    findings.items += run.findings.items
+    return Result(
+        scenario.name,
+        seed,
+        findings,
+        measure(history, live),
+        run.recovery_s,
+        time.monotonic() - start,
+    )
+
+
+def _put(url: str, value: dict[str, Any]) -> int:
+    data = json.dumps(value).encode()
+    req = urllib.request.Request(url, data, method="PUT")
+    with urllib.request.urlopen(req, timeout=HTTP_TIMEOUT_S) as resp:
+        return int(json.loads(resp.read())["version"])
+
+
+def _free_base() -> int:
+    """Choose addresses that no other run on this machine uses."""
+    for base in random.sample(range(FIRST_BASE, LAST_BASE), LAST_BASE - FIRST_BASE):
+        with socket.socket() as sock:
+            try:
+                sock.bind((f"127.{base}.0.1", PLATFORM_PORT))
+            except OSError:
+                continue
+            return base
+    raise RuntimeError("no free addresses on loopback")
--- a/lentilsill/daemon/controllers/documents.py
+++ b/lentilsill/daemon/controllers/documents.py
@@ -90,8 +90,18 @@
         board.changed(Topic.DOCUMENTS)
         if merged.in_force_changed:
             self.ctx.count("documents.in_force_changed")
+            self._log_in_force()
             board.changed(Topic.IN_FORCE)
 
+    def _log_in_force(self) -> None:
+        in_force = self.store.snapshot.documents
+        log.info(
+            "snapshot_applied",
+            versions={name: doc.version for name, doc in in_force.items()},
+            instance=self.ctx.links.identity.instance,
+            monotonic_s=self.ctx.now(),
+        )
+
     def _log_known(self, known: Known) -> None:
         record = known.record
         event = log.bind(service=record.service, version=record.version)
--- a/lentilsill/daemon/controllers/readiness.py
+++ b/lentilsill/daemon/controllers/readiness.py
@@ -74,7 +74,12 @@
         )
         if is_ready:
             board.ready = True
-            log.info("node_ready", elapsed_s=round(elapsed_s, 3))
+            log.info(
+                "node_ready",
+                elapsed_s=round(elapsed_s, 3),
+                instance=self._ctx.links.identity.instance,
+                monotonic_s=self._ctx.now(),
+            )
             self._ctx.gauge("readiness.ready", 1)
             self._ctx.timing("readiness.elapsed", elapsed_s * 1000)
             board.changed(Topic.READY)
