--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -63,6 +63,8 @@
         self._asked: tuple[str, float] | None = None
         self._ask_after = 0.0
         self._batch: list[Delta] = []
+        self._full_syncs = 0
+        self._most_syncs = 0
         self.sources: dict[str, str] = {}
 
     @classmethod
@@ -227,6 +229,8 @@
                 link.send(Busy(delay_ms))
             case Admitted(ticket):
                 self._ctx.count("distribution.full_syncs")
+                self._full_syncs += 1
+                self._most_syncs = max(self._most_syncs, self._admission.running)
                 link.send(delta)
                 self._ctx.spawn(self._finish_sync(link, ticket))
 
@@ -244,6 +248,8 @@
             "documents_hash": f"{mine.documents_hash:016x}",
             "sources": dict(self.sources),
             "syncs_served": self._admission.running,
+            "full_syncs": self._full_syncs,
+            "full_syncs_at_once": self._most_syncs,
             "batched": len(self._batch),
         }
 
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -115,15 +115,15 @@
         """Run the call; never raises for a failed call."""
         board = self.ctx.board
         if not board.ready:
-            return not_run(NOT_READY)
+            return _refused(req, NOT_READY)
         document = board.snapshot.documents.get(req.service)
         if document is None:
-            return not_run(NO_ROUTE)
+            return _refused(req, NO_ROUTE)
         route = match_route(document, req.method, req.path)
         if route is None:
-            return not_run(NO_ROUTE)
+            return _refused(req, NO_ROUTE)
         if self.in_flight >= self.ctx.cfg.calls.max_calls:
-            return not_run(OVERLOADED)
+            return _refused(req, OVERLOADED)
         claimed = bool(req.request_key) and not route.idempotent
         fingerprint = ""
         if claimed or self.guard is not None:
@@ -313,6 +313,16 @@
         }
 
 
+def _refused(req: CallRequest, reason: str) -> Refused:
+    """Refuse a call that was not tried.
+
+    With a key, an earlier attempt through another node may have run; only the
+    replicas of the key can tell.
+    """
+    outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
+    return Refused(outcome, reason)
+
+
 def _speaks_against(result: CallResult) -> bool:
     """Whether the result counts as a failure of the upstream or its host."""
     match result:
--- a/lentilsill/daemon/controllers/tests/test_calls.py
+++ b/lentilsill/daemon/controllers/tests/test_calls.py
@@ -294,3 +294,12 @@
         await call
         await wait_for(lambda: guard.deaths)
         self.assertEqual(len(guard.deaths[0]), 1)
+
+    async def test_unready_node_does_not_say_not_run_of_a_key(self):
+        """Guards against `not_run` for a resent key that ran elsewhere (G5)."""
+        self.near.ctx.board.ready = False
+        keyed = dataclasses.replace(make_request("POST"), request_key="k")
+        refused = await self.near.entry.handle(keyed)
+        self.assertEqual(refused.outcome, Outcome.UNKNOWN)
+        plain = await self.near.entry.handle(make_request("POST"))
+        self.assertEqual(plain.outcome, Outcome.NOT_RUN)
