Resend keys of a killed domain elsewhere, and storm against a slow platform

The storm let the platform serve the restarted nodes.

Change: long calls at the killed nodes use keys of another domain and are sent again there. The platform answers the storm after 9 s only, so that documents have to come from peers.

--- a/harness/scenarios/outages.py
+++ b/harness/scenarios/outages.py
@@ -7,13 +7,19 @@
 
 from harness.documents import make_document
 from harness.layout import Host
+from harness.load import FAILED
 from harness.processes import fetch_json
 from harness.scenario import START_BOUND_S, Run, Scenario
+from standins.caller import CallPlan
 
 __all__ = ["HERD_IN_OUTAGE", "HERD_UNDER_LOAD_IN_OUTAGE", "OUTAGE", "RECONNECT_STORM"]
 
 SETTLE_S = 1.0
 READY_WORKER_S = 1.0
+PLATFORM_DELAY_MS = 9000.0
+LONG_CALL_MS = 600.0
+KEYED_PER_NODE = 4
+RESENDS = 4
 # Documents of this size keep a full sync under way long enough to meet others.
 UNUSED_ROUTES = 240
 UNUSED_PATH_CHARS = 500
@@ -83,6 +89,22 @@
     return time.monotonic() - start
 
 
+async def resend_elsewhere(run: Run, host: Host, others: list[Host]) -> None:
+    """Make a long call at a node, and send it again through other nodes.
+
+    The replicas of its key are among the other nodes, and outlive the first one.
+    """
+    keys = await run.caller.fetch_keys(1, others[0].caller_address)
+    path = f"/{run.rng.choice(run.scenario.services)}/book"
+    plan = CallPlan(path, "POST", False, b"long", service_ms=LONG_CALL_MS)
+    node, call_id = host.caller_address, ""
+    for _ in range(RESENDS):
+        record = await run.caller.call(plan, keys[0], node, call_id)
+        if record.outcome not in FAILED:
+            break
+        node, call_id = run.rng.choice(others).caller_address, record.call_id
+
+
 def check_no_older(run: Run, hosts: Iterable[Host], since: float) -> None:
     """Add a finding for each older version that a restarted node put in force."""
     newest = {w.service: w.version for w in run.recording.writes if w.time < since}
@@ -111,7 +133,15 @@
     await run.until_in_force()
     run.cluster.set_faults(mode="down")
     since = time.monotonic()
+    resent = [
+        asyncio.create_task(resend_elsewhere(run, host, others))
+        for host in herd * KEYED_PER_NODE
+        if _on_herd(run)
+    ]
+    if resent:
+        await asyncio.sleep(LONG_CALL_MS / 2000)
     await restart_herd(run, herd)
+    await asyncio.gather(*resent)
     run.recovery_s = await run.until_in_force(herd, "documents from other domains")
     check_no_older(run, herd, since)
     await asyncio.sleep(SETTLE_S)
@@ -134,7 +164,11 @@
     load = run.load(service_ms=20)
     load.start()
     lists = _platform_lists(run)
-    await restart_herd(run, herd, run.parameters["down_s"])
+    # The herd has to get its documents from peers, not from the platform.
+    run.cluster.set_faults(mode="slow", delay_ms=PLATFORM_DELAY_MS)
+    ready_s = await restart_herd(run, herd, run.parameters["down_s"])
+    if ready_s > PLATFORM_DELAY_MS / 1000:
+        run.findings.add("G9 storm", f"herd ready only after {ready_s:.1f} s")
     run.recovery_s = await run.until_in_force(what="documents after the storm")
     syncs = {h.node: run.state(h).get("distribution", {}) for h in run.hosts}
     most = max(part.get("full_syncs_at_once", 0) for part in syncs.values())
@@ -191,6 +225,7 @@
     run_reconnect_storm,
     domains=("lahore", "multan"),
     hosts_per_domain=6,
+    services=("slots", "ledger", "inventory", "wishlists", "groups", "drawing"),
     seed=14,
     sections={"distribution": {"max_full_syncs": FULL_SYNCS_AT_ONCE}},
     parameters={"down_s": 1.0},
