Refuse a keyed call as unknown when its claim was not asked

Change: refusals before the claim are unknown for a request with a key. A report lists the attempts and executions of the calls in its findings. Writes of a scenario wait for ready nodes, so that their times measure convergence. Conclusion: the refusal says only what the entry node knows.

--- a/harness/recording.py
+++ b/harness/recording.py
@@ -84,6 +84,25 @@
             stops=list(self.stops),
         )
 
+    def describe(self, identity: str) -> list[str]:
+        """List the attempts and executions of a call id or request key."""
+        offset = self.wall_offset_s
+        attempts = [
+            (
+                seen.start_s - offset,
+                f"call {seen.call_id} at {seen.node}: {seen.outcome} after "
+                f"{seen.end_s - seen.start_s:.3f} s: {seen.reason}",
+            )
+            for seen in self.calls
+            if identity in (seen.call_id, seen.request_key)
+        ]
+        runs = [
+            (run["start_s"] - offset, f"executed on {run['upstream']}")
+            for run in self.cluster.executions()
+            if identity in (run["call_id"], run["request_key"])
+        ]
+        return [f"{time_s:.3f} s: {what}" for time_s, what in sorted(attempts + runs)]
+
     def applied(self) -> Iterator[AppliedVersion]:
         """Give the snapshots that the nodes put in force."""
         for node, event in self._node_events("snapshot_applied"):
--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -30,6 +30,8 @@
 START_BOUND_S = 20.0
 FIRST_BASE, LAST_BASE = 60, 250
 WORKER_SLOTS = 12
+# Findings whose calls are listed in the report.
+DESCRIBED_FINDINGS = 5
 
 
 @dataclass(frozen=True)
@@ -63,7 +65,10 @@
 
 @dataclass(frozen=True)
 class Result:
-    """Outcome of a run; it passed when there are no findings."""
+    """Outcome of a run; it passed when there are no findings.
+
+    `details` are the attempts and executions of the calls in the findings.
+    """
 
     scenario: str
     seed: int
@@ -71,6 +76,7 @@
     measures: Measures
     recovery_s: float | None
     seconds: float
+    details: list[str]
 
     def lines(self) -> list[str]:
         """Give the report."""
@@ -80,6 +86,7 @@
             f"recovery time: {recovery}",
             f"took: {self.seconds:.1f} s",
             *(f"finding: {finding}" for finding in self.findings),
+            *self.details,
         ]
 
 
@@ -228,11 +235,11 @@
         """Bring up nodes, documents and workers, until every node serves."""
         for host in self.hosts:
             self.cluster.start_node(host)
-        for service in self.scenario.services:
-            await self.write(service)
         for host in self.hosts:
             await asyncio.to_thread(self.cluster.wait_ready, host, START_BOUND_S)
             self.start_worker(host)
+        for service in self.scenario.services:
+            await self.write(service)
         await self.until_in_force()
         await self._until_served()
 
@@ -296,6 +303,11 @@
     live = [host.node for host in run.hosts if host.node not in run.disturbed]
     findings = check_history(history, live, scenario.answers_lost)
     findings.items += run.findings.items
+    details = [
+        line
+        for finding in findings.items[:DESCRIBED_FINDINGS]
+        for line in recording.describe(finding.place.partition(" ")[2])
+    ]
     return Result(
         scenario.name,
         seed,
@@ -303,6 +315,7 @@
         measure(history, live),
         run.recovery_s,
         time.monotonic() - start,
+        details,
     )
 
 
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -105,15 +105,15 @@
         """Run the call; never raises for a failed call."""
         board = self.ctx.board
         if not board.ready:
-            return not_run(NOT_READY)
+            return _refuse_early(req, NOT_READY)
         document = board.snapshot.documents.get(req.service)
         if document is None:
-            return not_run(NO_ROUTE)
+            return _refuse_early(req, NO_ROUTE)
         route = match_route(document, req.method, req.path)
         if route is None:
-            return not_run(NO_ROUTE)
+            return _refuse_early(req, NO_ROUTE)
         if self.in_flight >= self.ctx.cfg.calls.max_calls:
-            return not_run(OVERLOADED)
+            return _refuse_early(req, OVERLOADED)
         claimed = bool(req.request_key) and not route.idempotent
         fingerprint = ""
         if claimed or self.guard is not None:
@@ -121,9 +121,7 @@
                 req.request_key, req.service, req.method, req.path, req.body
             )
         if self.guard is not None and self.guard.is_quarantined(fingerprint):
-            # A keyed request has been run before, as its crashes show.
-            outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
-            return Refused(outcome, "request is quarantined")
+            return _refuse_early(req, "request is quarantined")
         deadline_s = route.deadline_ms / 1000
         if req.deadline_ms > 0:
             deadline_s = min(deadline_s, req.deadline_ms / 1000)
@@ -301,6 +299,15 @@
         }
 
 
+def _refuse_early(req: CallRequest, reason: str) -> Refused:
+    """Refuse before the claim.
+
+    An earlier attempt with the same key may have run, which only the replicas
+    of the key can tell.
+    """
+    return Refused(Outcome.UNKNOWN, reason) if req.request_key else not_run(reason)
+
+
 def _speaks_against(result: CallResult) -> bool:
     """Whether the result counts as a failure of the upstream or its host."""
     match result:
--- a/lentilsill/daemon/controllers/tests/test_calls.py
+++ b/lentilsill/daemon/controllers/tests/test_calls.py
@@ -233,6 +233,14 @@
         self.assertEqual((await self.near.entry.handle(req)).body, b"/p")
         self.assertEqual(self.upstream.seen, ["/p"])
 
+    async def test_keyed_call_refused_before_its_claim_is_unknown(self):
+        """Guards against `not_run` for a key that another node has run (G5)."""
+        self.near.ctx.board.ready = False
+        req = make_request("POST", "/p")
+        self.assertEqual((await self.near.entry.handle(req)).outcome, Outcome.NOT_RUN)
+        req = dataclasses.replace(req, request_key="k")
+        self.assertEqual((await self.near.entry.handle(req)).outcome, Outcome.UNKNOWN)
+
     async def test_lost_keyless_caller_cancels_a_get_but_not_a_post(self):
         """Guards against a POST cut in the middle, and a GET that runs on."""
         self.near.serve("w0", self.upstream.port)
