--- a/harness/layout.py
+++ b/harness/layout.py
@@ -14,6 +14,8 @@
 # The relay stands in front of a node at the node's address with the domain's
 # number raised by this.
 RELAY_DOMAIN_OFFSET = 100
+# Third byte of the addresses at which the relay stands in front of the platform.
+PLATFORM_RELAY = 200
 SEEDS_PER_DOMAIN = 2
 
 
@@ -79,6 +81,19 @@
         """Base URL of the platform stand-in."""
         return f"http://{self.platform_address}"
 
+    def platform_domain(self, domain: str) -> str:
+        """Name, in rules of the relay, of the platform as a domain reaches it.
+
+        Clients of the platform choose no source address, so that each domain
+        has an address of its own; rules for it are from ``*``.
+        """
+        return f"platform-{domain}"
+
+    def platform_relay_address(self, domain: str) -> str:
+        """Where the relay takes a domain's connections to the platform."""
+        number = self.domains.index(domain) + 1
+        return f"127.{self.base}.{PLATFORM_RELAY}.{number}:{PLATFORM_PORT}"
+
     @property
     def relay_control(self) -> str:
         """Address of the relay's control HTTP."""
@@ -123,20 +138,31 @@
         }
         if self.with_relay:
             cfg["advertise_address"] = host.relay_address
+            address = self.platform_relay_address(host.domain)
+            cfg["platform"] = {"url": f"http://{address}"}
         for name, section in self.sections.items():
             cfg[name] = cfg.get(name, {}) | section
         return cfg
 
     def relay_config(self) -> dict[str, Any]:
         """Give the relay's configuration."""
+        nodes = [
+            {
+                "listen": host.relay_address,
+                "target": host.peer_address,
+                "domain": host.domain,
+            }
+            for host in self.hosts
+        ]
+        platform = [
+            {
+                "listen": self.platform_relay_address(domain),
+                "target": self.platform_address,
+                "domain": self.platform_domain(domain),
+            }
+            for domain in self.domains
+        ]
         return {
-            "listeners": [
-                {
-                    "listen": host.relay_address,
-                    "target": host.peer_address,
-                    "domain": host.domain,
-                }
-                for host in self.hosts
-            ],
+            "listeners": nodes + platform,
             "sources": {host.ip: host.domain for host in self.hosts},
         }
--- a/harness/scenarios/__init__.py
+++ b/harness/scenarios/__init__.py
@@ -3,7 +3,16 @@
 from harness.scenario import Scenario
 
 from .crashes import CRASHES
+from .freeze import FREEZE
+from .herd import HERD
+from .partition import PARTITION
+from .poison import POISON
+from .retirement import RETIREMENT
+from .silence import SILENCE
 
 __all__ = ["SCENARIOS"]
 
-SCENARIOS: dict[str, Scenario] = {scenario.name: scenario for scenario in (CRASHES,)}
+SCENARIOS: dict[str, Scenario] = {
+    scenario.name: scenario
+    for scenario in (CRASHES, HERD, PARTITION, RETIREMENT, SILENCE, FREEZE, POISON)
+}
--- /dev/null
+++ b/harness/scenarios/herd.py
@@ -0,0 +1,61 @@
+"""Many processes killed at once and returned while documents change."""
+
+import asyncio
+import math
+
+from harness.scenario import Run, Scenario
+
+__all__ = ["HERD"]
+
+KILLED_SHARE = 0.3
+EDIT_PAUSE_S = 0.15
+SETTLE_S = 0.5
+
+
+async def run_herd(run: Run) -> None:
+    """Kill 30% of the hosts at once, edit meanwhile, and return them at once."""
+    load = run.load()
+    load.start()
+    await asyncio.sleep(SETTLE_S)
+    count = math.ceil(KILLED_SHARE * len(run.hosts))
+    for _ in range(int(run.parameters["rounds"])):
+        hosts = run.rng.sample(run.hosts, count)
+        for host in hosts:
+            run.kill(run.node(host))
+            run.kill(run.worker(host))
+        await _edit(run)
+        for host in hosts:
+            run.node(host).start()
+            run.worker(host).start()
+        returned = asyncio.get_running_loop().time()
+        await _edit(run)
+        await run.until_in_force(what="newest versions on returned nodes")
+        run.recovery_s = asyncio.get_running_loop().time() - returned
+    await load.stop()
+
+
+async def _edit(run: Run) -> None:
+    """Write documents: some cross, one in four is invalid."""
+    first, second = run.scenario.services[:2]
+    for turn in range(int(run.parameters["edits"])):
+        match turn % 4:
+            case 0:
+                # Documents that need each other must come into force together.
+                await run.write(first, requires=(second,))
+                await run.write(second, requires=(first,))
+            case 1:
+                await run.write(first, {"service": first, "routes": 7}, valid=False)
+            case 2:
+                await run.write(first)
+            case 3:
+                await run.write(second)
+        await asyncio.sleep(run.rng.uniform(0, 2 * EDIT_PAUSE_S))
+
+
+HERD = Scenario(
+    "herd",
+    run_herd,
+    hosts_per_domain=4,
+    parameters={"rounds": 1, "edits": 12},
+    soak_parameters={"rounds": 5},
+)
--- /dev/null
+++ b/harness/scenarios/retirement.py
@@ -0,0 +1,85 @@
+"""Upstreams retired under load, in each of the three ways."""
+
+import asyncio
+
+from harness.documents import make_document
+from harness.processes import Process
+from harness.scenario import WORKER_SLOTS, Run, Scenario
+
+__all__ = ["RETIREMENT"]
+
+SETTLE_S = 0.5
+# Longer than the time in which a retired upstream may still get work.
+WATCH_S = 3.0
+SERVICE_MS = 300.0
+KNOWN_BOUND_S = 13.0
+
+
+async def run_retirement(run: Run) -> None:
+    """Retire by announcement, by document and by SIGTERM to a node."""
+    load = run.load(service_ms=SERVICE_MS, concurrency=16)
+    load.start()
+    await asyncio.sleep(SETTLE_S)
+    await _retire_by_announcement(run)
+    await _retire_by_document(run)
+    await _retire_by_node(run, load.nodes)
+    await load.stop()
+
+
+async def _retire_by_announcement(run: Run) -> None:
+    """End the worker of one host; others of its service stay."""
+    host = run.rng.choice(run.hosts)
+    await run.stop_worker(run.worker(host))
+    await asyncio.sleep(WATCH_S)
+    run.start_worker(host)
+
+
+async def _retire_by_document(run: Run) -> None:
+    """Move a service to new upstreams; the set of the old ones leaves."""
+    service = run.scenario.services[0]
+    old = [f"{service}-1-{h.node}" for h in run.hosts if run.service_of(h) == service]
+    for host in run.hosts:
+        if run.service_of(host) == service:
+            options = ("--slots", str(WORKER_SLOTS))
+            run.cluster.start_worker(host, service, 1, "2", *options)
+    both = make_document(service, upstream_set="next")
+    current = make_document(service)
+    await run.write(service, both | {"routes": current["routes"]})
+    await run.until_in_force()
+    await run.until(lambda: _all_know(run, service), KNOWN_BOUND_S, "new upstreams")
+    run.edits += 1
+    moved = make_document(service, edit=run.edits, upstream_set="next", leaving=True)
+    run.recording.retired(old)
+    await run.write(service, moved)
+    await asyncio.sleep(WATCH_S)
+
+
+def _all_know(run: Run, service: str) -> bool:
+    wanted = {
+        f"{service}-2-{h.node}" for h in run.hosts if run.service_of(h) == service
+    }
+    return all(
+        wanted <= set(run.state(host).get("entry", {}).get("upstreams", {}))
+        for host in run.hosts
+    )
+
+
+async def _retire_by_node(run: Run, nodes: list[str]) -> None:
+    """End a node that serves callers and has a worker with calls in flight."""
+    host = run.rng.choice(run.hosts)
+    workers = _workers_of(run, host.node)
+    run.recording.retired([process.name for process in workers])
+    nodes.remove(host.caller_address)
+    await run.stop_node(host)
+    await asyncio.sleep(WATCH_S)
+
+
+def _workers_of(run: Run, node: str) -> list[Process]:
+    return [
+        process
+        for name, process in run.cluster.processes.items()
+        if name.endswith(f"-{node}") and process.is_running
+    ]
+
+
+RETIREMENT = Scenario("retirement", run_retirement, answers_lost=False)
--- /dev/null
+++ b/harness/scenarios/silence.py
@@ -0,0 +1,37 @@
+"""Open links that go silent in both directions in the middle of calls."""
+
+import asyncio
+
+from harness.scenario import Run, Scenario
+
+__all__ = ["SILENCE"]
+
+PAUSE_S = 2.5
+# Long enough that calls are under way on the links when they go silent.
+SERVICE_MS = 150.0
+RESOLVED = ("answered", "not_run", "run_answer_lost")
+
+
+async def run_silence(run: Run) -> None:
+    """Let all open links swallow all bytes, again and again; new ones work."""
+    load = run.load(service_ms=SERVICE_MS, concurrency=16)
+    load.start()
+    for _ in range(int(run.parameters["times"])):
+        await asyncio.sleep(run.rng.uniform(0.5, 1) * PAUSE_S)
+        run.cluster.set_rule("*", "*", action="swallow")
+        await run.write(run.rng.choice(run.scenario.services))
+    run.recovery_s = await run.until_in_force()
+    await asyncio.sleep(PAUSE_S)
+    await load.stop()
+    for call in run.recording.calls:
+        if call.outcome not in RESOLVED:
+            run.findings.add(f"G4 {call.call_id}", f"not resolved: {call.outcome}")
+
+
+SILENCE = Scenario(
+    "silence",
+    run_silence,
+    with_relay=True,
+    parameters={"times": 4},
+    soak_parameters={"times": 20},
+)
