--- a/harness/scenarios/__init__.py
+++ b/harness/scenarios/__init__.py
@@ -3,22 +3,20 @@
 from harness.scenario import Scenario
 
 from .crashes import CRASHES
-from .outages import (
-    HERD_IN_OUTAGE,
-    HERD_UNDER_LOAD_IN_OUTAGE,
-    OUTAGE,
-    RECONNECT_STORM,
-)
+from .freeze import FREEZE
+from .herd import HERD
+from .outages import OUTAGES
+from .partition import PARTITION
+from .poison import POISON
+from .retirement import RETIREMENT
+from .silence import SILENCE
 
 __all__ = ["SCENARIOS"]
 
 SCENARIOS: dict[str, Scenario] = {
     scenario.name: scenario
     for scenario in (
-        CRASHES,
-        OUTAGE,
-        HERD_IN_OUTAGE,
-        HERD_UNDER_LOAD_IN_OUTAGE,
-        RECONNECT_STORM,
+        *(CRASHES, HERD, PARTITION, RETIREMENT, SILENCE, FREEZE, POISON),
+        *OUTAGES,
     )
 }
--- a/harness/scenarios/outages.py
+++ b/harness/scenarios/outages.py
@@ -12,7 +12,7 @@
 from harness.scenario import START_BOUND_S, Run, Scenario
 from standins.caller import CallPlan
 
-__all__ = ["HERD_IN_OUTAGE", "HERD_UNDER_LOAD_IN_OUTAGE", "OUTAGE", "RECONNECT_STORM"]
+__all__ = ["OUTAGES", "check_no_older", "restart_herd"]
 
 SETTLE_S = 1.0
 READY_WORKER_S = 1.0
@@ -230,3 +230,4 @@
     sections={"distribution": {"max_full_syncs": FULL_SYNCS_AT_ONCE}},
     parameters={"down_s": 1.0},
 )
+OUTAGES = (OUTAGE, HERD_IN_OUTAGE, HERD_UNDER_LOAD_IN_OUTAGE, RECONNECT_STORM)
