Report a write that another operator has built on as written

Cause: when the answer to a write was lost and another operator edited the result before the read-back, `lentilsill apply` called it a conflict, although the edit was in the document. Found by reading for the scenario of racing operators; the race needs an edit within one read-back, so that the processes do not show it.

Change: the first change after the base version decides. New scenarios: racing-operators, lost-entry, poison-in-cut.

--- a/harness/scenarios/__init__.py
+++ b/harness/scenarios/__init__.py
@@ -5,7 +5,9 @@
 from .crashes import CRASHES
 from .freeze import FREEZE
 from .herd import HERD
+from .operators import OPERATORS
 from .outages import OUTAGES
+from .pairs import PAIRS
 from .partition import PARTITION
 from .poison import POISON
 from .retirement import RETIREMENT
@@ -18,5 +20,7 @@
     for scenario in (
         *(CRASHES, HERD, PARTITION, RETIREMENT, SILENCE, FREEZE, POISON),
         *OUTAGES,
+        *OPERATORS,
+        *PAIRS,
     )
 }
--- a/lentilsill/cli/edits.py
+++ b/lentilsill/cli/edits.py
@@ -139,6 +139,32 @@
             say(f"{service}: not written; the platform still holds version {base}")
             say("what to do: run the command again; a late write shows as a conflict")
             return ExitCode.NOT_WRITTEN
+    return await _resolve_by_changes(api, service, base, value, say)
+
+
+async def _resolve_by_changes(
+    api: ObjectApi, service: str, base: int, value: Any, say: Say
+) -> ExitCode:
+    """Decide by the first change after `base`, which others were based on.
+
+    The document that is read back may be another operator's edit of a write that
+    took effect; this is no conflict.
+    """
+    match await api.watch(KIND, base, 0.0):
+        case Err(error):
+            say(f"{service}: unknown whether it was written: {describe(error)}")
+            say(f"what to do: lentilsill get {service}, and compare")
+            return ExitCode.UNKNOWN
+        case Ok(batch):
+            own = [change for change in batch.changes if change.name == service]
+    first = min(own, key=lambda change: change.version, default=None)
+    if first is not None and first.deleted == (value is None):
+        if value is None:
+            say(f"{service}: deleted at revision {first.version}, and written since")
+            return ExitCode.OK
+        if first.value == value:
+            say(f"{service}: written as version {first.version}, and edited since")
+            return ExitCode.OK
     return await _show_conflict(api, service, base, value, say)
 
 
--- a/lentilsill/cli/tests/builders.py
+++ b/lentilsill/cli/tests/builders.py
@@ -5,7 +5,13 @@
 
 from result import Err, Ok, Result
 
-from lentilsill.platform import AnswerLost, Conflict, PlatformError, StoredObject
+from lentilsill.platform import (
+    AnswerLost,
+    Conflict,
+    PlatformError,
+    StoredObject,
+    WatchBatch,
+)
 from lentilsill.status import DomainStatus, Held, ServiceStatus, status_to_value
 from standins.store import ConflictError, Store
 
@@ -51,14 +57,16 @@
 class StoreApi:
     """The object API on a store in this process, with lost answers.
 
-    `on_put` runs before a write, like another operator's edit. Each entry of
-    `lose` is for one write: "applied", "dropped" or "".
+    `on_put` runs before a write, and `on_lost` after a write whose answer is
+    lost, like another operator's edit. Each entry of `lose` is for one write:
+    "applied", "dropped" or "".
     """
 
     def __init__(self) -> None:
         self.store = Store()
         self.lose: list[str] = []
         self.on_put: Callable[[], Any] = lambda: None
+        self.on_lost: Callable[[], Any] = lambda: None
         self.writes = 0
 
     async def get(
@@ -83,4 +91,17 @@
             version = self.store.put(kind, name, value, expected_version)
         except ConflictError as exc:
             return Err(Conflict(exc.current_version))
-        return Err(AnswerLost("timed out")) if fault else Ok(version)
+        if not fault:
+            return Ok(version)
+        self.on_lost()
+        return Err(AnswerLost("timed out"))
+
+    async def watch(
+        self, kind: str, since: int, timeout_s: float
+    ) -> Result[WatchBatch, PlatformError]:
+        """Give the changes so far, without waiting."""
+        changes = tuple(
+            StoredObject(kind, c.name, c.version, c.value, c.deleted)
+            for c in self.store.changes(kind, since)
+        )
+        return Ok(WatchBatch(self.store.revision, changes))
--- a/lentilsill/cli/tests/test_edits.py
+++ b/lentilsill/cli/tests/test_edits.py
@@ -51,3 +51,12 @@
         self.assertEqual(await self.apply(900), ExitCode.CONFLICT)
         self.assertEqual(self.api.writes, 3)
         verify("\n".join(self.lines))
+
+    async def test_lost_answer_of_a_write_that_was_edited_since(self) -> None:
+        """A write that another operator has built on must not be called a conflict."""
+        await self.apply(800)
+        other = a_document(deadline_ms=500)
+        self.api.on_lost = lambda: self.api.store.put("service", "slots", other, 2)
+        self.api.lose = ["applied"]
+        self.assertEqual(await self.apply(900), ExitCode.OK)
+        self.assertIn("slots: written as version 2, and edited since", self.lines)
