--- /dev/null
+++ b/harness/tests/test_pair_scenarios.py
@@ -0,0 +1,24 @@
+"""Runs of keyed and crashing requests under two faults at once."""
+
+from harness.proofs import proves
+from harness.scenarios import SCENARIOS
+from harness.tests.scenario_case import ScenarioCase
+
+
+@proves("G4", "G5", "G6", fault="kill -9 of node or worker mid-call")
+class LostEntryTests(ScenarioCase):
+    scenario = SCENARIOS["lost-entry"]
+
+    def test_resend_gets_the_answer_of_a_crashed_entry_node(self):
+        """Guards against `unknown` for a call that ran to its end elsewhere."""
+        self.run_and_check()
+
+
+@proves("G4", "G5", "G6", fault="crash-causing request resent")
+@proves("G1", "G4", "G5", "G6", "G9", fault="cut between domains")
+class PoisonInCutTests(ScenarioCase):
+    scenario = SCENARIOS["poison-in-cut"]
+
+    def test_crashing_request_is_quarantined_in_a_cut_domain(self):
+        """Guards against a request that crashes a cut domain, or others after it."""
+        self.run_and_check()
