--- a/lentilsill/daemon/controllers/tests/test_claims.py
+++ b/lentilsill/daemon/controllers/tests/test_claims.py
@@ -4,6 +4,7 @@
 import unittest
 from dataclasses import replace
 
+from harness.proofs import proves
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.controllers.claims import ClaimsController
 from lentilsill.daemon.controllers.drain import DrainController
@@ -104,6 +105,32 @@
         self.assertFalse([key for key in keys if a.instance in key])
 
 
+@proves("G5", "G6", fault="clock offset")
+class ClockOffsetTests(NodesTestCase):
+    async def check(self, *offsets_s):
+        a, b, _ = self.make_claims()
+        key = a.issue_keys(1).keys[0]
+        for ctx, offset_s in zip(self.nodes, offsets_s, strict=True):
+            ctx._wall_offset_ms += offset_s * 1000
+        first = await a.claim(key, "1", "f", 2.0)
+        if first == Granted():
+            a.finish(key, "1", ANSWER)
+            self.assertEqual(await b.claim(key, "1", "f", 2.0), ANSWER)
+        return first
+
+    async def test_one_clock_apart_costs_nothing(self):
+        """Guards against a key refused, or run twice, for one wrong clock."""
+        self.assertEqual(await self.check(0, 0, 700), Granted())
+
+    async def test_entry_node_apart_costs_nothing(self):
+        """Guards against a claim judged by the entry node's clock."""
+        self.assertEqual(await self.check(-700, 0, 0), Granted())
+
+    async def test_majority_ahead_is_unknown(self):
+        """Guards against `not_run` where replicas may have forgotten a claim."""
+        self.assertEqual((await self.check(0, 700, 700)).outcome, Outcome.UNKNOWN)
+
+
 class LostEntryNodeTests(NodesTestCase):
     async def check(self, is_sent_before_the_loss):
         a, b, c = self.make_claims()
