--- a/harness/documents.py
+++ b/harness/documents.py
@@ -17,6 +17,7 @@
     upstream_set: str = "current",
     leaving: bool = False,
     slots: int = 12,
+    deadline_ms: int = DEADLINE_MS,
 ) -> dict[str, Any]:
     """Make a document with the idempotent `lookup` and the `book` route.
 
@@ -28,7 +29,7 @@
     sets = {"current": {"labels": {"release": "1"}, "leaving": leaving}}
     if upstream_set == "next":
         sets["next"] = {"labels": {"release": "2"}, "leaving": False}
-    common = {"targets": [target], "deadline_ms": DEADLINE_MS}
+    common = {"targets": [target], "deadline_ms": deadline_ms}
     return {
         "service": service,
         "upstream_sets": sets,
--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -46,6 +46,8 @@
     hosts_per_domain : int
         Hosts of each domain; each has one node, and one worker of a service,
         the services in turn.
+    document : dict
+        Options of `make_document` for every document.
     answers_lost : bool
         Whether the faults may cost answers; without, G8 allows no cut call.
     """
@@ -59,6 +61,7 @@
     with_relay: bool = False
     answers_lost: bool = True
     sections: dict[str, dict[str, Any]] = field(default_factory=dict)
+    document: dict[str, Any] = field(default_factory=dict)
     parameters: dict[str, float] = field(default_factory=dict)
     soak_parameters: dict[str, float] = field(default_factory=dict)
 
@@ -158,6 +161,7 @@
         """
         self.edits += 1
         if value is None:
+            options = self.scenario.document | options
             value = make_document(service, edit=self.edits, **options)
         url = f"{self.cluster.layout.platform_url}/v1/objects/service/{service}"
         asked = time.monotonic()
--- a/lentilsill/daemon/controllers/claims.py
+++ b/lentilsill/daemon/controllers/claims.py
@@ -43,6 +43,8 @@
 
 ROUND_BOUND_S = 1.0
 """A replica that has not answered by then counts as unreachable."""
+MAX_LOST_ROUNDS = 2
+"""Rounds made again because replies were lost with their links."""
 FIRST_POLL_S = 0.02
 MAX_POLL_S = 0.4
 MAX_KEYS_PER_REQUEST = 1000
@@ -56,6 +58,7 @@
     attempt: str
     decided: asyncio.Future[Decision]
     request_ids: list[int] = field(default_factory=list)
+    lost_reply: bool = False
 
     def settle(self, decision: Decision | None) -> None:
         if decision is not None and not self.decided.done():
@@ -194,14 +197,22 @@
     ) -> Granted | CallResult:
         deadline = self.ctx.now() + timeout_s
         poll_s = FIRST_POLL_S
+        rounds = 0
         while True:
             wire_attempt = self._next_attempt()
             left_s = deadline - self.ctx.now()
             bound_s = max(min(left_s, ROUND_BOUND_S), 0.0)
-            match await self._run_round(key, wire_attempt, fingerprint, bound_s):
+            fut: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
+            opened = _OpenRound(ClaimRound(key), wire_attempt, fut)
+            match await self._run_round(opened, fingerprint, bound_s):
                 case MayRun():
                     self._granted[str(key), attempt] = wire_attempt
                     return Granted()
+                case Recorded(Refused(outcome=Outcome.UNKNOWN)) if (
+                    opened.lost_reply and rounds < MAX_LOST_ROUNDS
+                ):
+                    # The next round asks over new links.
+                    rounds += 1
                 case Recorded(result):
                     self._count_refusal(result)
                     return result
@@ -216,21 +227,35 @@
                     await asyncio.sleep(pause_s)
 
     async def _run_round(
-        self, key: RequestKey, wire_attempt: str, fingerprint: str, bound_s: float
+        self, opened: _OpenRound, fingerprint: str, bound_s: float
     ) -> Decision:
-        fut: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
-        opened = _OpenRound(ClaimRound(key), wire_attempt, fut)
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
         handed_over = False
         try:
-            for instance in key.instances:
+            for instance in opened.claims.key.instances:
                 self._ask(opened, instance, fingerprint)
-            await asyncio.wait([fut], timeout=bound_s)
+            await asyncio.wait([opened.decided], timeout=bound_s)
+            if loop.time() - asked_at >= ROUND_BOUND_S:
+                self._close_silent_links(opened, asked_at)
             decision = opened.claims.give_up()
             handed_over = True
             return decision
         finally:
             self._close_round(opened, may_run=handed_over)
 
+    def _close_silent_links(self, opened: _OpenRound, asked_at: float) -> None:
+        """Close links that brought no byte since the claims were sent.
+
+        The search for silent links looks at calls only, and a link that carries
+        nothing but claims would stay silent for good.
+        """
+        waiting = [self._pending.get(rid) for rid in opened.request_ids]
+        for link in [entry[2] for entry in waiting if entry is not None]:
+            opened.lost_reply = True
+            if link.last_received < asked_at:
+                link.close()
+
     def _close_round(self, opened: _OpenRound, may_run: bool) -> None:
         """Stop waiting, and release an attempt that will not run."""
         for request_id in opened.request_ids:
@@ -337,6 +362,7 @@
         lost = [rid for rid, entry in self._pending.items() if entry[2] is link]
         for request_id in lost:
             opened, instance, _ = self._pending.pop(request_id)
+            opened.lost_reply = True
             opened.settle(opened.claims.unreachable(instance))
 
     def _next_attempt(self) -> str:
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -105,15 +105,15 @@
         """Run the call; never raises for a failed call."""
         board = self.ctx.board
         if not board.ready:
-            return _refuse_early(req, NOT_READY)
+            return _refused(req, NOT_READY)
         document = board.snapshot.documents.get(req.service)
         if document is None:
-            return _refuse_early(req, NO_ROUTE)
+            return _refused(req, NO_ROUTE)
         route = match_route(document, req.method, req.path)
         if route is None:
-            return _refuse_early(req, NO_ROUTE)
+            return _refused(req, NO_ROUTE)
         if self.in_flight >= self.ctx.cfg.calls.max_calls:
-            return _refuse_early(req, OVERLOADED)
+            return _refused(req, OVERLOADED)
         claimed = bool(req.request_key) and not route.idempotent
         fingerprint = ""
         if claimed or self.guard is not None:
@@ -121,7 +121,9 @@
                 req.request_key, req.service, req.method, req.path, req.body
             )
         if self.guard is not None and self.guard.is_quarantined(fingerprint):
-            return _refuse_early(req, "request is quarantined")
+            # A keyed request has been run before, as its crashes show.
+            outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
+            return Refused(outcome, "request is quarantined")
         deadline_s = route.deadline_ms / 1000
         if req.deadline_ms > 0:
             deadline_s = min(deadline_s, req.deadline_ms / 1000)
@@ -299,13 +301,14 @@
         }
 
 
-def _refuse_early(req: CallRequest, reason: str) -> Refused:
-    """Refuse before the claim.
+def _refused(req: CallRequest, reason: str) -> Refused:
+    """Refuse a call that was not tried.
 
-    An earlier attempt with the same key may have run, which only the replicas
-    of the key can tell.
+    With a key, an earlier attempt through another node may have run; only the
+    replicas of the key can tell.
     """
-    return Refused(Outcome.UNKNOWN, reason) if req.request_key else not_run(reason)
+    outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
+    return Refused(outcome, reason)
 
 
 def _speaks_against(result: CallResult) -> bool:
