--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -46,6 +46,8 @@
     hosts_per_domain : int
         Hosts of each domain; each has one node, and one worker of a service,
         the services in turn.
+    document : dict
+        Options of `make_document` for every document.
     answers_lost : bool
         Whether the faults may cost answers; without, G8 allows no cut call.
     """
@@ -59,6 +61,7 @@
     with_relay: bool = False
     answers_lost: bool = True
     sections: dict[str, dict[str, Any]] = field(default_factory=dict)
+    document: dict[str, Any] = field(default_factory=dict)
     parameters: dict[str, float] = field(default_factory=dict)
     soak_parameters: dict[str, float] = field(default_factory=dict)
 
@@ -158,6 +161,7 @@
         """
         self.edits += 1
         if value is None:
+            options = self.scenario.document | options
             value = make_document(service, edit=self.edits, **options)
         url = f"{self.cluster.layout.platform_url}/v1/objects/service/{service}"
         asked = time.monotonic()
@@ -241,16 +245,16 @@
         for service in self.scenario.services:
             await self.write(service)
         await self.until_in_force()
-        await self._until_served()
+        for service in self.scenario.services:
+            await self.until_served(f"/{service}/lookup/0")
 
-    async def _until_served(self) -> None:
-        """Try lookups, outside the record, until each node answers each service."""
+    async def until_served(self, path: str) -> None:
+        """Try a path, outside the record, until every node answers."""
         probe = Caller([host.caller_address for host in self.hosts])
+        plan = CallPlan(path, service_ms=0)
         try:
-            for service in self.scenario.services:
-                plan = CallPlan(f"/{service}/lookup/0", service_ms=0)
-                for host in self.hosts:
-                    await self._until_answered(probe, plan, host)
+            for host in self.hosts:
+                await self._until_answered(probe, plan, host)
         finally:
             probe.close()
 
--- a/lentilsill/outcomes/tests/test_clock_offset.py
+++ b/harness/tests/test_clock_offset.py
@@ -14,8 +14,7 @@
     Refused,
     RequestKey,
 )
-
-from .builders import make_attempt, make_instance, make_key
+from lentilsill.outcomes.tests.builders import make_attempt, make_instance, make_key
 
 RETENTION_MS = 600_000
 ISSUED_MS = 1_700_000_000_000
