--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -21,7 +21,7 @@
 from .processes import HTTP_TIMEOUT_S, Cluster, Process, fetch_json, running_cluster
 from .recording import Recording
 
-__all__ = ["Result", "Run", "Scenario", "run_scenario"]
+__all__ = ["Result", "Run", "Scenario", "free_base", "run_scenario"]
 
 POLL_S = 0.05
 # Stated targets: an accepted configuration is in force everywhere within 13 s,
@@ -278,7 +278,7 @@
     """
     seed = scenario.seed if seed is None else seed
     layout = Layout(
-        _free_base(),
+        free_base(),
         scenario.domains,
         scenario.hosts_per_domain,
         scenario.with_relay,
@@ -330,7 +330,7 @@
         return int(json.loads(resp.read())["version"])
 
 
-def _free_base() -> int:
+def free_base() -> int:
     """Choose addresses that no other run on this machine uses."""
     for base in random.sample(range(FIRST_BASE, LAST_BASE), LAST_BASE - FIRST_BASE):
         with socket.socket() as sock:
--- a/lentilsill/daemon/controllers/claims.py
+++ b/lentilsill/daemon/controllers/claims.py
@@ -9,7 +9,7 @@
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import Granted, IssuedKeys
-from lentilsill.membership import NodeRecord, NodeState
+from lentilsill.membership import NodeRecord
 from lentilsill.outcomes import (
     Attempt,
     CallResult,
@@ -24,7 +24,6 @@
     Waiting,
     bounded_result,
     is_issued_form,
-    issue_key,
 )
 from lentilsill.platform import ObjectApi
 from lentilsill.wire import CALLS, Link, Message
@@ -37,6 +36,7 @@
     result_from_store,
     store_message,
 )
+from .key_issue import make_keys
 from .platform_claims import PlatformClaims
 
 __all__ = ["ClaimsController"]
@@ -47,7 +47,6 @@
 """Rounds made again because replies were lost with their links."""
 FIRST_POLL_S = 0.02
 MAX_POLL_S = 0.4
-MAX_KEYS_PER_REQUEST = 1000
 
 
 @dataclass(eq=False)
@@ -181,28 +180,8 @@
         return len(self._granted) + len(self.platform.storing)
 
     def issue_keys(self, count: int) -> IssuedKeys:
-        """Make keys that name ready live nodes of the own domain.
-
-        This node is one of them unless it is draining. No keys are made when
-        no node is ready.
-        """
-        ctx = self.ctx
-        now_ms = ctx.wall_ms()
-        others = [
-            rec.instance
-            for rec in ctx.board.members.values()
-            if rec.state is NodeState.READY
-            and rec.domain == ctx.cfg.domain
-            and rec.instance != self.instance
-        ]
-        own = [] if ctx.board.draining or not ctx.board.ready else [self.instance]
-        room = ctx.cfg.keys.replicas - len(own)
-        keys = []
-        for _ in range(min(count, MAX_KEYS_PER_REQUEST) if own or others else 0):
-            chosen = own + ctx.rng.sample(others, min(room, len(others)))
-            nonce = f"{ctx.rng.getrandbits(64):016x}"
-            keys.append(issue_key(ctx.cfg.domain, now_ms, chosen, nonce))
-        return IssuedKeys(tuple(keys), now_ms + self.table.retention_ms)
+        """Make keys that name ready live nodes of the own domain."""
+        return make_keys(self.ctx, count)
 
     def is_alive(self, attempt: str) -> bool:
         """Whether the entry node of an attempt is known to be alive."""
