--- a/lentilsill/daemon/controllers/claims.py
+++ b/lentilsill/daemon/controllers/claims.py
@@ -9,7 +9,7 @@
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import Granted, IssuedKeys
-from lentilsill.membership import NodeRecord, NodeState
+from lentilsill.membership import NodeRecord
 from lentilsill.outcomes import (
     Attempt,
     CallResult,
@@ -24,7 +24,6 @@
     Waiting,
     bounded_result,
     is_issued_form,
-    issue_key,
 )
 from lentilsill.platform import ObjectApi
 from lentilsill.wire import CALLS, Link, Message
@@ -37,15 +36,17 @@
     result_from_store,
     store_message,
 )
+from .key_issue import make_keys
 from .platform_claims import PlatformClaims
 
 __all__ = ["ClaimsController"]
 
 ROUND_BOUND_S = 1.0
 """A replica that has not answered by then counts as unreachable."""
+MAX_LOST_ROUNDS = 2
+"""Rounds made again because replies were lost with their links."""
 FIRST_POLL_S = 0.02
 MAX_POLL_S = 0.4
-MAX_KEYS_PER_REQUEST = 1000
 
 
 @dataclass(eq=False)
@@ -56,6 +57,7 @@
     attempt: str
     decided: asyncio.Future[Decision]
     request_ids: list[int] = field(default_factory=list)
+    lost_reply: bool = False
 
     def settle(self, decision: Decision | None) -> None:
         if decision is not None and not self.decided.done():
@@ -123,6 +125,7 @@
             )
             if isinstance(outcome, Granted):
                 self._granted[request_key, attempt] = wire_attempt
+                return Granted(wire_attempt)
             return outcome
         match RequestKey.parse(request_key):
             case Err(findings):
@@ -150,6 +153,25 @@
             message = Release(request_key, wire_attempt)
         self._send(key.instances, message)
 
+    def store_for_lost(
+        self, request_key: str, wire_attempt: str, result: CallResult
+    ) -> None:
+        """Store the result of an attempt whose entry node can't be reached.
+
+        ``not_run`` is not stored: the entry node may live and try elsewhere.
+        """
+        if isinstance(result, Refused) and result.outcome is Outcome.NOT_RUN:
+            return
+        self.ctx.count("claims.stored_for_lost")
+        result = bounded_result(result, self.ctx.cfg.keys.max_answer_bytes)
+        if not is_issued_form(request_key):
+            self.platform.settle(request_key, wire_attempt, result)
+            return
+        match RequestKey.parse(request_key):
+            case Ok(key):
+                message = store_message(request_key, wire_attempt, result)
+                self._send(key.instances, message)
+
     def unfinished(self) -> int:
         """Count attempts without a result, and results still being stored.
 
@@ -158,28 +180,8 @@
         return len(self._granted) + len(self.platform.storing)
 
     def issue_keys(self, count: int) -> IssuedKeys:
-        """Make keys that name ready live nodes of the own domain.
-
-        This node is one of them unless it is draining. No keys are made when
-        no node is ready.
-        """
-        ctx = self.ctx
-        now_ms = ctx.wall_ms()
-        others = [
-            rec.instance
-            for rec in ctx.board.members.values()
-            if rec.state is NodeState.READY
-            and rec.domain == ctx.cfg.domain
-            and rec.instance != self.instance
-        ]
-        own = [] if ctx.board.draining or not ctx.board.ready else [self.instance]
-        room = ctx.cfg.keys.replicas - len(own)
-        keys = []
-        for _ in range(min(count, MAX_KEYS_PER_REQUEST) if own or others else 0):
-            chosen = own + ctx.rng.sample(others, min(room, len(others)))
-            nonce = f"{ctx.rng.getrandbits(64):016x}"
-            keys.append(issue_key(ctx.cfg.domain, now_ms, chosen, nonce))
-        return IssuedKeys(tuple(keys), now_ms + self.table.retention_ms)
+        """Make keys that name ready live nodes of the own domain."""
+        return make_keys(self.ctx, count)
 
     def is_alive(self, attempt: str) -> bool:
         """Whether the entry node of an attempt is known to be alive."""
@@ -194,14 +196,22 @@
     ) -> Granted | CallResult:
         deadline = self.ctx.now() + timeout_s
         poll_s = FIRST_POLL_S
+        rounds = 0
         while True:
             wire_attempt = self._next_attempt()
             left_s = deadline - self.ctx.now()
             bound_s = max(min(left_s, ROUND_BOUND_S), 0.0)
-            match await self._run_round(key, wire_attempt, fingerprint, bound_s):
+            fut: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
+            opened = _OpenRound(ClaimRound(key), wire_attempt, fut)
+            match await self._run_round(opened, fingerprint, bound_s):
                 case MayRun():
                     self._granted[str(key), attempt] = wire_attempt
-                    return Granted()
+                    return Granted(wire_attempt)
+                case Recorded(Refused(outcome=Outcome.UNKNOWN)) if (
+                    opened.lost_reply and rounds < MAX_LOST_ROUNDS
+                ):
+                    # The next round asks over new links.
+                    rounds += 1
                 case Recorded(result):
                     self._count_refusal(result)
                     return result
@@ -216,21 +226,35 @@
                     await asyncio.sleep(pause_s)
 
     async def _run_round(
-        self, key: RequestKey, wire_attempt: str, fingerprint: str, bound_s: float
+        self, opened: _OpenRound, fingerprint: str, bound_s: float
     ) -> Decision:
-        fut: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
-        opened = _OpenRound(ClaimRound(key), wire_attempt, fut)
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
         handed_over = False
         try:
-            for instance in key.instances:
+            for instance in opened.claims.key.instances:
                 self._ask(opened, instance, fingerprint)
-            await asyncio.wait([fut], timeout=bound_s)
+            await asyncio.wait([opened.decided], timeout=bound_s)
+            if loop.time() - asked_at >= ROUND_BOUND_S:
+                self._close_silent_links(opened, asked_at)
             decision = opened.claims.give_up()
             handed_over = True
             return decision
         finally:
             self._close_round(opened, may_run=handed_over)
 
+    def _close_silent_links(self, opened: _OpenRound, asked_at: float) -> None:
+        """Close links that brought no byte since the claims were sent.
+
+        The search for silent links looks at calls only, and a link that carries
+        nothing but claims would stay silent for good.
+        """
+        waiting = [self._pending.get(rid) for rid in opened.request_ids]
+        for link in [entry[2] for entry in waiting if entry is not None]:
+            opened.lost_reply = True
+            if link.last_received < asked_at:
+                link.close()
+
     def _close_round(self, opened: _OpenRound, may_run: bool) -> None:
         """Stop waiting, and release an attempt that will not run."""
         for request_id in opened.request_ids:
@@ -337,6 +361,7 @@
         lost = [rid for rid, entry in self._pending.items() if entry[2] is link]
         for request_id in lost:
             opened, instance, _ = self._pending.pop(request_id)
+            opened.lost_reply = True
             opened.settle(opened.claims.unreachable(instance))
 
     def _next_attempt(self) -> str:
