Repair tables by buckets, send summaries as deltas, and bound links

Cause: two large tables that differed exchanged all 511 records (76 KB with realistic addresses), a changed summary was sent whole (78 KB), the subtree of an unreachable child waited for repair, and connections grew to every peer. Change: hashes of 32 buckets, then hashes of the records in differing buckets, then only those records. Pushes go past a child that cannot be reached within 0.4 s. At most 64 control links stay open, and dials are counted. Members are published at most every 50 ms. Conclusion: the cost of repair follows the number of differences.

--- a/lentilsill/daemon/admin_server.py
+++ b/lentilsill/daemon/admin_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from dataclasses import asdict
 from typing import Any
 
 from result import Err, Ok
@@ -103,6 +104,8 @@
         "in_flight": ctx.in_flight(),
         "members": len(board.members),
         "remote_nodes": len(board.remote_nodes),
+        "traffic": {p: asdict(t) for p, t in ctx.links.traffic.items()},
+        "links": ctx.links.open_counts(),
         "upstreams": {
             name: {
                 "service": rec.service,
--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -108,11 +108,8 @@
             self._push(delta, self._ctx.cfg.node)
 
     def _push(self, delta: Delta, root: str) -> None:
-        message = replace(delta, root=root)
-        children = self._membership.tree_children(root)
-        for address in children:
-            self._ctx.links.send(address, CONTROL, message)
-        self._ctx.count("distribution.pushes", len(children))
+        count = self._membership.push_down(root, replace(delta, root=root))
+        self._ctx.count("distribution.pushes", count)
 
     def _on_delta(self, link: Link, message: Delta) -> None:
         new = self._documents.merge(message)
--- a/lentilsill/daemon/controllers/membership.py
+++ b/lentilsill/daemon/controllers/membership.py
@@ -1,7 +1,6 @@
 """Membership of the own domain: join, probes and spread of node records."""
 
 import asyncio
-from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Any
@@ -14,7 +13,6 @@
 from lentilsill.distribution import (
     Convergence,
     choose_peers,
-    fanout_children,
     policy_for,
     rank_members,
 )
@@ -34,23 +32,23 @@
     record_from_row,
     record_to_row,
 )
-from lentilsill.wire import CONTROL, Link
+from lentilsill.wire import CONTROL, Link, Message
 from lentilsill.wire.messages import IndirectProbe, NodeRow, Probe, ProbeAck, Records
 
 from .relays import NO_DIGEST, DigestTuple, ProbeRelays
 from .seeds import SeedContacts
 from .summaries import SummaryExchange
+from .table_repair import TableRepair, to_rows
+from .tree_push import TreePush
 
 __all__ = ["MembershipController"]
 
 PIGGYBACK_ROWS = 6
 # Beside the tree, so that one dead child does not delay its whole subtree.
 EXTRA_PUSHES = 2
-SMALL_TABLE_ROWS = 64
-# A large table is sent whole only when its recent changes did not settle the
-# difference; 511 records of one upstream each take 52 KB.
-FULL_EXCHANGE_INTERVAL_S = 30.0
-RECENT_CHANGE_S = 30.0
+# A change is published at once, and further ones after this time. The restart
+# of a third of 511 nodes changes hundreds of records within a second.
+PUBLISH_INTERVAL_S = 0.05
 
 log = structlog.get_logger()
 
@@ -81,7 +79,9 @@
                 NodeState.JOINING,
             )
         )
-        self.summaries = SummaryExchange(ctx, self.is_gateway, self.tree_children)
+        self._tree = TreePush(ctx, self.alive_names, self._address)
+        self.summaries = SummaryExchange(ctx, self.is_gateway, self._tree.push)
+        self._repair = TableRepair(ctx, self.table, self.summaries)
         self._detector = FailureDetector(
             cfg.probe_interval_s, cfg.probe_timeout_s, cfg.suspect_timeout_s, ctx.rng
         )
@@ -90,9 +90,8 @@
         self._digest_followers: list[Callable[[Link, DigestTuple], None]] = []
         self._relays = ProbeRelays(ctx)
         self._seeds = SeedContacts(ctx, self.table, self.summaries, self._digest)
-        self._last_exchange = float("-inf")
-        self._last_full = float("-inf")
         self._publish_pending = False
+        self._last_publish = float("-inf")
         self._ranked: tuple[int, tuple[str, ...]] = (-1, ())
         self._has_left = False
 
@@ -152,12 +151,9 @@
         """Whether this node talks to other domains."""
         return self.is_first_ranked(2)
 
-    def tree_children(self, root: str) -> list[str]:
-        """Give the peer addresses that pass on a push of `root` below this node."""
-        names = self.alive_names()
-        fanout = self._ctx.cfg.distribution.fanout
-        children = fanout_children(self._ctx.cfg.node, root, names, fanout)
-        return [self._address(name) for name in children]
+    def push_down(self, root: str, message: Message) -> int:
+        """Push to this node's children in the tree of `root`; give their number."""
+        return self._tree.push(root, message)
 
     def random_peers(self, count: int, ready_only: bool = False) -> list[str]:
         """Give the peer addresses of up to `count` random live nodes."""
@@ -196,11 +192,11 @@
 
     def _push_own(self, liveness: Liveness = Liveness.ALIVE) -> None:
         me = self._ctx.cfg.node
-        row = record_to_row(self.table.own, liveness)
-        targets = [*self.tree_children(me), *self.random_peers(EXTRA_PUSHES)]
+        message = Records((_row(self.table.own, liveness),), push=True)
         self._ctx.count("membership.own_pushed")
-        for address in dict.fromkeys(targets):
-            self._send(address, Records((row,), push=True))
+        self._tree.push(me, message)
+        for address in self.random_peers(EXTRA_PUSHES):
+            self._send(address, message)
 
     # Probes
 
@@ -253,10 +249,10 @@
 
     def _digest(self) -> DigestTuple:
         docs = self._documents
-        return (docs.complete_as_of, docs.content_hash, self.table.records_hash)
+        return (docs.complete_as_of, docs.content_hash, self._repair.digest_hash)
 
     def _recent_rows(self) -> tuple[NodeRow, ...]:
-        return _rows(self.table.take_recent(PIGGYBACK_ROWS))
+        return to_rows(self.table.take_recent(PIGGYBACK_ROWS))
 
     def _on_probe(self, link: Link, message: Probe) -> None:
         self._merge(link, message.rows)
@@ -266,11 +262,10 @@
             return
         entry = self.table.get(link.hello.node)
         if entry is None:
-            own = (record_to_row(self.table.own),)
-            link.send(Records(own, want_reply=True))
+            link.send(Records((_row(self.table.own),), want_reply=True))
         elif entry.liveness != Liveness.ALIVE:
             # Only the sender itself can refute the verdict.
-            link.send(Records(_rows([entry])))
+            link.send(Records(to_rows([entry])))
         self._on_digest(link, message.digest)
 
     def _on_probe_ack(self, link: Link, message: ProbeAck) -> None:
@@ -280,6 +275,11 @@
         # A relayed answer names the node that was probed.
         self._detector.ack(message.probe_id, message.node or link.hello.node)
         self._on_digest(link, message.digest)
+        is_local = link.hello.domain == self._ctx.cfg.domain
+        if is_local and message.digest != NO_DIGEST:
+            # Only the node that probes starts, so that one probe does not lead
+            # to two exchanges.
+            self._repair.start(link, message.digest[2])
 
     # Exchange of records
 
@@ -288,38 +288,22 @@
             return
         for callback in self._digest_followers:
             callback(link, digest)
-        if digest[2] != self.table.records_hash:
-            self._exchange(link)
-
-    def _exchange(self, link: Link) -> None:
-        """Send records to a peer whose table differs, at a bounded rate."""
-        now = self._ctx.now()
-        if now - self._last_exchange < self._ctx.cfg.membership.probe_interval_s:
-            return
-        self._last_exchange = now
-        entries = self.table.entries()
-        is_small = len(entries) <= SMALL_TABLE_ROWS
-        if is_small or now - self._last_full >= FULL_EXCHANGE_INTERVAL_S:
-            self._last_full = now
-            link.send(Records(_rows(entries), want_reply=True))
-        else:
-            recent = self.table.changed_since(now - RECENT_CHANGE_S)
-            recent.sort(key=lambda e: -e.changed_at)
-            link.send(Records(_rows(recent[:SMALL_TABLE_ROWS])))
-        self._ctx.count("membership.exchanges")
 
     def _on_records(self, link: Link, message: Records) -> None:
-        changed = self._merge(link, message.rows)
+        changed, records = self._merge(link, message.rows)
         if message.push:
             self._pass_on(changed)
         if message.want_reply:
             known = {r[0]: (r[3], r[4], r[2], r[9]) for r in message.rows}
-            link.send(Records(_rows(self.table.newer_than(known))))
-            self.summaries.send_all(link)
+            link.send(Records(to_rows(self.table.newer_than(known))))
+        elif not self._has_left:
+            self._repair.answer(link, message, records)
 
-    def _merge(self, link: Link, rows: Iterable[NodeRow]) -> list[Entry]:
+    def _merge(
+        self, link: Link, rows: Iterable[NodeRow]
+    ) -> tuple[list[Entry], list[tuple[NodeRecord, Liveness]]]:
         if not rows or self._has_left:
-            return []
+            return [], []
         records = []
         for row in rows:
             try:
@@ -334,28 +318,29 @@
         if self.table.own is not own_before:
             self._ctx.count("membership.refuted")
             self._push_own()
-            link.send(Records((record_to_row(self.table.own),)))
-        return changed
+            link.send(Records((_row(self.table.own),)))
+        return changed, records
 
     def _pass_on(self, changed: list[Entry]) -> None:
         """Pass new records down the trees that are rooted at their nodes."""
-        rows: dict[str, list[NodeRow]] = defaultdict(list)
         for entry in changed:
-            if entry.record.node != self._ctx.cfg.node:
-                for address in self.tree_children(entry.record.node):
-                    rows[address].append(record_to_row(entry.record, entry.liveness))
-        for address, address_rows in rows.items():
-            self._send(address, Records(tuple(address_rows), push=True))
+            root = entry.record.node
+            if root != self._ctx.cfg.node:
+                row = _row(entry.record, entry.liveness)
+                self._tree.push(root, Records((row,), push=True))
 
     # Blackboard
 
     def _publish_soon(self) -> None:
         if not self._publish_pending:
             self._publish_pending = True
-            asyncio.get_running_loop().call_soon(self._publish)
+            elapsed = self._ctx.now() - self._last_publish
+            delay_s = max(0.0, PUBLISH_INTERVAL_S - elapsed)
+            asyncio.get_running_loop().call_later(delay_s, self._publish)
 
     def _publish(self) -> None:
         self._publish_pending = False
+        self._last_publish = self._ctx.now()
         live = self.table.live()
         board = self._ctx.board
         board.members = {e.record.node: e.record for e in live}
@@ -392,5 +377,5 @@
             self._ctx.links.send(address, CONTROL, message)
 
 
-def _rows(entries: Iterable[Entry]) -> tuple[NodeRow, ...]:
-    return tuple(record_to_row(e.record, e.liveness) for e in entries)  # type: ignore[misc]
+def _row(record: NodeRecord, liveness: Liveness = Liveness.ALIVE) -> NodeRow:
+    return record_to_row(record, liveness)  # type: ignore[return-value]
--- a/lentilsill/daemon/controllers/seeds.py
+++ b/lentilsill/daemon/controllers/seeds.py
@@ -16,6 +16,7 @@
 __all__ = ["SeedContacts"]
 
 JOIN_SEEDS = 3
+ASK_AGAIN_S = 2.0
 BACKOFF_BASE_S = 0.5
 BACKOFF_CAP_S = 5.0
 # Probes reach live nodes only, so two halves of a domain that took each other
@@ -38,6 +39,7 @@
         self._summaries = summaries
         self._digest = digest
         self._met: set[str] = set()
+        self._asked_at = float("-inf")
 
     def start(self) -> None:
         """Start the contact loop."""
@@ -81,8 +83,13 @@
         if entry is not None and entry.liveness != Liveness.DEAD:
             link.send(Probe(0, self._digest()))
             return
+        now = self._ctx.now()
         rows: list[Any] = [record_to_row(self._table.own)]
         if entry is not None:
             # The peer refutes the verdict on itself.
             rows.append(record_to_row(entry.record, entry.liveness))
-        link.send(Records(tuple(rows), want_reply=True))
+        # One seed sends its whole table; repair finds what that one lacks.
+        must_ask = now - self._asked_at > ASK_AGAIN_S or entry is not None
+        if must_ask:
+            self._asked_at = now
+        link.send(Records(tuple(rows), want_reply=must_ask))
--- /dev/null
+++ b/lentilsill/daemon/controllers/table_repair.py
@@ -0,0 +1,93 @@
+"""Repair of member tables and summaries that differ from a peer's."""
+
+from collections.abc import Iterable
+
+from lentilsill.daemon.context import Context
+from lentilsill.membership import (
+    Entry,
+    Liveness,
+    MemberTable,
+    NodeRecord,
+    record_to_row,
+)
+from lentilsill.wire import Link
+from lentilsill.wire.messages import NodeRow, Records
+
+from .summaries import SummaryExchange
+
+__all__ = ["TableRepair", "to_rows"]
+
+# One exchange names 16 records per bucket of 511 members, so it moves at most
+# about 128 records (20 KB); further buckets take further probes.
+MAX_BUCKETS = 8
+
+
+class TableRepair:
+    """Exchanges hashes of buckets, then only the records that differ.
+
+    See Also
+    --------
+    lentilsill.wire.messages.Records : the messages of the exchange.
+    """
+
+    def __init__(
+        self, ctx: Context, table: MemberTable, summaries: SummaryExchange
+    ) -> None:
+        self._ctx = ctx
+        self._table = table
+        self._summaries = summaries
+        self._last_start = float("-inf")
+
+    @property
+    def digest_hash(self) -> int:
+        """Hash of the member table and of the summaries of other domains."""
+        return self._table.records_hash ^ self._summaries.content_hash
+
+    def start(self, link: Link, their_hash: int) -> None:
+        """Start an exchange with a peer that differs, at a bounded rate."""
+        now = self._ctx.now()
+        interval = self._ctx.cfg.membership.probe_interval_s
+        if their_hash == self.digest_hash or now - self._last_start < interval / 2:
+            return
+        self._last_start = now
+        self._ctx.count("membership.repairs")
+        hashes = self._table.bucket_hashes
+        link.send(Records((), table=hashes, summaries=self._summaries.listing()))
+
+    def answer(
+        self,
+        link: Link,
+        message: Records,
+        records: list[tuple[NodeRecord, Liveness]],
+    ) -> None:
+        """Answer a message of an exchange; its `records` have been merged."""
+        table = self._table
+        listing: tuple[tuple[str, int, int], ...] = ()
+        if message.summaries:
+            self._summaries.send_newer(link, message.summaries)
+            listing = self._summaries.listing_if_behind(message.summaries)
+        if message.table:
+            differing = table.differing_buckets(message.table)
+            chosen = self._ctx.rng.sample(differing, min(MAX_BUCKETS, len(differing)))
+            if chosen or listing:
+                hashes = tuple(table.hashes_in(chosen))
+                link.send(Records((), False, False, (), tuple(chosen), hashes, listing))
+        elif listing:
+            link.send(Records((), summaries=listing))
+        if message.buckets:
+            missing = table.missing(message.buckets, message.hashes)
+            mine = set(table.hashes_in(message.buckets))
+            wanted = tuple(h for h in message.hashes if h not in mine)
+            link.send(Records(to_rows(missing), hashes=wanted))
+        else:
+            found = {e.record.node: e for e in table.with_hashes(message.hashes)}
+            if not message.push:
+                # The peer must not keep a record that is older than the own one.
+                found |= {e.record.node: e for e in table.newer_than_rows(records)}
+            if found:
+                link.send(Records(to_rows(found.values())))
+
+
+def to_rows(entries: Iterable[Entry]) -> tuple[NodeRow, ...]:
+    """Give the rows of entries."""
+    return tuple(record_to_row(e.record, e.liveness) for e in entries)  # type: ignore[misc]
--- a/lentilsill/membership/__init__.py
+++ b/lentilsill/membership/__init__.py
@@ -16,10 +16,18 @@
     UpstreamState,
 )
 from .rows import RowError, record_from_row, record_to_row, upstream_from_row
-from .summary import DomainSummary, SummaryTable, build_summary
-from .table import Entry, MemberTable
+from .summary import (
+    DomainSummary,
+    SummaryDelta,
+    SummaryTable,
+    apply_delta,
+    build_summary,
+    diff_summaries,
+)
+from .table import BUCKETS, Entry, MemberTable
 
 __all__ = [
+    "BUCKETS",
     "Action",
     "DeclareDead",
     "DeclareSuspect",
@@ -33,10 +41,13 @@
     "RowError",
     "SendIndirectProbe",
     "SendProbe",
+    "SummaryDelta",
     "SummaryTable",
     "UpstreamRecord",
     "UpstreamState",
+    "apply_delta",
     "build_summary",
+    "diff_summaries",
     "record_from_row",
     "record_to_row",
     "upstream_from_row",
--- a/lentilsill/membership/table.py
+++ b/lentilsill/membership/table.py
@@ -1,14 +1,18 @@
 """Records of the own domain's nodes with liveness verdicts."""
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 import xxhash
 
 from .records import Liveness, NodeRecord
 
-__all__ = ["Entry", "MemberTable"]
+__all__ = ["BUCKETS", "Entry", "MemberTable"]
+
+# Buckets of the hash comparison. With 511 members, one difference takes 0.6 KB
+# with 32 buckets; 16 and 64 take more (bench/sizes.py).
+BUCKETS = 32
 
 # SWIM spreads a change to all members with high probability when each member
 # repeats it a small multiple of log2(n) times (Das et al. 2002, section 4.1).
@@ -36,6 +40,14 @@
         record = self.record
         return (*record.order, record.instance, int(self.liveness))
 
+    @property
+    def hash(self) -> int:
+        """64-bit hash of what the entry says; 0 for a dead node."""
+        if self.liveness == Liveness.DEAD:
+            return 0
+        text = f"{self.record.node}\0{self.precedence}"
+        return xxhash.xxh64_intdigest(text.encode())
+
 
 class MemberTable:
     """Merges records; the result does not depend on order or repetition.
@@ -65,7 +77,8 @@
         self._max_members = max_members
         self._entries: dict[str, Entry] = {}
         self._recent: dict[str, int] = {}
-        self._hash = 0
+        self._bucket_hashes = [0] * BUCKETS
+        self._bucket_nodes: list[set[str]] = [set() for _ in range(BUCKETS)]
         self.version = 0
         self._put(Entry(own, Liveness.ALIVE, 0.0))
 
@@ -81,7 +94,50 @@
         Dead nodes are left out, so that tables which forget them at different
         times stay equal.
         """
-        return self._hash
+        total = 0
+        for value in self._bucket_hashes:
+            total ^= value
+        return total
+
+    @property
+    def bucket_hashes(self) -> tuple[int, ...]:
+        """Hash of each bucket of records; together they give `records_hash`."""
+        return tuple(self._bucket_hashes)
+
+    def differing_buckets(self, theirs: Collection[int]) -> list[int]:
+        """List the buckets whose hash differs from a peer's."""
+        pairs = zip(self._bucket_hashes, theirs, strict=False)
+        return [i for i, (mine, other) in enumerate(pairs) if mine != other]
+
+    def hashes_in(self, buckets: Iterable[int]) -> list[int]:
+        """List the entry hashes of the live nodes in some buckets."""
+        return [entry.hash for entry in self._live_in(buckets)]
+
+    def missing(self, buckets: Iterable[int], hashes: Collection[int]) -> list[Entry]:
+        """List the live entries in some buckets that `hashes` does not name."""
+        known = set(hashes)
+        return [entry for entry in self._live_in(buckets) if entry.hash not in known]
+
+    def with_hashes(self, hashes: Collection[int]) -> list[Entry]:
+        """List the live entries that `hashes` names."""
+        wanted = set(hashes)
+        return [entry for entry in self.live() if entry.hash in wanted]
+
+    def newer_than_rows(
+        self, rows: Iterable[tuple[NodeRecord, Liveness]]
+    ) -> list[Entry]:
+        """List the entries that are newer than the rows about their nodes.
+
+        A dead node has no hash, so a peer learns of its death by this answer.
+        """
+        found = []
+        for record, liveness in rows:
+            entry = self._entries.get(record.node)
+            if entry is None or record.node == self._me:
+                continue
+            if entry.precedence > Entry(record, liveness, 0.0).precedence:
+                found.append(entry)
+        return found
 
     def get(self, node: str) -> Entry | None:
         """Give the entry of a node, dead or not."""
@@ -95,16 +151,16 @@
         """List the entries of nodes that are alive or suspect."""
         return [e for e in self._entries.values() if e.liveness != Liveness.DEAD]
 
-    def changed_since(self, since: float) -> list[Entry]:
-        """List the entries that this table learned after `since` (seconds)."""
-        return [e for e in self._entries.values() if e.changed_at > since]
-
     def newer_than(self, known: Mapping[str, Precedence]) -> list[Entry]:
-        """List the entries that a peer with `known` lacks or has older."""
+        """List the entries that a peer with `known` lacks or has older.
+
+        Dead nodes that the peer does not know are left out: each table would
+        otherwise teach them anew to one that has forgotten them.
+        """
         return [
             e
             for node, e in self._entries.items()
-            if node not in known or e.precedence > known[node]
+            if (e.precedence > known[node] if node in known else e.hash)
         ]
 
     def update_own(self, record: NodeRecord, now: float) -> bool:
@@ -152,8 +208,7 @@
         for node, entry in list(self._entries.items()):
             is_old = now - entry.changed_at >= self._dead_memory_s
             if entry.liveness == Liveness.DEAD and is_old:
-                del self._entries[node]
-                self._recent.pop(node, None)
+                self._forget(node)
 
     def take_recent(self, limit: int) -> list[Entry]:
         """Give up to `limit` changed entries that were sent least often."""
@@ -184,10 +239,19 @@
         if not dead:
             return False
         oldest = min(dead, key=lambda e: e.changed_at).record.node
-        del self._entries[oldest]
-        self._recent.pop(oldest, None)
+        self._forget(oldest)
         return True
 
+    def _forget(self, node: str) -> None:
+        del self._entries[node]
+        self._bucket_nodes[_bucket_of(node)].discard(node)
+        self._recent.pop(node, None)
+
+    def _live_in(self, buckets: Iterable[int]) -> list[Entry]:
+        nodes = [n for b in buckets if b < BUCKETS for n in self._bucket_nodes[b]]
+        entries = [self._entries[node] for node in nodes]
+        return [e for e in entries if e.liveness != Liveness.DEAD]
+
     def _refute(
         self, record: NodeRecord, liveness: Liveness, now: float
     ) -> Entry | None:
@@ -210,10 +274,12 @@
 
     def _put(self, entry: Entry) -> None:
         node = entry.record.node
+        bucket = _bucket_of(node)
         old = self._entries.get(node)
         if old is not None:
-            self._hash ^= _entry_hash(old)
-        self._hash ^= _entry_hash(entry)
+            self._bucket_hashes[bucket] ^= old.hash
+        self._bucket_hashes[bucket] ^= entry.hash
+        self._bucket_nodes[bucket].add(node)
         self._entries[node] = entry
         self.version += 1
         self._recent[node] = RETRANSMIT_FACTOR * math.ceil(
@@ -221,8 +287,5 @@
         )
 
 
-def _entry_hash(entry: Entry) -> int:
-    if entry.liveness == Liveness.DEAD:
-        return 0
-    text = f"{entry.record.node}\0{entry.precedence}"
-    return xxhash.xxh64_intdigest(text.encode())
+def _bucket_of(node: str) -> int:
+    return xxhash.xxh64_intdigest(node.encode()) % BUCKETS
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -14,8 +14,8 @@
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
+from .handshake import READ_CHUNK_BYTES, read_hello
 from .messages import (
-    CALLS,
     CONTROL,
     MAX_MESSAGE_BYTES,
     PROTOCOL_VERSION,
@@ -29,10 +29,16 @@
 
 __all__ = ["Identity", "Link", "LinkError", "PeerLinks", "Traffic"]
 
-READ_CHUNK_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
 # Two whole documents sets of the largest size may wait for a slow peer.
 MAX_WRITE_BUFFER_BYTES = 2 * MAX_MESSAGE_BYTES
+# A node probes a random peer each second and would keep a link to each of 511.
+MAX_CONTROL_LINKS = 64
+# An answer may still be under way on a link that was used more recently.
+MIN_IDLE_S = 5.0
+# A dead host does not refuse a dial, and leaving upstreams must be known
+# everywhere within 2 s.
+UNSENT_AFTER_S = 0.4
 
 log = structlog.get_logger()
 
@@ -59,13 +65,15 @@
     sent_messages: int = 0
     received_bytes: int = 0
     received_messages: int = 0
+    dials: int = 0
+    idle_closed: int = 0
 
 
 @dataclass(eq=False, slots=True)
 class Link:
     """One stream to a peer after both sides have sent `Hello`.
 
-    `last_received` is in seconds of the event loop's clock.
+    `last_received` and `last_sent` are in seconds of the event loop's clock.
     """
 
     stream: IOStream
@@ -75,6 +83,12 @@
     last_received: float
     traffic: Traffic
     on_close: list[Callable[["Link"], None]] = field(default_factory=list)
+    last_sent: float = 0.0
+
+    @property
+    def last_used(self) -> float:
+        """When bytes last went in either direction."""
+        return max(self.last_received, self.last_sent)
 
     @property
     def is_open(self) -> bool:
@@ -90,6 +104,7 @@
             return False
         self.traffic.sent_bytes += len(data)
         self.traffic.sent_messages += 1
+        self.last_sent = asyncio.get_running_loop().time()
         return True
 
     def close(self) -> None:
@@ -108,8 +123,16 @@
     on that link, and must not block.
     """
 
-    def __init__(self, identity: Identity, bind_ip: str = "") -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        bind_ip: str = "",
+        max_control_links: int = MAX_CONTROL_LINKS,
+        min_idle_s: float = MIN_IDLE_S,
+    ) -> None:
         self.identity = identity
+        self.max_control_links = max_control_links
+        self.min_idle_s = min_idle_s
         self.bind_ip = bind_ip
         self.handlers: dict[type, Handler] = {}
         self.close_handlers: list[Callable[[Link], None]] = []
@@ -167,11 +190,25 @@
 
     def send(self, address: str, purpose: str, message: Message) -> None:
         """Send without waiting; a message to an unreachable peer is dropped."""
+        self.send_or_else(address, purpose, message, None)
+
+    def send_or_else(
+        self,
+        address: str,
+        purpose: str,
+        message: Message,
+        on_unsent: Callable[[], None] | None,
+    ) -> None:
+        """Send without waiting, and call `on_unsent` once when that fails.
+
+        It is also called when the link is not open within 0.4 s; in that case
+        the message may still be sent.
+        """
         link = self.find(address, purpose)
-        if link is not None:
-            link.send(message)
-            return
-        self._spawn(self._send_later(address, purpose, message))
+        if link is None:
+            self._spawn(self._send_later(address, purpose, message, on_unsent))
+        elif not link.send(message) and on_unsent is not None:
+            on_unsent()
 
     async def flush(self, timeout_s: float) -> None:
         """Wait until queued messages are handed to the kernel, or the timeout."""
@@ -184,6 +221,10 @@
         futs = [fut for fut in self._dialed.values() if fut.done() and _is_open(fut)]
         return [fut.result() for fut in futs]
 
+    def open_counts(self) -> dict[str, int]:
+        """Give the numbers of links that are open now."""
+        return {"dialed": len(self._dialed_links()), "accepted": len(self.accepted)}
+
     def close(self) -> None:
         """Stop accepting and close every link."""
         if self._server is not None:
@@ -193,12 +234,39 @@
         for address, purpose in list(self._dialed):
             self.forget(address, purpose)
 
-    async def _send_later(self, address: str, purpose: str, message: Message) -> None:
+    async def _send_later(
+        self,
+        address: str,
+        purpose: str,
+        message: Message,
+        on_unsent: Callable[[], None] | None,
+    ) -> None:
+        dial = asyncio.ensure_future(self.connect(address, purpose))
+        await asyncio.wait([dial], timeout=UNSENT_AFTER_S if on_unsent else None)
+        if not dial.done() and on_unsent is not None:
+            on_unsent()
+            on_unsent = None
         try:
-            link = await self.connect(address, purpose)
+            is_sent = (await dial).send(message)
         except LinkError:
-            return
-        link.send(message)
+            is_sent = False
+        if not is_sent and on_unsent is not None:
+            on_unsent()
+
+    def _close_idle(self) -> None:
+        """Make room for one more control link by closing those unused longest."""
+        now = asyncio.get_running_loop().time()
+        keys = {key: self.find(*key) for key in self._dialed if key[1] == CONTROL}
+        found = {key: link for key, link in keys.items() if link is not None}
+        idle = [
+            (link.last_used, key)
+            for key, link in found.items()
+            if now - link.last_used > self.min_idle_s and not link.stream.writing()
+        ]
+        excess = max(0, len(found) + 1 - self.max_control_links)
+        for _, key in sorted(idle)[:excess]:
+            self.traffic[CONTROL].idle_closed += 1
+            self.forget(*key)
 
     def _spawn(self, coro) -> None:
         task = asyncio.ensure_future(coro)
@@ -213,6 +281,9 @@
 
     async def _dial(self, address: str, purpose: str) -> Link:
         host, port = split_address(address)
+        self.traffic[purpose].dials += 1
+        if purpose == CONTROL:
+            self._close_idle()
         try:
             stream = await TCPClient().connect(
                 host,
@@ -235,7 +306,7 @@
             if dialed:
                 stream.write(encode(self._hello(purpose)))
             hello, pending = await asyncio.wait_for(
-                _read_hello(stream, unpacker), CONNECT_TIMEOUT_S
+                read_hello(stream, unpacker), CONNECT_TIMEOUT_S
             )
             if not dialed:
                 stream.write(encode(self._hello(hello.purpose)))
@@ -304,29 +375,6 @@
             log.warning("peer_handshake_failed", error=str(exc))
 
 
-async def _read_hello(
-    stream: IOStream, unpacker: msgpack.Unpacker
-) -> tuple[Hello, list]:
-    """Read up to and including `Hello`; also give what came after it."""
-    objs: list = []
-    while not objs:
-        unpacker.feed(await stream.read_bytes(READ_CHUNK_BYTES, partial=True))
-        try:
-            objs = list(unpacker)
-        except (msgpack.UnpackException, ValueError) as exc:
-            raise WireError(f"not a message stream: {exc}") from exc
-    hello = decode(objs[0])
-    if not isinstance(hello, Hello):
-        raise WireError(f"expected Hello, got {type(hello).__name__}")
-    if hello.protocol_version != PROTOCOL_VERSION:
-        raise WireError(
-            f"protocol version {hello.protocol_version}, expected {PROTOCOL_VERSION}"
-        )
-    if hello.purpose not in (CONTROL, CALLS):
-        raise WireError(f"unknown link purpose {hello.purpose!r}")
-    return hello, objs[1:]
-
-
 def split_address(address: str) -> tuple[str, int]:
     """Split ``ip:port``.
 
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -48,6 +48,7 @@
 
 PROTOCOL_VERSION = 1
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+UNPACK_BUFFER_BYTES = 16 * 1024
 
 CONTROL = "control"
 CALLS = "calls"
@@ -115,11 +116,22 @@
 
     With `push`, the receiver passes on what is new to it, down the tree that is
     rooted at each record's node.
+
+    Repair of different tables takes three messages: the hashes of all buckets
+    (`table`) of the first node; the numbers of the differing `buckets` and the
+    hashes of the records in them (`hashes`) of the second; the records that
+    these lack, with the `hashes` that the first node lacks itself. The second
+    then answers with the records of these. `summaries` lists (domain,
+    generation, content hash); the receiver sends the summaries that are newer.
     """
 
     rows: tuple[NodeRow, ...]
     want_reply: bool = False
     push: bool = False
+    table: tuple[int, ...] = ()
+    buckets: tuple[int, ...] = ()
+    hashes: tuple[int, ...] = ()
+    summaries: tuple[tuple[str, int, int], ...] = ()
 
 
 class DeltaRequest(msgspec.Struct, frozen=True, array_like=True, tag=6):
@@ -164,6 +176,9 @@
 
     `nodes` holds the records of the nodes that host the named upstreams, and
     `totals` holds (service, ready upstreams, slots). `root` is as in `Delta`.
+    With `partial`, only what differs from an older summary is given, with the
+    names of nodes that are `gone`; a service without ready upstreams has a
+    total of 0. The result must have `content_hash`.
     """
 
     domain: str
@@ -171,6 +186,9 @@
     totals: tuple[tuple[str, int, int], ...]
     nodes: tuple[NodeRow, ...]
     root: str = ""
+    partial: bool = False
+    gone: tuple[str, ...] = ()
+    content_hash: int = 0
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag=11):
@@ -371,4 +389,6 @@
         raw=False,
         strict_map_key=True,
         max_buffer_size=MAX_MESSAGE_BYTES,
+        # Size of the first buffer; the default of 1 MB is allocated per link.
+        read_size=UNPACK_BUFFER_BYTES,
     )
