--- a/lentilsill/daemon/controllers/quarantine.py
+++ b/lentilsill/daemon/controllers/quarantine.py
@@ -6,7 +6,7 @@
 import structlog
 
 from lentilsill.daemon.context import Context
-from lentilsill.quarantine import CrashRow, CrashTracker
+from lentilsill.quarantine import CrashTracker
 from lentilsill.wire import CONTROL, Link, Message
 from lentilsill.wire.messages import CrashReport
 
@@ -26,19 +26,19 @@
 class QuarantineController:
     """Implements `CrashGuard` and spreads crashes to the own domain.
 
-    `tree_children` gives the addresses below this node in the fan-out tree of a
-    root, and `random_peers` some peers of the domain. Without them reports go
-    to all members.
+    `push_down` sends a message to the nodes below this one in the fan-out tree
+    of a root, and `random_peers` gives some peers of the domain. Without them
+    reports go to all members.
     """
 
     def __init__(
         self,
         ctx: Context,
-        tree_children: Callable[[str], list[str]] | None = None,
+        push_down: Callable[[str, Message], object] | None = None,
         random_peers: Callable[[int], list[str]] | None = None,
     ) -> None:
         self.ctx = ctx
-        self.tree_children = tree_children or self._children_without_tree
+        self.push_down = push_down or self._push_to_all
         self.random_peers = random_peers or self._some_members
         self.tracker = CrashTracker()
         self.has_joined = False
@@ -64,16 +64,13 @@
             return
         log.warning("crash_suspects", suspects=[(row[0], row[1]) for row in rows])
         self.ctx.count("crashes")
-        self._push(rows, self.ctx.cfg.node)
+        root = self.ctx.cfg.node
+        self.push_down(root, CrashReport(rows, root))
 
     def finished(self, fingerprint: str) -> None:
         """The request finished without a crash."""
         self.tracker.finished(fingerprint, self.ctx.now())
 
-    def _push(self, rows: tuple[CrashRow, ...], root: str) -> None:
-        for address in self.tree_children(root):
-            self.ctx.links.send(address, CONTROL, CrashReport(rows, root))
-
     def _on_report(self, link: Link, message: Message) -> None:
         assert isinstance(message, CrashReport)
         # Reports are for one domain: fingerprints of others are of no use here.
@@ -85,7 +82,7 @@
             link.send(CrashReport(self.tracker.report(now)[:MAX_REPORT_ROWS]))
         elif message.root:
             if news:
-                self._push(news, message.root)
+                self.push_down(message.root, CrashReport(news, message.root))
         else:
             self.has_joined = True
 
@@ -112,8 +109,9 @@
     def _some_members(self, count: int) -> list[str]:
         return self.ctx.rng.sample(self._members(), min(count, len(self._members())))
 
-    def _children_without_tree(self, root: str) -> list[str]:
-        return self._members() if root == self.ctx.cfg.node else []
+    def _push_to_all(self, root: str, message: Message) -> None:
+        for address in self._members() if root == self.ctx.cfg.node else ():
+            self.ctx.links.send(address, CONTROL, message)
 
     def _dump(self) -> list[dict[str, object]]:
         return [
--- a/lentilsill/daemon/controllers/tests/test_claims.py
+++ b/lentilsill/daemon/controllers/tests/test_claims.py
@@ -291,7 +291,7 @@
     async def test_started_node_learns_quarantines(self):
         """Guards against a new node that executes a quarantined request."""
         a, b = self.make_nodes(2)
-        old = QuarantineController(a, lambda root: [], lambda count: [])
+        old = QuarantineController(a, lambda root, message: 0, lambda count: [])
         old.start()
         for _ in range(2):
             old.upstream_died(("f",))
@@ -306,7 +306,10 @@
         following = addresses[1:] + addresses[:1]
 
         def make_guard(ctx, child):
-            return QuarantineController(ctx, lambda root: [child], lambda count: [])
+            def push(root, message):
+                ctx.links.send(child, CONTROL, message)
+
+            return QuarantineController(ctx, push, lambda count: [])
 
         guards = list(map(make_guard, nodes, following))
         for guard in guards:
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -102,7 +102,7 @@
 def _start_call_path(
     ctx: Context, api: HttpObjectApi, membership: MembershipController
 ) -> tuple[EntryController, DestinationController, ClaimsController]:
-    guard = QuarantineController(ctx, membership.tree_children, membership.random_peers)
+    guard = QuarantineController(ctx, membership.push_down, membership.random_peers)
     claims = ClaimsController(ctx, api, lambda: membership.is_first_ranked(1))
     destination = DestinationController(ctx, guard, claims.store_for_lost)
     entry = EntryController(ctx, destination, claims, guard)
