Let status counts follow the members, and show when a domain last wrote

Node counts were high-water marks: after a node died the status went on to say that it had the version in force. A silent domain looked like a current one.

A count is now ordered by version, then by the view of its writer (revision, time by a clock that never steps), so a later and lower count wins, and a stale writer still lowers no version. A writer that has led for less than 5 s lowers no count, since its members have not reported yet. The status is written again after 25 s without a change and carries updated_at_ms.

New tests cover the death of a node and the repeated write.

--- a/lentilsill/cli/reports.py
+++ b/lentilsill/cli/reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -18,9 +19,13 @@
 STATUS_KIND = "status"
 WATCH_S = 30.0
 RETRY_S = 0.5
-HEADINGS = ("DOMAIN", "SERVICE", "ACCEPTED", "IN FORCE", "NODES", "AS OF")
+HEADINGS = ("DOMAIN", "SERVICE", "ACCEPTED", "IN FORCE", "NODES", "AS OF", "UPDATED")
+# A domain writes at least every 55 s while one of its writers reaches the
+# platform.
+STALE_S = 90.0
 
 Say = Callable[[str], None]
+Clock = Callable[[], float]
 
 
 NO_REPORT = ServiceStatus(as_of=0, newest=0)
@@ -48,32 +53,43 @@
         return cls(service, int(version))
 
 
-async def print_status(api: ObjectApi, as_json: bool, say: Say) -> ExitCode:
+async def print_status(
+    api: ObjectApi, as_json: bool, say: Say, clock: Clock = time.time
+) -> ExitCode:
     """Print the status objects of all domains once."""
     match await api.list(STATUS_KIND):
         case Err(error):
             say(describe(error))
             return ExitCode.UNAVAILABLE
         case Ok(listing):
-            _print(listing.objects, as_json, say)
+            _print(listing.objects, as_json, say, clock())
     return ExitCode.OK
 
 
-async def watch_status(api: ObjectApi, as_json: bool, say: Say) -> ExitCode:
+async def watch_status(
+    api: ObjectApi, as_json: bool, say: Say, clock: Clock = time.time
+) -> ExitCode:
     """Print the status after each change, until interrupted."""
     objects: dict[str, StoredObject] = {}
     revision: int | None = None
     while True:
         revision = await _follow(api, objects, revision, WATCH_S, say)
         if revision is not None:
-            _print(tuple(objects.values()), as_json, say)
+            _print(tuple(objects.values()), as_json, say, clock())
 
 
 async def wait_for(
-    api: ObjectApi, target: Target, domains: list[str], bound_s: float, say: Say
+    api: ObjectApi,
+    target: Target,
+    domains: list[str],
+    bound_s: float,
+    say: Say,
+    clock: Clock = time.time,
 ) -> ExitCode:
     """Wait until every node of the domains has the version in force.
 
+    A domain whose status is old may have changed since and counts as missing.
+
     Parameters
     ----------
     domains : list of str
@@ -94,11 +110,11 @@
             for line in rejected:
                 say(line)
             return ExitCode.REJECTED
-        if not _missing(reports, target, domains):
+        if not _missing(reports, target, domains, clock()):
             say(f"{target.service}: version {target.version} is in force everywhere")
             return ExitCode.OK
     reports = _read_all(objects.values())
-    for line in _missing(reports, target, domains):
+    for line in _missing(reports, target, domains, clock()):
         say(line)
     say(f"{target.service}: version {target.version} not everywhere in {bound_s:g} s")
     return ExitCode.TIMEOUT
@@ -152,7 +168,7 @@
 
 
 def _missing(
-    reports: list[DomainStatus], target: Target, domains: list[str]
+    reports: list[DomainStatus], target: Target, domains: list[str], now_s: float
 ) -> list[str]:
     """Name what still differs from the target, one line per domain."""
     by_name = {report.domain: report for report in reports}
@@ -162,6 +178,9 @@
         if report is None:
             lines.append(f"{name}: has not reported")
             continue
+        if _age_s(report, now_s) > STALE_S:
+            lines.append(_stale_line(report, now_s))
+            continue
         entry = report.services.get(target.service, NO_REPORT)
         reached = entry.in_force >= target.version
         if not reached or entry.nodes < max(entry.nodes_heard, 1):
@@ -186,7 +205,9 @@
     return [f"{place} rejected: {text}" for text in findings or ("no findings",)]
 
 
-def _print(objects: tuple[StoredObject, ...], as_json: bool, say: Say) -> None:
+def _print(
+    objects: tuple[StoredObject, ...], as_json: bool, say: Say, now_s: float
+) -> None:
     ordered = sorted(objects, key=lambda obj: obj.name)
     if as_json:
         say(json.dumps([obj.value for obj in ordered], ensure_ascii=False))
@@ -198,8 +219,8 @@
             case str(problem):
                 notes.append(problem)
             case report:
-                rows += _rows(report)
-                notes += _notes(report)
+                rows += _rows(report, now_s)
+                notes += _notes(report, now_s)
     widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
     for row in rows:
         cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
@@ -208,7 +229,25 @@
         say(note)
 
 
-def _rows(report: DomainStatus) -> list[tuple[str, ...]]:
+def _age_s(report: DomainStatus, now_s: float) -> float:
+    """Age of a status; the clocks of hosts and operators may differ."""
+    return max(now_s - report.updated_at_ms / 1000, 0.0)
+
+
+def _age_text(report: DomainStatus, now_s: float) -> str:
+    if not report.updated_at_ms:
+        return "unknown"
+    return f"{_age_s(report, now_s):.0f} s ago"
+
+
+def _stale_line(report: DomainStatus, now_s: float) -> str:
+    return (
+        f"{report.domain}: not heard from, status updated "
+        f"{_age_text(report, now_s)}; it may have changed since"
+    )
+
+
+def _rows(report: DomainStatus, now_s: float) -> list[tuple[str, ...]]:
     return [
         (
             report.domain,
@@ -217,13 +256,16 @@
             str(entry.in_force or "-"),
             f"{entry.nodes}/{entry.nodes_heard}",
             str(entry.as_of),
+            _age_text(report, now_s),
         )
         for name, entry in sorted(report.services.items())
     ]
 
 
-def _notes(report: DomainStatus) -> list[str]:
+def _notes(report: DomainStatus, now_s: float) -> list[str]:
     notes = []
+    if _age_s(report, now_s) > STALE_S:
+        notes.append(_stale_line(report, now_s))
     for name, entry in sorted(report.services.items()):
         place = f"{report.domain}: {name} version"
         for version, findings in entry.rejected.items():
--- a/lentilsill/daemon/controllers/status.py
+++ b/lentilsill/daemon/controllers/status.py
@@ -39,6 +39,11 @@
 # How often a writer reads the object back without a cause, so that an object
 # that was deleted or overwritten by hand is written again.
 REFRESH_S = 30.0
+# An unchanged status is written again after this time, so that operators see
+# which domains still write. Two writers make at most 2 writes in 25 s.
+HEARTBEAT_MS = 25_000
+# Members report within an interval; a new writer's counts lower none before.
+SETTLE_S = 5.0
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 10.0
 
@@ -92,6 +97,8 @@
         self._report_due = asyncio.Event()
         self._write_due = asyncio.Event()
         self._last_error = ""
+        self._writer_since_s: float | None = None
+        self.settle_s = SETTLE_S
 
     def start(self) -> None:
         """Follow the blackboard, take reports and run until the node stops."""
@@ -201,9 +208,14 @@
                 self._stored = None
             position = self._position()
             if position is None:
+                self._writer_since_s = None
                 self._write_due.clear()
                 self._stored = None
                 continue
+            if self._writer_since_s is None:
+                self._writer_since_s = self.ctx.now()
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.settle_s, self._write_due.set)
             # The second writer waits longer and then usually finds its report
             # already written by the first.
             await asyncio.sleep(self.interval_s * (1 + position))
@@ -240,7 +252,9 @@
         stored = self._stored
         assert stored is not None
         merged = merge_status(stored.status, self._current())
-        if stored.version and _content(merged) == _content(stored.status):
+        age_ms = merged.updated_at_ms - stored.status.updated_at_ms
+        is_same = _content(merged) == _content(stored.status)
+        if stored.version and is_same and age_ms < HEARTBEAT_MS:
             return None
         value = status_to_value(merged)
         domain = self.ctx.cfg.domain
@@ -258,7 +272,13 @@
             self.reports.keep_only({*members, self.ctx.cfg.node})
             for node in self._report_links.keys() - members.keys():
                 del self._report_links[node]
-        return self.reports.status(self.ctx.cfg.domain, self.store)
+        since_s = self._writer_since_s
+        return self.reports.status(
+            self.ctx.cfg.domain,
+            self.store,
+            self.ctx.wall_ms(),
+            since_s is not None and self.ctx.now() - since_s >= self.settle_s,
+        )
 
     def _read(self, obj: StoredObject | None) -> _Stored:
         domain = self.ctx.cfg.domain
@@ -296,4 +316,7 @@
 
 def _content(status: DomainStatus) -> dict[str, Any]:
     """The part of a status whose change is worth a write."""
-    return {name: replace(part, as_of=0) for name, part in status.services.items()}
+    return {
+        name: replace(part, as_of=0, counted_as_of=0, counted_at_ms=0)
+        for name, part in status.services.items()
+    }
--- a/lentilsill/daemon/tests/test_status_controller.py
+++ b/lentilsill/daemon/tests/test_status_controller.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 from tornado.testing import bind_unused_port
 
+from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.controllers.documents import DocumentsController
 from lentilsill.daemon.controllers.status import StatusController
 from lentilsill.daemon.node import make_context
@@ -73,6 +74,7 @@
         documents = DocumentsController(ctx)
         status = StatusController(ctx, documents.store, self.api, lambda: self.ranked)
         status.interval_s = 0.02
+        status.settle_s = 0.1
         rec = NodeRecord(
             name, "d", ctx.links.identity.instance, 1, 1, address, "", NodeState.READY
         )
@@ -120,6 +122,31 @@
             self.put_in_force(documents, 2)
         await wait_until(lambda: self.reached(2, 2))
 
+    async def test_count_follows_the_death_of_a_node(self):
+        """Guards against a dead node that is reported as in force for ever."""
+        started = [self.start_node(f"n{i}") for i in range(3)]
+        for documents, _ in started:
+            self.put_in_force(documents, 1)
+        await wait_until(lambda: self.reached(1, 3))
+        await self.stop_node(self.nodes[2])
+        del self.ranked[2]
+        members = {record.node: record for record in self.ranked}
+        for ctx in self.nodes[:2]:
+            ctx.board.members = members
+            ctx.board.changed(Topic.MEMBERS)
+        await wait_until(lambda: self.reached(1, 2))
+
+    async def test_status_is_written_again_after_a_time(self):
+        """Guards against a domain that looks cut off because nothing changed."""
+        documents, status = self.start_node("n0")
+        self.put_in_force(documents, 1)
+        await wait_until(lambda: self.reached(1, 1))
+        now = status.ctx.now
+        status.ctx.now = lambda: now() + 30
+        status.refresh_s = 0.01
+        puts = self.api.puts
+        await wait_until(lambda: self.api.puts > puts)
+
     async def test_faults_of_the_platform_are_survived(self):
         """Guards against a status left behind by an outage or a lost answer."""
         self.api.faults = [Unavailable("down"), AnswerLost("cut"), Unavailable("down")]
--- a/lentilsill/status/aggregate.py
+++ b/lentilsill/status/aggregate.py
@@ -77,8 +77,23 @@
         highest = max(versions, default=0)
         return highest, versions.count(highest)
 
-    def status(self, domain: str, store: DocumentStore) -> DomainStatus:
-        """Combine the reports with what this node knows of the documents."""
+    def status(
+        self,
+        domain: str,
+        store: DocumentStore,
+        now_ms: int = 0,
+        is_settled: bool = True,
+    ) -> DomainStatus:
+        """Combine the reports with what this node knows of the documents.
+
+        Parameters
+        ----------
+        now_ms : int
+            Time of this node in ms since the epoch, by a clock that never steps.
+        is_settled : bool
+            Whether the members had time to report; until then the counts lower
+            none that is stored.
+        """
         accepted = store.accepted_versions()
         rejected = store.rejected_versions()
         held = {
@@ -103,8 +118,10 @@
                 nodes_heard=self.nodes_heard,
                 rejected=findings,
                 held=held.get(name),
+                counted_as_of=store.complete_as_of,
+                counted_at_ms=now_ms if is_settled else 0,
             )
-        return DomainStatus(domain, store.complete_as_of, services)
+        return DomainStatus(domain, store.complete_as_of, services, now_ms)
 
 
 def _bounded(texts: Iterable[str]) -> tuple[str, ...]:
--- a/lentilsill/status/values.py
+++ b/lentilsill/status/values.py
@@ -36,12 +36,15 @@
     nodes_heard: int = Field(ge=0)
     rejected: list[_Rejected] = []
     held: _Held | None = None
+    counted_as_of: int = Field(default=0, ge=0)
+    counted_at_ms: int = Field(default=0, ge=0)
 
 
 class _Domain(_Part):
     domain: str
     as_of: int = Field(ge=0)
     services: dict[str, _Service]
+    updated_at_ms: int = Field(default=0, ge=0)
 
 
 def status_to_value(status: DomainStatus) -> dict[str, Any]:
@@ -50,11 +53,12 @@
     Examples
     --------
     >>> status_to_value(DomainStatus("lahore", 9))
-    {'domain': 'lahore', 'as_of': 9, 'services': {}}
+    {'domain': 'lahore', 'as_of': 9, 'updated_at_ms': 0, 'services': {}}
     """
     return {
         "domain": status.domain,
         "as_of": status.as_of,
+        "updated_at_ms": status.updated_at_ms,
         "services": {
             name: _service_value(entry) for name, entry in status.services.items()
         },
@@ -72,7 +76,7 @@
             findings.add(place, error["msg"])
         return Err(findings)
     services = {name: _service(part) for name, part in sorted(model.services.items())}
-    return Ok(DomainStatus(model.domain, model.as_of, services))
+    return Ok(DomainStatus(model.domain, model.as_of, services, model.updated_at_ms))
 
 
 def _service_value(entry: ServiceStatus) -> dict[str, Any]:
@@ -83,6 +87,8 @@
         "in_force": entry.in_force,
         "nodes": entry.nodes,
         "nodes_heard": entry.nodes_heard,
+        "counted_as_of": entry.counted_as_of,
+        "counted_at_ms": entry.counted_at_ms,
         "rejected": [
             {"version": version, "findings": list(findings)}
             for version, findings in entry.rejected.items()
@@ -106,6 +112,8 @@
         in_force=part.in_force,
         nodes=part.nodes,
         nodes_heard=part.nodes_heard,
+        counted_as_of=part.counted_as_of,
+        counted_at_ms=part.counted_at_ms,
         rejected={item.version: tuple(item.findings) for item in part.rejected},
         held=None
         if held is None
