Add diff, check references between documents, and test delete and watch

Documents that refer to each other were found to be broken only when a node held them. check now takes directories and reports a target or a required service that no given document has, with its line; a single document is not checked, since its targets may be in the platform. diff FILE shows what apply would change and exits with 10. Colour is used on a terminal only, help has no boxes, and both programs offer shell completion.

--- a/lentilsill/cli/checks.py
+++ b/lentilsill/cli/checks.py
@@ -6,13 +6,22 @@
 
 import json5
 
-from lentilsill.documents import parse_document
+from lentilsill.documents import ServiceDocument, parse_document
 from lentilsill.findings import Finding, Findings, FindingsError
 from lentilsill.settings import parse_settings
 
+from .between import GivenDocument, check_between
 from .lines import line_of, value_lines
 
-__all__ = ["check_files", "check_text", "document_findings", "read_document"]
+__all__ = [
+    "check_files",
+    "check_text",
+    "document_findings",
+    "files_of",
+    "read_document",
+]
+
+SUFFIXES = (".json", ".json5")
 
 # Findings on paths of the form a.0.b are shown like a[0].b.
 _INDEX = re.compile(r"\.(\d+)(?=\.|$)")
@@ -58,19 +67,47 @@
     return Findings()
 
 
+def files_of(paths: list[Path]) -> list[Path]:
+    """Replace directories by the documents and settings files in them."""
+    files: list[Path] = []
+    for path in paths:
+        if path.is_dir():
+            files += sorted(p for p in path.iterdir() if p.suffix in SUFFIXES)
+        else:
+            files.append(path)
+    return files
+
+
 def check_files(paths: list[Path]) -> Findings:
-    """Check files and collect the findings of all of them."""
+    """Check files, and the references between their documents.
+
+    The findings of all files are collected; references are checked between the
+    documents that have no findings themselves.
+    """
     findings = Findings()
+    given = []
     for path in paths:
         try:
             text = path.read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as exc:
             findings.add("file", str(exc), str(path))
             continue
-        findings.items += check_text(text, str(path)).items
+        found = check_text(text, str(path))
+        findings.items += found.items
+        document = None if found else _document(text)
+        if document is not None:
+            given.append(GivenDocument(str(path), text, document))
+    findings.items += check_between(given).items
     return findings
 
 
+def _document(text: str) -> ServiceDocument | None:
+    value = json5.loads(text)
+    if not isinstance(value, dict) or "node" in value:
+        return None
+    return parse_document(value, value["service"], 0).unwrap()
+
+
 def _placed(findings: Findings, text: str, source: str) -> Findings:
     lines = value_lines(text)
     placed = []
--- a/lentilsill/cli/edits.py
+++ b/lentilsill/cli/edits.py
@@ -21,7 +21,14 @@
 from .checks import read_document
 from .exits import ExitCode
 
-__all__ = ["KIND", "apply_document", "delete_document", "describe", "show_document"]
+__all__ = [
+    "KIND",
+    "apply_document",
+    "delete_document",
+    "describe",
+    "diff_document",
+    "show_document",
+]
 
 KIND = "service"
 # `get` writes this line, so that `apply` knows which version was edited.
@@ -84,6 +91,29 @@
     raise AssertionError("unreachable")
 
 
+async def diff_document(api: ObjectApi, text: str, source: str, say: Say) -> ExitCode:
+    """Print what `apply` of a document would change."""
+    service, value, findings = read_document(text, source)
+    if findings:
+        for finding in findings:
+            say(str(finding))
+        return ExitCode.INVALID
+    match await api.get(KIND, service):
+        case Err(error):
+            return _failed(service, error, say)
+        case Ok(stored):
+            pass
+    if stored is not None and stored.value == value:
+        say(f"{service}: same as version {stored.version}")
+        return ExitCode.OK
+    current = f"version {stored.version}" if stored else "no document"
+    _say_diff(stored, value, f"{service}, {current}", f"{service}, {source}", say)
+    base = _base_version(text, stored)
+    if base != (stored.version if stored else 0):
+        say(f"{service}: the file is an edit of version {base}: apply would conflict")
+    return ExitCode.DIFFERENT
+
+
 async def delete_document(
     api: ObjectApi, service: str, base: int | None, say: Say
 ) -> ExitCode:
@@ -152,15 +182,8 @@
             pass
     current = f"version {stored.version}" if stored else "no document"
     say(f"{service}: conflict: edited version {base}, the platform holds {current}")
-    diff = difflib.unified_diff(
-        _text(stored.value).splitlines() if stored else [],
-        _text(value).splitlines() if value is not None else [],
-        f"{service}, {current}",
-        f"{service}, your edit of version {base}",
-        lineterm="",
-    )
-    for line in diff:
-        say(line)
+    yours = f"{service}, your edit of version {base}"
+    _say_diff(stored, value, f"{service}, {current}", yours, say)
     say(
         f"what to do: lentilsill get {service} > FILE, make your change in FILE, "
         "lentilsill apply FILE"
@@ -168,6 +191,16 @@
     return ExitCode.CONFLICT
 
 
+def _say_diff(
+    stored: StoredObject | None, value: Any, old: str, new: str, say: Say
+) -> None:
+    """Print the differences; a value of None is a deletion."""
+    before = _text(stored.value).splitlines() if stored else []
+    after = _text(value).splitlines() if value is not None else []
+    for line in difflib.unified_diff(before, after, old, new, lineterm=""):
+        say(line)
+
+
 def _failed(service: str, error: PlatformError, say: Say) -> ExitCode:
     say(f"{service}: {describe(error)}")
     match error:
--- a/lentilsill/cli/exits.py
+++ b/lentilsill/cli/exits.py
@@ -17,10 +17,12 @@
     UNKNOWN = 7
     TIMEOUT = 8
     REJECTED = 9
+    DIFFERENT = 10
 
 
 EXIT_HELP = """Exit statuses: 0 done; 1 findings in a document or in settings;
 2 wrong usage; 3 conflict with another edit; 4 no such object; 5 platform or
 node unavailable, nothing written; 6 answer to a write lost, and the write was
 not found when read back; 7 answer lost and reading back failed; 8 wait
-exceeded its bound; 9 the version waited for was rejected."""
+exceeded its bound; 9 the version waited for was rejected; 10 the stored
+document differs from the file."""
--- a/lentilsill/cli/main.py
+++ b/lentilsill/cli/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Annotated
@@ -12,20 +13,26 @@
 
 from lentilsill.platform import HttpObjectApi
 
-from .checks import check_files
-from .edits import apply_document, delete_document, show_document
+from .checks import check_files, files_of
+from .edits import apply_document, delete_document, diff_document, show_document
 from .exits import EXIT_HELP, ExitCode
 from .reports import Target, print_status, wait_for, watch_status
 
 __all__ = ["app", "main"]
 
 REQUEST_TIMEOUT_S = 10.0
+COLOURS = (
+    (re.compile(r"^\+| in force everywhere$"), "green"),
+    (re.compile(r"^-| rejected: |: conflict: "), "red"),
+    (re.compile(r" held: |: not heard from, "), "yellow"),
+)
 
 app = typer.Typer(
     help="Edits service documents and shows which configuration is in force.",
     epilog=EXIT_HELP,
     no_args_is_help=True,
-    add_completion=False,
+    # Help without boxes reads the same on a terminal and in a file.
+    rich_markup_mode=None,
 )
 
 PlatformUrl = Annotated[
@@ -56,6 +63,19 @@
         raise typer.Exit(ExitCode.OK) from None
 
 
+def _say(line: str) -> None:
+    """Print a line; `secho` leaves the colour out when it is not a terminal."""
+    typer.secho(line, fg=next((fg for rx, fg in COLOURS if rx.search(line)), None))
+
+
+def _read_file(file: Path) -> str:
+    try:
+        return file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        typer.echo(f"{file}: {exc}")
+        raise typer.Exit(ExitCode.INVALID) from exc
+
+
 @app.command("apply")
 def apply_command(
     file: Path, platform: PlatformUrl, base_version: BaseVersion = None
@@ -66,21 +86,24 @@
     the comment and without --base-version it is based on the version that the
     platform holds now.
     """
-    try:
-        text = file.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        typer.echo(f"{file}: {exc}")
-        raise typer.Exit(ExitCode.INVALID) from exc
+    text = _read_file(file)
     _run(
         platform,
-        lambda api: apply_document(api, text, str(file), base_version, typer.echo),
+        lambda api: apply_document(api, text, str(file), base_version, _say),
     )
 
 
 @app.command("get")
 def get_command(service: str, platform: PlatformUrl) -> None:
     """Print the document of SERVICE with its version in a comment."""
-    _run(platform, lambda api: show_document(api, service, typer.echo))
+    _run(platform, lambda api: show_document(api, service, _say))
+
+
+@app.command("diff")
+def diff_command(file: Path, platform: PlatformUrl) -> None:
+    """Print how the document in FILE differs from the stored one."""
+    text = _read_file(file)
+    _run(platform, lambda api: diff_document(api, text, str(file), _say))
 
 
 @app.command("delete")
@@ -88,7 +111,7 @@
     service: str, platform: PlatformUrl, base_version: BaseVersion = None
 ) -> None:
     """Declare the document of SERVICE deleted."""
-    _run(platform, lambda api: delete_document(api, service, base_version, typer.echo))
+    _run(platform, lambda api: delete_document(api, service, base_version, _say))
 
 
 @app.command("status")
@@ -113,18 +136,23 @@
             raise typer.BadParameter(str(exc)) from exc
         _run(
             platform,
-            lambda api: wait_for(api, target, domain or [], timeout_s, typer.echo),
+            lambda api: wait_for(api, target, domain or [], timeout_s, _say),
         )
     show = watch_status if watch else print_status
-    _run(platform, lambda api: show(api, as_json, typer.echo))
+    _run(platform, lambda api: show(api, as_json, _say))
 
 
 @app.command("check")
-def check_command(files: list[Path]) -> None:
-    """Check documents and settings without the platform."""
+def check_command(paths: list[Path]) -> None:
+    """Check documents and settings without the platform.
+
+    PATHS are files, or directories whose .json5 and .json files are checked.
+    Given several documents, the references between them are checked too.
+    """
+    files = files_of(paths)
     findings = check_files(files)
     for finding in findings:
-        typer.echo(str(finding))
+        _say(str(finding))
     typer.echo(f"{len(files)} files, {len(findings)} findings")
     raise typer.Exit(ExitCode.INVALID if findings else ExitCode.OK)
 
--- a/lentilsill/cli/tests/test_edits.py
+++ b/lentilsill/cli/tests/test_edits.py
@@ -6,7 +6,12 @@
 
 from approvaltests import verify
 
-from lentilsill.cli.edits import apply_document, show_document
+from lentilsill.cli.edits import (
+    apply_document,
+    delete_document,
+    diff_document,
+    show_document,
+)
 from lentilsill.cli.exits import ExitCode
 from lentilsill.platform import ObjectApi
 
@@ -51,3 +56,44 @@
         self.assertEqual(await self.apply(900), ExitCode.CONFLICT)
         self.assertEqual(self.api.writes, 3)
         verify("\n".join(self.lines))
+
+    async def diff(self, deadline_ms: int, head: str = "") -> ExitCode:
+        text = head + json.dumps(a_document(deadline_ms=deadline_ms))
+        self.lines.append(f"$ lentilsill diff  # deadline_ms {deadline_ms}")
+        api = cast(ObjectApi, self.api)
+        code = await diff_document(api, text, "slots.json5", self.lines.append)
+        self.lines.append(f"exit {int(code)} {code.name}")
+        return code
+
+    async def test_diff_session(self) -> None:
+        """A difference must be shown before the write, and nothing written."""
+        self.assertEqual(await self.diff(800), ExitCode.DIFFERENT)
+        self.lines.clear()
+        self.api.store.put("service", "slots", a_document(), None)
+        self.assertEqual(await self.diff(800), ExitCode.OK)
+        self.assertEqual(await self.diff(900), ExitCode.DIFFERENT)
+        self.assertEqual(await self.diff(900, "// version: 7\n"), ExitCode.DIFFERENT)
+        self.assertEqual(self.api.writes, 0)
+        verify("\n".join(self.lines))
+
+    async def test_delete_session(self) -> None:
+        """A deletion must not take another edit with it, nor be sent twice."""
+
+        async def delete(base: int | None) -> None:
+            self.lines.append(f"$ lentilsill delete slots  # base {base}")
+            api = cast(ObjectApi, self.api)
+            code = await delete_document(api, "slots", base, self.lines.append)
+            self.lines.append(f"exit {int(code)} {code.name}")
+
+        store = self.api.store
+        store.put("service", "slots", a_document(deadline_ms=900), None)
+        store.put("service", "slots", {"service": "slots"}, None)
+        await delete(1)
+        self.api.lose = ["dropped", "applied"]
+        await delete(2)
+        self.assertIn(("service", "slots"), store.objects)
+        await delete(2)
+        self.assertNotIn(("service", "slots"), store.objects)
+        await delete(None)
+        self.assertEqual(self.api.writes, 3)
+        verify("\n".join(self.lines))
--- a/lentilsill/cli/tests/test_reports.py
+++ b/lentilsill/cli/tests/test_reports.py
@@ -1,18 +1,22 @@
 """Tests of status reports and offline checks."""
 
+import asyncio
+import json
 import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 from approvaltests import verify
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from lentilsill.cli.checks import check_text
+from lentilsill.cli.checks import check_files, check_text, files_of
 from lentilsill.cli.exits import ExitCode
-from lentilsill.cli.reports import Target, print_status, wait_for
+from lentilsill.cli.reports import Target, print_status, wait_for, watch_status
 from lentilsill.platform import HttpObjectApi
 from standins.platform import Platform, make_app
 
-from .builders import NOW_S, a_status
+from .builders import NOW_S, a_document, a_status
 
 
 class ReportsTest(unittest.IsolatedAsyncioTestCase):
@@ -67,6 +71,43 @@
         self.assertEqual(await self.wait(7, 5), ExitCode.OK)
         self.assertEqual(await self.wait(8, 5), ExitCode.REJECTED)
 
+    async def test_watch_prints_each_change(self) -> None:
+        """Guards against a watch that misses a change or ends in an outage."""
+        self.put("lahore", 6)
+        watching = asyncio.ensure_future(
+            watch_status(self.api, False, self.lines.append, lambda: NOW_S)
+        )
+        try:
+            async with asyncio.timeout(10):
+                while not any("lahore  slots    7         6 " in x for x in self.lines):
+                    await asyncio.sleep(0.01)
+                await self.api.put("status", "lahore", a_status("lahore", 7), None)
+                while not any("lahore  slots    7         7 " in x for x in self.lines):
+                    await asyncio.sleep(0.01)
+        finally:
+            watching.cancel()
+            await asyncio.wait([watching])
+
+    def test_references_between_files_are_checked(self) -> None:
+        """Guards against documents that are held as soon as they are applied."""
+        slots = a_document() | {"requires": ["inventory"]}
+        slots["routes"][0]["targets"] = [
+            {"service": "ledger", "upstream_set": "next", "weight": 1}
+        ]
+        with TemporaryDirectory() as folder:
+            for value in (slots, a_document("ledger")):
+                path = Path(folder) / f"{value['service']}.json5"
+                path.write_text(json.dumps(value, indent=1), encoding="utf-8")
+            files = files_of([Path(folder)])
+            found = {f.place: (Path(f.source).name, f.line) for f in check_files(files)}
+            alone = list(check_files([Path(folder) / "slots.json5"]))
+        self.assertEqual(found["routes[0].targets[0].upstream_set"][0], "slots.json5")
+        lines = json.dumps(slots, indent=1).splitlines()
+        for place, text in (("upstream_set", '"next"'), ("requires[0]", '"inventory"')):
+            (line,) = (found[key][1] for key in found if key.endswith(place))
+            self.assertIn(text, lines[line - 1])
+        self.assertEqual(alone, [])
+
     def test_findings_of_settings_have_lines(self) -> None:
         """All problems of a file must be shown at once, each with its line."""
         text = '{\n  // comment\n  node: "a",\n  "platform": {\n    "url": 1\n  }\n}'
--- a/lentilsill/daemon/main.py
+++ b/lentilsill/daemon/main.py
@@ -21,7 +21,7 @@
 EXIT_BAD_SETTINGS = 2
 
 log = structlog.get_logger()
-app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+app = typer.Typer(pretty_exceptions_enable=False, rich_markup_mode=None)
 
 
 @app.command()
