--- a/lentilsill/versioning/tests/test_convergence.py
+++ b/lentilsill/versioning/tests/test_convergence.py
@@ -169,8 +169,9 @@
     def earlier_lives_stay_out(self):
         """A version from before a known deletion is in force only while held.
 
-        A listing does not show a deletion that a later version has followed,
-        so only deletions that the store was told of count.
+        A listing shows no deletion of a service that was written again, so a
+        store that had only listings may keep the earlier version while the new
+        one is rejected; `teardown` checks that peers then tell it.
         """
         for store, told in zip(self.stores, self.told, strict=True):
             held = store.held_versions()
