Document settings, logs, metrics and the command line, checked by tests

Operators had no list of settings, events or metrics. harness.reference writes docs/settings.md and examples/reference-settings.json5 from the settings model, which now describes every setting; harness.events collects log events (level, fields) and metrics (type) from the source. Tests fail when a page differs, and when an exit status is missing from docs/cli.md or from the help.

--- /dev/null
+++ b/harness/reference.py
@@ -0,0 +1,183 @@
+"""Reference of the settings, generated from their model.
+
+Writes ``docs/settings.md`` and ``examples/reference-settings.json5``; with
+``--check`` it only tells which of them differ.
+"""
+
+import json
+import sys
+import types
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, Literal, Union, get_args, get_origin
+
+from pydantic import BaseModel
+from pydantic.fields import FieldInfo
+
+from lentilsill.settings import NodeSettings
+
+__all__ = ["differing", "example_text", "main", "page_text", "write"]
+
+ROOT = Path(__file__).parent.parent
+PAGE = Path("docs/settings.md")
+EXAMPLE = Path("examples/reference-settings.json5")
+
+# Values of the settings that have no default.
+SAMPLES: dict[str, Any] = {
+    "node": "lahore-1",
+    "domain": "lahore",
+    "bind_ip": "127.20.1.1",
+    "peer_address": "127.20.1.1:7001",
+    "caller_address": "127.20.1.1:8001",
+    "admin_address": "127.20.1.1:9001",
+    "platform.url": "http://127.20.0.1:7000",
+    "statsd.address": "127.20.1.1:8125",
+}
+PAGE_HEAD = """# Settings of a node
+
+`lentilsilld --settings FILE` reads one file in JSON with comments (json5). Unknown
+keys are findings, so that a misspelt key is not ignored. `lentilsilld --settings FILE
+--check` and `lentilsill check FILE` check a file without starting a node. Settings are
+read once, at the start.
+
+The end of a name gives its unit: `_s` seconds, `_ms` milliseconds, `_bytes` bytes,
+`_per_s` per second. `node` and `domain` are 1 to 63 lower-case letters, digits and `-`;
+addresses are `a.b.c.d:port`.
+
+[examples/reference-settings.json5](../examples/reference-settings.json5) lists every
+setting with its default. This page and that file are written by
+`python -m harness.reference`, and a test fails when they differ from the model.
+"""
+
+
+def page_text() -> str:
+    """Give the page of all settings."""
+    parts = [PAGE_HEAD, *_tables("", NodeSettings)]
+    return "\n".join(parts)
+
+
+def example_text() -> str:
+    """Give a settings file with every setting at its default."""
+    head = "// Every setting of a node, those with a default at their default."
+    return f"{head}\n{{\n{''.join(_lines('', NodeSettings, 1))}}}\n"
+
+
+def write(root: Path) -> None:
+    """Write both files below `root`."""
+    for path, text in _texts():
+        (root / path).write_text(text, encoding="utf-8")
+
+
+def differing(root: Path) -> list[str]:
+    """Name the files below `root` that differ from the model."""
+    return [
+        str(path)
+        for path, text in _texts()
+        if not (root / path).exists()
+        or (root / path).read_text(encoding="utf-8") != text
+    ]
+
+
+def _texts() -> tuple[tuple[Path, str], ...]:
+    return ((PAGE, page_text()), (EXAMPLE, example_text()))
+
+
+def _section(info: FieldInfo) -> type[BaseModel] | None:
+    """Give the model of a nested section."""
+    for option in (info.annotation, *get_args(info.annotation)):
+        if isinstance(option, type) and issubclass(option, BaseModel):
+            return option
+    return None
+
+
+def _tables(prefix: str, model: type[BaseModel]) -> Iterator[str]:
+    title = f"`{prefix}`" if prefix else "Top level"
+    doc = (model.__doc__ or "").strip().splitlines()[0]
+    yield f"## {title}\n\n{doc}\n"
+    yield "| setting | type | default | meaning |\n|---|---|---|---|"
+    sections = []
+    for name, info in model.model_fields.items():
+        section = _section(info)
+        if section is not None:
+            sections.append((f"{prefix}{name}.", section))
+            default = _section_default(info)
+            text = f"section [`{prefix}{name}.`](#{_anchor(f'{prefix}{name}')})"
+            yield f"| `{name}` | section | {default} | {text} |"
+            continue
+        default = "required" if info.is_required() else f"`{_json(info.default)}`"
+        kind = _kind(info)
+        yield f"| `{name}` | {kind} | {default} | {info.description or ''} |"
+    yield ""
+    for nested, section in sections:
+        yield from _tables(nested, section)
+
+
+def _anchor(name: str) -> str:
+    return name.replace(".", "")
+
+
+def _section_default(info: FieldInfo) -> str:
+    if info.is_required():
+        return "required"
+    return "none" if info.default is None else "defaults"
+
+
+def _kind(info: FieldInfo) -> str:
+    kind = _type_name(info.annotation)
+    bounds = [_bound(rule) for rule in info.metadata]
+    return ", ".join([kind, *(text for text in bounds if text)])
+
+
+def _type_name(annotation: Any) -> str:
+    origin, args = get_origin(annotation), get_args(annotation)
+    if origin is Literal:
+        return " or ".join(f"`{value}`" for value in args)
+    if origin is tuple:
+        return "list"
+    if origin in (Union, types.UnionType):
+        return _type_name(next(a for a in args if a is not type(None)))
+    if hasattr(annotation, "__metadata__"):
+        return _type_name(annotation.__origin__)
+    return {str: "string", int: "integer", float: "number"}[annotation]
+
+
+def _bound(rule: Any) -> str:
+    signs = (("gt", ">"), ("ge", "≥"), ("lt", "<"), ("le", "≤"))
+    found = [
+        f"{sign} {getattr(rule, key)}" for key, sign in signs if hasattr(rule, key)
+    ]
+    return ", ".join(found)
+
+
+def _lines(prefix: str, model: type[BaseModel], depth: int) -> Iterator[str]:
+    pad = "  " * depth
+    for name, info in model.model_fields.items():
+        section = _section(info)
+        if section is not None:
+            yield f'{pad}"{name}": {{\n'
+            yield from _lines(f"{prefix}{name}.", section, depth + 1)
+            yield f"{pad}}},\n"
+            continue
+        if info.description:
+            yield f"{pad}// {info.description}\n"
+        value = SAMPLES[f"{prefix}{name}"] if info.is_required() else info.default
+        yield f'{pad}"{name}": {_json(value)},\n'
+
+
+def _json(value: Any) -> str:
+    return json.dumps(list(value) if isinstance(value, tuple) else value)
+
+
+def main(args: list[str]) -> int:
+    """Write the files, or with ``--check`` name those that differ."""
+    if "--check" not in args:
+        write(ROOT)
+        return 0
+    names = differing(ROOT)
+    for name in names:
+        print(f"{name}: differs from the settings model: python -m harness.reference")
+    return 1 if names else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/harness/tests/test_reference.py
@@ -0,0 +1,37 @@
+"""Pages that are checked against the source."""
+
+import unittest
+
+from harness.events import EventTable, events_in_source, metrics_in_source
+from harness.reference import EXAMPLE, ROOT, differing, example_text
+from lentilsill.cli.exits import EXIT_HELP, ExitCode
+from lentilsill.settings import parse_settings
+
+
+class PagesTests(unittest.TestCase):
+    def test_settings_pages_match_the_model(self):
+        """Guards against a setting that operators can't find or that is gone."""
+        self.assertEqual(differing(ROOT), [])
+
+    def test_reference_settings_are_valid(self):
+        """Guards against an example that a node refuses."""
+        cfg = parse_settings(example_text(), str(EXAMPLE))
+        self.assertEqual(cfg.distribution.optimise_for, "convergence")
+
+    def test_log_events_are_documented(self):
+        """Guards against an event that operators can't look up."""
+        table = EventTable.from_page(ROOT / "docs/observability.md")
+        self.assertEqual(table.events, events_in_source(ROOT / "lentilsill"))
+
+    def test_metrics_are_documented(self):
+        """Guards against a metric that dashboards miss."""
+        table = EventTable.from_page(ROOT / "docs/observability.md")
+        self.assertEqual(table.metrics, metrics_in_source(ROOT / "lentilsill"))
+
+    def test_exit_statuses_are_documented(self):
+        """Guards against scripts that misread an exit status."""
+        page = (ROOT / "docs/cli.md").read_text(encoding="utf-8")
+        help_text = " ".join(EXIT_HELP.split())
+        for code in ExitCode:
+            self.assertIn(f"| {int(code)} |", page)
+            self.assertRegex(help_text, rf"\b{int(code)} \w")
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -28,7 +28,11 @@
     """How to reach the platform's object API."""
 
     url: str = Field(description="Base URL, for example http://127.0.0.1:7000")
-    request_timeout_s: float = Field(default=5.0, gt=0)
+    request_timeout_s: float = Field(
+        default=5.0,
+        gt=0,
+        description="Bound on a call of the platform other than a watch",
+    )
     watch_timeout_s: float = Field(
         default=30.0, gt=0, description="How long the platform may hold a watch"
     )
@@ -40,9 +44,16 @@
 class DistributionSettings(_Section):
     """How changes spread between nodes."""
 
-    optimise_for: Literal["convergence", "control_bytes"] = "convergence"
-    watchers_per_domain: int = Field(default=2, ge=1)
-    fanout: int = Field(default=8, ge=1)
+    optimise_for: Literal["convergence", "control_bytes"] = Field(
+        default="convergence",
+        description="Push changes at once, or batch them to send fewer bytes",
+    )
+    watchers_per_domain: int = Field(
+        default=2, ge=1, description="First-ranked nodes that watch the platform"
+    )
+    fanout: int = Field(
+        default=8, ge=1, description="Children of a node in the tree of pushes"
+    )
     max_full_syncs: int = Field(
         default=8, ge=1, description="Full syncs that a node serves at once"
     )
@@ -57,9 +68,17 @@
     seeds: tuple[Address, ...] = Field(
         default=(), description="Peer addresses of some nodes, of all domains"
     )
-    probe_interval_s: float = Field(default=1.0, gt=0)
-    probe_timeout_s: float = Field(default=0.5, gt=0)
-    suspect_timeout_s: float = Field(default=5.0, gt=0)
+    probe_interval_s: float = Field(
+        default=1.0, gt=0, description="Time between two probes by a node"
+    )
+    probe_timeout_s: float = Field(
+        default=0.5,
+        gt=0,
+        description="Wait for a probe's answer before others are asked to probe",
+    )
+    suspect_timeout_s: float = Field(
+        default=5.0, gt=0, description="Wait before a suspect node counts as dead"
+    )
     announce_timeout_s: float = Field(
         default=6.0, gt=0, description="An upstream silent for so long is dropped"
     )
@@ -68,44 +87,73 @@
 class CallSettings(_Section):
     """Limits of the call path."""
 
-    max_body_bytes: int = Field(default=1024 * 1024, gt=0)
+    max_body_bytes: int = Field(
+        default=1024 * 1024,
+        gt=0,
+        description="Largest body of a request; a larger one gets status 413",
+    )
     max_calls: int = Field(default=2000, gt=0, description="Calls held at once")
     silent_link_s: float = Field(
         default=1.0, gt=0, description="A link with calls and no bytes is probed"
     )
-    execution_record_s: float = Field(default=60.0, gt=0)
-    drain_bound_s: float = Field(default=30.0, gt=0)
+    execution_record_s: float = Field(
+        default=60.0, gt=0, description="How long the record of an execution is kept"
+    )
+    drain_bound_s: float = Field(
+        default=30.0,
+        gt=0,
+        description="Longest wait for calls in flight when the node stops",
+    )
 
 
 class KeySettings(_Section):
     """Request keys and their replicas."""
 
-    retention_s: float = Field(default=600.0, gt=0)
-    replicas: int = Field(default=3, ge=1, le=7)
-    max_records: int = Field(default=100_000, gt=0)
-    max_answer_bytes: int = Field(default=4096, ge=0)
+    retention_s: float = Field(
+        default=600.0,
+        gt=0,
+        description="How long a request key can be claimed and is remembered",
+    )
+    replicas: int = Field(
+        default=3,
+        ge=1,
+        le=7,
+        description="Nodes that hold a key's record; a majority must grant it",
+    )
+    max_records: int = Field(
+        default=100_000, gt=0, description="Key records that a node holds"
+    )
+    max_answer_bytes: int = Field(
+        default=4096,
+        ge=0,
+        description="Largest answer that is kept for a repeated request",
+    )
 
 
 class StatsdSettings(_Section):
     """Where metrics go; none are sent without it."""
 
-    address: Address
-    prefix: str = "lentilsill"
+    address: Address = Field(description="UDP address of the statsd server")
+    prefix: str = Field(
+        default="lentilsill", description="First part of every metric's name"
+    )
 
 
 class NodeSettings(_Section):
     """Settings of one `lentilsilld` process."""
 
-    node: Name
-    domain: Name
-    bind_ip: str
+    node: Name = Field(description="Name of the node, unique in the system")
+    domain: Name = Field(description="Failure domain of the host")
+    bind_ip: str = Field(description="Address that outgoing connections use")
     peer_address: Address = Field(description="Peers connect here")
     advertise_address: Address | None = Field(
         default=None, description="Told to peers in place of peer_address"
     )
     caller_address: Address = Field(description="Callers' HTTP")
     admin_address: Address = Field(description="Announcements, health, state dump")
-    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    log_level: Literal["debug", "info", "warning", "error"] = Field(
+        default="info", description="Lowest level of the events that are logged"
+    )
     platform: PlatformSettings
     distribution: DistributionSettings = DistributionSettings()
     membership: MembershipSettings = MembershipSettings()
