--- a/harness/tests/test_reference.py
+++ b/harness/tests/test_reference.py
@@ -1,5 +1,6 @@
 """Pages that are checked against the source."""
 
+import doctest
 import unittest
 
 from harness.events import EventTable, events_in_source, metrics_in_source
@@ -35,3 +36,10 @@
         for code in ExitCode:
             self.assertIn(f"| {int(code)} |", page)
             self.assertRegex(help_text, rf"\b{int(code)} \w")
+
+
+def load_tests(loader, tests, pattern):
+    """Run the examples of the library's page too."""
+    page = str(ROOT / "docs/library.md")
+    tests.addTest(doctest.DocFileSuite(page, module_relative=False))
+    return tests
--- /dev/null
+++ b/lentilsill/daemon/tests/test_main.py
@@ -0,0 +1,55 @@
+"""The command line of the daemon."""
+
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from typer.testing import CliRunner
+
+from lentilsill.cli.main import app as cli_app
+from lentilsill.daemon.main import EXIT_BAD_SETTINGS, app
+
+ROOT = Path(__file__).parents[3]
+
+
+class CommandLineTests(unittest.TestCase):
+    def setUp(self):
+        self.runner = CliRunner()
+
+    def test_check_accepts_the_example_settings(self):
+        """Guards against examples that a node refuses at its start."""
+        paths = sorted((ROOT / "examples").glob("*/node-*.json5"))
+        self.assertEqual(len(paths), 6)
+        for path in paths:
+            result = self.runner.invoke(app, ["--settings", str(path), "--check"])
+            self.assertEqual((result.exit_code, result.output), (0, ""))
+
+    def test_check_lists_all_findings(self):
+        """Guards against a bad file that is found only one problem at a time."""
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "node.json5"
+            path.write_text('{node: "A", colour: 1}', encoding="utf-8")
+            result = self.runner.invoke(app, ["--settings", str(path), "--check"])
+        self.assertEqual(result.exit_code, EXIT_BAD_SETTINGS)
+        for place in ("node", "colour", "domain", "platform"):
+            self.assertIn(f"{path}: {place}: ", result.stderr)
+
+    def test_missing_file_is_reported(self):
+        """Guards against a traceback in place of a message."""
+        result = self.runner.invoke(app, ["--settings", "/nowhere.json5", "--check"])
+        self.assertEqual(result.exit_code, EXIT_BAD_SETTINGS)
+        self.assertIn("/nowhere.json5: file: ", result.stderr)
+
+    def test_completion_is_offered_by_both_programs(self):
+        """Guards against programs without shell completion."""
+        for program in (app, cli_app):
+            result = self.runner.invoke(program, ["--help"])
+            self.assertIn("--install-completion", result.output)
+
+
+class DumpTests(unittest.TestCase):
+    def test_unreachable_node_has_its_own_exit_status(self):
+        """Guards against scripts that take an unreachable node for an empty one."""
+        result = CliRunner().invoke(cli_app, ["dump", "127.0.0.1:1"])
+        self.assertEqual(result.exit_code, 5)
+        self.assertIn("127.0.0.1:1: ", result.output)
