--- /dev/null
+++ b/lentilsill/cli/dump.py
@@ -0,0 +1,30 @@
+"""State dump of a node."""
+
+import json
+from collections.abc import Callable
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPError, HTTPRequest
+
+from .exits import ExitCode
+
+__all__ = ["dump_state"]
+
+REQUEST_TIMEOUT_S = 10.0
+
+
+async def dump_state(admin_address: str, say: Callable[[str], None]) -> ExitCode:
+    """Print the state dump of the node with an admin address (``ip:port``)."""
+    client = CurlAsyncHTTPClient(force_instance=True)
+    req = HTTPRequest(
+        f"http://{admin_address}/lentilsill/state", request_timeout=REQUEST_TIMEOUT_S
+    )
+    try:
+        state = json.loads((await client.fetch(req)).body)
+    except (HTTPError, OSError, ValueError) as exc:
+        say(f"{admin_address}: {exc}")
+        return ExitCode.UNAVAILABLE
+    finally:
+        client.close()
+    say(json.dumps(state, indent=2, ensure_ascii=False))
+    return ExitCode.OK
--- a/lentilsill/cli/main.py
+++ b/lentilsill/cli/main.py
@@ -1,19 +1,17 @@
 """Commands of `lentilsill`."""
 
 import asyncio
-import json
 import re
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Annotated
 
 import typer
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPError, HTTPRequest
 
 from lentilsill.platform import HttpObjectApi
 
 from .checks import check_files, files_of
+from .dump import dump_state
 from .edits import apply_document, delete_document, diff_document, show_document
 from .exits import EXIT_HELP, ExitCode
 from .reports import Target, print_status, wait_for, watch_status
@@ -161,23 +159,7 @@
 def dump_command(admin_address: str) -> None:
     """Print the state dump of the node at ADMIN_ADDRESS (ip:port)."""
 
-    async def fetch() -> bytes:
-        client = CurlAsyncHTTPClient(force_instance=True)
-        req = HTTPRequest(
-            f"http://{admin_address}/lentilsill/state",
-            request_timeout=REQUEST_TIMEOUT_S,
-        )
-        try:
-            return (await client.fetch(req)).body
-        finally:
-            client.close()
-
-    try:
-        state = json.loads(asyncio.run(fetch()))
-    except (HTTPError, OSError, ValueError) as exc:
-        typer.echo(f"{admin_address}: {exc}")
-        raise typer.Exit(ExitCode.UNAVAILABLE) from exc
-    typer.echo(json.dumps(state, indent=2, ensure_ascii=False))
+    raise typer.Exit(asyncio.run(dump_state(admin_address, _say)))
 
 
 def main() -> None:
--- a/lentilsill/daemon/controllers/tests/spread_builders.py
+++ b/lentilsill/daemon/controllers/tests/spread_builders.py
@@ -31,15 +31,21 @@
 
 
 class FakeDocuments:
-    """Newest row of each service, and the revision without a gap."""
+    """Newest row of each service, and the revision without a gap.
+
+    Nodes with different `salt` never agree, like ones that hold sets of
+    versions that exclude each other.
+    """
 
     def __init__(self):
+        self.salt = 0
         self.rows = {}
         self.complete_as_of = 0
 
     @property
     def content_hash(self):
-        return hash(frozenset((r[0], r[1]) for r in self.rows.values())) & (2**64 - 1)
+        versions = frozenset((r[0], r[1]) for r in self.rows.values())
+        return hash((self.salt, versions)) & (2**64 - 1)
 
     def merge(self, delta):
         known = {row[0]: row[1] for row in self.rows.values()}
--- a/lentilsill/daemon/controllers/tests/test_spread.py
+++ b/lentilsill/daemon/controllers/tests/test_spread.py
@@ -1,6 +1,7 @@
 """Nodes on loopback find each other and hold the same."""
 
 import unittest
+from collections import Counter
 
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.membership import UpstreamState
@@ -56,6 +57,28 @@
         c.membership.leave()
         await until(lambda: a.member_names == b.member_names == {"a", "b"}, 1.0)
 
+    async def test_lasting_difference_is_not_asked_about_again(self):
+        """Guards against a sync at every digest between nodes that can't agree."""
+        platform = FakePlatform()
+        await platform.write("slots", {"service": "slots"})
+        nodes = await self.start_domain(platform)
+        await until(lambda: all(n.documents.complete_as_of == 1 for n in nodes))
+        counts: Counter[str] = Counter()
+        first = nodes[0]
+        first.ctx.count = lambda name, value=1: counts.update({name: value})
+        compare = first.distribution._compare
+
+        def counted(link, theirs):
+            counts["differing"] += theirs.documents_hash != first.documents.content_hash
+            return compare(link, theirs)
+
+        first.distribution._compare = counted
+        nodes[1].documents.salt = 1
+        await until(lambda: counts["differing"] >= 10)
+        self.assertIn(counts["distribution.syncs_asked"], (1, 2, 3))
+        await platform.write("ledger", {"service": "ledger"})
+        await until(lambda: all(n.documents.complete_as_of == 2 for n in nodes))
+
     async def test_leaving_upstream_is_known_everywhere_within_2_s(self):
         """Guards against new work for an upstream that leaves."""
         a, b, c = await self.start_domain(FakePlatform())
--- a/lentilsill/daemon/tests/test_main.py
+++ b/lentilsill/daemon/tests/test_main.py
@@ -1,13 +1,19 @@
 """The command line of the daemon."""
 
+import json
 import unittest
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
 from typer.testing import CliRunner
 
+from lentilsill.cli.dump import dump_state
+from lentilsill.cli.exits import ExitCode
 from lentilsill.cli.main import app as cli_app
+from lentilsill.daemon.admin_server import AdminServer
 from lentilsill.daemon.main import EXIT_BAD_SETTINGS, app
+from lentilsill.daemon.node import make_context
+from lentilsill.daemon.tests.builders import node_settings
 
 ROOT = Path(__file__).parents[3]
 
@@ -47,9 +53,22 @@
             self.assertIn("--install-completion", result.output)
 
 
-class DumpTests(unittest.TestCase):
-    def test_unreachable_node_has_its_own_exit_status(self):
+class DumpTests(unittest.IsolatedAsyncioTestCase):
+    async def test_dump_of_a_node(self):
+        """Guards against a dump that is not the node's state as JSON."""
+        ctx = make_context(node_settings("n1"))
+        server = AdminServer(ctx)
+        server.start("127.0.0.1:0")
+        self.addCleanup(server.stop)
+        lines: list[str] = []
+        code = await dump_state(f"127.0.0.1:{server.port}", lines.append)
+        for task in list(ctx.tasks):
+            task.cancel()
+        self.assertEqual((code, json.loads(lines[0])["node"]), (ExitCode.OK, "n1"))
+
+    async def test_unreachable_node_has_its_own_exit_status(self):
         """Guards against scripts that take an unreachable node for an empty one."""
-        result = CliRunner().invoke(cli_app, ["dump", "127.0.0.1:1"])
-        self.assertEqual(result.exit_code, 5)
-        self.assertIn("127.0.0.1:1: ", result.output)
+        lines: list[str] = []
+        code = await dump_state("127.0.0.1:1", lines.append)
+        self.assertEqual(code, ExitCode.UNAVAILABLE)
+        self.assertTrue(lines[0].startswith("127.0.0.1:1: "), lines)
