--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Iterable
 
@@ -16,10 +15,12 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
+from lentilsill.daemon.outgoing import OutgoingHeaders
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.wire.links import split_address
+from lentilsill.wire.streams import ProtocolStream
 
 from .reasons import UNREACHABLE, not_run
 
@@ -52,15 +53,18 @@
 class Exchange:
     """One request on its connection; `abort` closes the connection."""
 
-    __slots__ = ("aborted", "stream")
+    __slots__ = ("aborted", "connecting", "stream")
 
     def __init__(self) -> None:
         self.aborted = ""
-        self.stream: IOStream | None = None
+        self.stream: ProtocolStream | None = None
+        self.connecting: asyncio.Future | None = None
 
     def abort(self, reason: str) -> None:
         """Stop waiting for the answer."""
         self.aborted = reason
+        if self.connecting is not None:
+            self.connecting.cancel()
         if self.stream is not None:
             self.stream.close()
 
@@ -119,12 +123,17 @@
 
 
 class UpstreamClient:
-    """Sends requests to the upstream at `address` (``ip:port``)."""
+    """Sends requests to the upstream at `address` (``ip:port``).
 
-    def __init__(self, address: str) -> None:
+    A request that may not be repeated goes over a connection that was used
+    within `reuse_s` seconds, or over a new one.
+    """
+
+    def __init__(self, address: str, reuse_s: float = 0.0) -> None:
         self.address = address
+        self.reuse_s = reuse_s
         self._target = split_address(address)
-        self._idle: deque[tuple[float, IOStream]] = deque()
+        self._idle: deque[tuple[float, ProtocolStream]] = deque()
         self._params = HTTP1ConnectionParameters(
             max_body_size=MAX_ANSWER_BYTES, decompress=False
         )
@@ -140,16 +149,19 @@
     ) -> CallResult:
         """Send a request once and give the whole answer or what is known.
 
-        A request that is not idempotent goes over a new connection: a kept one
-        may close while the request is on its way, which leaves its execution
-        unknown. An idempotent one is sent again over a new connection then.
+        A kept connection may close while the request is on its way, which leaves
+        its execution unknown. An idempotent one is sent again over a new
+        connection then. For others the chance is kept small: the connection was
+        used a short time ago, and the kernel knows of no close before use.
         """
-        stream = self._take_idle() if idempotent else None
+        stream = self._take_idle(MAX_IDLE_S if idempotent else self.reuse_s)
         sent_before = stream is not None
         if stream is not None:
             result = await self._exchange(exchange, stream, method, path, headers, body)
             if result is not None:
                 return result
+            if not idempotent:
+                return _closed_early(exchange)
         try:
             stream = await self._connect(exchange)
         except (OSError, StreamClosedError, TimeoutError) as exc:
@@ -173,36 +185,50 @@
         while self._idle:
             self._idle.pop()[1].close()
 
-    def _take_idle(self) -> IOStream | None:
-        limit = asyncio.get_running_loop().time() - MAX_IDLE_S
+    def _take_idle(self, max_idle_s: float) -> ProtocolStream | None:
+        """Take the connection that was used last, if that is recent enough."""
+        now = asyncio.get_running_loop().time()
         while self._idle:
-            since, stream = self._idle.pop()
-            if not stream.closed():
-                if since >= limit:
+            since, stream = self._idle[-1]
+            if since < now - MAX_IDLE_S:
+                self.close()
+            elif since < now - max_idle_s:
+                break
+            else:
+                self._idle.pop()
+                if stream.is_quiet():
                     return stream
                 stream.close()
         return None
 
-    async def _connect(self, exchange: Exchange) -> IOStream:
+    async def _connect(self, exchange: Exchange) -> ProtocolStream:
         if exchange.aborted:
             raise StreamClosedError()
-        stream = IOStream(
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM),
-            max_buffer_size=2 * MAX_ANSWER_BYTES,
+        loop = asyncio.get_running_loop()
+        connecting = asyncio.ensure_future(
+            loop.create_connection(ProtocolStream, *self._target)
         )
-        exchange.stream = stream
-        timer = asyncio.get_running_loop().call_later(CONNECT_TIMEOUT_S, stream.close)
+        exchange.connecting = connecting
+        timer = loop.call_later(CONNECT_TIMEOUT_S, connecting.cancel)
         try:
-            await stream.connect(self._target)
+            await asyncio.wait([connecting])
+        except asyncio.CancelledError:
+            connecting.cancel()
+            connecting.add_done_callback(_drop_connection)
+            raise
         finally:
             timer.cancel()
-        stream.set_nodelay(True)
+            exchange.connecting = None
+        if connecting.cancelled():
+            raise TimeoutError("no connection in time")
+        _, stream = connecting.result()
+        exchange.stream = stream
         return stream
 
     async def _exchange(
         self,
         exchange: Exchange,
-        stream: IOStream,
+        stream: ProtocolStream,
         method: str,
         path: str,
         headers: Iterable[tuple[str, str]],
@@ -210,16 +236,13 @@
     ) -> CallResult | None:
         """Run one request; None when the connection closed before any answer."""
         exchange.stream = stream
-        conn = HTTP1Connection(stream, True, self._params)
+        # tornado types the stream as an `IOStream`, of which it uses a part.
+        conn = HTTP1Connection(stream, True, self._params)  # type: ignore[arg-type]
         reader = _Reader(method)
-        fields = HTTPHeaders()
+        length = len(body) if body or method in ("POST", "PUT", "PATCH") else None
+        fields = OutgoingHeaders((("Host", self.address), *headers), length)
         done = False
         try:
-            fields["Host"] = self.address
-            for name, value in headers:
-                fields.add(name, value)
-            if body or method in ("POST", "PUT", "PATCH"):
-                fields["Content-Length"] = str(len(body))
             conn.write_headers(RequestStartLine(method, path, ""), fields, body)
             conn.finish()
         except Exception as exc:
@@ -243,16 +266,16 @@
             self._keep(stream)
         return reader.answer()
 
-    def _keep(self, stream: IOStream) -> None:
+    def _keep(self, stream: ProtocolStream) -> None:
         if len(self._idle) >= MAX_IDLE_CONNECTIONS:
             self._idle.popleft()[1].close()
-        # With a close callback the stream notices the peer's close when idle.
-        stream.set_close_callback(_ignore_close)
         self._idle.append((asyncio.get_running_loop().time(), stream))
 
 
-def _ignore_close() -> None:
-    """Take the close of an idle stream, which `_take_idle` then skips."""
+def _drop_connection(connecting: asyncio.Future) -> None:
+    """Close a connection that was made when nobody waited for it any more."""
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result()[0].abort()
 
 
 def _closed_early(exchange: Exchange) -> Refused:
--- a/lentilsill/wire/handshake.py
+++ b/lentilsill/wire/handshake.py
@@ -1,9 +1,9 @@
 """First message of a peer on a new link."""
 
 import msgpack
-from tornado.iostream import IOStream
 
 from .messages import CALLS, CONTROL, PROTOCOL_VERSION, Hello, WireError, decode
+from .streams import ProtocolStream
 
 __all__ = ["READ_CHUNK_BYTES", "read_hello"]
 
@@ -11,7 +11,7 @@
 
 
 async def read_hello(
-    stream: IOStream, unpacker: msgpack.Unpacker
+    stream: ProtocolStream, unpacker: msgpack.Unpacker
 ) -> tuple[Hello, list]:
     """Read up to and including `Hello`; also give what came after it."""
     objs: list = []
