Add a scenario of callers' own keys on a failing platform

Cause: claims in the platform with lost answers were tested against a fake only.

Change: scenario own-keys: each key is sent at two nodes at once while the platform is slow and loses 40% of the answers to writes, then while it is down, then again.

--- a/harness/scenarios/pairs.py
+++ b/harness/scenarios/pairs.py
@@ -7,11 +7,14 @@
 from harness.scenario import Run, Scenario
 from standins.caller import CallPlan
 
-__all__ = ["LOST_ENTRY", "PAIRS", "POISON_IN_CUT"]
+__all__ = ["LOST_ENTRY", "OWN_KEYS_SCENARIO", "PAIRS", "POISON_IN_CUT"]
 
 LONG_CALL_MS = 700.0
 CALLS_PER_NODE = 4
 SETTLE_S = 0.5
+OWN_KEYS = 25
+SLOW_MS = 30.0
+LOST_SHARE = 0.4
 SENDS = 24
 SEND_PAUSE_S = 0.1
 RESTART_PAUSE_S = 0.3
@@ -104,6 +107,36 @@
     return deaths
 
 
+async def run_own_keys(run: Run) -> None:
+    """Send requests with keys of the caller's own at two nodes at once.
+
+    The platform, which holds the claims, is slow and loses answers to writes,
+    and is then down for a time.
+    """
+    run.cluster.set_faults(mode="slow", delay_ms=SLOW_MS, lose_write_answers=LOST_SHARE)
+    await _send_pairs(run, "slow")
+    run.cluster.set_faults(mode="down")
+    await _send_pairs(run, "down")
+    run.cluster.set_faults(mode="ok")
+    # Nothing was claimed in the outage, so that every key can be used after it.
+    await _send_pairs(run, "down")
+    answered = {r.request_key for r in run.caller.records if r.outcome == "answered"}
+    if len(answered) < 2 * OWN_KEYS:
+        run.findings.add("own keys", f"only {len(answered)} keys answered")
+
+
+async def _send_pairs(run: Run, phase: str) -> None:
+    for number in range(OWN_KEYS):
+        key = f"{phase}-order-{number}"
+        nodes = run.rng.sample(run.hosts, 2)
+        await asyncio.gather(*(_send_own(run, key, host) for host in nodes))
+
+
+async def _send_own(run: Run, key: str, host: Host) -> None:
+    plan = CallPlan("/slots/book", "POST", False, b"own", service_ms=20)
+    await run.caller.call(plan, key, host.caller_address, key)
+
+
 def _set_cut(run: Run, domain: str, action: str) -> None:
     for other in run.scenario.domains:
         if other != domain:
@@ -126,4 +159,10 @@
     with_relay=True,
     seed=17,
 )
-PAIRS = (LOST_ENTRY, POISON_IN_CUT)
+OWN_KEYS_SCENARIO = Scenario(
+    "own-keys",
+    run_own_keys,
+    hosts_per_domain=2,
+    seed=18,
+)
+PAIRS = (LOST_ENTRY, POISON_IN_CUT, OWN_KEYS_SCENARIO)
--- a/harness/tests/test_pair_scenarios.py
+++ b/harness/tests/test_pair_scenarios.py
@@ -22,3 +22,12 @@
     def test_crashing_request_is_quarantined_in_a_cut_domain(self):
         """Guards against a request that crashes a cut domain, or others after it."""
         self.run_and_check()
+
+
+@proves("G4", "G5", "G6", fault="platform down, slow, answer lost after write")
+class OwnKeysTests(ScenarioCase):
+    scenario = SCENARIOS["own-keys"]
+
+    def test_keys_of_the_caller_run_once_on_a_failing_platform(self):
+        """Guards against a claim lost, or made twice, with the platform's answer."""
+        self.run_and_check()
