Check every retirement of an upstream, and hold the addresses of a run

Cause: the check of G7 took only the last retirement of an upstream, so that late work after an earlier one was not seen; two runs that started together could choose the same addresses. Change: a retirement ends when the upstream returns, and each is checked. The load is so high that a worker that still gets work is never idle. A run binds a port below its addresses for as long as it lasts.

--- a/harness/history.py
+++ b/harness/history.py
@@ -82,10 +82,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Retirement:
-    """An upstream was declared leaving at `time`."""
+    """An upstream was declared leaving at `time`, until it returned if it did."""
 
     upstream: str
     time: float
+    returned: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,11 +207,17 @@
 
 
 def _check_retirements(history: History, findings: Findings) -> None:
-    limit = {r.upstream: r.time + RETIRE_BOUND_S for r in history.retirements}
-    for execution in history.executions:
-        if execution.started > limit.get(execution.upstream, float("inf")):
-            late = execution.started - limit[execution.upstream]
-            findings.add(f"G7 {execution.upstream}", f"new work {late:.3f} s too late")
+    # An upstream may retire and return more than once.
+    for retirement in history.retirements:
+        limit = retirement.time + RETIRE_BOUND_S
+        for execution in history.executions:
+            if execution.upstream != retirement.upstream:
+                continue
+            if limit < execution.started < retirement.returned:
+                late = execution.started - limit
+                findings.add(
+                    f"G7 {execution.upstream}", f"new work {late:.3f} s too late"
+                )
 
 
 def _check_stops(history: History, answers_lost: bool, findings: Findings) -> None:
--- a/harness/recording.py
+++ b/harness/recording.py
@@ -3,7 +3,7 @@
 import json
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -56,6 +56,16 @@
         now = time.monotonic()
         self.retirements += [Retirement(name, now) for name in upstreams]
 
+    def returned(self, upstream: str) -> None:
+        """Record that a retired upstream is started again now."""
+        now = time.monotonic()
+        self.retirements = [
+            replace(item, returned=min(item.returned, now))
+            if item.upstream == upstream
+            else item
+            for item in self.retirements
+        ]
+
     def stopped_node(self, process: Process, asked: float, status: int) -> None:
         """Record a node's end after SIGTERM, with the reason in its log."""
         reason = f"exit status {status}"
--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -6,7 +6,8 @@
 import socket
 import time
 import urllib.request
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -277,17 +278,20 @@
     Raises TimeoutError or RuntimeError when the processes do not come up.
     """
     seed = scenario.seed if seed is None else seed
-    layout = Layout(
-        _free_base(),
+    parameters = scenario.parameters | (scenario.soak_parameters if soak else {})
+    start = time.monotonic()
+    with _reserved_base() as base, running_cluster(_layout(scenario, base)) as cluster:
+        return asyncio.run(_run(scenario, seed, cluster, parameters, start))
+
+
+def _layout(scenario: Scenario, base: int) -> Layout:
+    return Layout(
+        base,
         scenario.domains,
         scenario.hosts_per_domain,
         scenario.with_relay,
         scenario.sections,
     )
-    parameters = scenario.parameters | (scenario.soak_parameters if soak else {})
-    start = time.monotonic()
-    with running_cluster(layout) as cluster:
-        return asyncio.run(_run(scenario, seed, cluster, parameters, start))
 
 
 async def _run(
@@ -330,13 +334,17 @@
         return int(json.loads(resp.read())["version"])
 
 
-def _free_base() -> int:
-    """Choose addresses that no other run on this machine uses."""
+@contextmanager
+def _reserved_base() -> Iterator[int]:
+    """Choose addresses that no other run on this machine uses, and hold them."""
     for base in random.sample(range(FIRST_BASE, LAST_BASE), LAST_BASE - FIRST_BASE):
         with socket.socket() as sock:
             try:
-                sock.bind((f"127.{base}.0.1", PLATFORM_PORT))
+                # The platform stand-in listens on another address below 127.base.
+                sock.bind((f"127.{base}.0.2", PLATFORM_PORT))
+                sock.listen()
             except OSError:
                 continue
-            return base
+            yield base
+            return
     raise RuntimeError("no free addresses on loopback")
--- a/harness/scenarios/retirement.py
+++ b/harness/scenarios/retirement.py
@@ -12,11 +12,13 @@
 # Longer than the time in which a retired upstream may still get work.
 WATCH_S = 3.0
 SERVICE_MS = 300.0
+# So many that a worker which still gets work is never idle and does not exit.
+CONCURRENCY = 48
 
 
 async def run_retirement(run: Run) -> None:
     """Retire by announcement, by document and by SIGTERM to a node."""
-    load = run.load(service_ms=SERVICE_MS, concurrency=16)
+    load = run.load(service_ms=SERVICE_MS, concurrency=CONCURRENCY)
     load.start()
     await asyncio.sleep(SETTLE_S)
     await _retire_by_announcement(run)
@@ -28,8 +30,10 @@
 async def _retire_by_announcement(run: Run) -> None:
     """End the worker of one host; others of its service stay."""
     host = run.rng.choice(run.hosts)
-    await run.stop_worker(run.worker(host))
+    worker = run.worker(host)
+    await run.stop_worker(worker)
     await asyncio.sleep(WATCH_S)
+    run.recording.returned(worker.name)
     run.start_worker(host)
 
 
--- a/harness/tests/test_history.py
+++ b/harness/tests/test_history.py
@@ -91,6 +91,17 @@
         )
         self.assertEqual(places(history), {"G7"})
 
+    def test_retirement_that_follows_another_hides_no_late_work(self):
+        """G7: late work on an upstream that returned and was retired again."""
+        history = History(
+            executions=[
+                Execution("c1", "", True, "u1", 3.5),
+                Execution("c2", "", True, "u1", 4.5),
+            ],
+            retirements=[Retirement("u1", 1.0, 4.0), Retirement("u1", 9.0)],
+        )
+        self.assertEqual(len(check_history(history)), 1)
+
     def test_cut_call_is_caught(self):
         """G8: a graceful shutdown that cuts a call or ends by its bound."""
         history = History(
