--- a/lentilsill/daemon/controllers/membership.py
+++ b/lentilsill/daemon/controllers/membership.py
@@ -37,26 +37,20 @@
 from lentilsill.wire import CONTROL, Link
 from lentilsill.wire.messages import IndirectProbe, NodeRow, Probe, ProbeAck, Records
 
+from .relays import NO_DIGEST, DigestTuple, ProbeRelays
 from .seeds import SeedContacts
 from .summaries import SummaryExchange
 
-__all__ = ["DigestTuple", "MembershipController"]
-
-# complete_as_of, documents_hash, records_hash; NO_DIGEST is "none sent".
-DigestTuple = tuple[int, int, int]
-NO_DIGEST: DigestTuple = (0, 0, 0)
+__all__ = ["MembershipController"]
 
 PIGGYBACK_ROWS = 6
 # Beside the tree, so that one dead child does not delay its whole subtree.
 EXTRA_PUSHES = 2
 SMALL_TABLE_ROWS = 64
 # A large table is sent whole only when its recent changes did not settle the
-# difference; 511 records take about 100 KB.
+# difference; 511 records of one upstream each take 52 KB.
 FULL_EXCHANGE_INTERVAL_S = 30.0
 RECENT_CHANGE_S = 30.0
-RELAY_LIFETIME_S = 5.0
-# Separates the ids of relayed probes from those of the own detector.
-FIRST_RELAY_ID = 1 << 40
 
 log = structlog.get_logger()
 
@@ -94,12 +88,13 @@
         self._policy = policy_for(ctx.cfg.distribution.optimise_for)
         self._digest_due = 0.0
         self._digest_followers: list[Callable[[Link, DigestTuple], None]] = []
-        self._relays: dict[int, tuple[Link, int, str, float]] = {}
-        self._next_relay = FIRST_RELAY_ID
+        self._relays = ProbeRelays(ctx)
         self._seeds = SeedContacts(ctx, self.table, self.summaries, self._digest)
         self._last_exchange = float("-inf")
         self._last_full = float("-inf")
         self._publish_pending = False
+        self._ranked: tuple[int, tuple[str, ...]] = (-1, ())
+        self._has_left = False
 
     @classmethod
     def from_context(cls, ctx: Context, documents: Documents) -> "MembershipController":
@@ -109,13 +104,9 @@
     def start(self) -> None:
         """Register handlers and start the probe and join loops."""
         ctx = self._ctx
-        for message_type, handler in (
-            (Probe, self._on_probe),
-            (ProbeAck, self._on_probe_ack),
-            (IndirectProbe, self._on_indirect_probe),
-            (Records, self._on_records),
-        ):
-            ctx.links.on(message_type, handler)
+        ctx.links.on(Probe, self._on_probe)
+        ctx.links.on(ProbeAck, self._on_probe_ack)
+        ctx.links.on(Records, self._on_records)
         for topic in (Topic.UPSTREAMS, Topic.READY, Topic.DRAIN):
             ctx.board.follow(topic, self._refresh_own)
         ctx.board.dump_parts["membership"] = self._dump
@@ -124,6 +115,7 @@
         self._publish()
         ctx.spawn(self._probe_loop())
         self._seeds.start()
+        self._relays.start()
 
     def follow_digests(self, callback: Callable[[Link, DigestTuple], None]) -> None:
         """Call `callback` with each digest that a probe or its answer carries."""
@@ -136,8 +128,21 @@
         ]
 
     def ranked(self) -> tuple[str, ...]:
-        """Rank the live nodes of the domain; the first ones are watchers."""
-        return rank_members(self.alive_names(), self._ctx.cfg.domain)
+        """Rank the live nodes of the domain; the first ones are watchers.
+
+        Leaving nodes rank only when all leave.
+        """
+        version, ranked = self._ranked
+        if version != self.table.version:
+            # A leaving node would soon hand its watch over again.
+            alive = [
+                e.record for e in self.table.live() if e.liveness == Liveness.ALIVE
+            ]
+            staying = [r.node for r in alive if r.state != NodeState.LEAVING]
+            names = staying or [r.node for r in alive]
+            ranked = rank_members(names, self._ctx.cfg.domain)
+            self._ranked = (self.table.version, ranked)
+        return ranked
 
     def is_first_ranked(self, count: int) -> bool:
         """Whether this node is among the first `count` in the ranking."""
@@ -181,9 +186,17 @@
             self._push_own()
             self._publish_soon()
 
-    def _push_own(self) -> None:
+    def leave(self) -> None:
+        """Tell peers that this process ends; the last call before the links close.
+
+        Peers drop the record at once and need not detect the end by probes.
+        """
+        self._has_left = True
+        self._push_own(Liveness.DEAD)
+
+    def _push_own(self, liveness: Liveness = Liveness.ALIVE) -> None:
         me = self._ctx.cfg.node
-        row = record_to_row(self.table.own)
+        row = record_to_row(self.table.own, liveness)
         targets = [*self.tree_children(me), *self.random_peers(EXTRA_PUSHES)]
         self._ctx.count("membership.own_pushed")
         for address in dict.fromkeys(targets):
@@ -206,7 +219,7 @@
             orders = {n: e.record.order for n, e in peers.items()}
             for action in self._detector.tick(now, orders, suspects):
                 self._act(action, now)
-            self._drop_old_relays(now)
+            self._relays.expire(now)
 
     def _act(self, action: object, now: float) -> None:
         match action:
@@ -261,28 +274,13 @@
         self._on_digest(link, message.digest)
 
     def _on_probe_ack(self, link: Link, message: ProbeAck) -> None:
-        relay = self._relays.pop(message.probe_id, None)
-        if relay is not None:
-            origin, probe_id, node, _ = relay
-            if link.hello.node == node:
-                origin.send(ProbeAck(probe_id, NO_DIGEST, (), node))
+        if self._relays.answer(link, message.probe_id):
             return
         self._merge(link, message.rows)
         # A relayed answer names the node that was probed.
         self._detector.ack(message.probe_id, message.node or link.hello.node)
         self._on_digest(link, message.digest)
 
-    def _on_indirect_probe(self, link: Link, message: IndirectProbe) -> None:
-        self._next_relay += 1
-        relay = (link, message.probe_id, message.node, self._ctx.now())
-        self._relays[self._next_relay] = relay
-        self._send(message.address, Probe(self._next_relay, NO_DIGEST))
-
-    def _drop_old_relays(self, now: float) -> None:
-        for relay_id, (_, _, _, since) in list(self._relays.items()):
-            if now - since > RELAY_LIFETIME_S:
-                del self._relays[relay_id]
-
     # Exchange of records
 
     def _on_digest(self, link: Link, digest: DigestTuple) -> None:
@@ -306,6 +304,7 @@
             link.send(Records(_rows(entries), want_reply=True))
         else:
             recent = self.table.changed_since(now - RECENT_CHANGE_S)
+            recent.sort(key=lambda e: -e.changed_at)
             link.send(Records(_rows(recent[:SMALL_TABLE_ROWS])))
         self._ctx.count("membership.exchanges")
 
@@ -314,20 +313,12 @@
         if message.push:
             self._pass_on(changed)
         if message.want_reply:
-            link.send(Records(_rows(self._newer_than(message.rows))))
-
-    def _newer_than(self, rows: Iterable[NodeRow]) -> list[Entry]:
-        """List the entries that the sender of `rows` lacks or has older."""
-        known = {row[0]: (row[3], row[4], row[2], row[9]) for row in rows}
-        lowest = (-1, -1, "", 0)
-        return [
-            e
-            for e in self.table.entries()
-            if e.precedence > known.get(e.record.node, lowest)
-        ]
+            known = {r[0]: (r[3], r[4], r[2], r[9]) for r in message.rows}
+            link.send(Records(_rows(self.table.newer_than(known))))
+            self.summaries.send_all(link)
 
     def _merge(self, link: Link, rows: Iterable[NodeRow]) -> list[Entry]:
-        if not rows:
+        if not rows or self._has_left:
             return []
         records = []
         for row in rows:
@@ -368,6 +359,9 @@
         live = self.table.live()
         board = self._ctx.board
         board.members = {e.record.node: e.record for e in live}
+        board.suspects = frozenset(
+            e.record.node for e in live if e.liveness == Liveness.SUSPECT
+        )
         self.summaries.members_changed(board.members, self.ranked()[:2])
         self._ctx.gauge("membership.live", len(live))
         board.changed(Topic.MEMBERS)
