--- a/harness/tests/test_golden_sessions.py
+++ b/harness/tests/test_golden_sessions.py
@@ -10,7 +10,7 @@
 from harness.layout import Layout
 from harness.processes import running_cluster, wait_until
 from harness.recording import read_events
-from harness.scenario import free_base
+from harness.scenario import reserved_base
 from harness.tests.sessions import Session, normalised_log
 
 BOUND_S = 15.0
@@ -42,7 +42,8 @@
     maxDiff = None
 
     def setUp(self):
-        layout = Layout(free_base(), ("lahore",), 2)
+        base = self.enterContext(reserved_base())
+        layout = Layout(base, ("lahore",), 2)
         self.cluster = self.enterContext(running_cluster(layout))
         self.session = Session(self.cluster)
 
