Take dead upstreams out at once, and stop a crashing request at two workers

Cause: the scenario poison found four faults. A dead worker stayed a candidate until its announcements timed out, failed fast and so drew calls, whose retries took the budget: 32 innocent calls refused as not run. A crash with others in flight was not counted, so that a request killed three workers before its quarantine. One idempotent call killed a worker per attempt, as its retries were sent before the crash was known, and the third one in another domain. Change: a destination takes out an upstream that refuses connections until it announces itself again, and refuses its calls without cost to the budget. A lost idempotent call is reported before it is refused. A call that lost two upstreams is not tried again.

--- a/harness/scenarios/__init__.py
+++ b/harness/scenarios/__init__.py
@@ -7,7 +7,7 @@
 from .freeze import FREEZE
 from .herd import HERD
 from .partition import PARTITION
-from .poison import POISON
+from .poison import POISON, POISON_ANYWHERE
 from .retirement import RETIREMENT
 from .silence import SILENCE
 
@@ -24,5 +24,6 @@
         SILENCE,
         FREEZE,
         POISON,
+        POISON_ANYWHERE,
     )
 }
--- a/harness/scenarios/poison.py
+++ b/harness/scenarios/poison.py
@@ -1,4 +1,8 @@
-"""A request that crashes its upstreams and is sent again by its caller."""
+"""A request that crashes its upstreams and is sent again by its caller.
+
+The caller uses the nodes of one domain, as crashes are reported within a domain;
+in the second scenario it uses the nodes of all domains.
+"""
 
 import asyncio
 
@@ -7,7 +11,7 @@
 from harness.scenario import Run, Scenario
 from standins.caller import CallPlan
 
-__all__ = ["POISON"]
+__all__ = ["POISON", "POISON_ANYWHERE"]
 
 SENDS = 20
 SEND_PAUSE_S = 0.15
@@ -44,9 +48,10 @@
     deaths: list[str] = []
     restarter = asyncio.create_task(_restart_workers(run, deaths))
     ids: set[str] = set()
+    hosts = run.hosts[: int(run.parameters["hosts"])]
     request_key = call_id = ""
     for turn in range(SENDS):
-        node = run.hosts[turn % len(run.hosts)].caller_address
+        node = hosts[turn % len(hosts)].caller_address
         record = await run.caller.call(plan, request_key, node, call_id)
         # A repeat with the same key is the same request.
         request_key = record.request_key
@@ -83,4 +88,5 @@
             run.findings.add(f"quarantine {call.call_id}", f"refused: {call.reason}")
 
 
-POISON = Scenario("poison", run_poison)
+POISON = Scenario("poison", run_poison, parameters={"hosts": 3})
+POISON_ANYWHERE = Scenario("poison-anywhere", run_poison, parameters={"hosts": 9})
--- a/harness/tests/test_crash_scenarios.py
+++ b/harness/tests/test_crash_scenarios.py
@@ -42,3 +42,12 @@
     def test_resent_crashing_request_kills_two_workers_at_most(self):
         """Guards against a resent request that kills worker after worker."""
         self.run_and_check()
+
+
+@proves("G4", "G5", "G6", fault="crash-causing request resent")
+class PoisonAnywhereTests(ScenarioCase):
+    scenario = SCENARIOS["poison-anywhere"]
+
+    def test_request_resent_in_all_domains_kills_two_workers_at_most(self):
+        """Guards against a request that kills anew in each domain."""
+        self.run_and_check()
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -1,6 +1,7 @@
 """Execution of calls on the upstreams of this node."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import xxhash
@@ -42,6 +43,7 @@
 EXPIRY_INTERVAL_S = 1.0
 # All connections of a crashed upstream have closed after this time.
 CRASH_CHECK_DELAY_S = 0.05
+CRASH_VERDICT_BOUND_S = 0.2
 DEFAULT_LIMITS = Limits()
 
 
@@ -75,6 +77,8 @@
         self.guard = guard
         self.running: dict[Execution, None] = {}
         self.lost: list[str] = []
+        self.check: asyncio.Task[None] | None = None
+        self.is_out = False
         self.client = UpstreamClient(record.address)
         may_start = None if guard is None else self._may_start
         self.queue = AdmissionQueue(max(1, record.slots), 0, may_start)
@@ -101,6 +105,8 @@
         # Removed upstreams whose last calls have not ended.
         self._departed: dict[str, _Upstream] = {}
         self._remote: dict[tuple[str, int], Execution] = {}
+        # Takes an upstream out; the assembly sets it.
+        self.drop_upstream: Callable[[str, str], bool] | None = None
         ctx.links.on(Call, self._on_call)
         ctx.links.on(Cancel, self._on_cancel)
         ctx.links.on(OutcomeQuery, self._on_outcome_query)
@@ -134,10 +140,19 @@
         own = self._upstreams.get(upstream)
         return bool(own and own.lost)
 
+    def _crashed(self, own: _Upstream) -> bool:
+        """Report a dead upstream and take it out; False if nothing does that."""
+        if not own.is_out:
+            self._report_death(own)
+            if self.drop_upstream is not None:
+                own.is_out = True
+                self.drop_upstream(own.record.upstream, "crashed")
+        return own.is_out
+
     def on_upstream_gone(self, upstream: str) -> None:
         """An upstream stopped announcing itself without leaving: it crashed."""
         own = self._upstreams.get(upstream) or self._departed.get(upstream)
-        if own is not None:
+        if own is not None and not own.is_out:
             self._report_death(own)
 
     def refresh(self) -> None:
@@ -236,6 +251,13 @@
             self._apply(own.queue.finished(execution, self.ctx.now()))
             if self._departed and not own.running:
                 self._departed.pop(call.upstream, None)
+        match result:
+            case Refused(outcome=Outcome.NOT_RUN, reason=reason):
+                if reason.startswith(UNREACHABLE) and self._crashed(own):
+                    return not_run(LEAVING)
+            case Refused() if call.idempotent and own.check is not None:
+                # The next attempt comes after peers know the suspects.
+                await asyncio.wait([own.check], timeout=CRASH_VERDICT_BOUND_S)
         return result
 
     def _judge(
@@ -246,12 +268,11 @@
         match result:
             case Answer():
                 self.guard.finished(execution.fingerprint)
-            case Refused(outcome=Outcome.NOT_RUN, reason=reason):
-                if reason.startswith(UNREACHABLE) and own.lost:
-                    self._report_death(own)
-            case Refused() if not execution.exchange.aborted:
+            case Refused(outcome=outcome) if (
+                outcome is not Outcome.NOT_RUN and not execution.exchange.aborted
+            ):
                 if not own.lost:
-                    self.ctx.spawn(self._check_crash(own))
+                    own.check = self.ctx.spawn(self._check_crash(own))
                 own.lost.append(execution.fingerprint)
 
     async def _check_crash(self, own: _Upstream) -> None:
@@ -259,7 +280,7 @@
         if await own.client.is_accepting():
             own.lost.clear()
         else:
-            self._report_death(own)
+            self._crashed(own)
 
     def _report_death(self, own: _Upstream) -> None:
         suspects = (*own.lost, *own.fingerprints())
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -18,6 +18,7 @@
 from .destination import DestinationController, Execution, fingerprint_of
 from .peer_calls import PeerCalls, Reply
 from .reasons import (
+    CONNECTION_LOST,
     LEAVING,
     NO_ROUTE,
     NO_UPSTREAM,
@@ -32,6 +33,9 @@
 # Reasons of refusals that say nothing about the health of an upstream and
 # don't come from overload; a retry after them takes nothing from the budget.
 FREE_REASONS = frozenset({LEAVING})
+# A call that lost so many upstreams may be what crashes them. The quarantine
+# of one domain does not stop it in another.
+MAX_LOST_UPSTREAMS = 2
 
 
 class _Plan:
@@ -165,7 +169,7 @@
         route = plan.route
         budget = self._budget("retry", plan, route.retry.budget_percent)
         budget.add_call()
-        attempts = 0
+        attempts = lost = 0
         worst: Refused | None = None
         while True:
             now = self.ctx.now()
@@ -181,6 +185,9 @@
             if isinstance(result, Answer):
                 return result
             worst = _worse(worst, result)
+            lost += result.reason == CONNECTION_LOST
+            if lost >= MAX_LOST_UPSTREAMS:
+                return worst
             free = result.reason in FREE_REASONS
             attempts += not free
             if not decide_retry(
--- a/lentilsill/daemon/controllers/reasons.py
+++ b/lentilsill/daemon/controllers/reasons.py
@@ -3,6 +3,7 @@
 from lentilsill.outcomes import Outcome, Refused
 
 __all__ = [
+    "CONNECTION_LOST",
     "LEAVING",
     "NOT_READY",
     "NO_ROUTE",
@@ -12,6 +13,8 @@
     "not_run",
 ]
 
+# The upstream or its connection broke while the request may have run.
+CONNECTION_LOST = "connection closed before the answer"
 LEAVING = "upstream is leaving"
 NO_ROUTE = "no route"
 NOT_READY = "node is not ready"
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -21,7 +21,7 @@
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.wire.links import split_address
 
-from .reasons import UNREACHABLE, not_run
+from .reasons import CONNECTION_LOST, UNREACHABLE, not_run
 
 __all__ = ["HOP_BY_HOP", "Exchange", "UpstreamClient"]
 
@@ -256,6 +256,4 @@
 
 
 def _closed_early(exchange: Exchange) -> Refused:
-    return Refused(
-        Outcome.UNKNOWN, exchange.aborted or "connection closed before the answer"
-    )
+    return Refused(Outcome.UNKNOWN, exchange.aborted or CONNECTION_LOST)
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -64,6 +64,7 @@
     )
     callers = CallerServer(entry, cfg.calls.max_body_bytes, claims.issue_keys)
     admin = AdminServer(ctx, destination.on_upstream_gone, destination.in_flight)
+    destination.drop_upstream = admin.announcements.drop
     ctx.links.listen(cfg.peer_address)
     callers.listen(cfg.caller_address)
     admin.start()
--- a/lentilsill/quarantine/tracker.py
+++ b/lentilsill/quarantine/tracker.py
@@ -67,15 +67,19 @@
     def upstream_died(
         self, in_flight: Iterable[str], now_s: float
     ) -> tuple[CrashRow, ...]:
-        """Count a crash; give the rows that peers must learn."""
+        """Count a crash; give the rows that peers must learn.
+
+        A crash without a lone suspect is counted against all in flight, so that
+        its cause is quarantined at its second crash; the others are cleared as
+        they finish.
+        """
         involved = sorted(set(in_flight))
         known = [name for name in involved if self.is_suspect(name, now_s)]
         if len(known) == 1:
             involved = known
-        crashes = 1 if len(involved) == 1 else 0
         for name in involved:
             entry = self._find(name, now_s)
-            count = (entry.crashes if entry else 0) + crashes
+            count = (entry.crashes if entry else 0) + 1
             self._set(name, count, now_s + self.lifetime_s, now_s)
         return self._rows(involved, now_s)
 
