--- a/lentilsill/quarantine/tests/test_tracker.py
+++ b/lentilsill/quarantine/tests/test_tracker.py
@@ -6,24 +6,25 @@
 
 
 class CrashTrackerTests(unittest.TestCase):
-    def test_bystanders_of_a_lone_suspect_are_not_suspected(self):
-        """Guards against innocent requests counted at every further crash."""
+    def test_innocent_beside_crashes_is_never_quarantined(self):
+        """Guards against a request that shared two crashes and is then refused.
+
+        A suspect may share a crash when it started before it was suspected.
+        """
         tracker = CrashTracker()
-        tracker.upstream_died(("bad", "x"), 0.0)
-        tracker.finished("x", 1.0)
-        rows = tracker.upstream_died(("bad", "y", "z"), 2.0)
-        self.assertEqual([row[:2] for row in rows], [("bad", 2)])
-        for name in ("x", "y", "z"):
-            self.assertFalse(tracker.is_suspect(name, 2.0))
-
-    def test_request_is_quarantined_at_its_second_crash(self):
-        """Guards against a third dead upstream when others were in flight first."""
+        for second in range(5):
+            tracker.upstream_died((f"bad-{second}", "x"), float(second))
+        self.assertFalse(tracker.is_quarantined("x", 5.0))
+        self.assertFalse(tracker.may_start("x", ("y",), 5.0))
+        tracker.finished("x", 5.0)
+        self.assertFalse(tracker.is_suspect("x", 5.0))
+
+    def test_second_upstream_that_dies_quarantines(self):
+        """Guards against a third upstream that the same request crashes."""
         tracker = CrashTracker()
-        tracker.upstream_died(("bad", "x"), 0.0)
-        self.assertFalse(tracker.is_quarantined("bad", 1.0))
-        tracker.upstream_died(("bad", "y"), 1.0)
+        tracker.upstream_died(("bad", "x", "y"), 0.0)
+        tracker.upstream_died(("bad",), 1.0)
         self.assertTrue(tracker.is_quarantined("bad", 1.0))
-        self.assertFalse(tracker.is_quarantined("x", 1.0))
 
     def test_quarantine_ends(self):
         """Guards against a request refused for ever after a fixed bug."""
--- a/lentilsill/quarantine/tracker.py
+++ b/lentilsill/quarantine/tracker.py
@@ -22,20 +22,24 @@
 class CrashTracker:
     """Suspects: requests that were in flight on an upstream that died.
 
-    A suspect runs only where no other suspect runs, so that a further crash can
-    be counted against it alone. Times are in seconds of a clock that never
-    steps. When the table is full, the entry with the fewest crashes that
-    expires first makes room.
+    A crash with several requests in flight makes each a suspect with one crash.
+    A suspect then runs on an upstream with nothing else in flight, so that a
+    further crash is its own and it is quarantined, or it finishes and is
+    cleared. An innocent request is therefore never counted twice, also when
+    another request, not yet a suspect, crashes upstreams at the same time.
+    Times are in seconds of a clock that never steps. When the table is full,
+    the entry with the fewest crashes that expires first makes room.
 
     Examples
     --------
     >>> tracker = CrashTracker()
     >>> _ = tracker.upstream_died(("a", "b"), now_s=0.0)
-    >>> tracker.may_start("a", ("b",), 1.0), tracker.may_start("a", ("c",), 1.0)
-    (False, True)
-    >>> _ = tracker.upstream_died(("a", "c"), now_s=1.0)
+    >>> tracker.may_start("a", ("c",), 1.0), tracker.may_start("c", ("a",), 1.0)
+    (False, False)
+    >>> tracker.may_start("a", (), 1.0), tracker.may_start("c", ("d",), 1.0)
+    (True, True)
     >>> _ = tracker.upstream_died(("a",), now_s=2.0)
-    >>> tracker.is_quarantined("a", 3.0), tracker.is_quarantined("c", 3.0)
+    >>> tracker.is_quarantined("a", 3.0), tracker.is_quarantined("b", 3.0)
     (True, False)
     """
 
@@ -59,27 +63,24 @@
     def may_start(
         self, fingerprint: str, in_flight: Iterable[str], now_s: float
     ) -> bool:
-        """Whether the request may run beside `in_flight`: one suspect at most."""
-        if not self.is_suspect(fingerprint, now_s):
-            return True
-        return not any(self.is_suspect(other, now_s) for other in in_flight)
+        """Whether the request may run beside `in_flight`: a suspect runs alone."""
+        others = tuple(in_flight)
+        if self.is_suspect(fingerprint, now_s):
+            return not others
+        return not any(self.is_suspect(other, now_s) for other in others)
 
     def upstream_died(
         self, in_flight: Iterable[str], now_s: float
     ) -> tuple[CrashRow, ...]:
         """Count a crash; give the rows that peers must learn.
 
-        A crash without a lone suspect is counted against all in flight, so that
-        its cause is quarantined at its second crash; the others are cleared as
-        they finish.
+        A crash that several requests share raises none of them above one.
         """
         involved = sorted(set(in_flight))
-        known = [name for name in involved if self.is_suspect(name, now_s)]
-        if len(known) == 1:
-            involved = known
         for name in involved:
             entry = self._find(name, now_s)
-            count = (entry.crashes if entry else 0) + 1
+            count = entry.crashes if entry else 0
+            count = count + 1 if len(involved) == 1 else max(count, 1)
             self._set(name, count, now_s + self.lifetime_s, now_s)
         return self._rows(involved, now_s)
 
@@ -88,22 +89,35 @@
         if not self.is_quarantined(fingerprint, now_s):
             self._suspects.pop(fingerprint, None)
 
-    def merge(self, rows: Iterable[CrashRow], now_s: float) -> None:
-        """Take in a peer's report: the higher count and later expiry win."""
+    def merge(self, rows: Iterable[CrashRow], now_s: float) -> tuple[CrashRow, ...]:
+        """Take in a peer's report; give the rows that were new here.
+
+        The higher count and the later expiry win. A later expiry alone is no
+        news: rows lose a little lifetime on each way, so it would travel on.
+        """
+        news = []
         for name, crashes, remaining_ms in rows:
             left_s = min(remaining_ms / 1000, self.lifetime_s)
             if left_s <= 0 or len(name) > MAX_FINGERPRINT_CHARS:
                 continue
             entry = self._find(name, now_s)
             expires_s = now_s + left_s
+            if entry is None or crashes > entry.crashes:
+                news.append(name)
             if entry is not None:
                 crashes = max(crashes, entry.crashes)
                 expires_s = max(expires_s, entry.expires_s)
             self._set(name, max(crashes, 0), expires_s, now_s)
+        return self._rows(news, now_s)
 
     def report(self, now_s: float) -> tuple[CrashRow, ...]:
-        """Give every live row."""
-        return self._rows(sorted(self._suspects), now_s)
+        """Give every live row, those with the most crashes first."""
+        rows = self._rows(sorted(self._suspects), now_s)
+        return tuple(sorted(rows, key=lambda row: -row[1]))
+
+    def quarantined(self, now_s: float) -> tuple[CrashRow, ...]:
+        """Give the rows of quarantined requests."""
+        return tuple(row for row in self.report(now_s) if row[1] >= QUARANTINE_CRASHES)
 
     def _rows(self, names: list[str], now_s: float) -> tuple[CrashRow, ...]:
         found = ((name, self._find(name, now_s)) for name in names)
