--- a/harness/scenarios/__init__.py
+++ b/harness/scenarios/__init__.py
@@ -10,7 +10,7 @@
 from .outages import OUTAGES
 from .pairs import PAIRS
 from .partition import PARTITION
-from .poison import POISON
+from .poison import POISON, POISON_ANYWHERE
 from .retirement import RETIREMENT
 from .silence import SILENCE
 
@@ -30,5 +30,6 @@
         *OUTAGES,
         *OPERATORS,
         *PAIRS,
+        POISON_ANYWHERE,
     )
 }
