Test repair, pushes past dead nodes and the bound on links

Cause: the exchange under lost, repeated and reordered messages found a loop: a delta of a summary that did not fit was asked for again and answered by the same delta. Change: after a delta that does not fit, the whole summary is asked for. Content hashes are computed once per summary. Conclusion: repair ends, and its cost follows the differences.

--- a/lentilsill/daemon/controllers/summaries.py
+++ b/lentilsill/daemon/controllers/summaries.py
@@ -235,7 +235,11 @@
         is_new = self._take(message, nodes)
         if is_new is None:
             self._ctx.count("membership.summary_bases_missing")
-            link.send(Records((), summaries=self.listing() or UNKNOWN))
+            # Without a hash the answer is the whole summary; a second delta that
+            # does not fit would be asked for without end.
+            known = [row for row in self.listing() if row[0] != message.domain]
+            asked = (message.domain, message.generation - 1, 0)
+            link.send(Records((), summaries=(*known, asked)))
         if is_new is False or message.domain == self._ctx.cfg.domain:
             return
         if is_new:
--- /dev/null
+++ b/lentilsill/daemon/controllers/tests/test_table_repair.py
@@ -0,0 +1,201 @@
+"""Tables and summaries become equal again, and pushes pass dead nodes."""
+
+import unittest
+from dataclasses import replace
+from random import Random
+from types import SimpleNamespace
+
+from lentilsill.daemon.blackboard import Blackboard
+from lentilsill.daemon.controllers.summaries import SummaryExchange
+from lentilsill.daemon.controllers.table_repair import TableRepair
+from lentilsill.daemon.controllers.tree_push import TreePush
+from lentilsill.membership import (
+    DomainSummary,
+    Liveness,
+    MemberTable,
+    record_from_row,
+)
+from lentilsill.membership.tests.builders import make_record, make_upstream
+from lentilsill.versioning import EMPTY_SNAPSHOT
+from lentilsill.wire import Hello, encode
+from lentilsill.wire.messages import Records, Summary
+
+MEMBERS = 120
+ROUNDS = 200
+
+
+class FakeNode:
+    """Table and summaries of one node, with a mailbox instead of links."""
+
+    def __init__(self, name, seed, network):
+        self.name = name
+        self.network = network
+        self.clock = 0.0
+        self.hello = Hello(1, name, name, "lahore", "control", "127.0.0.1:1")
+        ctx = SimpleNamespace(
+            now=lambda: self.clock,
+            rng=Random(seed),
+            board=Blackboard(EMPTY_SNAPSHOT),
+            count=lambda *args: None,
+            cfg=SimpleNamespace(
+                node=name,
+                domain="lahore",
+                membership=SimpleNamespace(probe_interval_s=1.0),
+            ),
+        )
+        self.table = MemberTable(make_record(name), dead_memory_s=1e9)
+        self.summaries = SummaryExchange(ctx, lambda: False, lambda *args: 0)
+        self.summaries._publish_soon = lambda: None
+        self.repair = TableRepair(ctx, self.table, self.summaries)
+
+    def link_to(self, other):
+        def send(message):
+            self.network.append((self, other, message))
+            return True
+
+        return SimpleNamespace(hello=other.hello, send=send)
+
+    def probe(self, other):
+        self.clock += 1.0
+        self.repair.start(self.link_to(other), other.repair.digest_hash)
+
+    def receive(self, sender, message):
+        link = self.link_to(sender)
+        if isinstance(message, Summary):
+            self.summaries._on_summary(link, message)
+            return
+        rows = [record_from_row(row) for row in message.rows]
+        self.table.merge(rows, self.clock)
+        self.repair.answer(link, message, rows)
+
+    def content(self):
+        entries = self.table.live()
+        summaries = self.summaries.listing()
+        return {(e.record, e.liveness) for e in entries}, {
+            (domain, content) for domain, _, content in summaries
+        }
+
+
+def make_summary(domain, generation, rng):
+    nodes = [
+        replace(
+            make_record(f"{domain}-{i}", seq=rng.randrange(3)),
+            domain=domain,
+            upstreams=(make_upstream(f"u-{domain}-{i}"),),
+        )
+        for i in sorted(rng.sample(range(30), 20))
+    ]
+    return DomainSummary(domain, generation, (("slots", 20, 120),), tuple(nodes))
+
+
+def fill(node, seed):
+    """Give a node its own mixture of old and new records and verdicts."""
+    rng = Random(seed)
+    for i in range(MEMBERS):
+        if rng.random() < 0.8:
+            record = make_record(f"m{i}", 1, rng.randrange(3))
+            verdict = rng.choices(list(Liveness), (8, 1, 1))[0]
+            node.table.merge([(record, verdict)], 0.0)
+    for generation in range(rng.randrange(3)):
+        summary = make_summary("multan", generation, Random(generation))
+        node.summaries._table.merge(summary)
+
+
+class RepairTests(unittest.TestCase):
+    def run_network(self, seed, loss):
+        rng = Random(seed)
+        network = []
+        nodes = [FakeNode(name, seed, network) for name in "abc"]
+        for i, node in enumerate(nodes):
+            fill(node, seed * 10 + i)
+        for _ in range(ROUNDS):
+            first, second = rng.sample(nodes, 2)
+            first.probe(second)
+            for _ in range(20):
+                if not network:
+                    break
+                # Any message may come next, be lost, or come again later.
+                sender, receiver, message = network.pop(rng.randrange(len(network)))
+                fate = rng.random()
+                if fate >= loss:
+                    receiver.receive(sender, message)
+                if fate >= 1 - loss:
+                    network.append((sender, receiver, message))
+            if nodes[0].content() == nodes[1].content() == nodes[2].content():
+                return
+        self.fail(f"seed {seed}: tables differ after {ROUNDS} probes")
+
+    def test_tables_become_equal_despite_lost_repeated_and_reordered_messages(self):
+        """Guards against differences that no exchange finds or settles."""
+        for seed in range(12):
+            self.run_network(seed, loss=0.3)
+
+    def test_one_difference_costs_little(self):
+        """Guards against sending a whole table for one changed record."""
+        network = []
+        a, b = (FakeNode(name, 1, network) for name in "ab")
+        rows = [(make_record(f"m{i}"), Liveness.ALIVE) for i in range(509)]
+        for node in (a, b):
+            node.table.merge(rows, 0.0)
+            node.table.merge([(make_record(n), Liveness.ALIVE) for n in "ab"], 0.0)
+        b.table.merge([(make_record("m7", seq=1), Liveness.ALIVE)], 1.0)
+        a.probe(b)
+        spent = 0
+        while network:
+            sender, receiver, message = network.pop(0)
+            spent += len(encode(message))
+            receiver.receive(sender, message)
+        self.assertEqual(a.content(), b.content())
+        self.assertLess(spent, 1200)
+
+    def test_forgotten_dead_node_is_not_taught_anew(self):
+        """Guards against dead records that tables keep alive for ever."""
+        network = []
+        a, b = (FakeNode(name, 1, network) for name in "ab")
+        a.table.merge([(make_record("gone"), Liveness.DEAD)], 0.0)
+        b.table.merge([(make_record("new"), Liveness.ALIVE)], 0.0)
+        for first, second in ((a, b), (b, a)):
+            first.probe(second)
+            while network:
+                sender, receiver, message = network.pop(0)
+                receiver.receive(sender, message)
+        self.assertIsNone(b.table.get("gone"))
+        self.assertIsNotNone(a.table.get("new"))
+
+
+class TreePushTests(unittest.TestCase):
+    def push(self, size, dead):
+        """Push from n0 over fake links; give the nodes that were reached."""
+        names = [f"n{i}" for i in range(size)]
+        reached, dials = set(), []
+
+        def tree_of(name):
+            def send_or_else(address, purpose, message, on_unsent):
+                dials.append(address)
+                if address in dead:
+                    on_unsent()
+                elif address not in reached:
+                    reached.add(address)
+                    tree_of(address).push("n0", message)
+
+            ctx = SimpleNamespace(
+                links=SimpleNamespace(send_or_else=send_or_else),
+                count=lambda *args: None,
+                cfg=SimpleNamespace(node=name, distribution=SimpleNamespace(fanout=8)),
+            )
+            return TreePush(ctx, lambda: names, lambda node: node)
+
+        tree_of("n0").push("n0", Records(()))
+        return reached, len(dials)
+
+    def test_subtrees_of_dead_children_are_reached(self):
+        """Guards against a subtree that waits until a death is detected."""
+        for seed in range(20):
+            dead = set(Random(seed).sample([f"n{i}" for i in range(1, 511)], 50))
+            reached, _ = self.push(511, dead)
+            self.assertEqual(len(reached), 510 - len(dead), seed)
+
+    def test_isolated_node_dials_a_bounded_number(self):
+        """Guards against a storm of dials by a node that has lost its network."""
+        _, dials = self.push(511, {f"n{i}" for i in range(1, 511)})
+        self.assertLessEqual(dials, 100)
--- a/lentilsill/membership/summary.py
+++ b/lentilsill/membership/summary.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from functools import cached_property
 
 import xxhash
 
@@ -23,7 +24,7 @@
 KEPT_VERSIONS = 8
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class DomainSummary:
     """What other domains know of a domain.
 
@@ -40,7 +41,7 @@
         """Whether both say the same, whatever their generations."""
         return replace(self, generation=other.generation) == other
 
-    @property
+    @cached_property
     def content_hash(self) -> int:
         """64-bit hash of totals and nodes, whatever the generation."""
         text = f"{self.domain}{self.totals}{self.nodes}"
--- a/lentilsill/wire/tests/test_links.py
+++ b/lentilsill/wire/tests/test_links.py
@@ -7,7 +7,7 @@
 import structlog
 from tornado.tcpclient import TCPClient
 
-from lentilsill.wire import CALLS, Hello, Link, PeerLinks, encode
+from lentilsill.wire import CALLS, CONTROL, Hello, Link, PeerLinks, encode
 from lentilsill.wire.links import Identity, LinkError
 from lentilsill.wire.messages import MAX_MESSAGE_BYTES, Ping, Pong
 
@@ -97,3 +97,41 @@
         first.close()
         second = await self.client.connect(self.address, CALLS)
         self.assertTrue(second.is_open)
+
+    async def test_idle_control_links_are_bounded(self):
+        """Guards against a connection to each of 511 members."""
+        client = PeerLinks(self.client.identity, max_control_links=3, min_idle_s=0.0)
+        client.on(Pong, lambda link, msg: self.received.put_nowait(msg.token))
+        self.addCleanup(client.close)
+        addresses = [self.address, *(free_address() for _ in range(7))]
+        for address in addresses[1:]:
+            self.server.listen(address)
+        await client.connect(self.address, CALLS)
+        for token, address in enumerate(addresses):
+            client.send(address, CONTROL, Ping(token))
+            self.assertEqual(await asyncio.wait_for(self.received.get(), 5), token)
+            found = [a for a in addresses if client.find(a, CONTROL)]
+            self.assertLessEqual(len(found), 3)
+        self.assertEqual(found, addresses[-3:])
+        self.assertEqual(client.traffic[CONTROL].dials, len(addresses))
+        self.assertIsNotNone(client.find(self.address, CALLS))
+
+    async def test_link_with_queued_bytes_is_kept(self):
+        """Guards against a message cut short to make room for a link."""
+        client = PeerLinks(self.client.identity, max_control_links=1, min_idle_s=0.0)
+        self.addCleanup(client.close)
+        link = await client.connect(self.address, CONTROL)
+        link.stream.writing = lambda: True
+        other = free_address()
+        self.server.listen(other)
+        await client.connect(other, CONTROL)
+        self.assertTrue(link.is_open)
+
+    async def test_unsent_message_is_told(self):
+        """Guards against a push that waits 2 s for a dead or silent peer."""
+        silent = socket.create_server((HOST, 0))
+        self.addCleanup(silent.close)
+        for address in (free_address(), f"{HOST}:{silent.getsockname()[1]}"):
+            unsent = asyncio.Event()
+            self.client.send_or_else(address, CONTROL, Ping(1), unsent.set)
+            await asyncio.wait_for(unsent.wait(), 1.0)
