--- a/lentilsill/daemon/controllers/membership.py
+++ b/lentilsill/daemon/controllers/membership.py
@@ -48,7 +48,7 @@
 EXTRA_PUSHES = 2
 # A change is published at once, and further ones after this time. The restart
 # of a third of 511 nodes changes hundreds of records within a second.
-PUBLISH_INTERVAL_S = 0.05
+PUBLISH_INTERVAL_S = 0.1
 
 log = structlog.get_logger()
 
--- a/lentilsill/daemon/controllers/summaries.py
+++ b/lentilsill/daemon/controllers/summaries.py
@@ -33,7 +33,7 @@
 # Finds a summary that was lost with its link, by the hashes of all summaries.
 LISTING_INTERVAL_S = 5.0
 # Coalesces the summaries of several domains into one rebuild of candidates.
-PUBLISH_DELAY_S = 0.05
+PUBLISH_DELAY_S = 0.1
 # Listing of a node without summaries.
 UNKNOWN = (("", -1, 0),)
 MAX_ADDRESSES = 16
