Add make bench and make bench-plot, and type the repair tests

Cause: the benches had to be started one by one. Conclusion: capacity figures can be renewed with one command.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PY := .venv/bin/python
 
-.PHONY: setup test check format demo bench soak
+.PHONY: setup test check format demo bench bench-plot soak
 
 setup: .venv/.stamp
 
@@ -25,3 +25,13 @@
 
 demo: setup
 	$(PY) -m harness.demo
+
+bench: setup
+	$(PY) -m bench.run_all
+
+# Draws the output of `make bench`, kept in the file RESULTS.
+RESULTS := build/bench.jsonl
+
+bench-plot: setup
+	mkdir -p build; test -f $(RESULTS) || $(PY) -m bench.run_all > $(RESULTS)
+	$(PY) -m bench.plot < $(RESULTS)
--- a/lentilsill/daemon/controllers/tests/test_table_repair.py
+++ b/lentilsill/daemon/controllers/tests/test_table_repair.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
+from typing import Any
 
 from lentilsill.daemon.blackboard import Blackboard
 from lentilsill.daemon.controllers.summaries import SummaryExchange
@@ -32,7 +33,7 @@
         self.network = network
         self.clock = 0.0
         self.hello = Hello(1, name, name, "lahore", "control", "127.0.0.1:1")
-        ctx = SimpleNamespace(
+        ctx: Any = SimpleNamespace(
             now=lambda: self.clock,
             rng=Random(seed),
             board=Blackboard(EMPTY_SNAPSHOT),
@@ -45,7 +46,7 @@
         )
         self.table = MemberTable(make_record(name), dead_memory_s=1e9)
         self.summaries = SummaryExchange(ctx, lambda: False, lambda *args: 0)
-        self.summaries._publish_soon = lambda: None
+        self.summaries._publish_pending = True
         self.repair = TableRepair(ctx, self.table, self.summaries)
 
     def link_to(self, other):
@@ -104,7 +105,7 @@
 class RepairTests(unittest.TestCase):
     def run_network(self, seed, loss):
         rng = Random(seed)
-        network = []
+        network: list = []
         nodes = [FakeNode(name, seed, network) for name in "abc"]
         for i, node in enumerate(nodes):
             fill(node, seed * 10 + i)
@@ -132,7 +133,7 @@
 
     def test_one_difference_costs_little(self):
         """Guards against sending a whole table for one changed record."""
-        network = []
+        network: list = []
         a, b = (FakeNode(name, 1, network) for name in "ab")
         rows = [(make_record(f"m{i}"), Liveness.ALIVE) for i in range(509)]
         for node in (a, b):
@@ -150,7 +151,7 @@
 
     def test_forgotten_dead_node_is_not_taught_anew(self):
         """Guards against dead records that tables keep alive for ever."""
-        network = []
+        network: list = []
         a, b = (FakeNode(name, 1, network) for name in "ab")
         a.table.merge([(make_record("gone"), Liveness.DEAD)], 0.0)
         b.table.merge([(make_record("new"), Liveness.ALIVE)], 0.0)
@@ -178,7 +179,7 @@
                     reached.add(address)
                     tree_of(address).push("n0", message)
 
-            ctx = SimpleNamespace(
+            ctx: Any = SimpleNamespace(
                 links=SimpleNamespace(send_or_else=send_or_else),
                 count=lambda *args: None,
                 cfg=SimpleNamespace(node=name, distribution=SimpleNamespace(fanout=8)),
--- a/lentilsill/wire/tests/test_links.py
+++ b/lentilsill/wire/tests/test_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
 import structlog
 from tornado.tcpclient import TCPClient
@@ -121,10 +122,10 @@
         client = PeerLinks(self.client.identity, max_control_links=1, min_idle_s=0.0)
         self.addCleanup(client.close)
         link = await client.connect(self.address, CONTROL)
-        link.stream.writing = lambda: True
         other = free_address()
         self.server.listen(other)
-        await client.connect(other, CONTROL)
+        with mock.patch.object(link.stream, "writing", return_value=True):
+            await client.connect(other, CONTROL)
         self.assertTrue(link.is_open)
 
     async def test_unsent_message_is_told(self):
