Shorten first watches, and measure links

Cause: nodes that start rank first until they know their peers, and held a watch for 30 s: 36 watches of 48 nodes 2 s after the start, against 6. Change: watches take 1 s in the first 5 s of a watcher. bench.links measures kept and dialed links; the state dump shows records that are still to be repeated, and the bench waits for them before idle figures.

--- a/bench/control_plane.py
+++ b/bench/control_plane.py
@@ -32,8 +32,10 @@
 CHANGES = 12
 CHANGE_GAP_S = 0.25
 CHANGE_BOUND_S = 15.0
-IDLE_S = 6.0
+IDLE_S = 5.0
 SETTLE_S = 2.0
+# Records of a start are repeated on probes until each was sent often enough.
+SETTLE_BOUND_S = 25.0
 CHURN_S = 4.0
 CHURN_PER_S = 10.0
 READY_BOUND_S = 40.0
@@ -70,6 +72,13 @@
             for host in self.hosts
         ]
 
+    def is_settled(self) -> bool:
+        """Whether no node has records to repeat, and six nodes watch."""
+        watchers = 2 * len(DOMAINS)
+        if any(state["membership"]["unsent"] for state in self.states()):
+            return False
+        return self.counters()["watches_waiting"] <= watchers
+
     def sent_bytes(self) -> int:
         """Bytes that all nodes have sent on control links."""
         empty = {"sent_bytes": 0}
@@ -268,6 +277,7 @@
         for host in hosts:
             cluster.wait_ready(host, READY_BOUND_S)
         time.sleep(SETTLE_S)
+        wait_until(run.is_settled, SETTLE_BOUND_S, "no record left to repeat")
         _measure_idle(run, True)
         _measure_changes(run, _in_force_times, True)
         _measure_churn(run)
--- /dev/null
+++ b/bench/links.py
@@ -0,0 +1,74 @@
+"""Memory, processor time and bytes of links between nodes; prints JSON lines.
+
+Both ends of each link are in this process, so a link counts two ends.
+"""
+
+import asyncio
+import os
+import time
+
+from lentilsill.wire import CONTROL, PeerLinks
+from lentilsill.wire.links import Identity
+from lentilsill.wire.messages import Probe, ProbeAck, encode
+
+from .results import emit, version
+
+__all__ = ["main"]
+
+LINKS = 400
+PORT = 7001
+DIGEST = (1 << 20, 1 << 63, 1 << 63)
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def _rss_bytes() -> int:
+    with open("/proc/self/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * PAGE_BYTES
+
+
+def _make(name: str) -> PeerLinks:
+    return PeerLinks(Identity(name, "0" * 16, "lahore", f"127.0.0.1:{PORT}"))
+
+
+async def _run() -> None:
+    server, client = _make("server"), _make("client")
+    client.max_control_links = LINKS
+    answered = asyncio.Event()
+    server.on(Probe, lambda link, msg: link.send(ProbeAck(msg.probe_id, DIGEST)))
+    client.on(ProbeAck, lambda link, msg: answered.set())
+    addresses = [f"127.99.{i // 200}.{i % 200 + 1}:{PORT}" for i in range(LINKS)]
+    for address in addresses:
+        server.listen(address)
+    found = version()
+
+    async def probe_all() -> float:
+        start = time.process_time()
+        for address in addresses:
+            answered.clear()
+            client.send(address, CONTROL, Probe(1, DIGEST))
+            await asyncio.wait_for(answered.wait(), 5.0)
+        return (time.process_time() - start) / LINKS * 1000
+
+    before = _rss_bytes()
+    dialed_ms = await probe_all()
+    used = (_rss_bytes() - before) / LINKS / 2
+    kept_ms = await probe_all()
+    hello = 2 * len(encode(client._hello(CONTROL)))
+    labels = {"nodes": LINKS, "version": found}
+    emit("link_end_memory", used, "B", **labels)
+    emit("probe_with_dial_cpu_both_ends", dialed_ms, "ms", **labels)
+    emit("probe_on_kept_link_cpu_both_ends", kept_ms, "ms", **labels)
+    sent = client.traffic[CONTROL].sent_bytes + server.traffic[CONTROL].sent_bytes
+    emit("probe_and_ack_bytes", sent / LINKS / 2, "B", **labels)
+    emit("dial_hello_bytes_both_ways", hello, "B", **labels)
+    client.close()
+    server.close()
+
+
+def main() -> None:
+    """Run all measurements."""
+    asyncio.run(_run())
+
+
+if __name__ == "__main__":
+    main()
--- a/lentilsill/daemon/controllers/membership.py
+++ b/lentilsill/daemon/controllers/membership.py
@@ -356,6 +356,7 @@
             "own": {"generation": self.table.own.generation, "seq": self.table.own.seq},
             "records_hash": f"{self.table.records_hash:016x}",
             "ranked": list(self.ranked()[:2]),
+            "unsent": self.table.unsent,
             "members": {
                 e.record.node: {
                     "verdict": e.liveness.name.lower(),
--- a/lentilsill/daemon/controllers/platform_watch.py
+++ b/lentilsill/daemon/controllers/platform_watch.py
@@ -28,6 +28,10 @@
 RANK_CHECK_INTERVAL_S = 0.5
 # Bounds the call rate when the platform answers empty watches at once.
 MIN_WATCH_S = 0.2
+# A node that starts ranks first until it knows its peers; a long watch would
+# then hold a call of the platform for 30 s.
+FIRST_WATCH_S = 1.0
+SETTLED_S = 5.0
 BACKOFF_BASE_S = 0.2
 BACKOFF_CAP_S = 10.0
 
@@ -58,6 +62,7 @@
         self._must_list = False
         self._last_error = ""
         self._is_watching = False
+        self._watching_since = 0.0
         self.has_listed = False
 
     @classmethod
@@ -84,7 +89,10 @@
         while True:
             count = self._ctx.cfg.distribution.watchers_per_domain
             # A node without peers ranks first by itself.
-            self._is_watching = self._membership.is_first_ranked(count)
+            is_first = self._membership.is_first_ranked(count)
+            if is_first and not self._is_watching:
+                self._watching_since = self._ctx.now()
+            self._is_watching = is_first
             if not self._is_watching:
                 await asyncio.sleep(RANK_CHECK_INTERVAL_S)
                 continue
@@ -104,6 +112,8 @@
             return
         timeout_s = self._ctx.cfg.platform.watch_timeout_s
         started_at = self._ctx.now()
+        if started_at - self._watching_since < SETTLED_S:
+            timeout_s = min(timeout_s, FIRST_WATCH_S)
         watched = await self._api.watch(KIND, since, timeout_s)
         match watched:
             case Ok(batch):
--- a/lentilsill/membership/table.py
+++ b/lentilsill/membership/table.py
@@ -210,6 +210,11 @@
             if entry.liveness == Liveness.DEAD and is_old:
                 self._forget(node)
 
+    @property
+    def unsent(self) -> int:
+        """Number of entries that `take_recent` still gives."""
+        return len(self._recent)
+
     def take_recent(self, limit: int) -> list[Entry]:
         """Give up to `limit` changed entries that were sent least often."""
         nodes = sorted(self._recent, key=lambda n: -self._recent[n])[:limit]
