--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 SCENARIO_TESTS = $(patsubst %.py,%,$(subst /,.,$(wildcard harness/tests/test_*_scenarios.py)))
 
-.PHONY: setup test check format demo bench scenarios soak
+.PHONY: setup test check format demo bench bench-plot scenarios soak
 
 setup: .venv/.stamp
 
@@ -35,3 +35,13 @@
 DURATION_S ?= 600
 soak: setup
 	$(PY) -m harness.soak $(DURATION_S)
+
+bench: setup
+	$(PY) -m bench.run_all
+
+# Draws the output of `make bench`, kept in the file RESULTS.
+RESULTS := build/bench.jsonl
+
+bench-plot: setup
+	mkdir -p build; test -f $(RESULTS) || $(PY) -m bench.run_all > $(RESULTS)
+	$(PY) -m bench.plot < $(RESULTS)
--- a/lentilsill/daemon/controllers/summaries.py
+++ b/lentilsill/daemon/controllers/summaries.py
@@ -33,7 +33,7 @@
 # Finds a summary that was lost with its link, by the hashes of all summaries.
 LISTING_INTERVAL_S = 5.0
 # Coalesces the summaries of several domains into one rebuild of candidates.
-PUBLISH_DELAY_S = 0.05
+PUBLISH_DELAY_S = 0.1
 # Listing of a node without summaries.
 UNKNOWN = (("", -1, 0),)
 MAX_ADDRESSES = 16
@@ -235,7 +235,11 @@
         is_new = self._take(message, nodes)
         if is_new is None:
             self._ctx.count("membership.summary_bases_missing")
-            link.send(Records((), summaries=self.listing() or UNKNOWN))
+            # Without a hash the answer is the whole summary; a second delta that
+            # does not fit would be asked for without end.
+            known = [row for row in self.listing() if row[0] != message.domain]
+            asked = (message.domain, message.generation - 1, 0)
+            link.send(Records((), summaries=(*known, asked)))
         if is_new is False or message.domain == self._ctx.cfg.domain:
             return
         if is_new:
