--- /dev/null
+++ b/harness/scenarios/__init__.py
@@ -0,0 +1,34 @@
+"""The scenarios, by name."""
+
+from harness.scenario import Scenario
+
+from .crashes import CRASHES
+from .crossing import CROSSING
+from .freeze import FREEZE
+from .herd import HERD
+from .operators import OPERATORS
+from .outages import OUTAGES
+from .pairs import PAIRS
+from .partition import PARTITION
+from .poison import POISON
+from .retirement import RETIREMENT
+from .silence import SILENCE
+
+__all__ = ["SCENARIOS"]
+
+SCENARIOS: dict[str, Scenario] = {
+    scenario.name: scenario
+    for scenario in (
+        CROSSING,
+        CRASHES,
+        HERD,
+        PARTITION,
+        RETIREMENT,
+        SILENCE,
+        FREEZE,
+        POISON,
+        *OUTAGES,
+        *OPERATORS,
+        *PAIRS,
+    )
+}
--- a/lentilsill/daemon/controllers/tests/test_calls.py
+++ b/lentilsill/daemon/controllers/tests/test_calls.py
@@ -233,6 +233,14 @@
         self.assertEqual((await self.near.entry.handle(req)).body, b"/p")
         self.assertEqual(self.upstream.seen, ["/p"])
 
+    async def test_keyed_call_refused_before_its_claim_is_unknown(self):
+        """Guards against `not_run` for a key that another node has run (G5)."""
+        self.near.ctx.board.ready = False
+        req = make_request("POST", "/p")
+        self.assertEqual((await self.near.entry.handle(req)).outcome, Outcome.NOT_RUN)
+        req = dataclasses.replace(req, request_key="k")
+        self.assertEqual((await self.near.entry.handle(req)).outcome, Outcome.UNKNOWN)
+
     async def test_lost_keyless_caller_cancels_a_get_but_not_a_post(self):
         """Guards against a POST cut in the middle, and a GET that runs on."""
         self.near.serve("w0", self.upstream.port)
@@ -294,3 +302,12 @@
         await call
         await wait_for(lambda: guard.deaths)
         self.assertEqual(len(guard.deaths[0]), 1)
+
+    async def test_unready_node_does_not_say_not_run_of_a_key(self):
+        """Guards against `not_run` for a resent key that ran elsewhere (G5)."""
+        self.near.ctx.board.ready = False
+        keyed = dataclasses.replace(make_request("POST"), request_key="k")
+        refused = await self.near.entry.handle(keyed)
+        self.assertEqual(refused.outcome, Outcome.UNKNOWN)
+        plain = await self.near.entry.handle(make_request("POST"))
+        self.assertEqual(plain.outcome, Outcome.NOT_RUN)
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -33,11 +33,16 @@
         gt=0,
         description="Bound on a call of the platform other than a watch",
     )
+    # A watch on a connection that went silent is found after this time and the
+    # client's 5 s of grace; edits must be in force within 13 s all the same.
     watch_timeout_s: float = Field(
-        default=30.0, gt=0, description="How long the platform may hold a watch"
+        default=3.0, gt=0, description="How long the platform may hold a watch"
     )
-    max_claims_per_s: float = Field(
-        default=2.0, gt=0, description="Conditional creates for caller-supplied keys"
+    fleet_claims_per_s: float = Field(
+        default=100.0,
+        gt=0,
+        description="Claims of caller-supplied keys by all nodes together; each "
+        "takes two writes",
     )
 
 
