Tell all domains of crashes, push each change once, keep gateways on open links

Cause: a request resent through three domains killed two workers in each; both watchers of a domain pushed each change; gateways dialed up to 8 times a second. Change: crash reports go to two nodes of each other domain; the second watcher pushes after 0.5 s what the first has not pushed; gateways keep an open link per domain and change it with one digest in ten.

--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -35,6 +35,9 @@
 # While the node is not ready, it asks for digests instead of awaiting probes.
 UNREADY_DIGEST_INTERVAL_S = 0.5
 UNREADY_PEERS = 2
+# A push reaches a domain within tens of ms, so the second watcher seldom pushes.
+BACKUP_PUSH_DELAY_S = 0.5
+REMOTE_CHANGE_SHARE = 0.1
 DRAIN_POLL_S = 0.05
 DRAIN_BOUND_S = 10.0
 
@@ -68,6 +71,9 @@
         self._no_effect_on: DigestValue | None = None
         self._asked_digest: DigestValue | None = None
         self._batch: list[Delta] = []
+        self._backup: list[Delta] = []
+        self._pushed_by_others: set[tuple[str, int]] = set()
+        self._remote_choice: dict[str, str] = {}
         self._full_syncs = 0
         self._most_syncs = 0
         self.sources: dict[str, str] = {}
@@ -94,11 +100,30 @@
     def take(self, delta: Delta) -> None:
         """Merge what this node learned from outside the domain and push the news."""
         new = self._documents.merge(delta)
-        if new is not None and new.rows:
-            self._publish(_passable(delta, new))
+        if new is None or not new.rows:
+            return
+        passed_on = _passable(delta, new)
+        if self._membership.is_first_ranked(1):
+            self._publish(passed_on)
+            return
+        # The first-ranked watcher pushes the same; two pushes would cost each
+        # node the bytes twice. This one is for the case that it is paused.
+        if not self._backup:
+            delay_s = batch_window_s(self._policy) + BACKUP_PUSH_DELAY_S
+            asyncio.get_running_loop().call_later(delay_s, self._push_backup)
+        self._backup.append(passed_on)
 
     # Pushes
 
+    def _push_backup(self) -> None:
+        """Push what the first-ranked watcher has not pushed in the meantime."""
+        backup, self._backup = self._backup, []
+        for delta in coalesce(backup):
+            if any(row[:2] not in self._pushed_by_others for row in delta.rows):
+                self._ctx.count("distribution.backup_pushes")
+                self._push(delta, self._ctx.cfg.node)
+        self._pushed_by_others.clear()
+
     def _publish(self, delta: Delta) -> None:
         window_s = batch_window_s(self._policy)
         if window_s == 0.0:
@@ -120,6 +145,8 @@
     def _on_delta(self, link: Link, message: Delta) -> None:
         new = self._documents.merge(message)
         if message.root:
+            if self._backup:
+                self._pushed_by_others |= {row[:2] for row in message.rows}
             if new is not None and new.rows:
                 self._push(_passable(message, new), message.root)
             return
@@ -209,8 +236,13 @@
 
     def _send_remote_digests(self) -> None:
         remote = self._membership.summaries.remote_addresses()
-        for addresses in remote.values():
-            address = self._ctx.rng.choice(addresses)
+        for domain, addresses in remote.items():
+            address = self._remote_choice.get(domain, "")
+            # Another node now and then, so that the digests of one that is
+            # behind are not the only ones; a dial costs ten times a message.
+            is_kept = self._ctx.links.find(address, CONTROL) is not None
+            if not is_kept or self._ctx.rng.random() < REMOTE_CHANGE_SHARE:
+                address = self._remote_choice[domain] = self._ctx.rng.choice(addresses)
             self._ctx.links.send(address, CONTROL, self._digest_message())
 
     async def _unready_loop(self) -> None:
--- a/lentilsill/daemon/controllers/quarantine.py
+++ b/lentilsill/daemon/controllers/quarantine.py
@@ -1,6 +1,7 @@
 """Quarantine of requests that crash their upstreams."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 
 import structlog
@@ -19,12 +20,14 @@
 REPAIR_INTERVAL_S = 10.0
 REPAIR_ROWS = 64
 JOIN_INTERVAL_S = 0.2
+# Nodes of each other domain that are told of a crash; one may be dead.
+REMOTE_NODES = 2
 
 log = structlog.get_logger()
 
 
 class QuarantineController:
-    """Implements `CrashGuard` and spreads crashes to the own domain.
+    """Implements `CrashGuard` and spreads crashes to all domains.
 
     `push_down` sends a message to the nodes below this one in the fan-out tree
     of a root, and `random_peers` gives some peers of the domain. Without them
@@ -66,6 +69,8 @@
         self.ctx.count("crashes")
         root = self.ctx.cfg.node
         self.push_down(root, CrashReport(rows, root))
+        for address in self._other_domains():
+            self.ctx.links.send(address, CONTROL, CrashReport(rows))
 
     def finished(self, fingerprint: str) -> None:
         """The request finished without a crash."""
@@ -73,12 +78,14 @@
 
     def _on_report(self, link: Link, message: Message) -> None:
         assert isinstance(message, CrashReport)
-        # Reports are for one domain: fingerprints of others are of no use here.
-        if link.hello.domain != self.ctx.cfg.domain:
-            return
         now = self.ctx.now()
         news = self.tracker.merge(message.rows[:MAX_REPORT_ROWS], now)
-        if message.want_reply:
+        if link.hello.domain != self.ctx.cfg.domain:
+            # The first receiver in a domain is the root of the tree there.
+            if news:
+                own = self.ctx.cfg.node
+                self.push_down(own, CrashReport(news, own))
+        elif message.want_reply:
             link.send(CrashReport(self.tracker.report(now)[:MAX_REPORT_ROWS]))
         elif message.root:
             if news:
@@ -106,6 +113,17 @@
             if rec.instance != self.ctx.links.identity.instance
         ]
 
+    def _other_domains(self) -> list[str]:
+        """Give the addresses of some nodes of each other domain."""
+        by_domain: dict[str, list[str]] = defaultdict(list)
+        for rec in self.ctx.board.remote_nodes.values():
+            by_domain[rec.domain].append(rec.peer_address)
+        return [
+            address
+            for known in by_domain.values()
+            for address in self.ctx.rng.sample(known, min(REMOTE_NODES, len(known)))
+        ]
+
     def _some_members(self, count: int) -> list[str]:
         return self.ctx.rng.sample(self._members(), min(count, len(self._members())))
 
