Let each backup push wait its own time

The second watcher's timer started with its first delta and then pushed all later ones too, which the first watcher had not flushed yet. Change: a timer per delta.

--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -71,7 +71,7 @@
         self._no_effect_on: DigestValue | None = None
         self._asked_digest: DigestValue | None = None
         self._batch: list[Delta] = []
-        self._backup: list[Delta] = []
+        self._backups = 0
         self._pushed_by_others: set[tuple[str, int]] = set()
         self._remote_choice: dict[str, str] = {}
         self._full_syncs = 0
@@ -108,21 +108,20 @@
             return
         # The first-ranked watcher pushes the same; two pushes would cost each
         # node the bytes twice. This one is for the case that it is paused.
-        if not self._backup:
-            delay_s = batch_window_s(self._policy) + BACKUP_PUSH_DELAY_S
-            asyncio.get_running_loop().call_later(delay_s, self._push_backup)
-        self._backup.append(passed_on)
+        delay_s = batch_window_s(self._policy) + BACKUP_PUSH_DELAY_S
+        asyncio.get_running_loop().call_later(delay_s, self._push_backup, passed_on)
+        self._backups += 1
 
     # Pushes
 
-    def _push_backup(self) -> None:
+    def _push_backup(self, delta: Delta) -> None:
         """Push what the first-ranked watcher has not pushed in the meantime."""
-        backup, self._backup = self._backup, []
-        for delta in coalesce(backup):
-            if any(row[:2] not in self._pushed_by_others for row in delta.rows):
-                self._ctx.count("distribution.backup_pushes")
-                self._push(delta, self._ctx.cfg.node)
-        self._pushed_by_others.clear()
+        if any(row[:2] not in self._pushed_by_others for row in delta.rows):
+            self._ctx.count("distribution.backup_pushes")
+            self._push(delta, self._ctx.cfg.node)
+        self._backups -= 1
+        if not self._backups:
+            self._pushed_by_others.clear()
 
     def _publish(self, delta: Delta) -> None:
         window_s = batch_window_s(self._policy)
@@ -145,7 +144,7 @@
     def _on_delta(self, link: Link, message: Delta) -> None:
         new = self._documents.merge(message)
         if message.root:
-            if self._backup:
+            if self._backups:
                 self._pushed_by_others |= {row[:2] for row in message.rows}
             if new is not None and new.rows:
                 self._push(_passable(message, new), message.root)
