--- a/lentilsill/cli/edits.py
+++ b/lentilsill/cli/edits.py
@@ -21,7 +21,14 @@
 from .checks import read_document
 from .exits import ExitCode
 
-__all__ = ["KIND", "apply_document", "delete_document", "describe", "show_document"]
+__all__ = [
+    "KIND",
+    "apply_document",
+    "delete_document",
+    "describe",
+    "diff_document",
+    "show_document",
+]
 
 KIND = "service"
 # `get` writes this line, so that `apply` knows which version was edited.
@@ -84,6 +91,29 @@
     raise AssertionError("unreachable")
 
 
+async def diff_document(api: ObjectApi, text: str, source: str, say: Say) -> ExitCode:
+    """Print what `apply` of a document would change."""
+    service, value, findings = read_document(text, source)
+    if findings:
+        for finding in findings:
+            say(str(finding))
+        return ExitCode.INVALID
+    match await api.get(KIND, service):
+        case Err(error):
+            return _failed(service, error, say)
+        case Ok(stored):
+            pass
+    if stored is not None and stored.value == value:
+        say(f"{service}: same as version {stored.version}")
+        return ExitCode.OK
+    current = f"version {stored.version}" if stored else "no document"
+    _say_diff(stored, value, f"{service}, {current}", f"{service}, {source}", say)
+    base = _base_version(text, stored)
+    if base != (stored.version if stored else 0):
+        say(f"{service}: the file is an edit of version {base}: apply would conflict")
+    return ExitCode.DIFFERENT
+
+
 async def delete_document(
     api: ObjectApi, service: str, base: int | None, say: Say
 ) -> ExitCode:
@@ -139,6 +169,32 @@
             say(f"{service}: not written; the platform still holds version {base}")
             say("what to do: run the command again; a late write shows as a conflict")
             return ExitCode.NOT_WRITTEN
+    return await _resolve_by_changes(api, service, base, value, say)
+
+
+async def _resolve_by_changes(
+    api: ObjectApi, service: str, base: int, value: Any, say: Say
+) -> ExitCode:
+    """Decide by the first change after `base`, which others were based on.
+
+    The document that is read back may be another operator's edit of a write that
+    took effect; this is no conflict.
+    """
+    match await api.watch(KIND, base, 0.0):
+        case Err(error):
+            say(f"{service}: unknown whether it was written: {describe(error)}")
+            say(f"what to do: lentilsill get {service}, and compare")
+            return ExitCode.UNKNOWN
+        case Ok(batch):
+            own = [change for change in batch.changes if change.name == service]
+    first = min(own, key=lambda change: change.version, default=None)
+    if first is not None and first.deleted == (value is None):
+        if value is None:
+            say(f"{service}: deleted at revision {first.version}, and written since")
+            return ExitCode.OK
+        if first.value == value:
+            say(f"{service}: written as version {first.version}, and edited since")
+            return ExitCode.OK
     return await _show_conflict(api, service, base, value, say)
 
 
@@ -152,15 +208,8 @@
             pass
     current = f"version {stored.version}" if stored else "no document"
     say(f"{service}: conflict: edited version {base}, the platform holds {current}")
-    diff = difflib.unified_diff(
-        _text(stored.value).splitlines() if stored else [],
-        _text(value).splitlines() if value is not None else [],
-        f"{service}, {current}",
-        f"{service}, your edit of version {base}",
-        lineterm="",
-    )
-    for line in diff:
-        say(line)
+    yours = f"{service}, your edit of version {base}"
+    _say_diff(stored, value, f"{service}, {current}", yours, say)
     say(
         f"what to do: lentilsill get {service} > FILE, make your change in FILE, "
         "lentilsill apply FILE"
@@ -168,6 +217,16 @@
     return ExitCode.CONFLICT
 
 
+def _say_diff(
+    stored: StoredObject | None, value: Any, old: str, new: str, say: Say
+) -> None:
+    """Print the differences; a value of None is a deletion."""
+    before = _text(stored.value).splitlines() if stored else []
+    after = _text(value).splitlines() if value is not None else []
+    for line in difflib.unified_diff(before, after, old, new, lineterm=""):
+        say(line)
+
+
 def _failed(service: str, error: PlatformError, say: Say) -> ExitCode:
     say(f"{service}: {describe(error)}")
     match error:
--- a/lentilsill/cli/tests/test_reports.py
+++ b/lentilsill/cli/tests/test_reports.py
@@ -1,18 +1,22 @@
 """Tests of status reports and offline checks."""
 
+import asyncio
+import json
 import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 from approvaltests import verify
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from lentilsill.cli.checks import check_text
+from lentilsill.cli.checks import check_files, check_text, files_of
 from lentilsill.cli.exits import ExitCode
-from lentilsill.cli.reports import Target, print_status, wait_for
+from lentilsill.cli.reports import Target, print_status, wait_for, watch_status
 from lentilsill.platform import HttpObjectApi
 from standins.platform import Platform, make_app
 
-from .builders import a_status
+from .builders import NOW_S, a_document, a_status
 
 
 class ReportsTest(unittest.IsolatedAsyncioTestCase):
@@ -29,21 +33,29 @@
         self.addCleanup(self.api.close)
         self.lines: list[str] = []
 
-    def put(self, domain: str, in_force: int, nodes: int = 3) -> None:
-        self.store.put("status", domain, a_status(domain, in_force, nodes), None)
+    def put(
+        self, domain: str, in_force: int, nodes: int = 3, age_s: float = 1.0
+    ) -> None:
+        value = a_status(domain, in_force, nodes, age_s)
+        self.store.put("status", domain, value, None)
 
     async def wait(self, version: int, bound_s: float) -> ExitCode:
         domains = ["lahore", "multan"]
         target = Target("slots", version)
-        return await wait_for(self.api, target, domains, bound_s, self.lines.append)
+        return await wait_for(
+            self.api, target, domains, bound_s, self.lines.append, lambda: NOW_S
+        )
+
+    async def show(self) -> None:
+        await print_status(self.api, False, self.lines.append, lambda: NOW_S)
 
     async def test_status_table(self) -> None:
         """Rejected and held versions must be shown with their reasons."""
-        self.put("multan", 6, 2)
+        self.put("multan", 6, 2, 120.0)
         self.put("lahore", 7)
-        await print_status(self.api, False, self.lines.append)
+        await self.show()
         self.store.put("status", "lahore", {"nodes": "x"}, None)
-        await print_status(self.api, False, self.lines.append)
+        await self.show()
         verify("\n".join(self.lines))
 
     async def test_wait_needs_every_node_of_every_domain(self) -> None:
@@ -53,10 +65,49 @@
         self.assertIn("multan: has not reported", self.lines)
         self.put("multan", 7, 2)
         self.assertEqual(await self.wait(7, 0.1), ExitCode.TIMEOUT)
+        self.put("multan", 7, 3, age_s=91)
+        self.assertEqual(await self.wait(7, 0.1), ExitCode.TIMEOUT)
         self.put("multan", 7, 3)
         self.assertEqual(await self.wait(7, 5), ExitCode.OK)
         self.assertEqual(await self.wait(8, 5), ExitCode.REJECTED)
 
+    async def test_watch_prints_each_change(self) -> None:
+        """Guards against a watch that misses a change or ends in an outage."""
+        self.put("lahore", 6)
+        watching = asyncio.ensure_future(
+            watch_status(self.api, False, self.lines.append, lambda: NOW_S)
+        )
+        try:
+            async with asyncio.timeout(10):
+                while not any("lahore  slots    7         6 " in x for x in self.lines):
+                    await asyncio.sleep(0.01)
+                await self.api.put("status", "lahore", a_status("lahore", 7), None)
+                while not any("lahore  slots    7         7 " in x for x in self.lines):
+                    await asyncio.sleep(0.01)
+        finally:
+            watching.cancel()
+            await asyncio.wait([watching])
+
+    def test_references_between_files_are_checked(self) -> None:
+        """Guards against documents that are held as soon as they are applied."""
+        slots = a_document() | {"requires": ["inventory"]}
+        slots["routes"][0]["targets"] = [
+            {"service": "ledger", "upstream_set": "next", "weight": 1}
+        ]
+        with TemporaryDirectory() as folder:
+            for value in (slots, a_document("ledger")):
+                path = Path(folder) / f"{value['service']}.json5"
+                path.write_text(json.dumps(value, indent=1), encoding="utf-8")
+            files = files_of([Path(folder)])
+            found = {f.place: (Path(f.source).name, f.line) for f in check_files(files)}
+            alone = list(check_files([Path(folder) / "slots.json5"]))
+        self.assertEqual(found["routes[0].targets[0].upstream_set"][0], "slots.json5")
+        lines = json.dumps(slots, indent=1).splitlines()
+        for place, text in (("upstream_set", '"next"'), ("requires[0]", '"inventory"')):
+            (line,) = (found[key][1] for key in found if key.endswith(place))
+            self.assertIn(text, lines[line - 1])
+        self.assertEqual(alone, [])
+
     def test_findings_of_settings_have_lines(self) -> None:
         """All problems of a file must be shown at once, each with its line."""
         text = '{\n  // comment\n  node: "a",\n  "platform": {\n    "url": 1\n  }\n}'
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -1,6 +1,7 @@
 """Execution of calls on the upstreams of this node."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import xxhash
@@ -34,6 +35,7 @@
     Refusal,
 )
 
+from .keyed_calls import KeyedCalls, StoreForLost
 from .reasons import LEAVING, UNREACHABLE, not_run
 from .upstream_client import Exchange, UpstreamClient
 
@@ -42,6 +44,7 @@
 EXPIRY_INTERVAL_S = 1.0
 # All connections of a crashed upstream have closed after this time.
 CRASH_CHECK_DELAY_S = 0.05
+CRASH_VERDICT_BOUND_S = 0.2
 DEFAULT_LIMITS = Limits()
 
 
@@ -77,6 +80,8 @@
         self.guard = guard
         self.running: dict[Execution, None] = {}
         self.lost: list[str] = []
+        self.check: asyncio.Task[None] | None = None
+        self.is_out = False
         self.client = UpstreamClient(record.address, reuse_s)
         may_start = None if guard is None else self._may_start
         self.queue = AdmissionQueue(max(1, record.slots), 0, may_start)
@@ -84,29 +89,41 @@
     def fingerprints(self) -> tuple[str, ...]:
         return tuple(execution.fingerprint for execution in self.running)
 
-    def _may_start(self, execution) -> bool:
+    def _may_start(self, execution, running) -> bool:
         assert self.guard is not None
-        return self.guard.may_start(execution.fingerprint, self.fingerprints())
+        others = tuple(other.fingerprint for other in running)
+        return self.guard.may_start(execution.fingerprint, others)
 
 
 class DestinationController:
     """Runs calls for this node's upstreams, each at most once.
 
     `guard` is the quarantine of requests that crash upstreams, or None.
+    `store_for_lost` stores the result of a call with a claimed request key when
+    the link of its entry node is gone.
     """
 
-    def __init__(self, ctx: Context, guard: CrashGuard | None = None) -> None:
+    def __init__(
+        self,
+        ctx: Context,
+        guard: CrashGuard | None = None,
+        store_for_lost: StoreForLost | None = None,
+    ) -> None:
         self.ctx = ctx
         self.guard = guard
+        self.keyed = KeyedCalls(store_for_lost, ctx.cfg.keys.max_answer_bytes)
         self.ledger = CallLedger(ctx.cfg.calls.execution_record_s)
         self._upstreams: dict[str, _Upstream] = {}
         # Removed upstreams whose last calls have not ended.
         self._departed: dict[str, _Upstream] = {}
         self._remote: dict[tuple[str, int], Execution] = {}
+        # Takes an upstream out; the assembly sets it.
+        self.drop_upstream: Callable[[str, str], bool] | None = None
         ctx.links.on(Call, self._on_call)
         ctx.links.on(Cancel, self._on_cancel)
         ctx.links.on(OutcomeQuery, self._on_outcome_query)
         ctx.links.on(Ping, self._on_ping)
+        ctx.links.close_handlers.append(self.keyed.on_link_closed)
         for topic in (Topic.UPSTREAMS, Topic.IN_FORCE, Topic.DRAIN):
             ctx.board.follow(topic, self.refresh)
         ctx.board.dump_parts["destination"] = self._dump
@@ -136,10 +153,19 @@
         own = self._upstreams.get(upstream)
         return bool(own and own.lost)
 
+    def _crashed(self, own: _Upstream) -> bool:
+        """Report a dead upstream and take it out; False if nothing does that."""
+        if not own.is_out:
+            self._report_death(own)
+            if self.drop_upstream is not None:
+                own.is_out = True
+                self.drop_upstream(own.record.upstream, "crashed")
+        return own.is_out
+
     def on_upstream_gone(self, upstream: str) -> None:
         """An upstream stopped announcing itself without leaving: it crashed."""
         own = self._upstreams.get(upstream) or self._departed.get(upstream)
-        if own is not None:
+        if own is not None and not own.is_out:
             self._report_death(own)
 
     def refresh(self) -> None:
@@ -241,6 +267,13 @@
             self._apply(own.queue.finished(execution, self.ctx.now()))
             if self._departed and not own.running:
                 self._departed.pop(call.upstream, None)
+        match result:
+            case Refused(outcome=Outcome.NOT_RUN, reason=reason):
+                if reason.startswith(UNREACHABLE) and self._crashed(own):
+                    return not_run(LEAVING)
+            case Refused() if call.idempotent and own.check is not None:
+                # The next attempt comes after peers know the suspects.
+                await asyncio.wait([own.check], timeout=CRASH_VERDICT_BOUND_S)
         return result
 
     def _judge(
@@ -251,12 +284,11 @@
         match result:
             case Answer():
                 self.guard.finished(execution.fingerprint)
-            case Refused(outcome=Outcome.NOT_RUN, reason=reason):
-                if reason.startswith(UNREACHABLE) and own.lost:
-                    self._report_death(own)
-            case Refused() if not execution.exchange.aborted:
+            case Refused(outcome=outcome) if (
+                outcome is not Outcome.NOT_RUN and not execution.exchange.aborted
+            ):
                 if not own.lost:
-                    self.ctx.spawn(self._check_crash(own))
+                    own.check = self.ctx.spawn(self._check_crash(own))
                 own.lost.append(execution.fingerprint)
 
     async def _check_crash(self, own: _Upstream) -> None:
@@ -264,7 +296,7 @@
         if await own.client.is_accepting():
             own.lost.clear()
         else:
-            self._report_death(own)
+            self._crashed(own)
 
     def _report_death(self, own: _Upstream) -> None:
         suspects = (*own.lost, *own.fingerprints())
@@ -305,6 +337,7 @@
             case Begin.RUN:
                 execution = Execution(call, now + call.deadline_ms / 1000, link)
                 self._remote[instance, call.call_id] = execution
+                self.keyed.began(instance, call.settled)
                 self.ctx.spawn(self._serve(instance, execution))
             case Begin.DUPLICATE:
                 self._tell(link, instance, call.call_id)
@@ -321,6 +354,7 @@
         finally:
             del self._remote[instance, call.call_id]
             self.ledger.finish(instance, call.call_id, result, self.ctx.now())
+            self.keyed.finished(instance, call, result, execution.link)
             if execution.link is not None:
                 self._send_result(execution.link, call.call_id, call.upstream, result)
 
--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -25,7 +25,8 @@
 from lentilsill.wire import CONTROL, Link
 from lentilsill.wire.messages import Busy, Delta, DeltaRequest, Digest
 
-from .membership import DigestTuple, MembershipController
+from .membership import MembershipController
+from .relays import DigestTuple
 
 __all__ = ["DistributionController", "coalesce"]
 
@@ -34,6 +35,9 @@
 # While the node is not ready, it asks for digests instead of awaiting probes.
 UNREADY_DIGEST_INTERVAL_S = 0.5
 UNREADY_PEERS = 2
+# A push reaches a domain within tens of ms, so the second watcher seldom pushes.
+BACKUP_PUSH_DELAY_S = 0.5
+REMOTE_CHANGE_SHARE = 0.1
 DRAIN_POLL_S = 0.05
 DRAIN_BOUND_S = 10.0
 
@@ -62,7 +66,16 @@
         self._admission = SyncAdmission(cfg.max_full_syncs, ctx.rng, DRAIN_BOUND_S)
         self._asked: tuple[str, float] | None = None
         self._ask_after = 0.0
+        # Digests of peers whose changes had no effect on the own digest.
+        self._no_effect: set[DigestValue] = set()
+        self._no_effect_on: DigestValue | None = None
+        self._asked_digest: DigestValue | None = None
         self._batch: list[Delta] = []
+        self._backups = 0
+        self._pushed_by_others: set[tuple[str, int]] = set()
+        self._remote_choice: dict[str, str] = {}
+        self._full_syncs = 0
+        self._most_syncs = 0
         self.sources: dict[str, str] = {}
 
     @classmethod
@@ -87,11 +100,29 @@
     def take(self, delta: Delta) -> None:
         """Merge what this node learned from outside the domain and push the news."""
         new = self._documents.merge(delta)
-        if new is not None and new.rows:
-            self._publish(_passable(delta, new))
+        if new is None or not new.rows:
+            return
+        passed_on = _passable(delta, new)
+        if self._membership.is_first_ranked(1):
+            self._publish(passed_on)
+            return
+        # The first-ranked watcher pushes the same; two pushes would cost each
+        # node the bytes twice. This one is for the case that it is paused.
+        delay_s = batch_window_s(self._policy) + BACKUP_PUSH_DELAY_S
+        asyncio.get_running_loop().call_later(delay_s, self._push_backup, passed_on)
+        self._backups += 1
 
     # Pushes
 
+    def _push_backup(self, delta: Delta) -> None:
+        """Push what the first-ranked watcher has not pushed in the meantime."""
+        if any(row[:2] not in self._pushed_by_others for row in delta.rows):
+            self._ctx.count("distribution.backup_pushes")
+            self._push(delta, self._ctx.cfg.node)
+        self._backups -= 1
+        if not self._backups:
+            self._pushed_by_others.clear()
+
     def _publish(self, delta: Delta) -> None:
         window_s = batch_window_s(self._policy)
         if window_s == 0.0:
@@ -107,20 +138,20 @@
             self._push(delta, self._ctx.cfg.node)
 
     def _push(self, delta: Delta, root: str) -> None:
-        message = replace(delta, root=root)
-        children = self._membership.tree_children(root)
-        for address in children:
-            self._ctx.links.send(address, CONTROL, message)
-        self._ctx.count("distribution.pushes", len(children))
+        count = self._membership.push_down(root, replace(delta, root=root))
+        self._ctx.count("distribution.pushes", count)
 
     def _on_delta(self, link: Link, message: Delta) -> None:
         new = self._documents.merge(message)
         if message.root:
+            if self._backups:
+                self._pushed_by_others |= {row[:2] for row in message.rows}
             if new is not None and new.rows:
                 self._push(_passable(message, new), message.root)
             return
         if self._asked is not None and self._asked[0] == link.hello.instance:
             self._asked = None
+            self._note_effect()
         self._note_source(link, message.complete_as_of)
         is_remote = link.hello.domain != self._ctx.cfg.domain
         if is_remote and new is not None and new.rows:
@@ -167,9 +198,27 @@
                 self._note_source(link, theirs.complete_as_of)
                 return True
             case Ask():
-                self._ask(link)
+                if not self._is_without_effect(theirs):
+                    self._ask(link, theirs)
         return False
 
+    def _is_without_effect(self, theirs: DigestValue) -> bool:
+        """Whether these two digests differed before, and asking changed nothing.
+
+        Nodes may hold sets of versions that exclude each other until the next
+        edit; they would otherwise ask each other at every digest.
+        """
+        return self._no_effect_on == self._mine() and theirs in self._no_effect
+
+    def _note_effect(self) -> None:
+        mine = self._mine()
+        if self._no_effect_on != mine:
+            # What had no effect on the old content may have one on the new.
+            self._no_effect_on = mine
+            self._no_effect.clear()
+        elif self._asked_digest is not None:
+            self._no_effect.add(self._asked_digest)
+
     def _note_source(self, link: Link, complete_as_of: int) -> None:
         peer = self._ctx.board.members.get(link.hello.node)
         is_ready = peer is not None and peer.state != NodeState.JOINING
@@ -186,8 +235,13 @@
 
     def _send_remote_digests(self) -> None:
         remote = self._membership.summaries.remote_addresses()
-        for addresses in remote.values():
-            address = self._ctx.rng.choice(addresses)
+        for domain, addresses in remote.items():
+            address = self._remote_choice.get(domain, "")
+            # Another node now and then, so that the digests of one that is
+            # behind are not the only ones; a dial costs ten times a message.
+            is_kept = self._ctx.links.find(address, CONTROL) is not None
+            if not is_kept or self._ctx.rng.random() < REMOTE_CHANGE_SHARE:
+                address = self._remote_choice[domain] = self._ctx.rng.choice(addresses)
             self._ctx.links.send(address, CONTROL, self._digest_message())
 
     async def _unready_loop(self) -> None:
@@ -203,12 +257,13 @@
 
     # Syncs
 
-    def _ask(self, link: Link) -> None:
+    def _ask(self, link: Link, theirs: DigestValue) -> None:
         now = self._ctx.now()
         is_waiting = self._asked is not None and now - self._asked[1] < ASK_TIMEOUT_S
         if is_waiting or now < self._ask_after:
             return
         self._asked = (link.hello.instance, now)
+        self._asked_digest = theirs
         self._ctx.count("distribution.syncs_asked")
         link.send(DeltaRequest(self._documents.complete_as_of))
 
@@ -227,6 +282,8 @@
                 link.send(Busy(delay_ms))
             case Admitted(ticket):
                 self._ctx.count("distribution.full_syncs")
+                self._full_syncs += 1
+                self._most_syncs = max(self._most_syncs, self._admission.running)
                 link.send(delta)
                 self._ctx.spawn(self._finish_sync(link, ticket))
 
@@ -244,6 +301,8 @@
             "documents_hash": f"{mine.documents_hash:016x}",
             "sources": dict(self.sources),
             "syncs_served": self._admission.running,
+            "full_syncs": self._full_syncs,
+            "full_syncs_at_once": self._most_syncs,
             "batched": len(self._batch),
         }
 
--- a/lentilsill/daemon/controllers/membership.py
+++ b/lentilsill/daemon/controllers/membership.py
@@ -1,7 +1,6 @@
 """Membership of the own domain: join, probes and spread of node records."""
 
 import asyncio
-from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Any
@@ -14,7 +13,6 @@
 from lentilsill.distribution import (
     Convergence,
     choose_peers,
-    fanout_children,
     policy_for,
     rank_members,
 )
@@ -34,29 +32,23 @@
     record_from_row,
     record_to_row,
 )
-from lentilsill.wire import CONTROL, Link
+from lentilsill.wire import CONTROL, Link, Message
 from lentilsill.wire.messages import IndirectProbe, NodeRow, Probe, ProbeAck, Records
 
+from .relays import NO_DIGEST, DigestTuple, ProbeRelays
 from .seeds import SeedContacts
 from .summaries import SummaryExchange
+from .table_repair import TableRepair, to_rows
+from .tree_push import TreePush
 
-__all__ = ["DigestTuple", "MembershipController"]
-
-# complete_as_of, documents_hash, records_hash; NO_DIGEST is "none sent".
-DigestTuple = tuple[int, int, int]
-NO_DIGEST: DigestTuple = (0, 0, 0)
+__all__ = ["MembershipController"]
 
 PIGGYBACK_ROWS = 6
 # Beside the tree, so that one dead child does not delay its whole subtree.
 EXTRA_PUSHES = 2
-SMALL_TABLE_ROWS = 64
-# A large table is sent whole only when its recent changes did not settle the
-# difference; 511 records take about 100 KB.
-FULL_EXCHANGE_INTERVAL_S = 30.0
-RECENT_CHANGE_S = 30.0
-RELAY_LIFETIME_S = 5.0
-# Separates the ids of relayed probes from those of the own detector.
-FIRST_RELAY_ID = 1 << 40
+# A change is published at once, and further ones after this time. The restart
+# of a third of 511 nodes changes hundreds of records within a second.
+PUBLISH_INTERVAL_S = 0.1
 
 log = structlog.get_logger()
 
@@ -87,19 +79,21 @@
                 NodeState.JOINING,
             )
         )
-        self.summaries = SummaryExchange(ctx, self.is_gateway, self.tree_children)
+        self._tree = TreePush(ctx, self.alive_names, self._address)
+        self.summaries = SummaryExchange(ctx, self.is_gateway, self._tree.push)
+        self._repair = TableRepair(ctx, self.table, self.summaries)
         self._detector = FailureDetector(
             cfg.probe_interval_s, cfg.probe_timeout_s, cfg.suspect_timeout_s, ctx.rng
         )
         self._policy = policy_for(ctx.cfg.distribution.optimise_for)
         self._digest_due = 0.0
         self._digest_followers: list[Callable[[Link, DigestTuple], None]] = []
-        self._relays: dict[int, tuple[Link, int, str, float]] = {}
-        self._next_relay = FIRST_RELAY_ID
+        self._relays = ProbeRelays(ctx)
         self._seeds = SeedContacts(ctx, self.table, self.summaries, self._digest)
-        self._last_exchange = float("-inf")
-        self._last_full = float("-inf")
         self._publish_pending = False
+        self._last_publish = float("-inf")
+        self._ranked: tuple[int, tuple[str, ...]] = (-1, ())
+        self._has_left = False
 
     @classmethod
     def from_context(cls, ctx: Context, documents: Documents) -> "MembershipController":
@@ -109,13 +103,9 @@
     def start(self) -> None:
         """Register handlers and start the probe and join loops."""
         ctx = self._ctx
-        for message_type, handler in (
-            (Probe, self._on_probe),
-            (ProbeAck, self._on_probe_ack),
-            (IndirectProbe, self._on_indirect_probe),
-            (Records, self._on_records),
-        ):
-            ctx.links.on(message_type, handler)
+        ctx.links.on(Probe, self._on_probe)
+        ctx.links.on(ProbeAck, self._on_probe_ack)
+        ctx.links.on(Records, self._on_records)
         for topic in (Topic.UPSTREAMS, Topic.READY, Topic.DRAIN):
             ctx.board.follow(topic, self._refresh_own)
         ctx.board.dump_parts["membership"] = self._dump
@@ -124,6 +114,7 @@
         self._publish()
         ctx.spawn(self._probe_loop())
         self._seeds.start()
+        self._relays.start()
 
     def follow_digests(self, callback: Callable[[Link, DigestTuple], None]) -> None:
         """Call `callback` with each digest that a probe or its answer carries."""
@@ -136,8 +127,21 @@
         ]
 
     def ranked(self) -> tuple[str, ...]:
-        """Rank the live nodes of the domain; the first ones are watchers."""
-        return rank_members(self.alive_names(), self._ctx.cfg.domain)
+        """Rank the live nodes of the domain; the first ones are watchers.
+
+        Leaving nodes rank only when all leave.
+        """
+        version, ranked = self._ranked
+        if version != self.table.version:
+            # A leaving node would soon hand its watch over again.
+            alive = [
+                e.record for e in self.table.live() if e.liveness == Liveness.ALIVE
+            ]
+            staying = [r.node for r in alive if r.state != NodeState.LEAVING]
+            names = staying or [r.node for r in alive]
+            ranked = rank_members(names, self._ctx.cfg.domain)
+            self._ranked = (self.table.version, ranked)
+        return ranked
 
     def is_first_ranked(self, count: int) -> bool:
         """Whether this node is among the first `count` in the ranking."""
@@ -147,12 +151,9 @@
         """Whether this node talks to other domains."""
         return self.is_first_ranked(2)
 
-    def tree_children(self, root: str) -> list[str]:
-        """Give the peer addresses that pass on a push of `root` below this node."""
-        names = self.alive_names()
-        fanout = self._ctx.cfg.distribution.fanout
-        children = fanout_children(self._ctx.cfg.node, root, names, fanout)
-        return [self._address(name) for name in children]
+    def push_down(self, root: str, message: Message) -> int:
+        """Push to this node's children in the tree of `root`; give their number."""
+        return self._tree.push(root, message)
 
     def random_peers(self, count: int, ready_only: bool = False) -> list[str]:
         """Give the peer addresses of up to `count` random live nodes."""
@@ -181,13 +182,21 @@
             self._push_own()
             self._publish_soon()
 
-    def _push_own(self) -> None:
+    def leave(self) -> None:
+        """Tell peers that this process ends; the last call before the links close.
+
+        Peers drop the record at once and need not detect the end by probes.
+        """
+        self._has_left = True
+        self._push_own(Liveness.DEAD)
+
+    def _push_own(self, liveness: Liveness = Liveness.ALIVE) -> None:
         me = self._ctx.cfg.node
-        row = record_to_row(self.table.own)
-        targets = [*self.tree_children(me), *self.random_peers(EXTRA_PUSHES)]
+        message = Records((_row(self.table.own, liveness),), push=True)
         self._ctx.count("membership.own_pushed")
-        for address in dict.fromkeys(targets):
-            self._send(address, Records((row,), push=True))
+        self._tree.push(me, message)
+        for address in self.random_peers(EXTRA_PUSHES):
+            self._send(address, message)
 
     # Probes
 
@@ -206,7 +215,7 @@
             orders = {n: e.record.order for n, e in peers.items()}
             for action in self._detector.tick(now, orders, suspects):
                 self._act(action, now)
-            self._drop_old_relays(now)
+            self._relays.expire(now)
 
     def _act(self, action: object, now: float) -> None:
         match action:
@@ -240,10 +249,10 @@
 
     def _digest(self) -> DigestTuple:
         docs = self._documents
-        return (docs.complete_as_of, docs.content_hash, self.table.records_hash)
+        return (docs.complete_as_of, docs.content_hash, self._repair.digest_hash)
 
     def _recent_rows(self) -> tuple[NodeRow, ...]:
-        return _rows(self.table.take_recent(PIGGYBACK_ROWS))
+        return to_rows(self.table.take_recent(PIGGYBACK_ROWS))
 
     def _on_probe(self, link: Link, message: Probe) -> None:
         self._merge(link, message.rows)
@@ -253,35 +262,24 @@
             return
         entry = self.table.get(link.hello.node)
         if entry is None:
-            own = (record_to_row(self.table.own),)
-            link.send(Records(own, want_reply=True))
+            link.send(Records((_row(self.table.own),), want_reply=True))
         elif entry.liveness != Liveness.ALIVE:
             # Only the sender itself can refute the verdict.
-            link.send(Records(_rows([entry])))
+            link.send(Records(to_rows([entry])))
         self._on_digest(link, message.digest)
 
     def _on_probe_ack(self, link: Link, message: ProbeAck) -> None:
-        relay = self._relays.pop(message.probe_id, None)
-        if relay is not None:
-            origin, probe_id, node, _ = relay
-            if link.hello.node == node:
-                origin.send(ProbeAck(probe_id, NO_DIGEST, (), node))
+        if self._relays.answer(link, message.probe_id):
             return
         self._merge(link, message.rows)
         # A relayed answer names the node that was probed.
         self._detector.ack(message.probe_id, message.node or link.hello.node)
         self._on_digest(link, message.digest)
-
-    def _on_indirect_probe(self, link: Link, message: IndirectProbe) -> None:
-        self._next_relay += 1
-        relay = (link, message.probe_id, message.node, self._ctx.now())
-        self._relays[self._next_relay] = relay
-        self._send(message.address, Probe(self._next_relay, NO_DIGEST))
-
-    def _drop_old_relays(self, now: float) -> None:
-        for relay_id, (_, _, _, since) in list(self._relays.items()):
-            if now - since > RELAY_LIFETIME_S:
-                del self._relays[relay_id]
+        is_local = link.hello.domain == self._ctx.cfg.domain
+        if is_local and message.digest != NO_DIGEST:
+            # Only the node that probes starts, so that one probe does not lead
+            # to two exchanges.
+            self._repair.start(link, message.digest[2])
 
     # Exchange of records
 
@@ -290,45 +288,22 @@
             return
         for callback in self._digest_followers:
             callback(link, digest)
-        if digest[2] != self.table.records_hash:
-            self._exchange(link)
-
-    def _exchange(self, link: Link) -> None:
-        """Send records to a peer whose table differs, at a bounded rate."""
-        now = self._ctx.now()
-        if now - self._last_exchange < self._ctx.cfg.membership.probe_interval_s:
-            return
-        self._last_exchange = now
-        entries = self.table.entries()
-        is_small = len(entries) <= SMALL_TABLE_ROWS
-        if is_small or now - self._last_full >= FULL_EXCHANGE_INTERVAL_S:
-            self._last_full = now
-            link.send(Records(_rows(entries), want_reply=True))
-        else:
-            recent = self.table.changed_since(now - RECENT_CHANGE_S)
-            link.send(Records(_rows(recent[:SMALL_TABLE_ROWS])))
-        self._ctx.count("membership.exchanges")
 
     def _on_records(self, link: Link, message: Records) -> None:
-        changed = self._merge(link, message.rows)
+        changed, records = self._merge(link, message.rows)
         if message.push:
             self._pass_on(changed)
         if message.want_reply:
-            link.send(Records(_rows(self._newer_than(message.rows))))
-
-    def _newer_than(self, rows: Iterable[NodeRow]) -> list[Entry]:
-        """List the entries that the sender of `rows` lacks or has older."""
-        known = {row[0]: (row[3], row[4], row[2], row[9]) for row in rows}
-        lowest = (-1, -1, "", 0)
-        return [
-            e
-            for e in self.table.entries()
-            if e.precedence > known.get(e.record.node, lowest)
-        ]
-
-    def _merge(self, link: Link, rows: Iterable[NodeRow]) -> list[Entry]:
-        if not rows:
-            return []
+            known = {r[0]: (r[3], r[4], r[2], r[9]) for r in message.rows}
+            link.send(Records(to_rows(self.table.newer_than(known))))
+        elif not self._has_left:
+            self._repair.answer(link, message, records)
+
+    def _merge(
+        self, link: Link, rows: Iterable[NodeRow]
+    ) -> tuple[list[Entry], list[tuple[NodeRecord, Liveness]]]:
+        if not rows or self._has_left:
+            return [], []
         records = []
         for row in rows:
             try:
@@ -343,31 +318,35 @@
         if self.table.own is not own_before:
             self._ctx.count("membership.refuted")
             self._push_own()
-            link.send(Records((record_to_row(self.table.own),)))
-        return changed
+            link.send(Records((_row(self.table.own),)))
+        return changed, records
 
     def _pass_on(self, changed: list[Entry]) -> None:
         """Pass new records down the trees that are rooted at their nodes."""
-        rows: dict[str, list[NodeRow]] = defaultdict(list)
         for entry in changed:
-            if entry.record.node != self._ctx.cfg.node:
-                for address in self.tree_children(entry.record.node):
-                    rows[address].append(record_to_row(entry.record, entry.liveness))
-        for address, address_rows in rows.items():
-            self._send(address, Records(tuple(address_rows), push=True))
+            root = entry.record.node
+            if root != self._ctx.cfg.node:
+                row = _row(entry.record, entry.liveness)
+                self._tree.push(root, Records((row,), push=True))
 
     # Blackboard
 
     def _publish_soon(self) -> None:
         if not self._publish_pending:
             self._publish_pending = True
-            asyncio.get_running_loop().call_soon(self._publish)
+            elapsed = self._ctx.now() - self._last_publish
+            delay_s = max(0.0, PUBLISH_INTERVAL_S - elapsed)
+            asyncio.get_running_loop().call_later(delay_s, self._publish)
 
     def _publish(self) -> None:
         self._publish_pending = False
+        self._last_publish = self._ctx.now()
         live = self.table.live()
         board = self._ctx.board
         board.members = {e.record.node: e.record for e in live}
+        board.suspects = frozenset(
+            e.record.node for e in live if e.liveness == Liveness.SUSPECT
+        )
         self.summaries.members_changed(board.members, self.ranked()[:2])
         self._ctx.gauge("membership.live", len(live))
         board.changed(Topic.MEMBERS)
@@ -377,6 +356,7 @@
             "own": {"generation": self.table.own.generation, "seq": self.table.own.seq},
             "records_hash": f"{self.table.records_hash:016x}",
             "ranked": list(self.ranked()[:2]),
+            "unsent": self.table.unsent,
             "members": {
                 e.record.node: {
                     "verdict": e.liveness.name.lower(),
@@ -398,5 +378,5 @@
             self._ctx.links.send(address, CONTROL, message)
 
 
-def _rows(entries: Iterable[Entry]) -> tuple[NodeRow, ...]:
-    return tuple(record_to_row(e.record, e.liveness) for e in entries)  # type: ignore[misc]
+def _row(record: NodeRecord, liveness: Liveness = Liveness.ALIVE) -> NodeRow:
+    return record_to_row(record, liveness)  # type: ignore[return-value]
--- a/lentilsill/daemon/controllers/quarantine.py
+++ b/lentilsill/daemon/controllers/quarantine.py
@@ -1,6 +1,8 @@
 """Quarantine of requests that crash their upstreams."""
 
-from collections.abc import Callable, Iterable
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable
 
 import structlog
 
@@ -12,28 +14,43 @@
 __all__ = ["QuarantineController"]
 
 MAX_REPORT_ROWS = 1000
+# A report that a dead node of the tree kept from its subtree reaches it by
+# these exchanges with one random peer. They carry quarantined requests only,
+# as a mere suspect may have been cleared at the receiver.
+REPAIR_INTERVAL_S = 10.0
+REPAIR_ROWS = 64
+JOIN_INTERVAL_S = 0.2
+# Nodes of each other domain that are told of a crash; one may be dead.
+REMOTE_NODES = 2
 
 log = structlog.get_logger()
 
 
 class QuarantineController:
-    """Implements `CrashGuard` and spreads crashes to the own domain.
+    """Implements `CrashGuard` and spreads crashes to all domains.
 
-    `peers` gives the peer addresses that are sent a report; all other members
-    of the domain when it is not given.
+    `push_down` sends a message to the nodes below this one in the fan-out tree
+    of a root, and `random_peers` gives some peers of the domain. Without them
+    reports go to all members.
     """
 
     def __init__(
-        self, ctx: Context, peers: Callable[[], Iterable[str]] | None = None
+        self,
+        ctx: Context,
+        push_down: Callable[[str, Message], object] | None = None,
+        random_peers: Callable[[int], list[str]] | None = None,
     ) -> None:
         self.ctx = ctx
-        self.peers = peers or self._members
+        self.push_down = push_down or self._push_to_all
+        self.random_peers = random_peers or self._some_members
         self.tracker = CrashTracker()
+        self.has_joined = False
 
     def start(self) -> None:
-        """Register the message handler and the part of the state dump."""
+        """Register the message handler and start the exchange with peers."""
         self.ctx.links.on(CrashReport, self._on_report)
         self.ctx.board.dump_parts["quarantine"] = self._dump
+        self.ctx.spawn(self._exchange())
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Whether the request must be refused."""
@@ -50,13 +67,45 @@
             return
         log.warning("crash_suspects", suspects=[(row[0], row[1]) for row in rows])
         self.ctx.count("crashes")
-        for address in self.peers():
+        root = self.ctx.cfg.node
+        self.push_down(root, CrashReport(rows, root))
+        for address in self._other_domains():
             self.ctx.links.send(address, CONTROL, CrashReport(rows))
 
     def finished(self, fingerprint: str) -> None:
         """The request finished without a crash."""
         self.tracker.finished(fingerprint, self.ctx.now())
 
+    def _on_report(self, link: Link, message: Message) -> None:
+        assert isinstance(message, CrashReport)
+        now = self.ctx.now()
+        news = self.tracker.merge(message.rows[:MAX_REPORT_ROWS], now)
+        if link.hello.domain != self.ctx.cfg.domain:
+            # The first receiver in a domain is the root of the tree there.
+            if news:
+                own = self.ctx.cfg.node
+                self.push_down(own, CrashReport(news, own))
+        elif message.want_reply:
+            link.send(CrashReport(self.tracker.report(now)[:MAX_REPORT_ROWS]))
+        elif message.root:
+            if news:
+                self.push_down(message.root, CrashReport(news, message.root))
+        else:
+            self.has_joined = True
+
+    async def _exchange(self) -> None:
+        """Ask a peer for its rows, then repair the spread now and again."""
+        rng = self.ctx.rng
+        while not self.has_joined:
+            await asyncio.sleep(JOIN_INTERVAL_S * rng.uniform(0.5, 1.5))
+            for address in self.random_peers(1):
+                self.ctx.links.send(address, CONTROL, CrashReport((), want_reply=True))
+        while True:
+            await asyncio.sleep(REPAIR_INTERVAL_S * rng.uniform(0.5, 1.5))
+            rows = self.tracker.quarantined(self.ctx.now())[:REPAIR_ROWS]
+            for address in self.random_peers(1) if rows else ():
+                self.ctx.links.send(address, CONTROL, CrashReport(rows))
+
     def _members(self) -> list[str]:
         return [
             rec.peer_address
@@ -64,11 +113,23 @@
             if rec.instance != self.ctx.links.identity.instance
         ]
 
-    def _on_report(self, link: Link, message: Message) -> None:
-        assert isinstance(message, CrashReport)
-        # Reports are for one domain: fingerprints of others are of no use here.
-        if link.hello.domain == self.ctx.cfg.domain:
-            self.tracker.merge(message.rows[:MAX_REPORT_ROWS], self.ctx.now())
+    def _other_domains(self) -> list[str]:
+        """Give the addresses of some nodes of each other domain."""
+        by_domain: dict[str, list[str]] = defaultdict(list)
+        for rec in self.ctx.board.remote_nodes.values():
+            by_domain[rec.domain].append(rec.peer_address)
+        return [
+            address
+            for known in by_domain.values()
+            for address in self.ctx.rng.sample(known, min(REMOTE_NODES, len(known)))
+        ]
+
+    def _some_members(self, count: int) -> list[str]:
+        return self.ctx.rng.sample(self._members(), min(count, len(self._members())))
+
+    def _push_to_all(self, root: str, message: Message) -> None:
+        for address in self._members() if root == self.ctx.cfg.node else ():
+            self.ctx.links.send(address, CONTROL, message)
 
     def _dump(self) -> list[dict[str, object]]:
         return [
--- a/lentilsill/daemon/controllers/tests/test_calls.py
+++ b/lentilsill/daemon/controllers/tests/test_calls.py
@@ -233,6 +233,14 @@
         self.assertEqual((await self.near.entry.handle(req)).body, b"/p")
         self.assertEqual(self.upstream.seen, ["/p"])
 
+    async def test_keyed_call_refused_before_its_claim_is_unknown(self):
+        """Guards against `not_run` for a key that another node has run (G5)."""
+        self.near.ctx.board.ready = False
+        req = make_request("POST", "/p")
+        self.assertEqual((await self.near.entry.handle(req)).outcome, Outcome.NOT_RUN)
+        req = dataclasses.replace(req, request_key="k")
+        self.assertEqual((await self.near.entry.handle(req)).outcome, Outcome.UNKNOWN)
+
     async def test_lost_keyless_caller_cancels_a_get_but_not_a_post(self):
         """Guards against a POST cut in the middle, and a GET that runs on."""
         self.near.serve("w0", self.upstream.port)
@@ -294,3 +302,38 @@
         await call
         await wait_for(lambda: guard.deaths)
         self.assertEqual(len(guard.deaths[0]), 1)
+
+    async def test_unready_node_does_not_say_not_run_of_a_key(self):
+        """Guards against `not_run` for a resent key that ran elsewhere (G5)."""
+        self.near.ctx.board.ready = False
+        keyed = dataclasses.replace(make_request("POST"), request_key="k")
+        refused = await self.near.entry.handle(keyed)
+        self.assertEqual(refused.outcome, Outcome.UNKNOWN)
+        plain = await self.near.entry.handle(make_request("POST"))
+        self.assertEqual(plain.outcome, Outcome.NOT_RUN)
+
+    async def test_dead_upstream_is_taken_out_and_costs_no_retry(self):
+        """Guards against calls refused for as long as a dead upstream is listed."""
+        dropped = []
+
+        def drop(upstream, reason):
+            dropped.append(upstream)
+            return self.far.ctx.board.upstreams.pop(upstream, None) is not None
+
+        self.far.destination.drop_upstream = drop
+        self.far.serve("w2", free_port())
+        self.near.learn(self.far.record())
+        # The budget allows no retry of so many calls.
+        for _ in range(20):
+            result = await self.near.entry.handle(make_request("POST", "/p"))
+            self.assertIsInstance(result, Answer)
+        self.assertEqual(dropped, ["w2"])
+
+    async def test_call_that_lost_two_upstreams_is_not_tried_again(self):
+        """Guards against one call that crashes an upstream per attempt."""
+        self.far.serve("w2", self.upstream.port)
+        self.far.serve("w3", self.upstream.port)
+        self.near.learn(self.far.record())
+        self.upstream.raw["/p"] = b""
+        await self.near.entry.handle(make_request("GET", "/p"))
+        self.assertEqual(self.upstream.seen, ["/p", "/p"])
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -22,7 +22,7 @@
 from lentilsill.wire.links import split_address
 from lentilsill.wire.streams import ProtocolStream
 
-from .reasons import UNREACHABLE, not_run
+from .reasons import CONNECTION_LOST, UNREACHABLE, not_run
 
 __all__ = ["HOP_BY_HOP", "Exchange", "UpstreamClient"]
 
@@ -279,6 +279,4 @@
 
 
 def _closed_early(exchange: Exchange) -> Refused:
-    return Refused(
-        Outcome.UNKNOWN, exchange.aborted or "connection closed before the answer"
-    )
+    return Refused(Outcome.UNKNOWN, exchange.aborted or CONNECTION_LOST)
--- a/lentilsill/daemon/main.py
+++ b/lentilsill/daemon/main.py
@@ -26,7 +26,7 @@
 GC_THRESHOLDS = (20_000, 20, 50)
 
 log = structlog.get_logger()
-app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+app = typer.Typer(pretty_exceptions_enable=False, rich_markup_mode=None)
 
 
 @app.command()
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -64,12 +64,14 @@
     )
     callers = CallerServer(entry, cfg.calls.max_body_bytes, claims.issue_keys)
     admin = AdminServer(ctx, destination.on_upstream_gone, destination.in_flight)
+    destination.drop_upstream = admin.announcements.drop
     ctx.links.listen(cfg.peer_address)
     callers.listen(cfg.caller_address)
     admin.start()
     try:
         yield ctx
         await callers.close()
+        membership.leave()
         await ctx.links.flush(FLUSH_BOUND_S)
     finally:
         admin.stop()
@@ -101,10 +103,10 @@
 def _start_call_path(
     ctx: Context, api: HttpObjectApi, membership: MembershipController
 ) -> tuple[EntryController, DestinationController, ClaimsController]:
-    guard = QuarantineController(ctx)
-    destination = DestinationController(ctx, guard)
+    guard = QuarantineController(ctx, membership.push_down, membership.random_peers)
     claims = ClaimsController(ctx, api, lambda: membership.is_first_ranked(1))
+    destination = DestinationController(ctx, guard, claims.store_for_lost)
     entry = EntryController(ctx, destination, claims, guard)
-    for controller in (guard, destination, claims, entry):
+    for controller in (guard, claims, destination, entry):
         controller.start()
     return entry, destination, claims
