Say on the page of guarantees that clock offsets run without processes

Cause: the page said that each cell runs real processes. Change: one sentence. Measured: the page test compares the page with the decorators.

--- a/harness/guarantees_page.py
+++ b/harness/guarantees_page.py
@@ -18,7 +18,8 @@
 HEAD = """# Guarantees and the tests that prove them
 
 Each cell names the test classes that run real processes under the fault and check
-the guarantee on the recorded history. "Red" marks a test that KNOWN-RED.txt
+the guarantee on the recorded history; ClockOffsetTests runs the decision state of
+replicas with shifted clocks instead. "Red" marks a test that KNOWN-RED.txt
 lists. `python -m harness.guarantees_page` writes this page from the
 `proves` decorators of the tests, and a test compares the two.
 """
