Count superseded versions as pushed by the first watcher

Cause: a batch holds only the newest version of a service; the second watcher looked for the exact version and pushed the superseded one to its children. Change: the highest pushed version by service is compared.

--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -72,7 +72,8 @@
         self._asked_digest: DigestValue | None = None
         self._batch: list[Delta] = []
         self._backups = 0
-        self._pushed_by_others: set[tuple[str, int]] = set()
+        # Highest version by service, as a push leaves out what it supersedes.
+        self._pushed_by_others: dict[str, int] = {}
         self._remote_choice: dict[str, str] = {}
         self._full_syncs = 0
         self._most_syncs = 0
@@ -116,7 +117,8 @@
 
     def _push_backup(self, delta: Delta) -> None:
         """Push what the first-ranked watcher has not pushed in the meantime."""
-        if any(row[:2] not in self._pushed_by_others for row in delta.rows):
+        pushed = self._pushed_by_others
+        if any(version > pushed.get(name, 0) for name, version, *_ in delta.rows):
             self._ctx.count("distribution.backup_pushes")
             self._push(delta, self._ctx.cfg.node)
         self._backups -= 1
@@ -145,7 +147,9 @@
         new = self._documents.merge(message)
         if message.root:
             if self._backups:
-                self._pushed_by_others |= {row[:2] for row in message.rows}
+                for name, version, *_ in message.rows:
+                    highest = max(version, self._pushed_by_others.get(name, 0))
+                    self._pushed_by_others[name] = highest
             if new is not None and new.rows:
                 self._push(_passable(message, new), message.root)
             return
