Send GoAway from one place, and give the link a module of its own

Change: the destination sends it once when the drain begins; Link, Traffic and Identity are in wire/link.py.

--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -126,6 +126,7 @@
         ctx.links.close_handlers.append(self.keyed.on_link_closed)
         for topic in (Topic.UPSTREAMS, Topic.IN_FORCE, Topic.DRAIN):
             ctx.board.follow(topic, self.refresh)
+        ctx.board.follow(Topic.DRAIN, self._tell_of_drain)
         ctx.board.dump_parts["destination"] = self._dump
 
     def start(self) -> None:
@@ -195,10 +196,12 @@
                 self._apply(own.queue.drain())
             else:
                 own.queue.resume()
-        if board.draining:
-            for link in self.ctx.links.accepted:
-                if link.hello.purpose == CALLS:
-                    link.send(GoAway("node is leaving"))
+
+    def _tell_of_drain(self) -> None:
+        """Tell entry nodes at once, before the node's record has spread."""
+        for link in self.ctx.links.accepted:
+            if link.hello.purpose == CALLS:
+                link.send(GoAway("node is leaving"))
 
     async def execute(self, execution: Execution) -> CallResult:
         """Admit and run a call of this node or of a peer."""
--- a/lentilsill/daemon/controllers/drain.py
+++ b/lentilsill/daemon/controllers/drain.py
@@ -8,8 +8,6 @@
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.drain import DrainPhase, DrainReason, DrainState
-from lentilsill.wire import CALLS, Link, Message
-from lentilsill.wire.messages import GoAway
 
 __all__ = ["DrainController"]
 
@@ -32,23 +30,17 @@
         self.state = DrainState(ctx.cfg.calls.drain_bound_s)
 
     def start(self) -> None:
-        """Register the part of the state dump, and a handler of `GoAway`."""
+        """Register the part of the state dump."""
         self.ctx.board.dump_parts["drain"] = lambda: self.state.phase.value
-        # Without a handler the message would end the link; the call path
-        # registers its own.
-        self.ctx.links.handlers.setdefault(GoAway, _ignore)
 
     def begin(self) -> None:
-        """Stop taking calls and tell peers; a second call does nothing."""
+        """Stop taking calls; a second call does nothing."""
         if self.state.phase is not DrainPhase.SERVING:
             return
         self.state = self.state.begin(self.ctx.now())
         log.info("drain_started", in_flight=self.in_flight())
         self.ctx.board.draining = True
         self.ctx.board.changed(Topic.DRAIN)
-        for link in list(self.ctx.links.accepted):
-            if link.hello.purpose == CALLS:
-                link.send(GoAway("draining"))
 
     async def run(self) -> DrainReason:
         """Drain until idle or until the time bound; give which applied."""
@@ -67,7 +59,3 @@
             seconds=seconds,
         )
         return self.state.reason
-
-
-def _ignore(link: Link, message: Message) -> None:
-    """Take a message that nothing here acts on."""
--- /dev/null
+++ b/lentilsill/wire/link.py
@@ -0,0 +1,82 @@
+"""One link to another node, and the bytes that went over links."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tornado.iostream import StreamBufferFullError, StreamClosedError
+
+from .messages import Hello, Message, encode
+from .streams import ProtocolStream
+
+__all__ = ["Identity", "Link", "LinkError", "Traffic"]
+
+
+class LinkError(Exception):
+    """A link could not be made, or a peer broke the protocol."""
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who this process is, as told to peers in `Hello`."""
+
+    node: str
+    instance: str
+    domain: str
+    peer_address: str
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Bytes and messages over all links of one purpose since the start."""
+
+    sent_bytes: int = 0
+    sent_messages: int = 0
+    received_bytes: int = 0
+    received_messages: int = 0
+    dials: int = 0
+    idle_closed: int = 0
+
+
+@dataclass(eq=False, slots=True)
+class Link:
+    """One stream to a peer after both sides have sent `Hello`.
+
+    `last_received` and `last_sent` are in seconds of the event loop's clock.
+    """
+
+    stream: ProtocolStream
+    hello: Hello
+    address: str
+    dialed: bool
+    last_received: float
+    traffic: Traffic
+    on_close: list[Callable[["Link"], None]] = field(default_factory=list)
+    last_sent: float = 0.0
+    is_closed: bool = False
+
+    @property
+    def last_used(self) -> float:
+        """When bytes last went in either direction."""
+        return max(self.last_received, self.last_sent)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the stream is still usable for writing."""
+        return not self.stream.closed()
+
+    def send(self, message: Message) -> bool:
+        """Queue a message; False when the stream is closed or its buffer is full."""
+        data = encode(message)
+        try:
+            self.stream.write(data)
+        except (StreamClosedError, StreamBufferFullError):
+            return False
+        self.traffic.sent_bytes += len(data)
+        self.traffic.sent_messages += 1
+        self.last_sent = asyncio.get_running_loop().time()
+        return True
+
+    def close(self) -> None:
+        """Close the stream."""
+        self.stream.close()
