--- a/bench/call_path.py
+++ b/bench/call_path.py
@@ -11,8 +11,6 @@
 import time
 
 from hdrh.histogram import HdrHistogram
-from tornado.iostream import StreamClosedError
-from tornado.tcpserver import TCPServer
 from tornado.web import Application, RequestHandler
 
 from lentilsill.daemon.caller_server import CallerServer
@@ -21,24 +19,13 @@
 from lentilsill.daemon.interfaces import CallRequest
 from lentilsill.outcomes import Answer, CallResult
 
+from .upstream_clients import BODY, FixedUpstream
+
 __all__ = ["main"]
 
-BODY = b"x" * 200
 WARM_UP_CALLS = 200
 
 
-class _Upstream(TCPServer):
-    async def handle_stream(self, stream, address) -> None:
-        stream.set_nodelay(True)
-        try:
-            while True:
-                await stream.read_until(b"\r\n\r\n")
-                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BODY)
-                await stream.write(head + BODY)
-        except StreamClosedError:
-            pass
-
-
 class _Fixed:
     async def handle(self, req: CallRequest) -> CallResult:
         return Answer(200, (), BODY)
@@ -96,7 +83,7 @@
 async def _run(role: str, args: list[str]) -> None:
     match role:
         case "upstream":
-            _Upstream().listen(int(args[0]), HOST)
+            FixedUpstream().listen(int(args[0]), HOST)
         case "server":
             _server(args[0], int(args[1]))
         case "node":
--- a/bench/upstream_clients.py
+++ b/bench/upstream_clients.py
@@ -18,7 +18,7 @@
 from lentilsill.daemon.controllers.upstream_client import Exchange, UpstreamClient
 from lentilsill.outcomes import Answer
 
-__all__ = ["main"]
+__all__ = ["BODY", "FixedUpstream", "main"]
 
 HOST = "127.0.0.1"
 BODY = b"x" * 200
@@ -26,7 +26,9 @@
 ROUNDS = 3
 
 
-class _Upstream(TCPServer):
+class FixedUpstream(TCPServer):
+    """Answers each request without a body by the same 200 bytes."""
+
     async def handle_stream(self, stream, address) -> None:
         stream.set_nodelay(True)
         try:
@@ -39,7 +41,7 @@
 
 
 async def _serve(port: int) -> None:
-    _Upstream().listen(port, HOST)
+    FixedUpstream().listen(port, HOST)
     await asyncio.Event().wait()
 
 
--- a/lentilsill/cli/edits.py
+++ b/lentilsill/cli/edits.py
@@ -4,6 +4,7 @@
 import json
 import re
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from result import Err, Ok
@@ -51,6 +52,31 @@
     raise AssertionError("unreachable")
 
 
+@dataclass(frozen=True, slots=True)
+class _Edit:
+    """A valid document of a file, and what the platform holds of the service."""
+
+    service: str
+    value: Any
+    stored: StoredObject | None
+
+
+async def _read_edit(
+    api: ObjectApi, text: str, source: str, say: Say
+) -> _Edit | ExitCode:
+    service, value, findings = read_document(text, source)
+    if findings:
+        for finding in findings:
+            say(str(finding))
+        return ExitCode.INVALID
+    match await api.get(KIND, service):
+        case Err(error):
+            return _failed(service, error, say)
+        case Ok(stored):
+            return _Edit(service, value, stored)
+    raise AssertionError("unreachable")
+
+
 async def apply_document(
     api: ObjectApi, text: str, source: str, base: int | None, say: Say
 ) -> ExitCode:
@@ -62,16 +88,10 @@
         Version that the edit is based on. None takes it from the line that
         `get` writes, or else the version that the platform holds now.
     """
-    service, value, findings = read_document(text, source)
-    if findings:
-        for finding in findings:
-            say(str(finding))
-        return ExitCode.INVALID
-    match await api.get(KIND, service):
-        case Err(error):
-            return _failed(service, error, say)
-        case Ok(stored):
-            pass
+    edit = await _read_edit(api, text, source, say)
+    if isinstance(edit, ExitCode):
+        return edit
+    service, value, stored = edit.service, edit.value, edit.stored
     if stored is not None and stored.value == value:
         say(f"{service}: unchanged at version {stored.version}")
         return ExitCode.OK
@@ -93,16 +113,10 @@
 
 async def diff_document(api: ObjectApi, text: str, source: str, say: Say) -> ExitCode:
     """Print what `apply` of a document would change."""
-    service, value, findings = read_document(text, source)
-    if findings:
-        for finding in findings:
-            say(str(finding))
-        return ExitCode.INVALID
-    match await api.get(KIND, service):
-        case Err(error):
-            return _failed(service, error, say)
-        case Ok(stored):
-            pass
+    edit = await _read_edit(api, text, source, say)
+    if isinstance(edit, ExitCode):
+        return edit
+    service, value, stored = edit.service, edit.value, edit.stored
     if stored is not None and stored.value == value:
         say(f"{service}: same as version {stored.version}")
         return ExitCode.OK
