--- a/bench/control_plane.py
+++ b/bench/control_plane.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from harness.layout import Host, Layout
+from harness.objects import write_object
 from harness.processes import Cluster, Process, fetch_json, running_cluster, wait_until
 
 from .results import emit, version
@@ -121,12 +122,10 @@
 
 def _put(layout: Layout, number: int, note: str) -> tuple[int, float]:
     """Write a document; give its version and when the answer came."""
-    url = f"{layout.platform_url}/v1/objects/service/service-{number}"
-    body = document_text(number, note).encode()
-    req = urllib.request.Request(url, body, method="PUT")
-    with urllib.request.urlopen(req, timeout=5.0) as resp:
-        answer = json.loads(resp.read())
-    return answer["version"], time.time()
+    name = f"service-{number}"
+    value = json.loads(document_text(number, note))
+    version = write_object(layout.platform_url, "service", name, value)
+    return version, time.time()
 
 
 def _in_force_times(process: Process, version: int) -> list[float]:
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -6,15 +6,14 @@
 """
 
 import itertools
-import json
 import sys
 import time
 from collections.abc import Iterator, Sequence
 from functools import partial
 from pathlib import Path
-from urllib.request import Request, urlopen
 
 from harness.layout import Layout
+from harness.objects import write_object
 from harness.processes import Cluster, fetch_json, running_cluster, wait_until
 
 from .raw_load import Samples, make_request, run_load
@@ -57,10 +56,8 @@
 
 def put_document(cluster: Cluster, document: dict) -> None:
     """Write a document to the platform."""
-
-    url = f"{cluster.layout.platform_url}/v1/objects/service/{document['service']}"
-    req = Request(url, json.dumps(document).encode(), method="PUT")
-    urlopen(req, timeout=5).close()
+    url = cluster.layout.platform_url
+    write_object(url, "service", document["service"], document)
 
 
 def answers(address: str, path: str) -> bool:
--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -1,11 +1,9 @@
 """Frame of a scenario: real processes, a load, faults, and the checked history."""
 
 import asyncio
-import json
 import random
 import socket
 import time
-import urllib.request
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -19,7 +17,8 @@
 from .layout import PLATFORM_PORT, Host, Layout
 from .load import Load, mixed_plans
 from .measures import Measures, measure
-from .processes import HTTP_TIMEOUT_S, Cluster, Process, fetch_json, running_cluster
+from .objects import write_object
+from .processes import Cluster, Process, fetch_json, running_cluster
 from .recording import Recording
 
 __all__ = ["Result", "Run", "Scenario", "reserved_base", "run_scenario"]
@@ -164,9 +163,9 @@
         if value is None:
             options = self.scenario.document | options
             value = make_document(service, edit=self.edits, **options)
-        url = f"{self.cluster.layout.platform_url}/v1/objects/service/{service}"
+        url = self.cluster.layout.platform_url
         asked = time.monotonic()
-        version = await asyncio.to_thread(_put, url, value)
+        version = await asyncio.to_thread(write_object, url, "service", service, value)
         references = tuple(value.get("requires", ()))
         self.recording.writes.append(
             DocumentWrite(service, version, asked, valid, references=references)
@@ -327,13 +326,6 @@
     )
 
 
-def _put(url: str, value: dict[str, Any]) -> int:
-    data = json.dumps(value).encode()
-    req = urllib.request.Request(url, data, method="PUT")
-    with urllib.request.urlopen(req, timeout=HTTP_TIMEOUT_S) as resp:
-        return int(json.loads(resp.read())["version"])
-
-
 @contextmanager
 def reserved_base() -> Iterator[int]:
     """Choose addresses that no other run on this machine uses, and hold them."""
--- a/harness/scenarios/freeze.py
+++ b/harness/scenarios/freeze.py
@@ -49,7 +49,7 @@
 
 
 async def _sample_status(run: Run, samples: list[dict[str, Any]]) -> None:
-    url = f"{run.cluster.layout.platform_url}/v1/objects/status"
+    url = f"{run.cluster.layout.platform_url}/objects/status"
     while True:
         samples.append(await asyncio.to_thread(fetch_json, url))
         await asyncio.sleep(SAMPLE_PAUSE_S)
@@ -59,14 +59,15 @@
     """A paused writer of a status must not lower what the domain reported."""
     newest: dict[tuple[str, str, str], int] = {}
     for sample in samples:
-        for obj in sample["objects"]:
-            for service, entry in obj["value"]["services"].items():
+        for obj in sample["items"]:
+            name = obj["metadata"]["name"]
+            for service, entry in obj["spec"]["services"].items():
                 for part in ("accepted", "in_force"):
-                    key = (obj["name"], service, part)
+                    key = (name, service, part)
                     version = entry[part] or 0
                     if version < newest.get(key, 0):
                         what = f"{service} {part}: {newest[key]}, then {version}"
-                        run.findings.add(f"G1 status/{obj['name']}", what)
+                        run.findings.add(f"G1 status/{name}", what)
                     newest[key] = max(version, newest.get(key, 0))
     if not newest:
         run.findings.add("scenario", "no status was read")
--- a/harness/scenarios/operators.py
+++ b/harness/scenarios/operators.py
@@ -106,9 +106,13 @@
 
 
 def _versions(run: Run, service: str) -> list[tuple[int, Any]]:
-    url = f"{run.cluster.layout.platform_url}/v1/watch/service?since=0&timeout_s=0"
-    changes = fetch_json(url)["changes"]
-    return [(c["version"], c["value"]) for c in changes if c["name"] == service]
+    url = f"{run.cluster.layout.platform_url}/objects/service?watch=0&wait_ms=0"
+    objects = [event["object"] for event in fetch_json(url)["events"]]
+    return [
+        (obj["metadata"]["revision"], obj["spec"])
+        for obj in objects
+        if obj["metadata"]["name"] == service
+    ]
 
 
 def _check_reports(
--- a/harness/tests/test_golden_sessions.py
+++ b/harness/tests/test_golden_sessions.py
@@ -8,6 +8,7 @@
 
 from harness.documents import make_document
 from harness.layout import Layout
+from harness.objects import write_object
 from harness.processes import running_cluster, wait_until
 from harness.recording import read_events
 from harness.scenario import reserved_base
@@ -89,8 +90,9 @@
         self.wait("slots", second)
         session.run("lentilsill", "status")
         session.say("another program writes a version that is not valid")
-        url = f"{self.cluster.layout.platform_url}/v1/objects/service/slots"
-        bad = put(url, make_document("slots") | {"rutes": []})["version"]
+        url = self.cluster.layout.platform_url
+        invalid = make_document("slots") | {"rutes": []}
+        bad = write_object(url, "service", "slots", invalid)
         session.name_version(bad)
         session.until_status(lambda s: s["slots"].get("rejected"))
         self.wait("slots", bad)
@@ -119,10 +121,11 @@
         process = self.cluster.start_node(host)
         self.cluster.wait_ready(host)
         admin = f"http://{host.admin_address}/lentilsill"
-        objects = f"{self.cluster.layout.platform_url}/v1/objects/service"
-        put(f"{objects}/slots", make_document("slots"))
+        url = self.cluster.layout.platform_url
+        write_object(url, "service", "slots", make_document("slots"))
         self.until_logged(process, "document_accepted")
-        put(f"{objects}/ledger", make_document("ledger") | {"routes": 7})
+        invalid = make_document("ledger") | {"routes": 7}
+        write_object(url, "service", "ledger", invalid)
         self.until_logged(process, "document_rejected")
         worker = {"service": "slots", "address": "127.0.0.1:1", "slots": 6}
         upstream = f"{admin}/upstreams/w1"
--- a/lentilsill/cli/tests/builders.py
+++ b/lentilsill/cli/tests/builders.py
@@ -95,7 +95,7 @@
         if fault == "dropped":
             return Err(AnswerLost("timed out"))
         try:
-            version = self.store.put(kind, name, value, expected_version)
+            version = self.store.put(kind, name, value, expected_version).version
         except ConflictError as exc:
             return Err(Conflict(exc.current_version))
         if not fault:
@@ -123,7 +123,7 @@
         if fault == "dropped":
             return Err(AnswerLost("timed out"))
         try:
-            version = self.store.delete(kind, name, expected_version)
+            version = self.store.delete(kind, name, expected_version).version
         except ConflictError as exc:
             return Err(Conflict(exc.current_version))
         return Err(AnswerLost("timed out")) if fault else Ok(version)
--- a/lentilsill/daemon/admin_server.py
+++ b/lentilsill/daemon/admin_server.py
@@ -6,6 +6,7 @@
 from dataclasses import asdict
 from typing import Any
 
+import structlog
 from result import Err, Ok
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -13,8 +14,9 @@
 
 from lentilsill.wire.links import split_address
 
-from .announcements import Announcements, parse_announcement
+from .announcements import Announcements
 from .context import Context
+from .integration import OWN_INTEGRATION, Integration
 
 __all__ = ["AdminServer", "state_dump"]
 
@@ -22,6 +24,8 @@
 IDLE_TIMEOUT_S = 60
 SILENCE_CHECK_S = 0.25
 
+log = structlog.get_logger()
+
 
 class AdminServer:
     """Serves the admin address of a node.
@@ -40,8 +44,10 @@
         ctx: Context,
         on_upstream_gone: Callable[[str], None] | None = None,
         upstream_in_flight: Callable[[str], int] | None = None,
+        integration: Integration = OWN_INTEGRATION,
     ) -> None:
         self.ctx = ctx
+        self.integration = integration
         self.announcements = Announcements(ctx, on_upstream_gone)
         self.upstream_in_flight = upstream_in_flight or (lambda upstream: 0)
         self.port = 0
@@ -49,8 +55,13 @@
 
     def start(self, address: str | None = None) -> None:
         """Listen on `address`, by default the admin address of the settings."""
-        host, port = split_address(address or self.ctx.cfg.admin_address)
-        sockets = bind_sockets(port, host)
+        cfg = self.ctx.cfg
+        addresses = [address or cfg.admin_address, *cfg.extra_admin_addresses]
+        sockets = [
+            sock
+            for host, port in map(split_address, addresses)
+            for sock in bind_sockets(port, host)
+        ]
         self.port = sockets[0].getsockname()[1]
         self._server = HTTPServer(
             self._application(),
@@ -69,11 +80,12 @@
 
     def _application(self) -> Application:
         args = {"server": self}
+        paths = self.integration
         return Application(
             [
-                (r"/lentilsill/upstreams/([^/]+)", _UpstreamHandler, args),
+                (rf"{paths.upstreams_path}/([^/]+)", _UpstreamHandler, args),
                 (r"/lentilsill/live", _LiveHandler, args),
-                (r"/lentilsill/ready", _ReadyHandler, args),
+                (paths.ready_path, _ReadyHandler, args),
                 (r"/lentilsill/state", _StateHandler, args),
             ],
             default_handler_class=_NotFoundHandler,
@@ -148,18 +160,24 @@
 
 class _UpstreamHandler(_Handler):
     def put(self, upstream: str) -> None:
-        match parse_announcement(upstream, self.request.body):
+        match self.server.integration.parse_announcement(upstream, self.request.body):
             case Err(findings):
+                log.warning(
+                    "announcement_rejected",
+                    upstream=upstream,
+                    findings=[str(finding) for finding in findings],
+                )
                 self.reply(400, {"findings": [str(finding) for finding in findings]})
-            case Ok(rec):
-                if self.server.announcements.announce(rec):
+            case Ok(announcement):
+                if self.server.announcements.announce(announcement):
                     count = self.server.upstream_in_flight(upstream)
                     self.reply(200, {"in_flight": count})
                 else:
                     self.reply(429, {"error": "too many upstreams on this node"})
 
     def delete(self, upstream: str) -> None:
-        found = self.server.announcements.drop(upstream, "deleted")
+        started_ms = self.server.integration.parse_start(self.request.body)
+        found = self.server.announcements.delete(upstream, started_ms)
         self.reply(200 if found else 404, {})
 
 
--- a/lentilsill/daemon/announcements.py
+++ b/lentilsill/daemon/announcements.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Annotated, Literal
 
 import structlog
@@ -9,7 +10,12 @@
 from result import Err, Ok, Result
 
 from lentilsill.findings import Findings
-from lentilsill.membership import UpstreamRecord, UpstreamState
+from lentilsill.membership import (
+    Announcement,
+    UpstreamRecord,
+    UpstreamState,
+    is_superseded,
+)
 
 from .blackboard import Topic
 from .context import Context
@@ -40,7 +46,7 @@
     state: Literal["starting", "ready", "leaving"]
 
 
-def parse_announcement(upstream: str, text: bytes) -> Result[UpstreamRecord, Findings]:
+def parse_announcement(upstream: str, text: bytes) -> Result[Announcement, Findings]:
     """Read an announcement; the findings list all of its problems.
 
     Examples
@@ -60,16 +66,15 @@
         return Err(findings)
     if findings:
         return Err(findings)
-    return Ok(
-        UpstreamRecord(
-            upstream,
-            body.service,
-            body.address,
-            body.slots,
-            tuple(sorted(body.labels.items())),
-            UpstreamState[body.state.upper()],
-        )
+    record = UpstreamRecord(
+        upstream,
+        body.service,
+        body.address,
+        body.slots,
+        tuple(sorted(body.labels.items())),
+        UpstreamState[body.state.upper()],
     )
+    return Ok(Announcement(record))
 
 
 class Announcements:
@@ -86,10 +91,39 @@
         self.ctx = ctx
         self.on_upstream_gone = on_upstream_gone
         self._heard_s: dict[str, float] = {}
-
-    def announce(self, rec: UpstreamRecord) -> bool:
-        """Take an announcement; False when the node has too many upstreams."""
+        # The newest announcement by address.
+        self._newest: dict[str, Announcement] = {}
+        # Start by id of upstreams that said that they leave; a delayed
+        # announcement must not bring them back.
+        self._deleted: dict[str, int | None] = {}
+
+    def announce(self, announcement: Announcement) -> bool:
+        """Take an announcement; False when the node has too many upstreams.
+
+        One that is older than what is known is taken without effect.
+        """
+        rec = announcement.record
+        only_address = self.ctx.cfg.host_upstream_address
+        if only_address is not None:
+            rec = replace(rec, address=only_address)
         upstreams = self.ctx.board.upstreams
+        newest = self._newest.get(rec.address)
+        is_old = newest is not None and is_superseded(announcement, newest)
+        if is_old or self._is_deleted(announcement):
+            log.info(
+                "announcement_superseded",
+                upstream=rec.upstream,
+                state=rec.state.name,
+                sequence=announcement.sequence,
+                known=newest.record.upstream if newest is not None else "",
+                known_sequence=newest.sequence if newest is not None else 0,
+            )
+            return True
+        if len(self._newest) < MAX_UPSTREAMS or rec.address in self._newest:
+            self._newest[rec.address] = announcement
+        for other, known in list(upstreams.items()):
+            if known.address == rec.address and other != rec.upstream:
+                self.drop(other, "replaced")
         old = upstreams.get(rec.upstream)
         if old is None and len(upstreams) >= MAX_UPSTREAMS:
             return False
@@ -104,6 +138,28 @@
             self.ctx.board.changed(Topic.UPSTREAMS)
         return True
 
+    def delete(self, upstream: str, started_ms: int | None = None) -> bool:
+        """Take the word of an upstream that it leaves; False when there is none."""
+        rec = self.ctx.board.upstreams.get(upstream)
+        newest = self._newest.get(rec.address) if rec is not None else None
+        known_ms = newest.started_ms if newest is not None else None
+        if started_ms is not None and known_ms is not None and started_ms < known_ms:
+            log.info("deletion_superseded", upstream=upstream, started_ms=started_ms)
+            return True
+        if known_ms is not None or started_ms is not None:
+            self._deleted[upstream] = known_ms if started_ms is None else started_ms
+            while len(self._deleted) > MAX_UPSTREAMS:
+                del self._deleted[next(iter(self._deleted))]
+        return self.drop(upstream, "deleted")
+
+    def _is_deleted(self, announcement: Announcement) -> bool:
+        upstream = announcement.record.upstream
+        started_ms = announcement.started_ms
+        if upstream not in self._deleted or started_ms is None:
+            return False
+        deleted_ms = self._deleted[upstream]
+        return deleted_ms is not None and started_ms <= deleted_ms
+
     def drop(self, upstream: str, reason: str) -> bool:
         """Remove an upstream; False when there is none."""
         self._heard_s.pop(upstream, None)
@@ -111,7 +167,8 @@
             return False
         log.info("upstream_dropped", upstream=upstream, reason=reason)
         self.ctx.board.changed(Topic.UPSTREAMS)
-        if self.on_upstream_gone is not None:
+        # One that says that it leaves has not crashed, and ends its calls.
+        if self.on_upstream_gone is not None and reason != "deleted":
             self.on_upstream_gone(upstream)
         return True
 
--- /dev/null
+++ b/lentilsill/daemon/caller_request.py
@@ -0,0 +1,232 @@
+"""One request of a caller, and its response."""
+
+import asyncio
+import json
+from collections.abc import Awaitable
+from http.client import responses
+from typing import Protocol
+
+import structlog
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import (
+    HTTPHeaders,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+
+from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
+
+from .controllers.reasons import NO_ROUTE
+from .controllers.upstream_client import HOP_BY_HOP
+from .integration import Integration
+from .interfaces import CallRequest
+from .outgoing import OutgoingHeaders
+from .pipelining import PipelinedConnection, PipelinedDelegate
+
+__all__ = ["CallerRequest", "RequestHandler", "json_response", "response_of"]
+
+OUTCOME_HEADER = "Lentilsill-Outcome"
+STATUS_OF_OUTCOME = {
+    Outcome.NOT_RUN: 503,
+    Outcome.RUN_ANSWER_LOST: 502,
+    Outcome.UNKNOWN: 504,
+}
+
+Response = tuple[int, tuple[tuple[str, str], ...], bytes]
+
+log = structlog.get_logger()
+
+
+class RequestHandler(Protocol):
+    """What a request needs of the server that it came to."""
+
+    integration: Integration
+    host_service: str
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Largest body that is taken."""
+        ...
+
+    def run(self, request: "CallerRequest") -> None:
+        """Start the call of a whole request."""
+        ...
+
+
+class CallerRequest(PipelinedDelegate):
+    """One request of a caller on its connection (tornado's message delegate)."""
+
+    def __init__(
+        self,
+        server: RequestHandler,
+        http: HTTP1Connection,
+        conn: PipelinedConnection,
+    ) -> None:
+        self.server = server
+        self.http = http
+        self.conn = conn
+        self.received: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.method = ""
+        self.path = ""
+        self.headers = HTTPHeaders()
+        self.deadline_ms = 0
+        self.chunks: list[bytes] = []
+        self.size = 0
+        self.task: asyncio.Task[None] | None = None
+        self.is_answered = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        assert isinstance(start_line, RequestStartLine)
+        self.conn.unanswered += 1
+        self.method, self.path, _ = start_line
+        self.headers = headers
+        length = headers.get("Content-Length", "0")
+        if length.isdigit() and int(length) > self.server.max_body_bytes:
+            self._refuse(413, "body is over the limit")
+            return None
+        name = self.server.integration.headers.deadline_ms
+        deadline = headers.get(name, "0")
+        if not (deadline.isascii() and deadline.isdigit()):
+            self._refuse(400, f"{name} is not a number")
+        else:
+            self.deadline_ms = int(deadline)
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        self.size += len(chunk)
+        if self.size > self.server.max_body_bytes:
+            self._refuse(413, "body is over the limit")
+        elif not self.is_answered:
+            self.chunks.append(chunk)
+        return None
+
+    def finish(self) -> None:
+        if self.is_answered:
+            return
+        self.http.set_close_callback(self.on_connection_close)  # type: ignore
+        self.server.run(self)
+        if not self.received.done():
+            self.received.set_result(None)
+
+    def on_connection_close(self) -> None:
+        if self.method and not self.is_answered:
+            self.conn.unanswered -= 1
+        self.is_answered = True
+        self.chunks.clear()
+        if self.task is not None:
+            self.task.cancel()
+
+    def call_request(self) -> CallRequest:
+        """Give the call that the request asks for."""
+        integration = self.server.integration
+        service, path = self._service_and_path(integration)
+        return CallRequest(
+            service,
+            self.method,
+            path,
+            self.forwarded_headers(),
+            b"".join(self.chunks),
+            self.headers.get(integration.headers.request_key, "")
+            if integration.headers.request_key
+            else "",
+            self.deadline_ms,
+            self.headers.get(integration.headers.attempt_id, ""),
+        )
+
+    def _service_and_path(self, integration: Integration) -> tuple[str, str]:
+        if integration.routes_by_host:
+            host, _, _ = self.headers.get("Host", "").partition(":")
+            return host.lower(), self.path
+        service, slash, rest = self.path[1:].partition("/")
+        if not slash:
+            service, mark, query = service.partition("?")
+            rest = mark + query
+        return service, "/" + rest
+
+    def forwarded_headers(self) -> tuple[tuple[str, str], ...]:
+        """Give the headers that the upstream gets."""
+        integration = self.server.integration
+        names = integration.headers
+        dropped = HOP_BY_HOP | integration.own_headers
+        connection = self.headers.get("Connection")
+        if connection is not None and connection.lower() not in ("keep-alive", "close"):
+            named = {name.strip().lower() for name in connection.split(",")}
+            dropped = dropped | named
+        fields = [
+            (name, value)
+            for name, value in self.headers.get_all()
+            if name.lower() not in dropped
+        ]
+        if integration.routes_by_host:
+            fields.insert(0, ("Host", self.headers.get("Host", "")))
+        if names.caller_service:
+            fields.append((names.caller_service, self.server.host_service))
+        return tuple(fields)
+
+    def _refuse(self, status: int, reason: str) -> None:
+        body = {"outcome": Outcome.NOT_RUN.value, "reason": reason}
+        self.respond(*json_response(status, body, Outcome.NOT_RUN))
+
+    def respond(
+        self, status: int, headers: tuple[tuple[str, str], ...], body: bytes
+    ) -> None:
+        """Write the whole response; a caller that has gone gets none."""
+        if self.is_answered:
+            return
+        self.is_answered = True
+        self.conn.unanswered -= 1
+        length: int | None = len(body)
+        if self.method == "HEAD" or status in (204, 304):
+            body, length = b"", None
+        fields = OutgoingHeaders(headers, length)
+        if self.conn.is_leaving:
+            fields["Connection"] = "close"
+        start_line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "?"))
+        try:
+            fut = self.http.write_headers(start_line, fields, body)
+            fut.add_done_callback(_ignore_closed)
+            self.http.finish()
+        except StreamClosedError:
+            pass
+        except ValueError:
+            # Nothing has been written; the caller would wait without an answer.
+            log.warning("answer_not_written", path=self.path, exc_info=True)
+            self.is_answered = False
+            self.conn.unanswered += 1
+            reason = "answer can't be written"
+            self.respond(*response_of(Refused(Outcome.RUN_ANSWER_LOST, reason)))
+
+
+def response_of(result: CallResult) -> Response:
+    """Give the response for the result of a call."""
+    match result:
+        case Answer(status, headers, body):
+            return status, headers, body
+        case Refused(outcome, reason, retry_after_s):
+            status = 404 if reason == NO_ROUTE else STATUS_OF_OUTCOME[outcome]
+            value = {"outcome": outcome.value, "reason": reason}
+            return json_response(status, value, outcome, retry_after_s)
+
+
+def json_response(
+    status: int,
+    value: dict,
+    outcome: Outcome | None = None,
+    retry_after_s: float = 0.0,
+) -> Response:
+    """Give a response of the node itself."""
+    headers = [("Content-Type", "application/json")]
+    if outcome is not None:
+        headers.append((OUTCOME_HEADER, outcome.value))
+    if retry_after_s > 0:
+        headers.append(("Retry-After", f"{retry_after_s:.3f}"))
+    return status, tuple(headers), json.dumps(value).encode()
+
+
+def _ignore_closed(fut: "asyncio.Future[None]") -> None:
+    """Take the error of a write to a caller that has gone."""
+    if not fut.cancelled():
+        fut.exception()
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -9,6 +9,7 @@
 from lentilsill.admission import AdmissionQueue, Refuse, Start
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
+from lentilsill.daemon.integration import OWN_INTEGRATION, Integration
 from lentilsill.daemon.interfaces import CrashGuard
 from lentilsill.documents import Limits
 from lentilsill.membership import UpstreamRecord, UpstreamState
@@ -36,7 +37,7 @@
 )
 
 from .keyed_calls import KeyedCalls, StoreForLost
-from .reasons import LEAVING, UNREACHABLE, not_run
+from .reasons import LEAVING, MISDIRECTED, UNREACHABLE, not_run
 from .upstream_client import Exchange, UpstreamClient
 
 __all__ = ["DestinationController", "Execution", "fingerprint_of"]
@@ -74,7 +75,11 @@
     """An upstream of this node with its queue and connections."""
 
     def __init__(
-        self, record: UpstreamRecord, guard: CrashGuard | None, reuse_s: float
+        self,
+        record: UpstreamRecord,
+        guard: CrashGuard | None,
+        reuse_s: float,
+        integration: Integration,
     ) -> None:
         self.record = record
         self.guard = guard
@@ -82,7 +87,7 @@
         self.lost: list[str] = []
         self.check: asyncio.Task[None] | None = None
         self.is_out = False
-        self.client = UpstreamClient(record.address, reuse_s)
+        self.client = UpstreamClient(record.address, reuse_s, integration)
         may_start = None if guard is None else self._may_start
         self.queue = AdmissionQueue(max(1, record.slots), 0, may_start)
 
@@ -108,8 +113,10 @@
         ctx: Context,
         guard: CrashGuard | None = None,
         store_for_lost: StoreForLost | None = None,
+        integration: Integration = OWN_INTEGRATION,
     ) -> None:
         self.ctx = ctx
+        self.integration = integration
         self.guard = guard
         self.keyed = KeyedCalls(store_for_lost, ctx.cfg.keys.max_answer_bytes)
         self.ledger = CallLedger(ctx.cfg.calls.execution_record_s)
@@ -183,7 +190,10 @@
                     self._departed[upstream] = own
         for upstream, record in board.upstreams.items():
             own = self._upstreams.get(upstream) or _Upstream(
-                record, self.guard, self.ctx.cfg.calls.post_reuse_s
+                record,
+                self.guard,
+                self.ctx.cfg.calls.post_reuse_s,
+                self.integration,
             )
             self._upstreams[upstream] = own
             own.record = record
@@ -217,10 +227,14 @@
                 return not_run("request is quarantined")
         now = self.ctx.now()
         actions = own.queue.offer(execution, now, execution.deadline)
-        if len(actions) == 1 and actions[0] == Start(execution):
+        if len(actions) != 1 or actions[0] != Start(execution):
+            refused = await self._wait(own, execution, actions, now)
+            if refused is not None:
+                return refused
+        if call.idempotent:
             return await self._run(own, execution)
-        refused = await self._wait(own, execution, actions, now)
-        return refused or await self._run(own, execution)
+        # A caller that goes away must not cut a call that may not be repeated.
+        return await asyncio.shield(self.ctx.spawn(self._run(own, execution)))
 
     async def _wait(
         self, own: _Upstream, execution: Execution, actions: list, now: float
@@ -246,9 +260,7 @@
         call = execution.call
         remaining_s = execution.deadline - self.ctx.now()
         own.running[execution] = None
-        headers = [*call.headers, ("Lentilsill-Deadline-Ms", str(_ms(remaining_s)))]
-        if call.request_key:
-            headers.append(("Idempotency-Key", call.request_key))
+        headers = self._headers(call, remaining_s)
         entry = self.ctx.deadlines.add(
             remaining_s, lambda: execution.exchange.abort("deadline passed")
         )
@@ -261,6 +273,7 @@
                 headers,
                 call.body,
                 call.idempotent,
+                call.attempt_id,
             )
         finally:
             self.ctx.deadlines.remove(entry)
@@ -274,11 +287,22 @@
             case Refused(outcome=Outcome.NOT_RUN, reason=reason):
                 if reason.startswith(UNREACHABLE) and self._crashed(own):
                     return not_run(LEAVING)
+                if reason == MISDIRECTED and self.drop_upstream is not None:
+                    self.drop_upstream(call.upstream, reason)
             case Refused() if call.idempotent and own.check is not None:
                 # The next attempt comes after peers know the suspects.
                 await asyncio.wait([own.check], timeout=CRASH_VERDICT_BOUND_S)
         return result
 
+    def _headers(self, call: Call, remaining_s: float) -> list[tuple[str, str]]:
+        names = self.integration.headers
+        headers = [*call.headers, (names.deadline_ms, str(_ms(remaining_s)))]
+        if call.request_key:
+            headers.append((names.request_key, call.request_key))
+        if names.target_upstream:
+            headers.append((names.target_upstream, call.upstream))
+        return headers
+
     def _judge(
         self, own: _Upstream, execution: Execution, result: CallResult | None
     ) -> None:
@@ -370,8 +394,12 @@
                 link.send(
                     AnswerMessage(call_id, status, headers, body, len(body), load)
                 )
-            case Refused(outcome, reason):
-                link.send(Refusal(call_id, outcome.value, reason, load))
+            case Refused(outcome, reason, retry_after_s, arrived):
+                link.send(
+                    Refusal(
+                        call_id, outcome.value, reason, load, retry_after_s, arrived
+                    )
+                )
 
     def _refuse(self, link: Link, call: Call, reason: str) -> None:
         self._send_result(link, call.call_id, call.upstream, not_run(reason))
@@ -393,7 +421,9 @@
 
     def _on_cancel(self, link: Link, message) -> None:
         execution = self._remote.get((link.hello.instance, message.call_id))
-        if execution is not None and not self._drop_waiting(execution, "cancelled"):
+        if execution is None or self._drop_waiting(execution, "cancelled"):
+            return
+        if execution.call.idempotent:
             execution.exchange.abort("cancelled")
 
     def _on_ping(self, link: Link, message) -> None:
--- a/lentilsill/daemon/controllers/drain.py
+++ b/lentilsill/daemon/controllers/drain.py
@@ -27,7 +27,9 @@
     def __init__(self, ctx: Context, in_flight: Callable[[], int]) -> None:
         self.ctx = ctx
         self.in_flight = in_flight
-        self.state = DrainState(ctx.cfg.calls.drain_bound_s)
+        self.state = DrainState(
+            ctx.cfg.calls.drain_bound_s, min_s=ctx.cfg.calls.drain_min_s
+        )
 
     def start(self) -> None:
         """Register the part of the state dump."""
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -144,9 +144,12 @@
         plan = _Plan(req, document, route, self.ctx.now() + deadline_s, fingerprint)
         if route.idempotent:
             return await self._counted(self._run(plan))
-        # A caller that goes away must not cut a call that may not be repeated,
-        # and the outcome of a claimed one is stored.
-        run = self._run_claimed(plan) if claimed else self._run(plan)
+        if not claimed:
+            # The destination keeps a call that may not be repeated when its
+            # caller goes away, unless it still waits.
+            return await self._counted(self._run(plan))
+        # The outcome of a claimed call is stored.
+        run = self._run_claimed(plan)
         return await asyncio.shield(self.ctx.spawn(self._counted(run)))
 
     async def _counted(self, run: Coroutine[Any, Any, CallResult]) -> CallResult:
@@ -242,6 +245,7 @@
             req.service,
             plan.document.version,
             attempt=plan.claim,
+            attempt_id=req.attempt_id,
         )
         if candidate.node != self.ctx.cfg.node:
             return await self.peers.send(candidate.peer_address, call, plan.deadline)
--- a/lentilsill/daemon/controllers/membership.py
+++ b/lentilsill/daemon/controllers/membership.py
@@ -116,6 +116,10 @@
         self._seeds.start()
         self._relays.start()
 
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Take further peer addresses to contact, as found in the platform."""
+        self._seeds.add(addresses)
+
     def follow_digests(self, callback: Callable[[Link, DigestTuple], None]) -> None:
         """Call `callback` with each digest that a probe or its answer carries."""
         self._digest_followers.append(callback)
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -149,6 +149,7 @@
             call.document_version,
             oldest - 1,
             call.attempt,
+            call.attempt_id,
         )
         if not link.send(message):
             return Reply(not_run(f"{UNREACHABLE}link to {address} is closed"))
@@ -172,11 +173,13 @@
 
     def _give_up(self, attempt: _Attempt) -> None:
         self._cancel(attempt)
-        attempt.settle(Refused(Outcome.UNKNOWN, "deadline passed"))
+        attempt.settle(Refused(Outcome.UNKNOWN, "deadline passed", arrived=True))
 
     def _cancel(self, attempt: _Attempt) -> None:
         has_result = attempt.fut.done() and not attempt.fut.cancelled()
-        if attempt.idempotent and not has_result:
+        # The destination drops a call that waits, and one that may be repeated
+        # also when it runs.
+        if not has_result:
             attempt.link.send(Cancel(attempt.call_id))
 
     def _find(self, link: Link, call_id: int) -> _Attempt | None:
@@ -202,7 +205,10 @@
                 outcome = Outcome(message.outcome)
             except ValueError:
                 outcome = Outcome.UNKNOWN
-            attempt.settle(Refused(outcome, message.reason), message.load)
+            refused = Refused(
+                outcome, message.reason, message.retry_after_s, message.arrived
+            )
+            attempt.settle(refused, message.load)
 
     def _on_outcome_reply(self, link: Link, message) -> None:
         attempt = self._find(link, message.call_id)
@@ -211,7 +217,8 @@
         if message.state == CallState.NEVER_SEEN.value:
             attempt.settle(not_run("call did not arrive"))
         elif message.state != CallState.RUNNING.value:
-            attempt.settle(Refused(Outcome.UNKNOWN, "call record is forgotten"))
+            reason = "call record is forgotten"
+            attempt.settle(Refused(Outcome.UNKNOWN, reason, arrived=True))
 
     def _on_link_closed(self, link: Link) -> None:
         peer = self._peers.get(link.address) if link.dialed else None
@@ -221,7 +228,7 @@
         resolve = []
         for attempt in lost:
             if attempt.idempotent:
-                attempt.settle(Refused(Outcome.UNKNOWN, "link was lost"))
+                attempt.settle(Refused(Outcome.UNKNOWN, "link was lost", arrived=True))
             else:
                 resolve.append(attempt)
         if resolve:
@@ -236,7 +243,8 @@
             if attempt.fut.done():
                 continue
             if not same or link is None:
-                attempt.settle(Refused(Outcome.UNKNOWN, "node of the upstream is lost"))
+                reason = "node of the upstream is lost"
+                attempt.settle(Refused(Outcome.UNKNOWN, reason, arrived=True))
                 continue
             attempt.link = link
             attempt.sent_at = self.ctx.now()
--- a/lentilsill/daemon/controllers/platform_watch.py
+++ b/lentilsill/daemon/controllers/platform_watch.py
@@ -24,7 +24,6 @@
 
 __all__ = ["PlatformWatchController"]
 
-KIND = "service"
 RANK_CHECK_INTERVAL_S = 0.5
 # Bounds the call rate when the platform answers empty watches at once.
 MIN_WATCH_S = 0.2
@@ -52,8 +51,10 @@
         documents: Documents,
         membership: MembershipController,
         distribution: DistributionController,
+        kind: str = "service",
     ) -> None:
         self._ctx = ctx
+        self._kind = kind
         self._api = api
         self._documents = documents
         self._membership = membership
@@ -73,9 +74,10 @@
         documents: Documents,
         membership: MembershipController,
         distribution: DistributionController,
+        kind: str = "service",
     ) -> "PlatformWatchController":
-        """Make the controller of a node."""
-        return cls(ctx, api, documents, membership, distribution)
+        """Make the controller of a node; `kind` is that of the documents."""
+        return cls(ctx, api, documents, membership, distribution, kind)
 
     def start(self) -> None:
         """Start the watch loop."""
@@ -102,7 +104,7 @@
         since = self._documents.complete_as_of
         # A platform without any writes lists at revision 0 as well.
         if self._must_list or (since == 0 and not self.has_listed):
-            listed = await self._api.list(KIND)
+            listed = await self._api.list(self._kind)
             match listed:
                 case Ok(listing):
                     self._must_list = False
@@ -114,7 +116,7 @@
         started_at = self._ctx.now()
         if started_at - self._watching_since < SETTLED_S:
             timeout_s = min(timeout_s, FIRST_WATCH_S)
-        watched = await self._api.watch(KIND, since, timeout_s)
+        watched = await self._api.watch(self._kind, since, timeout_s)
         match watched:
             case Ok(batch):
                 self._backoff.reset()
--- a/lentilsill/daemon/controllers/readiness.py
+++ b/lentilsill/daemon/controllers/readiness.py
@@ -67,6 +67,9 @@
         if board.ready:
             return
         elapsed_s = self._ctx.now() - self._started_at
+        if self._ctx.cfg.documents == "bundle" and not board.snapshot.documents:
+            # The operator has written nothing yet, or it has not arrived.
+            return
         is_ready = self._watch.has_listed or has_enough_sources(
             sources=set(self._distribution.sources),
             ready_peers=self._ready_peers(),
--- a/lentilsill/daemon/controllers/reasons.py
+++ b/lentilsill/daemon/controllers/reasons.py
@@ -5,10 +5,12 @@
 __all__ = [
     "CONNECTION_LOST",
     "LEAVING",
+    "MISDIRECTED",
     "NOT_READY",
     "NO_ROUTE",
     "NO_UPSTREAM",
     "OVERLOADED",
+    "REFUSED_BY_UPSTREAM",
     "UNREACHABLE",
     "not_run",
 ]
@@ -16,10 +18,13 @@
 # The upstream or its connection broke while the request may have run.
 CONNECTION_LOST = "connection closed before the answer"
 LEAVING = "upstream is leaving"
+# Another process has taken the address of the upstream.
+MISDIRECTED = "address belongs to another upstream"
 NO_ROUTE = "no route"
 NOT_READY = "node is not ready"
 NO_UPSTREAM = "no upstream is ready"
 OVERLOADED = "too many calls"
+REFUSED_BY_UPSTREAM = "upstream refused the call"
 # Prefix of reasons that speak against the upstream or its host.
 UNREACHABLE = "unreachable: "
 
--- a/lentilsill/daemon/controllers/seeds.py
+++ b/lentilsill/daemon/controllers/seeds.py
@@ -1,7 +1,8 @@
 """Contact with seed addresses: join, and healing of partitions."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from contextlib import suppress
 from typing import Any
 
 from lentilsill.daemon.context import Context
@@ -39,23 +40,36 @@
         self._summaries = summaries
         self._digest = digest
         self._met: set[str] = set()
+        own = {table.own.peer_address}
+        self._seeds = set(ctx.cfg.membership.seeds) - own
+        self._is_due = asyncio.Event()
         self._asked_at = float("-inf")
 
     def start(self) -> None:
         """Start the contact loop."""
         self._ctx.spawn(self._loop())
 
+    def add(self, addresses: Iterable[str]) -> None:
+        """Take further seeds, and contact them at once."""
+        new = set(addresses) - self._seeds - {self._table.own.peer_address}
+        if new:
+            self._seeds |= new
+            self._is_due.set()
+
     async def _loop(self) -> None:
         rng = self._ctx.rng
         backoff = Backoff(BACKOFF_BASE_S, BACKOFF_CAP_S, rng)
-        seeds = set(self._ctx.cfg.membership.seeds) - {self._table.own.peer_address}
+        seeds = self._seeds
         await asyncio.sleep(rng.uniform(0, BACKOFF_BASE_S))
         while True:
             await self._meet(seeds)
             if len(self._table.live()) > 1 and self._met >= seeds:
-                await asyncio.sleep(rng.uniform(*HEAL_INTERVAL_S))
+                delay_s = rng.uniform(*HEAL_INTERVAL_S)
             else:
-                await asyncio.sleep(backoff.next_delay())
+                delay_s = backoff.next_delay()
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._is_due.wait(), delay_s)
+            self._is_due.clear()
 
     async def _meet(self, seeds: set[str]) -> None:
         """Contact seeds that have not answered yet, or any seed or dead node."""
--- a/lentilsill/daemon/controllers/tests/claim_builders.py
+++ b/lentilsill/daemon/controllers/tests/claim_builders.py
@@ -106,7 +106,7 @@
             return Err(Unavailable("outage"))
         return Ok(self.objects.get(name))
 
-    async def list(self, kind):
+    async def list(self, kind, stale=False):
         return Ok(Listing(self.revision, tuple(self.objects.values())))
 
     async def put(self, kind, name, value, expected_version):
--- a/lentilsill/daemon/controllers/tests/spread_builders.py
+++ b/lentilsill/daemon/controllers/tests/spread_builders.py
@@ -80,7 +80,7 @@
             self.objects[name] = StoredObject("service", name, self.revision, value)
             self.changed.notify_all()
 
-    async def list(self, kind):
+    async def list(self, kind, stale=False):
         if not self.is_up:
             return Err(Unavailable("outage"))
         self.lists += 1
@@ -90,7 +90,7 @@
         if not self.is_up:
             return Err(Unavailable("outage"))
         if since < self.oldest_revision:
-            return Err(Compacted(self.oldest_revision))
+            return Err(Compacted())
         self.waiting += 1
         try:
             async with self.changed:
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Iterable
 
+import structlog
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
     HTTPHeaders,
@@ -17,21 +18,38 @@
 )
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
+from lentilsill.daemon.integration import OWN_INTEGRATION, Integration
 from lentilsill.daemon.outgoing import OutgoingHeaders
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.wire.links import split_address
 from lentilsill.wire.streams import ProtocolStream
 
-from .reasons import CONNECTION_LOST, UNREACHABLE, not_run
+from .reasons import (
+    CONNECTION_LOST,
+    MISDIRECTED,
+    REFUSED_BY_UPSTREAM,
+    UNREACHABLE,
+    not_run,
+)
 
 __all__ = ["HOP_BY_HOP", "Exchange", "UpstreamClient"]
 
+log = structlog.get_logger()
+
 CONNECT_TIMEOUT_S = 1.0
 # One answer must fit in a message of 8 MB beside its headers.
 MAX_ANSWER_BYTES = 7 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 32
 # Servers commonly close idle connections after 5 s or more.
 MAX_IDLE_S = 4.0
+# Share of the idle time that an upstream names after which its connection is
+# not used any more; it may close it while a request is on its way.
+KEEP_ALIVE_SHARE = 0.5
+# Answers to earlier requests that are skipped on one connection.
+MAX_STRAY_ANSWERS = 4
+# Statuses that promise callers that the request did not run.
+PROMISES = frozenset({408, 421, 429, 503})
+MISDIRECTED_STATUS = 421
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -72,8 +90,14 @@
 class _Reader(HTTPMessageDelegate):
     """Collects one answer."""
 
-    def __init__(self, method: str) -> None:
+    def __init__(
+        self, method: str, stream: ProtocolStream, integration: Integration, sent: str
+    ) -> None:
         self.method = method
+        self.stream = stream
+        self.integration = integration
+        # Id of the attempt that was sent; empty when answers repeat none.
+        self.sent = sent
         self.status = 0
         self.headers: HTTPHeaders | None = None
         self.chunks: list[bytes] = []
@@ -110,8 +134,45 @@
             or "Transfer-Encoding" in self.headers
             or self.status in (204, 304)
             or self.method == "HEAD"
+            or (self.integration.unframed_answers and self.stream.has_ended)
         )
 
+    @property
+    def is_stray(self) -> bool:
+        """Whether this whole answer belongs to an earlier request."""
+        if not self.sent or not self.is_whole or self.headers is None:
+            return False
+        found = self.headers.get(self.integration.headers.attempt_id, self.sent)
+        return found != self.sent
+
+    def idle_s(self) -> float:
+        """How long the connection may be kept for another request."""
+        assert self.headers is not None
+        _, _, text = self.headers.get("Keep-Alive", "").partition("timeout=")
+        seconds = text.partition(",")[0].strip()
+        if not seconds.isdigit():
+            return MAX_IDLE_S
+        return min(MAX_IDLE_S, KEEP_ALIVE_SHARE * int(seconds))
+
+    def result(self) -> CallResult:
+        """Give what a whole answer says of the execution."""
+        assert self.headers is not None
+        names = self.integration.headers
+        proves_not_run = bool(names.not_run) and names.not_run in self.headers
+        if names.target_upstream and self.status == MISDIRECTED_STATUS:
+            return Refused(Outcome.NOT_RUN, MISDIRECTED, arrived=True)
+        if proves_not_run:
+            return Refused(Outcome.NOT_RUN, REFUSED_BY_UPSTREAM, arrived=True)
+        if self.sent and names.attempt_id not in self.headers:
+            return _lost("answer names no request")
+        if names.not_run and self.status in PROMISES:
+            return _unknown(f"status {self.status} without a proof")
+        is_success = 200 <= self.status < 300
+        has_digest = not names.answer_digest or names.answer_digest in self.headers
+        if is_success and not has_digest:
+            return _lost("answer has no digest")
+        return self.answer()
+
     def answer(self) -> Answer:
         assert self.headers is not None
         headers = tuple(
@@ -129,9 +190,15 @@
     within `reuse_s` seconds, or over a new one.
     """
 
-    def __init__(self, address: str, reuse_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        address: str,
+        reuse_s: float = 0.0,
+        integration: Integration = OWN_INTEGRATION,
+    ) -> None:
         self.address = address
         self.reuse_s = reuse_s
+        self.integration = integration
         self._target = split_address(address)
         self._idle: deque[tuple[float, ProtocolStream]] = deque()
         self._params = HTTP1ConnectionParameters(
@@ -146,6 +213,7 @@
         headers: Iterable[tuple[str, str]],
         body: bytes,
         idempotent: bool,
+        attempt_id: str = "",
     ) -> CallResult:
         """Send a request once and give the whole answer or what is known.
 
@@ -156,8 +224,9 @@
         """
         stream = self._take_idle(MAX_IDLE_S if idempotent else self.reuse_s)
         sent_before = stream is not None
+        request = (method, path, headers, body, attempt_id)
         if stream is not None:
-            result = await self._exchange(exchange, stream, method, path, headers, body)
+            result = await self._exchange(exchange, stream, *request)
             if result is not None:
                 return result
             if not idempotent:
@@ -168,7 +237,7 @@
             if sent_before:
                 return _closed_early(exchange)
             return not_run(exchange.aborted or f"{UNREACHABLE}{exc}")
-        result = await self._exchange(exchange, stream, method, path, headers, body)
+        result = await self._exchange(exchange, stream, *request)
         return result or _closed_early(exchange)
 
     async def is_accepting(self) -> bool:
@@ -233,14 +302,18 @@
         path: str,
         headers: Iterable[tuple[str, str]],
         body: bytes,
+        attempt_id: str,
     ) -> CallResult | None:
         """Run one request; None when the connection closed before any answer."""
         exchange.stream = stream
         # tornado types the stream as an `IOStream`, of which it uses a part.
         conn = HTTP1Connection(stream, True, self._params)  # type: ignore[arg-type]
-        reader = _Reader(method)
+        sent = attempt_id if self.integration.headers.attempt_id else ""
+        reader = _Reader(method, stream, self.integration, sent)
         length = len(body) if body or method in ("POST", "PUT", "PATCH") else None
-        fields = OutgoingHeaders((("Host", self.address), *headers), length)
+        if not self.integration.routes_by_host:
+            headers = (("Host", self.address), *headers)
+        fields = OutgoingHeaders(headers, length)
         done = False
         try:
             conn.write_headers(RequestStartLine(method, path, ""), fields, body)
@@ -251,25 +324,34 @@
             return not_run(f"request can't be sent: {exc}")
         try:
             done = await conn.read_response(reader)
+            for _ in range(MAX_STRAY_ANSWERS):
+                if not done or not reader.is_stray:
+                    break
+                log.info("stray_answer", upstream=self.address, attempt=sent)
+                reader = _Reader(method, stream, self.integration, sent)
+                conn = HTTP1Connection(stream, True, self._params)  # type: ignore[arg-type]
+                conn.finish()
+                done = await conn.read_response(reader)
         except (StreamClosedError, UnsatisfiableReadError):
             pass
         finally:
-            if not (done and reader.is_whole and reader.keeps):
+            is_clean = done and reader.is_whole and not reader.is_stray
+            # Bytes of the request that still wait belong to no further one.
+            if not (is_clean and reader.keeps) or stream.writing():
                 stream.close()
         if not reader.status:
             return _closed_early(exchange) if exchange.aborted else None
-        if not reader.is_whole:
-            return Refused(
-                Outcome.RUN_ANSWER_LOST, exchange.aborted or "answer is incomplete"
-            )
+        if not reader.is_whole or reader.is_stray:
+            return _lost(exchange.aborted or "answer is incomplete")
         if not stream.closed():
-            self._keep(stream)
-        return reader.answer()
+            self._keep(stream, reader.idle_s())
+        return reader.result()
 
-    def _keep(self, stream: ProtocolStream) -> None:
+    def _keep(self, stream: ProtocolStream, idle_s: float) -> None:
         if len(self._idle) >= MAX_IDLE_CONNECTIONS:
             self._idle.popleft()[1].close()
-        self._idle.append((asyncio.get_running_loop().time(), stream))
+        used_at = asyncio.get_running_loop().time() - (MAX_IDLE_S - idle_s)
+        self._idle.append((used_at, stream))
 
 
 def _drop_connection(connecting: asyncio.Future) -> None:
@@ -279,4 +361,12 @@
 
 
 def _closed_early(exchange: Exchange) -> Refused:
-    return Refused(Outcome.UNKNOWN, exchange.aborted or CONNECTION_LOST)
+    return _unknown(exchange.aborted or CONNECTION_LOST)
+
+
+def _unknown(reason: str) -> Refused:
+    return Refused(Outcome.UNKNOWN, reason, arrived=True)
+
+
+def _lost(reason: str) -> Refused:
+    return Refused(Outcome.RUN_ANSWER_LOST, reason, arrived=True)
--- a/lentilsill/daemon/interfaces.py
+++ b/lentilsill/daemon/interfaces.py
@@ -22,7 +22,8 @@
     """A caller's call as the entry node takes it.
 
     `path` starts after the service name and includes the query string.
-    `deadline_ms` is what the caller asked for; 0 takes the route's.
+    `deadline_ms` is what the caller asked for; 0 takes the route's. `attempt_id`
+    names the caller's attempt and is empty when it names none.
     """
 
     service: str
@@ -32,6 +33,7 @@
     body: bytes
     request_key: str
     deadline_ms: int
+    attempt_id: str = ""
 
 
 class CallService(Protocol):
--- a/lentilsill/daemon/main.py
+++ b/lentilsill/daemon/main.py
@@ -13,10 +13,11 @@
 from lentilsill.settings import NodeSettings, load_settings
 
 from .controllers.drain import DrainController
+from .integration import OWN_INTEGRATION, Integration
 from .logs import configure_logs
 from .node import running_node
 
-__all__ = ["main", "serve"]
+__all__ = ["main", "run_node", "serve"]
 
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
@@ -43,19 +44,24 @@
         raise typer.Exit(EXIT_BAD_SETTINGS) from exc
     if check:
         return
+    run_node(cfg)
+
+
+def run_node(cfg: NodeSettings, integration: Integration = OWN_INTEGRATION) -> None:
+    """Run a node in this process, which exits with status 1 when it fails."""
     configure_logs(cfg.log_level)
     try:
-        asyncio.run(serve(cfg))
+        asyncio.run(serve(cfg, integration))
     except Exception as exc:
         # The traceback is written at level debug only.
         log.error("node_failed", error=f"{type(exc).__name__}: {exc}", exc_info=True)
         raise typer.Exit(EXIT_FAILED) from exc
 
 
-async def serve(cfg: NodeSettings) -> None:
+async def serve(cfg: NodeSettings, integration: Integration = OWN_INTEGRATION) -> None:
     """Run a node until a signal, then drain it."""
     with _stop_signals() as stop:
-        async with running_node(cfg) as ctx:
+        async with running_node(cfg, integration) as ctx:
             drain = DrainController(ctx, lambda: ctx.in_flight())
             drain.start()
             log.info(
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -18,8 +18,10 @@
 from .blackboard import Blackboard
 from .caller_server import CallerServer
 from .context import Context
+from .controllers.bundle import BundleController
 from .controllers.claims import ClaimsController
 from .controllers.destination import DestinationController
+from .controllers.directory import DirectoryController
 from .controllers.distribution import DistributionController
 from .controllers.documents import DocumentsController
 from .controllers.entry import EntryController
@@ -28,6 +30,7 @@
 from .controllers.quarantine import QuarantineController
 from .controllers.readiness import ReadinessController
 from .controllers.status import StatusController
+from .integration import OWN_INTEGRATION, Integration
 
 __all__ = ["make_context", "running_node"]
 
@@ -53,17 +56,28 @@
 
 
 @asynccontextmanager
-async def running_node(cfg: NodeSettings) -> AsyncIterator[Context]:
+async def running_node(
+    cfg: NodeSettings, integration: Integration = OWN_INTEGRATION
+) -> AsyncIterator[Context]:
     """Run a node's controllers and servers while the context is entered."""
     ctx = make_context(cfg)
-    api = HttpObjectApi.from_config(cfg.platform)
-    membership = _start_control_plane(ctx, api)
-    entry, destination, claims = _start_call_path(ctx, api, membership)
+    api = HttpObjectApi.from_config(cfg.platform, integration.decoders)
+    membership = _start_control_plane(ctx, api, integration)
+    entry, destination, claims = _start_call_path(ctx, api, membership, integration)
     ctx.in_flight = lambda: (
         entry.in_flight + destination.in_flight_total + claims.unfinished()
     )
-    callers = CallerServer(entry, cfg.calls.max_body_bytes, claims.issue_keys)
-    admin = AdminServer(ctx, destination.on_upstream_gone, destination.in_flight)
+    callers = CallerServer(
+        entry,
+        cfg.calls.max_body_bytes,
+        claims.issue_keys,
+        integration,
+        cfg.host_service,
+        lambda: ctx.board.snapshot.caller_limits,
+    )
+    admin = AdminServer(
+        ctx, destination.on_upstream_gone, destination.in_flight, integration
+    )
     destination.drop_upstream = admin.announcements.drop
     ctx.links.listen(cfg.peer_address)
     callers.listen(cfg.caller_address)
@@ -81,12 +95,18 @@
         api.close()
 
 
-def _start_control_plane(ctx: Context, api: HttpObjectApi) -> MembershipController:
-    documents = DocumentsController(ctx)
+def _start_control_plane(
+    ctx: Context, api: HttpObjectApi, integration: Integration
+) -> MembershipController:
+    documents: DocumentsController | BundleController
+    if ctx.cfg.documents == "bundle":
+        documents = BundleController(ctx)
+    else:
+        documents = DocumentsController(ctx)
     membership = MembershipController.from_context(ctx, documents)
     distribution = DistributionController.from_context(ctx, documents, membership)
     watch = PlatformWatchController.from_context(
-        ctx, api, documents, membership, distribution
+        ctx, api, documents, membership, distribution, integration.documents_kind
     )
     readiness = ReadinessController.from_context(ctx, distribution, watch)
 
@@ -94,18 +114,24 @@
         members = ctx.board.members
         return [members[name] for name in membership.ranked() if name in members]
 
-    status = StatusController(ctx, documents.store, api, rank)
-    for controller in (membership, distribution, watch, readiness, status):
+    for controller in (membership, distribution, watch, readiness):
         controller.start()
+    if isinstance(documents, DocumentsController):
+        StatusController(ctx, documents.store, api, rank).start()
+    if ctx.cfg.directory:
+        DirectoryController(ctx, api, membership).start()
     return membership
 
 
 def _start_call_path(
-    ctx: Context, api: HttpObjectApi, membership: MembershipController
+    ctx: Context,
+    api: HttpObjectApi,
+    membership: MembershipController,
+    integration: Integration,
 ) -> tuple[EntryController, DestinationController, ClaimsController]:
     guard = QuarantineController(ctx, membership.push_down, membership.random_peers)
     claims = ClaimsController(ctx, api, lambda: membership.is_first_ranked(1))
-    destination = DestinationController(ctx, guard, claims.store_for_lost)
+    destination = DestinationController(ctx, guard, claims.store_for_lost, integration)
     entry = EntryController(ctx, destination, claims, guard)
     for controller in (guard, claims, destination, entry):
         controller.start()
--- a/lentilsill/documents/__init__.py
+++ b/lentilsill/documents/__init__.py
@@ -1,7 +1,9 @@
 """Service documents: data classes, validation and canonical form."""
 
+from .bundle import Bundle, parse_bundle
 from .canonical import References, canonical_text, references
 from .model import (
+    CallerLimits,
     HedgePolicy,
     Limits,
     RetryPolicy,
@@ -14,6 +16,8 @@
 
 __all__ = [
     "MAX_TEXT_BYTES",
+    "Bundle",
+    "CallerLimits",
     "HedgePolicy",
     "Limits",
     "References",
@@ -23,6 +27,7 @@
     "ServiceDocument",
     "UpstreamSet",
     "canonical_text",
+    "parse_bundle",
     "parse_document",
     "references",
 ]
--- a/lentilsill/documents/border.py
+++ b/lentilsill/documents/border.py
@@ -4,10 +4,12 @@
 
 from pydantic import BaseModel, ConfigDict, Field, StringConstraints
 
-__all__ = ["NAME_PATTERN", "DocumentModel"]
+__all__ = ["NAME_PATTERN", "BundleModel", "DocumentModel", "RouteModel"]
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
 MAX_ROUTES = 256
+MAX_BUNDLE_ROUTES = 10_000
+MAX_BUNDLE_DOCUMENTS = 2_000
 MAX_UPSTREAM_SETS = 64
 MAX_TARGETS = 64
 MAX_METHODS = 16
@@ -75,6 +77,8 @@
     deadline_ms: int = Field(ge=1, le=MAX_DEADLINE_MS)
     retry: RetryModel = RetryModel()
     hedge: HedgeModel | None = None
+    priority: int = Field(default=0, ge=0, le=1_000)
+    objective_ms: int = Field(default=0, ge=0, le=MAX_DEADLINE_MS)
 
 
 class LimitsModel(_Part):
@@ -94,3 +98,48 @@
     routes: list[RouteModel] = Field(default=[], max_length=MAX_ROUTES)
     limits: LimitsModel = LimitsModel()
     requires: list[Name] = Field(default=[], max_length=MAX_REQUIRES)
+
+
+class CallerLimitsModel(_Part):
+    """Bounds on requests and idle connections of callers."""
+
+    max_header_bytes: int = Field(default=64 * 1024, ge=1024)
+    max_body_bytes: int = Field(default=1024 * 1024, ge=0)
+    header_timeout_ms: int = Field(default=60_000, ge=1)
+    idle_timeout_ms: int = Field(default=3_600_000, ge=1)
+
+
+# A virtual host is a document whose service is the host's name.
+BundleName = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][^\s/]{0,252}$")]
+
+
+class BundleTargetModel(TargetModel):
+    """A share of a route's calls, to a service of the bundle."""
+
+    service: BundleName
+
+
+class BundleRouteModel(RouteModel):
+    """One route of a bundle."""
+
+    name: str = Field(max_length=255)
+    targets: list[BundleTargetModel] = Field(  # type: ignore[assignment]
+        min_length=1, max_length=MAX_TARGETS
+    )
+
+
+class BundleDocumentModel(DocumentModel):
+    """One document of a bundle."""
+
+    service: BundleName
+    routes: list[BundleRouteModel] = Field(  # type: ignore[assignment]
+        default=[], max_length=MAX_BUNDLE_ROUTES
+    )
+
+
+class BundleModel(_Part):
+    """Documents that come in force together."""
+
+    version: int = Field(ge=0)
+    documents: list[BundleDocumentModel] = Field(max_length=MAX_BUNDLE_DOCUMENTS)
+    caller_limits: CallerLimitsModel = CallerLimitsModel()
--- /dev/null
+++ b/lentilsill/documents/bundle.py
@@ -0,0 +1,86 @@
+"""Documents that come in force together, as one version of the platform."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from lentilsill.findings import Findings
+
+from .border import BundleModel
+from .model import CallerLimits, ServiceDocument
+from .parse import convert_document, place_of
+
+__all__ = ["MAX_BUNDLE_BYTES", "Bundle", "parse_bundle"]
+
+# The platform holds values of up to a megabyte.
+MAX_BUNDLE_BYTES = 4 * 1024 * 1024
+MAX_FINDINGS = 50
+
+
+@dataclass(frozen=True, slots=True)
+class Bundle:
+    """All documents of one version of the configuration.
+
+    `version` is the operator's number, and `revision` the platform's at the
+    write. Versions are put in force as a whole, so that no reference between
+    documents of different versions can arise.
+    """
+
+    version: int
+    revision: int
+    documents: Mapping[str, ServiceDocument]
+    caller_limits: CallerLimits
+
+
+def parse_bundle(text: str, revision: int) -> Result[Bundle, Findings]:
+    """Validate the JSON text of a bundle that was written at `revision`.
+
+    Examples
+    --------
+    >>> text = '{"version": 7, "documents": [{"service": "slots"}]}'
+    >>> parse_bundle(text, 12).unwrap().documents["slots"].version
+    12
+    >>> for finding in parse_bundle('{"documents": []}', 12).unwrap_err():
+    ...     print(finding)
+    version: Field required
+    """
+    findings = Findings()
+    if len(text) > MAX_BUNDLE_BYTES:
+        findings.add("bundle", f"is over the limit of {MAX_BUNDLE_BYTES} bytes")
+        return Err(findings)
+    try:
+        model = BundleModel.model_validate_json(text)
+    except ValidationError as exc:
+        errors = exc.errors(include_url=False, include_input=False)
+        for error in errors[:MAX_FINDINGS]:
+            findings.add(place_of(error["loc"]), error["msg"])
+        return Err(findings)
+    documents: dict[str, ServiceDocument] = {}
+    for index, document in enumerate(model.documents):
+        if document.service in documents:
+            findings.add(f"documents[{index}].service", "appears twice")
+        documents[document.service] = convert_document(document, revision)
+    _check_targets(documents, findings)
+    if findings:
+        return Err(findings)
+    limits = CallerLimits(**model.caller_limits.model_dump())
+    return Ok(Bundle(model.version, revision, MappingProxyType(documents), limits))
+
+
+def _check_targets(
+    documents: Mapping[str, ServiceDocument], findings: Findings
+) -> None:
+    """Every target must name an upstream set of a document in the bundle."""
+    for document in documents.values():
+        for route in document.routes:
+            for target in route.targets:
+                other = documents.get(target.service)
+                if other is None or target.upstream_set not in other.upstream_sets:
+                    findings.add(
+                        f"{document.service}.{route.name}",
+                        f"no upstream set {target.upstream_set!r} of "
+                        f"{target.service!r}",
+                    )
--- a/lentilsill/documents/canonical.py
+++ b/lentilsill/documents/canonical.py
@@ -78,6 +78,10 @@
             "budget_percent": route.retry.budget_percent,
         },
     }
+    if route.priority:
+        value["priority"] = route.priority
+    if route.objective_ms:
+        value["objective_ms"] = route.objective_ms
     if route.hedge is not None:
         value["hedge"] = {
             "delay_ms": route.hedge.delay_ms,
--- a/lentilsill/documents/model.py
+++ b/lentilsill/documents/model.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "CallerLimits",
     "HedgePolicy",
     "Limits",
     "RetryPolicy",
@@ -55,6 +56,16 @@
     queue_per_upstream: int = 12
 
 
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what a caller may send, and how long a connection may be idle."""
+
+    max_header_bytes: int = 64 * 1024
+    max_body_bytes: int = 1024 * 1024
+    header_timeout_ms: int = 60_000
+    idle_timeout_ms: int = 3_600_000
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamSet:
     """Upstreams of a service selected by labels.
@@ -73,6 +84,9 @@
     """Which calls a route takes, where they go and how they are treated.
 
     `methods` is empty for all methods. The deadline is in milliseconds.
+    `priority` ranks the calls that wait for an upstream, 0 first.
+    `objective_ms` is the time within which an answer is worth most to the
+    caller; 0 stands for the deadline.
     """
 
     name: str
@@ -83,6 +97,8 @@
     targets: tuple[RouteTarget, ...]
     retry: RetryPolicy
     hedge: HedgePolicy | None
+    priority: int = 0
+    objective_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilsill/documents/parse.py
+++ b/lentilsill/documents/parse.py
@@ -22,7 +22,7 @@
     UpstreamSet,
 )
 
-__all__ = ["MAX_TEXT_BYTES", "parse_document"]
+__all__ = ["MAX_TEXT_BYTES", "convert_document", "parse_document", "place_of"]
 
 MAX_TEXT_BYTES = 256 * 1024
 # A finding quotes input; the bound keeps status objects small.
@@ -67,12 +67,12 @@
         model = DocumentModel.model_validate(value)
     except ValidationError as exc:
         for error in exc.errors(include_url=False, include_input=False):
-            findings.add(_place(error["loc"]), error["msg"])
+            findings.add(place_of(error["loc"]), error["msg"])
     check_meaning(value, service, findings)
     if model is None or findings:
         del findings.items[MAX_FINDINGS:]
         return Err(findings)
-    return Ok(_convert(model, version))
+    return Ok(convert_document(model, version))
 
 
 def _decode(text_or_value: Any, findings: Findings) -> Any:
@@ -112,7 +112,8 @@
     return obj
 
 
-def _place(loc: Iterable[str | int]) -> str:
+def place_of(loc: Iterable[str | int]) -> str:
+    """Write the place of a finding as in ``routes[0].name``."""
     place = ""
     for part in loc:
         if isinstance(part, int):
@@ -122,7 +123,8 @@
     return place or "document"
 
 
-def _convert(model: DocumentModel, version: int) -> ServiceDocument:
+def convert_document(model: DocumentModel, version: int) -> ServiceDocument:
+    """Make the document of a validated model."""
     sets = {
         name: UpstreamSet(name, tuple(sorted(part.labels.items())), part.leaving)
         for name, part in sorted(model.upstream_sets.items())
@@ -154,4 +156,6 @@
         hedge=None
         if hedge is None
         else HedgePolicy(float(hedge.delay_ms), float(hedge.budget_percent)),
+        priority=route.priority,
+        objective_ms=route.objective_ms,
     )
--- a/lentilsill/drain/state.py
+++ b/lentilsill/drain/state.py
@@ -23,7 +23,9 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainState:
-    """Drain of a node, at most `bound_s` seconds long.
+    """Drain of a node, `min_s` to `bound_s` seconds long.
+
+    Callers notice only after `min_s` that the node leaves.
 
     Examples
     --------
@@ -40,6 +42,7 @@
     phase: DrainPhase = DrainPhase.SERVING
     began_s: float = 0.0
     reason: DrainReason | None = None
+    min_s: float = 0.0
 
     def begin(self, now_s: float) -> "DrainState":
         """Start the drain; a second start does not extend the bound."""
@@ -51,7 +54,7 @@
         """End the drain when nothing is in flight or the bound is reached."""
         if self.phase is not DrainPhase.DRAINING:
             return self
-        if in_flight == 0:
+        if in_flight == 0 and now_s >= self.began_s + self.min_s:
             return replace(self, phase=DrainPhase.DRAINED, reason=DrainReason.IDLE)
         if now_s >= self.began_s + self.bound_s:
             return replace(self, phase=DrainPhase.DRAINED, reason=DrainReason.BOUND)
--- a/lentilsill/membership/__init__.py
+++ b/lentilsill/membership/__init__.py
@@ -1,5 +1,6 @@
 """Node and upstream records, liveness and summaries of failure domains."""
 
+from .announcement import Announcement, is_superseded
 from .detector import (
     Action,
     DeclareDead,
@@ -29,6 +30,7 @@
 __all__ = [
     "BUCKETS",
     "Action",
+    "Announcement",
     "DeclareDead",
     "DeclareSuspect",
     "DomainSummary",
@@ -48,6 +50,7 @@
     "apply_delta",
     "build_summary",
     "diff_summaries",
+    "is_superseded",
     "record_from_row",
     "record_to_row",
     "upstream_from_row",
--- /dev/null
+++ b/lentilsill/membership/announcement.py
@@ -0,0 +1,55 @@
+"""What an upstream says of itself, and which of two announcements is newer."""
+
+from dataclasses import dataclass
+
+from .records import UpstreamRecord
+
+__all__ = ["Announcement", "is_superseded"]
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """One announcement of an upstream.
+
+    Parameters
+    ----------
+    record : UpstreamRecord
+    started_ms : int or None
+        Start of the process, in ms since the epoch by its own clock; None when
+        the upstream does not tell it.
+    sequence : int
+        Number of the announcement since the start; 0 when not told.
+    cold_ms : int
+        How much longer the upstream is slow, in ms.
+    """
+
+    record: UpstreamRecord
+    started_ms: int | None = None
+    sequence: int = 0
+    cold_ms: int = 0
+
+
+def is_superseded(new: Announcement, known: Announcement) -> bool:
+    """Whether `new`, which has arrived later, was sent before `known`.
+
+    A delayed announcement may arrive after its sender has crashed and another
+    process has taken its address.
+
+    Examples
+    --------
+    >>> from .records import UpstreamState
+    >>> record = UpstreamRecord("w", "a", "127.0.0.1:1", 1, (), UpstreamState.READY)
+    >>> known = Announcement(record, started_ms=5000, sequence=2)
+    >>> is_superseded(Announcement(record, 5000, 1), known)
+    True
+    >>> is_superseded(Announcement(record, 6000, 1), known)
+    False
+    """
+    if known.started_ms is not None:
+        if new.started_ms is None:
+            return True
+        if new.started_ms != known.started_ms:
+            return new.started_ms < known.started_ms
+    if new.record.upstream != known.record.upstream:
+        return False
+    return bool(new.sequence) and new.sequence <= known.sequence
--- a/lentilsill/outcomes/model.py
+++ b/lentilsill/outcomes/model.py
@@ -25,10 +25,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """No answer: what is known of the execution, and a reason for people."""
+    """No answer: what is known of the execution, and a reason for people.
+
+    `retry_after_s` is when the call may succeed; 0 when that is not known.
+    `arrived` tells that the call was sent to an upstream.
+    """
 
     outcome: Outcome
     reason: str
+    retry_after_s: float = 0.0
+    arrived: bool = False
 
 
 CallResult = Answer | Refused
--- a/lentilsill/platform/client.py
+++ b/lentilsill/platform/client.py
@@ -1,10 +1,12 @@
 """Client of the object API over HTTP."""
 
 import json
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import pycurl
+import structlog
 from pydantic import BaseModel, ValidationError
 from result import Err, Ok, Result
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
@@ -30,7 +32,12 @@
 MAX_CLIENTS = 32
 DEFAULT_RETRY_AFTER_S = 1.0
 # A watch is held for its whole time, so the request may take longer than that.
-WATCH_GRACE_S = 5.0
+WATCH_GRACE_S = 1.0
+# The longest wait that the platform takes.
+MAX_WATCH_S = 30.0
+# A page has about 500 objects; 4,600 nodes take 10 pages.
+MAX_PAGES = 100
+MAX_ERROR_CHARS = 500
 # Errors that prove that the request did not reach the platform.
 NOT_SENT = frozenset(
     {
@@ -41,40 +48,38 @@
     }
 )
 
+Decoder = Callable[[Any], Any]
 
-class _ObjectBody(BaseModel):
-    kind: str
-    name: str
-    version: int
-    value: Any = None
-    deleted: bool = False
-
-    def to_object(self) -> StoredObject:
-        return StoredObject(
-            self.kind, self.name, self.version, self.value, self.deleted
-        )
+log = structlog.get_logger()
 
 
-class _ListBody(BaseModel):
+class _Metadata(BaseModel):
+    name: str
     revision: int
-    objects: tuple[_ObjectBody, ...]
+    deleting: bool = False
 
 
-class _WatchBody(BaseModel):
-    revision: int
-    changes: tuple[_ObjectBody, ...]
+class _ObjectBody(BaseModel):
+    """An object; what the users of this client write is its `spec`."""
 
+    metadata: _Metadata
+    spec: Any = None
 
-class _WriteBody(BaseModel):
-    version: int
 
+class _ListBody(BaseModel):
+    items: tuple[_ObjectBody, ...]
+    has_more: bool = False
+    store_revision: int
 
-class _ConflictBody(BaseModel):
-    current_version: int
 
+class _EventBody(BaseModel):
+    object: _ObjectBody
+    deleted: bool = False
 
-class _CompactedBody(BaseModel):
-    oldest_revision: int
+
+class _WatchBody(BaseModel):
+    events: tuple[_EventBody, ...]
+    store_revision: int
 
 
 Body = TypeVar("Body", bound=BaseModel)
@@ -89,21 +94,32 @@
         Base URL, without a trailing slash.
     request_timeout_s : float
         Bound on each request, in seconds; watches may take longer.
+    decoders : mapping, optional
+        By kind, what turns a stored value into the node's own form. A value that
+        it rejects with `ValueError` is left out of listings and watches.
 
     See Also
     --------
     lentilsill.platform.ObjectApi : the methods and their meaning
     """
 
-    def __init__(self, url: str, request_timeout_s: float) -> None:
+    def __init__(
+        self,
+        url: str,
+        request_timeout_s: float,
+        decoders: Mapping[str, Decoder] | None = None,
+    ) -> None:
         self._url = url.rstrip("/")
         self._timeout_s = request_timeout_s
+        self._decoders = decoders or {}
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
 
     @classmethod
-    def from_config(cls, cfg: PlatformSettings) -> "HttpObjectApi":
+    def from_config(
+        cls, cfg: PlatformSettings, decoders: Mapping[str, Decoder] | None = None
+    ) -> "HttpObjectApi":
         """Make a client from settings."""
-        return cls(cfg.url, cfg.request_timeout_s)
+        return cls(cfg.url, cfg.request_timeout_s, decoders)
 
     def close(self) -> None:
         """Close the connections; requests under way get no answer."""
@@ -120,45 +136,97 @@
             case Err(error):
                 return Err(error)
             case Ok(resp):
-                return _parse_read(_ObjectBody, resp).map(_ObjectBody.to_object)
-
-    async def list(self, kind: str) -> Result[Listing, PlatformError]:
-        """List all objects of a kind."""
-        answer = await self._read(f"/v1/objects/{quote(kind, '')}", self._timeout_s)
-        parsed = answer.and_then(lambda resp: _parse_read(_ListBody, resp))
-        return parsed.map(
-            lambda body: Listing(
-                body.revision, tuple(item.to_object() for item in body.objects)
-            )
-        )
+                parsed = _parse_read(_ObjectBody, resp)
+                return parsed.map(lambda body: self._to_object(kind, body))
+
+    async def list(
+        self, kind: str, stale: bool = False
+    ) -> Result[Listing, PlatformError]:
+        """List all objects of a kind; with `stale`, cheaper and seconds old."""
+        objects: list[StoredObject] = []
+        query = {"stale_ok": "1"} if stale else {}
+        revision = 0
+        for _ in range(MAX_PAGES):
+            path = _kind_path(kind) + _query(query)
+            answer = await self._read(path, self._timeout_s)
+            match answer.and_then(lambda resp: _parse_read(_ListBody, resp)):
+                case Err(error):
+                    return Err(error)
+                case Ok(page):
+                    # What changed between two pages comes again with a watch
+                    # from the revision of the first.
+                    revision = revision or page.store_revision
+                    found = (self._to_object(kind, item) for item in page.items)
+                    objects += [obj for obj in found if obj is not None]
+                    if not page.has_more or not page.items:
+                        return Ok(Listing(revision, tuple(objects)))
+                    query["after"] = page.items[-1].metadata.name
+        return Err(Unavailable(f"listing of {kind} has over {MAX_PAGES} pages"))
 
     async def put(
         self, kind: str, name: str, value: Any, expected_version: int | None
     ) -> Result[int, PlatformError]:
         """Write an object and give its new version."""
-        body = json.dumps(value, ensure_ascii=False).encode()
+        metadata: dict[str, Any] = {"name": name}
+        if expected_version == 0:
+            return await self._write("POST", _kind_path(kind), metadata, value)
+        if expected_version is not None:
+            metadata["revision"] = expected_version
         path = _object_path(kind, name)
-        return await self._write("PUT", path, body, expected_version)
+        result = await self._write("PUT", path, metadata, value)
+        match result:
+            case Err(Rejected(status=404)) if expected_version is None:
+                return await self._write("POST", _kind_path(kind), metadata, value)
+            case Err(Rejected(status=404)):
+                return Err(Conflict(0))
+        return result
 
     async def delete(
         self, kind: str, name: str, expected_version: int | None
     ) -> Result[int, PlatformError]:
         """Delete an object and give the revision of the deletion."""
         path = _object_path(kind, name)
-        return await self._write("DELETE", path, None, expected_version)
+        if expected_version is not None:
+            path += _query({"revision": str(expected_version)})
+        return await self._write("DELETE", path, None, None)
 
     async def watch(
         self, kind: str, since: int, timeout_s: float
     ) -> Result[WatchBatch, PlatformError]:
         """Wait up to `timeout_s` for changes after revision `since`."""
-        path = f"/v1/watch/{quote(kind, '')}?since={since}&timeout_s={timeout_s:g}"
+        wait_ms = str(int(min(timeout_s, MAX_WATCH_S) * 1000))
+        path = _kind_path(kind) + _query({"watch": str(since), "wait_ms": wait_ms})
         answer = await self._read(path, timeout_s + WATCH_GRACE_S)
         parsed = answer.and_then(lambda resp: _parse_read(_WatchBody, resp))
-        return parsed.map(
-            lambda body: WatchBatch(
-                body.revision, tuple(item.to_object() for item in body.changes)
-            )
+        return parsed.map(lambda body: self._to_batch(kind, body))
+
+    def _to_batch(self, kind: str, body: _WatchBody) -> WatchBatch:
+        found = (
+            self._to_object(kind, event.object, event.deleted) for event in body.events
         )
+        changes = tuple(obj for obj in found if obj is not None)
+        return WatchBatch(body.store_revision, changes)
+
+    def _to_object(
+        self, kind: str, body: _ObjectBody, deleted: bool = False
+    ) -> StoredObject | None:
+        """Convert an object; None for one that its decoder rejects."""
+        name, revision = body.metadata.name, body.metadata.revision
+        if deleted:
+            return StoredObject(kind, name, revision, None, True)
+        decode = self._decoders.get(kind)
+        try:
+            value = body.spec if decode is None else decode(body.spec)
+        except ValueError as exc:
+            log.warning(
+                "object_unreadable",
+                kind=kind,
+                name=name,
+                revision=revision,
+                error=str(exc)[:MAX_ERROR_CHARS],
+            )
+            return None
+        return StoredObject(kind, name, revision, value)
 
     async def _read(
         self, path: str, timeout_s: float
@@ -173,11 +241,13 @@
         return _check_status(resp)
 
     async def _write(
-        self, method: str, path: str, body: bytes | None, expected: int | None
+        self, method: str, path: str, metadata: dict[str, Any] | None, value: Any
     ) -> Result[int, PlatformError]:
+        body = None
+        if metadata is not None:
+            text = json.dumps({"metadata": metadata, "spec": value}, ensure_ascii=False)
+            body = text.encode()
         req = self._request(method, path, self._timeout_s, body, fresh=True)
-        if expected is not None:
-            req.headers["If-Match"] = str(expected)
         try:
             resp = await self._client.fetch(req, raise_error=False)
         except CurlError as exc:
@@ -209,6 +279,7 @@
         return HTTPRequest(
             self._url + path,
             method=method,
+            headers=None if body is None else {"Content-Type": "application/json"},
             body=body,
             connect_timeout=self._timeout_s,
             request_timeout=timeout_s,
@@ -218,8 +289,16 @@
         )
 
 
+def _kind_path(kind: str) -> str:
+    return f"/objects/{quote(kind, '')}"
+
+
 def _object_path(kind: str, name: str) -> str:
-    return f"/v1/objects/{quote(kind, '')}/{quote(name, '')}"
+    return f"{_kind_path(kind)}/{quote(name, '')}"
+
+
+def _query(fields: Mapping[str, str]) -> str:
+    return "?" + urlencode(fields) if fields else ""
 
 
 def _reason(resp: HTTPResponse) -> str:
@@ -229,22 +308,26 @@
 
 def _check_status(resp: HTTPResponse) -> Result[HTTPResponse, PlatformError]:
     match resp.code:
-        case 200:
+        case 200 | 201 | 204:
             return Ok(resp)
-        case 412:
-            return _parse_error(
-                _ConflictBody, resp, lambda body: Conflict(body.current_version)
-            )
+        case 409:
+            return _parse_conflict(resp)
         case 410:
-            return _parse_error(
-                _CompactedBody, resp, lambda body: Compacted(body.oldest_revision)
-            )
+            return Err(Compacted())
         case 429:
             return Err(RateLimited(_retry_after_s(resp)))
         case code:
             return Err(Rejected(code, _reason(resp)))
 
 
+def _parse_conflict(resp: HTTPResponse) -> Result[HTTPResponse, PlatformError]:
+    match _parse(_ObjectBody, resp):
+        case Ok(body):
+            return Err(Conflict(body.metadata.revision))
+        case Err(reason):
+            return Err(Rejected(resp.code, reason))
+
+
 def _retry_after_s(resp: HTTPResponse) -> float:
     try:
         return max(0.0, float(resp.headers.get("Retry-After", "")))
@@ -268,15 +351,8 @@
 
 
 def _parse_write(resp: HTTPResponse) -> Result[int, PlatformError]:
+    if resp.request.method == "DELETE" and not resp.body:
+        return Ok(0)
     # An unreadable answer says nothing about the write, like a lost one.
-    return _parse(_WriteBody, resp).map(lambda b: b.version).map_err(AnswerLost)
-
-
-def _parse_error(
-    model: type[Body], resp: HTTPResponse, make: Any
-) -> Result[HTTPResponse, PlatformError]:
-    match _parse(model, resp):
-        case Ok(body):
-            return Err(make(body))
-        case Err(reason):
-            return Err(Rejected(resp.code, reason))
+    parsed = _parse(_ObjectBody, resp)
+    return parsed.map(lambda body: body.metadata.revision).map_err(AnswerLost)
--- /dev/null
+++ b/lentilsill/platform/integration.py
@@ -0,0 +1,30 @@
+"""Names, paths and formats of the users' platform."""
+
+from lentilsill.daemon.integration import HeaderNames, Integration
+
+from .configuration import CONFIGURATION_KIND, decode_configuration
+from .reports import parse_report, parse_start
+
+__all__ = ["PLATFORM_INTEGRATION"]
+
+PLATFORM_INTEGRATION = Integration(
+    headers=HeaderNames(
+        deadline_ms="X-Lentilsill-Timeout-Ms",
+        request_key="",
+        attempt_id="X-Lentilsill-Attempt-Id",
+        caller_service="X-Lentilsill-Caller-Service",
+        target_upstream="X-Lentilsill-Target-Instance",
+        not_run="X-Lentilsill-Not-Executed",
+        # A seal over the body; its text is opaque to the node.
+        answer_digest="X-Lentilsill-Response-Seal",
+        load="X-Lentilsill-Server-Load",
+    ),
+    routes_by_host=True,
+    unframed_answers=True,
+    upstreams_path="/instances",
+    ready_path="/ready",
+    parse_announcement=parse_report,
+    parse_start=parse_start,
+    decoders={CONFIGURATION_KIND: decode_configuration},
+    documents_kind=CONFIGURATION_KIND,
+)
--- a/lentilsill/platform/model.py
+++ b/lentilsill/platform/model.py
@@ -83,8 +83,6 @@
 class Compacted:
     """The watch's start revision is no longer kept; list instead."""
 
-    oldest_revision: int
-
 
 @dataclass(frozen=True, slots=True)
 class Rejected:
@@ -106,8 +104,10 @@
         """Give an object, or None when it does not exist."""
         ...
 
-    async def list(self, kind: str) -> Result[Listing, PlatformError]:
-        """List all objects of a kind."""
+    async def list(
+        self, kind: str, stale: bool = False
+    ) -> Result[Listing, PlatformError]:
+        """List all objects of a kind; with `stale`, cheaper and seconds old."""
         ...
 
     async def put(
--- /dev/null
+++ b/lentilsill/platform/settings_file.py
@@ -0,0 +1,98 @@
+"""Translation of the platform's settings file into the settings of a node.
+
+The file has a line ``name=value`` for each field; lists are joined by commas.
+"""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from pydantic import ValidationError
+
+from lentilsill.findings import Findings, FindingsError
+from lentilsill.settings import NodeSettings
+
+__all__ = ["SETTINGS_VARIABLE", "load_platform_settings", "parse_platform_settings"]
+
+SETTINGS_VARIABLE = "LENTILSILL_NODE_FILE"
+DOMAIN_PREFIX = "zones."
+# Callers leave a node after two readiness checks without an answer of 200, which
+# come once a second.
+DRAIN_MIN_S = 2.5
+# A process is killed at the end of its grace; the rest is for closing links.
+EXIT_MARGIN_S = 1.0
+
+
+def load_platform_settings(path: str) -> NodeSettings:
+    """Read and check the platform's settings file.
+
+    Raises
+    ------
+    FindingsError
+        The file can't be read or has problems; all of them are listed.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as exc:
+        findings = Findings()
+        findings.add("file", str(exc), path)
+        raise FindingsError(findings) from exc
+    return parse_platform_settings(text, path)
+
+
+def parse_platform_settings(text: str, source: str = "") -> NodeSettings:
+    """Check the text of the platform's settings file.
+
+    Unknown fields are ignored, as the platform may add some at any time.
+    """
+    fields: dict[str, str] = {}
+    lines: dict[str, int] = {}
+    for number, line in enumerate(text.splitlines(), start=1):
+        name, _, value = line.partition("=")
+        if name.strip():
+            fields[name.strip()] = value.strip()
+            lines[name.strip()] = number
+    findings = Findings()
+    try:
+        return NodeSettings.model_validate(_node_settings(fields))
+    except KeyError as exc:
+        findings.add(str(exc.args[0]), "field is missing", source)
+    except ValidationError as exc:
+        for error in exc.errors(include_url=False):
+            place = ".".join(str(part) for part in error["loc"]) or "document"
+            findings.add(place, error["msg"], source)
+    except ValueError as exc:
+        findings.add("document", str(exc), source)
+    raise FindingsError(findings)
+
+
+def _node_settings(fields: Mapping[str, str]) -> dict[str, Any]:
+    ip = fields["ip"]
+    first_port = fields["internal_ports"].split(",")[0]
+    domains = [
+        name.removeprefix(DOMAIN_PREFIX)
+        for name in fields
+        if name.startswith(DOMAIN_PREFIX)
+    ]
+    return {
+        "node": fields["node_name"],
+        "domain": fields["zone"],
+        "domains": domains,
+        "bind_ip": ip,
+        "peer_address": fields["listen.inbound"],
+        "caller_address": fields["listen.outbound"],
+        "admin_address": f"{ip}:{first_port}",
+        "extra_admin_addresses": [fields["listen.ready"], fields["listen.control"]],
+        "host_service": fields["service"],
+        "host_upstream_address": fields["app_addr"],
+        "documents": "bundle",
+        "directory": True,
+        "platform": {"url": f"http://{fields['platform.address']}"},
+        "calls": {
+            "retry_ratio": float(fields["bounds.retry_budget_ratio"]),
+            "retry_window_s": float(fields["bounds.budget_window_s"]),
+            "retry_allowance": float(fields["bounds.budget_slack"]),
+            "drain_min_s": DRAIN_MIN_S,
+            "drain_bound_s": float(fields["bounds.grace_s"]) - EXIT_MARGIN_S,
+        },
+    }
--- a/lentilsill/platform/tests/test_client.py
+++ b/lentilsill/platform/tests/test_client.py
@@ -24,7 +24,7 @@
 
 class _BadAnswers(RequestHandler):
     def get(self) -> None:
-        self.finish('{"revision": "x", "objects": [{"kind": "service"}]}')
+        self.finish('{"store_revision": "x", "items": [{"metadata": {}}]}')
 
 
 class ClientTest(unittest.IsolatedAsyncioTestCase):
@@ -66,7 +66,7 @@
         empty = (await self.api.watch("service", 3, 0.01)).unwrap()
         self.assertEqual((empty.revision, empty.changes), (3, ()))
         self.platform.store.compact()
-        self.assertEqual(await self.api.watch("service", 1, 5), Err(Compacted(3)))
+        self.assertEqual(await self.api.watch("service", 1, 5), Err(Compacted()))
 
     async def test_lost_answer_of_an_applied_write(self) -> None:
         """A resend by libcurl on a reused connection would hide the lost answer."""
@@ -120,5 +120,5 @@
         """A malformed listing must not pass as an empty one."""
         api = self.serve(Application([("/.*", _BadAnswers)]))
         error = (await api.list("service")).unwrap_err()
-        self.assertIn("revision:", str(error))
-        self.assertIn("objects.0.name:", str(error))
+        self.assertIn("store_revision:", str(error))
+        self.assertIn("items.0.metadata.name:", str(error))
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -115,6 +115,28 @@
         gt=0,
         description="Longest wait for calls in flight when the node stops",
     )
+    drain_min_s: float = Field(
+        default=0.0,
+        ge=0,
+        description="A node that stops takes calls at least for so long, until its "
+        "callers have noticed",
+    )
+    retry_ratio: float | None = Field(
+        default=None,
+        ge=0,
+        description="Attempts beyond the first that all nodes together may send to "
+        "the upstreams of a service, as a share of its calls; without it the "
+        "percentage of the route applies",
+    )
+    retry_window_s: float = Field(
+        default=10.0, gt=0, description="Window over which retry_ratio holds"
+    )
+    retry_allowance: float = Field(
+        default=0.0,
+        ge=0,
+        description="Attempts per window that all nodes together may add to "
+        "retry_ratio",
+    )
 
 
 class KeySettings(_Section):
@@ -155,6 +177,25 @@
 
     node: Name = Field(description="Name of the node, unique in the system")
     domain: Name = Field(description="Failure domain of the host")
+    domains: tuple[Name, ...] = Field(
+        default=(), description="All failure domains, when they are known"
+    )
+    documents: Literal["per_service", "bundle"] = Field(
+        default="per_service",
+        description="Whether the platform holds a document per service, or one "
+        "object with all of them that comes in force as a whole",
+    )
+    directory: bool = Field(
+        default=False,
+        description="Whether nodes find each other through entries in the platform",
+    )
+    host_service: str = Field(
+        default="", description="Service of the upstream on this host"
+    )
+    host_upstream_address: Address | None = Field(
+        default=None,
+        description="Address of the only upstream of this host, if there is one",
+    )
     bind_ip: str = Field(description="Address that outgoing connections use")
     peer_address: Address = Field(description="Peers connect here")
     advertise_address: Address | None = Field(
@@ -162,6 +203,9 @@
     )
     caller_address: Address = Field(description="Callers' HTTP")
     admin_address: Address = Field(description="Announcements, health, state dump")
+    extra_admin_addresses: tuple[Address, ...] = Field(
+        default=(), description="Further addresses of the admin server"
+    )
     log_level: Literal["debug", "info", "warning", "error"] = Field(
         default="info", description="Lowest level of the events that are logged"
     )
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -211,6 +211,7 @@
     The sender needs no record of calls with ids up to `settled` any more; the
     receiver drops those records and refuses such ids if they arrive late.
     `attempt` holds the claim of `request_key`; it is empty without a claim.
+    `attempt_id` is the caller's name of its attempt.
     """
 
     call_id: int
@@ -226,6 +227,7 @@
     document_version: int
     settled: int = -1
     attempt: str = ""
+    attempt_id: str = ""
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag=21):
@@ -240,12 +242,18 @@
 
 
 class Refusal(msgspec.Struct, frozen=True, array_like=True, tag=22):
-    """No answer for a call; `outcome` is a value of `outcomes.Outcome`."""
+    """No answer for a call; `outcome` is a value of `outcomes.Outcome`.
+
+    `retry_after_s` is when the call may succeed, 0 when that is not known, and
+    `arrived` tells that the call was sent to the upstream.
+    """
 
     call_id: int
     outcome: str
     reason: str
     load: int
+    retry_after_s: float = 0.0
+    arrived: bool = False
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=23):
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -22,6 +22,8 @@
 
 # Received bytes that nobody reads stop the transport from reading more.
 MAX_UNREAD_BYTES = 256 * 1024
+# A peer that has read the end of the stream closes its side well within it.
+LINGER_S = 1.0
 DEFAULT_MAX_BUFFER_BYTES = 100 * 1024 * 1024
 
 Find = Callable[[bytearray], int]
@@ -57,6 +59,8 @@
         self._written: asyncio.Future[None] = self._loop.create_future()
         self._written.set_result(None)
         self._close_callback: Callable[[], None] | None = None
+        # Whether the peer has ended the stream, rather than reset it.
+        self.has_ended = False
         self._consumer: Callable[[bytes], None] | None = None
 
     @property
@@ -207,6 +211,22 @@
             self._transport.abort()
         self._set_closed()
 
+    def close_gently(self) -> None:
+        """Close after the written bytes are sent, and read what still comes.
+
+        Closing with unread bytes resets the connection, and a reset can destroy
+        a response that the peer has not read yet.
+        """
+        transport = self._transport
+        if self._closed or transport is None:
+            return
+        self._resume_reading()
+        self._set_closed()
+        self._buffer.clear()
+        if transport.can_write_eof():
+            transport.write_eof()
+        self._loop.call_later(LINGER_S, transport.abort)
+
     def set_close_callback(self, callback: Callable[[], None] | None) -> None:
         """Set what is called once after the connection has closed."""
         self._close_callback = callback
@@ -248,6 +268,11 @@
         if len(self._buffer) > MAX_UNREAD_BYTES and self._read is None:
             self._pause_reading()
 
+    def eof_received(self) -> bool:
+        """Note that the peer ended the stream; the transport closes it."""
+        self.has_ended = True
+        return False
+
     def _pause_reading(self) -> None:
         if not self._is_reading_paused and not self._closed:
             self._is_reading_paused = True
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -11,6 +11,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Annotated, Any, Literal
@@ -27,7 +28,18 @@
 
 MAX_VALUE_BYTES = 1024 * 1024
 MAX_BODY_BYTES = 16 * MAX_VALUE_BYTES
-MAX_WATCH_S = 300.0
+MAX_WATCH_S = 30.0
+PAGE_ITEMS = 500
+
+
+class _MetadataBody(BaseModel):
+    name: str
+    revision: int | None = None
+
+
+class _WrittenBody(BaseModel):
+    metadata: _MetadataBody
+    spec: Any
 
 
 class Faults(BaseModel):
@@ -73,7 +85,7 @@
     def initialize(self, platform: Platform) -> None:
         self.platform = platform
 
-    def answer(self, status: int, **body: Any) -> None:
+    def answer(self, status: int, /, **body: Any) -> None:
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(body))
@@ -99,22 +111,36 @@
         # A waiting watch counts as one call per second against the read rate.
         await self.admit(call, self.platform.reads, self.platform.waiting)
 
-    def expected_version(self) -> int | None:
-        text = self.request.headers.get("If-Match")
-        if text is None:
-            return None
-        if not text.isdigit():
-            self.answer(400, reason="If-Match: must be a version")
+    def body(self) -> tuple[str, int | None, Any]:
+        """Give name, expected revision and value of a written object."""
+        try:
+            body = _WrittenBody.model_validate_json(self.request.body)
+        except ValidationError as exc:
+            self.answer(400, reason=str(exc))
+            raise Finish from exc
+        if len(json.dumps(body.spec)) > MAX_VALUE_BYTES:
+            self.answer(413, reason=f"value over {MAX_VALUE_BYTES} bytes")
             raise Finish
-        return int(text)
+        return body.metadata.name, body.metadata.revision, body.spec
 
-    def answer_write(self, version: int) -> None:
-        self.platform.changed.notify_all()
-        if self.platform.loses_answer():
-            self.platform.counters["answers_lost"] += 1
+    def apply(self, act: Callable[[], Any]) -> None:
+        """Run a write of the store and answer with the object that it made."""
+        state = self.platform
+        try:
+            change = act()
+        except ConflictError:
+            state.counters["conflicts"] += 1
+            key = self.path_args[0], self.path_args[-1]
+            if self.request.method == "POST":
+                key = key[0], self.body()[0]
+            self.answer(409, **state.store.objects[key].to_json())
+            return
+        state.changed.notify_all()
+        if state.loses_answer():
+            state.counters["answers_lost"] += 1
             self.request.connection.stream.close()  # type: ignore[union-attr]
             raise Finish
-        self.answer(200, version=version)
+        self.answer(200, **change.to_json())
 
 
 class _ObjectHandler(_Base):
@@ -128,45 +154,28 @@
 
     async def put(self, kind: str, name: str) -> None:
         await self.admit("put", self.platform.writes)
-        if len(self.request.body) > MAX_VALUE_BYTES:
-            self.answer(413, reason=f"value over {MAX_VALUE_BYTES} bytes")
-            return
-        expected = self.expected_version()
-        try:
-            value = json.loads(self.request.body)
-            version = self.platform.store.put(kind, name, value, expected)
-        except ConflictError as exc:
-            self.platform.counters["conflicts"] += 1
-            self.answer(412, current_version=exc.current_version)
-        except ValueError as exc:
-            self.answer(400, reason=f"value: {exc}")
-        else:
-            self.answer_write(version)
+        _, expected, value = self.body()
+        self.check_exists(kind, name)
+        self.apply(lambda: self.platform.store.put(kind, name, value, expected))
 
     async def delete(self, kind: str, name: str) -> None:
         await self.admit("delete", self.platform.writes)
-        expected = self.expected_version()
-        if (kind, name) not in self.platform.store.objects:
-            self.answer(404, reason="no such object")
+        text = self.get_query_argument("revision", None)
+        if text is not None and not text.isdigit():
+            self.answer(400, reason="revision: must be a number")
             return
-        try:
-            version = self.platform.store.delete(kind, name, expected)
-        except ConflictError as exc:
-            self.platform.counters["conflicts"] += 1
-            self.answer(412, current_version=exc.current_version)
-        else:
-            self.answer_write(version)
-
+        self.check_exists(kind, name)
+        expected = int(text) if text is not None else None
+        self.apply(lambda: self.platform.store.delete(kind, name, expected))
 
-class _ListHandler(_Base):
-    async def get(self, kind: str) -> None:
-        await self.admit_read("list")
-        store = self.platform.store
-        objects = [obj.to_json() for obj in store.objects_of(kind)]
-        self.answer(200, revision=store.revision, objects=objects)
+    def check_exists(self, kind: str, name: str) -> None:
+        """Answer 404 for an object that does not exist."""
+        if (kind, name) not in self.platform.store.objects:
+            self.answer(404, reason="no such object")
+            raise Finish
 
 
-class _WatchHandler(_Base):
+class _KindHandler(_Base):
     gone = False
 
     def on_connection_close(self) -> None:
@@ -174,15 +183,32 @@
         self.gone = True
         self.platform.changed.notify_all()
 
+    async def post(self, kind: str) -> None:
+        await self.admit("put", self.platform.writes)
+        name, _, value = self.body()
+        self.apply(lambda: self.platform.store.put(kind, name, value, 0))
+
     async def get(self, kind: str) -> None:
+        since = self.get_query_argument("watch", None)
+        if since is not None:
+            await self.watch(kind, int(since))
+            return
+        await self.admit_read("list")
+        store = self.platform.store
+        after = self.get_query_argument("after", "")
+        found = [obj for obj in store.objects_of(kind) if obj.name > after]
+        items = [obj.to_json() for obj in found[:PAGE_ITEMS]]
+        more = len(found) > PAGE_ITEMS
+        self.answer(200, items=items, has_more=more, store_revision=store.revision)
+
+    async def watch(self, kind: str, since: int) -> None:
         await self.admit_read("watch")
-        since = int(self.get_query_argument("since", "0"))
-        timeout_s = float(self.get_query_argument("timeout_s", "30"))
+        wait_s = int(self.get_query_argument("wait_ms", "0")) / 1000
         self.platform.waiting += 1
         try:
-            await self._wait(kind, since, min(timeout_s, MAX_WATCH_S))
-        except CompactedError as exc:
-            self.answer(410, oldest_revision=exc.oldest_revision)
+            await self._wait(kind, since, min(wait_s, MAX_WATCH_S))
+        except CompactedError:
+            self.answer(410, reason="the history after this revision is gone")
         finally:
             self.platform.waiting -= 1
 
@@ -197,8 +223,8 @@
             changes = state.store.changes(kind, since)
             left_s = end - loop.time()
             if changes or left_s <= 0:
-                body = [change.to_json() for change in changes]
-                self.answer(200, revision=state.store.revision, changes=body)
+                events = [change.to_event() for change in changes]
+                self.answer(200, store_revision=state.store.revision, events=events)
                 return
             await state.changed.wait(timeout=timedelta(seconds=left_s))
 
@@ -231,9 +257,8 @@
     args = {"platform": platform}
     name = "([A-Za-z0-9._-]+)"
     routes: list[Any] = [
-        (f"/v1/objects/{name}/{name}", _ObjectHandler, args),
-        (f"/v1/objects/{name}", _ListHandler, args),
-        (f"/v1/watch/{name}", _WatchHandler, args),
+        (f"/objects/{name}/{name}", _ObjectHandler, args),
+        (f"/objects/{name}", _KindHandler, args),
         ("/standin/faults", _FaultsHandler, args),
         ("/standin/compact", _CompactHandler, args),
         ("/standin/counters", _CountersHandler, args),
--- a/standins/store.py
+++ b/standins/store.py
@@ -20,14 +20,18 @@
     deleted: bool = False
 
     def to_json(self) -> dict[str, Any]:
-        """Give the form that listings and watches carry."""
-        body = {
-            "kind": self.kind,
+        """Give the object as listings carry it."""
+        metadata = {
             "name": self.name,
-            "version": self.version,
-            "value": self.value,
+            "revision": self.version,
+            "finalizers": [],
+            "deleting": False,
         }
-        return body | {"deleted": True} if self.deleted else body
+        return {"metadata": metadata, "spec": self.value, "status": None}
+
+    def to_event(self) -> dict[str, Any]:
+        """Give the event that watches carry."""
+        return {"object": self.to_json(), "deleted": self.deleted}
 
 
 class ConflictError(Exception):
@@ -58,7 +62,7 @@
     Examples
     --------
     >>> store = Store()
-    >>> store.put("service", "slots", {}, expected=0)
+    >>> store.put("service", "slots", {}, expected=0).version
     1
     >>> [change.name for change in store.changes("service", since=0)]
     ['slots']
@@ -70,12 +74,12 @@
     objects: dict[tuple[str, str], Change] = field(default_factory=dict)
     history: deque[Change] = field(default_factory=deque)
 
-    def put(self, kind: str, name: str, value: Any, expected: int | None) -> int:
+    def put(self, kind: str, name: str, value: Any, expected: int | None) -> Change:
         """Write an object if its version is `expected` (None: any)."""
         self._check(kind, name, expected)
         return self._record(Change(kind, name, self.revision + 1, value))
 
-    def delete(self, kind: str, name: str, expected: int | None) -> int:
+    def delete(self, kind: str, name: str, expected: int | None) -> Change:
         """Delete an object that exists."""
         self._check(kind, name, expected)
         return self._record(Change(kind, name, self.revision + 1, None, True))
@@ -103,7 +107,7 @@
         if expected is not None and expected != current:
             raise ConflictError(current)
 
-    def _record(self, change: Change) -> int:
+    def _record(self, change: Change) -> Change:
         self.revision = change.version
         key = (change.kind, change.name)
         if change.deleted:
@@ -112,7 +116,7 @@
             self.objects[key] = change
         self.history.append(change)
         self.compact(self.history_limit)
-        return change.version
+        return change
 
 
 @dataclass
