Rank waiting calls, choose upstreams by expected time, share the retry budget

Cause: under more load than the upstreams carry, nearly all calls were late or refused; calls crossed domains after any refusal; a reload signal ended the node. Change: the destination starts calls by priority and by whether they can still meet their objective, and refuses at once what can't; answers carry the expected time of such a call; another domain is chosen when that changes what the caller gets; extra attempts come from a window shared by all nodes; SIGHUP reloads the settings; a restarted node asks its upstream who it is; peers look for nodes that died a short time ago.

--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -1,12 +1,11 @@
-"""Bounded queue before the slots of one upstream."""
+"""Bounded, ranked queue before the slots of one upstream."""
 
 from collections.abc import Callable, Collection, Hashable
 from dataclasses import dataclass
 
-__all__ = ["AdmissionQueue", "Refuse", "Start"]
+from .costs import CostEstimates
 
-# Weight of the newest service time in the moving average.
-SERVICE_TIME_WEIGHT = 0.1
+__all__ = ["AdmissionQueue", "Refuse", "Start"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,18 +17,48 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """The call is refused; it was not run."""
+    """The call is refused; it was not run.
+
+    `retry_after_s` is when the queue is expected to have room for it; 0 when
+    that is not known.
+    """
 
     call: Hashable
     reason: str
+    retry_after_s: float = 0.0
 
 
 Action = Start | Refuse
 
 
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    call: Hashable
+    deadline: float
+    objective_at: float
+    priority: int
+    cost_s: float
+    kind: str
+    number: int
+
+    def rank(self, now: float) -> tuple[int, bool, float, int]:
+        """Order of starts: by priority, then those that can still be on time.
+
+        Among these the earliest objective goes first, among the late ones the
+        earliest deadline.
+        """
+        if now + self.cost_s <= self.objective_at:
+            return (self.priority, False, self.objective_at, self.number)
+        return (self.priority, True, self.deadline, self.number)
+
+
 class AdmissionQueue:
     """Decides which calls run on an upstream, wait for it, or are refused.
 
+    It is made for the load at which an upstream can't run all calls in time:
+    then those are run that can still be answered within their objective, and
+    those that can't be answered within their deadline are refused at once.
+
     Each event gives the actions to take. Times are in seconds of one clock
     that never steps. `may_start` is given a call and those that run, and can
     hold the call back; it is asked again after each finished call. Calls behind
@@ -42,8 +71,8 @@
     [Start(call='a')]
     >>> queue.offer("b", now=0.0, deadline=1.0)
     []
-    >>> queue.offer("c", now=0.0, deadline=1.0)
-    [Refuse(call='c', reason='queue of the upstream is full')]
+    >>> queue.offer("c", now=0.0, deadline=1.0)[0].reason
+    'queue of the upstream is full'
     >>> queue.finished("a", now=0.1)
     [Start(call='b')]
     """
@@ -57,18 +86,31 @@
         self.slots = slots
         self.queue_limit = queue_limit
         self.draining = False
-        self.service_time_s = 0.0
+        self.costs = CostEstimates()
         self._may_start = may_start
-        self._running: dict[Hashable, float] = {}
-        self._waiting: dict[Hashable, float] = {}
+        # Start time and kind by running call.
+        self._running: dict[Hashable, tuple[float, str]] = {}
+        self._waiting: dict[Hashable, _Waiting] = {}
+        self._count = 0
 
     @property
     def work(self) -> int:
         """Calls that run or wait."""
         return len(self._running) + len(self._waiting)
 
-    def offer(self, call: Hashable, now: float, deadline: float) -> list[Action]:
-        """Take a new call; no action means that it waits."""
+    def offer(
+        self,
+        call: Hashable,
+        now: float,
+        deadline: float,
+        priority: int = 0,
+        objective_at: float | None = None,
+        kind: str = "",
+    ) -> list[Action]:
+        """Take a new call; no action means that it waits.
+
+        Calls of one `kind` take about as long as each other.
+        """
         if self.draining:
             return [Refuse(call, "upstream is leaving")]
         if deadline <= now:
@@ -78,29 +120,37 @@
             and not self._waiting
             and self._startable(call)
         ):
-            self._running[call] = now
+            self._running[call] = (now, kind)
             return [Start(call)]
-        if len(self._waiting) >= self.queue_limit:
-            return [Refuse(call, "queue of the upstream is full")]
-        if now + self.expected_wait_s() > deadline:
-            return [Refuse(call, "expected wait exceeds the deadline")]
-        self._waiting[call] = deadline
-        return self._advance(now)
-
-    def expected_wait_s(self) -> float:
-        """Expected wait of a call that joins the queue now."""
+        self._count += 1
+        objective = deadline if objective_at is None else min(objective_at, deadline)
+        cost_s = self.costs.of(kind)
+        waiting = _Waiting(
+            call, deadline, objective, priority, cost_s, kind, self._count
+        )
+        self._waiting[call] = waiting
+        return [*self._shed(now), *self._advance(now)]
+
+    def expected_time_s(self, now: float, priority: int = 0, kind: str = "") -> float:
+        """Expected time from joining the queue to the answer.
+
+        A new call passes those of lower priority and those that are late.
+        """
+        cost_s = self.costs.of(kind)
         if len(self._running) < self.slots:
-            return 0.0
-        return self.service_time_s * (len(self._waiting) + 1) / max(1, self.slots)
+            return cost_s
+        ahead_s = sum(
+            waiting.cost_s
+            for waiting in self._waiting.values()
+            if waiting.rank(now)[:2] <= (priority, False)
+        )
+        return cost_s + (ahead_s + self.costs.mean_s) / max(1, self.slots)
 
     def finished(self, call: Hashable, now: float) -> list[Action]:
         """A running call has ended."""
         started = self._running.pop(call, None)
         if started is not None:
-            taken = now - started
-            if not self.service_time_s:
-                self.service_time_s = taken
-            self.service_time_s += SERVICE_TIME_WEIGHT * (taken - self.service_time_s)
+            self.costs.add(started[1], now - started[0])
         return self._advance(now)
 
     def cancel(self, call: Hashable) -> bool:
@@ -129,22 +179,49 @@
     def _startable(self, call: Hashable) -> bool:
         return self._may_start is None or self._may_start(call, self._running.keys())
 
+    def _ranked(self, now: float) -> list[_Waiting]:
+        return sorted(self._waiting.values(), key=lambda waiting: waiting.rank(now))
+
+    def _shed(self, now: float) -> list[Action]:
+        """Refuse what is over the limit, and what would end after its deadline."""
+        actions: list[Action] = []
+        is_full = len(self._running) >= self.slots
+        wait_s = self.costs.mean_s / max(1, self.slots) if is_full else 0.0
+        kept = 0
+        for waiting in self._ranked(now):
+            late_s = now + wait_s + waiting.cost_s - waiting.deadline
+            if kept >= self.queue_limit:
+                retry_s = max(wait_s, self.costs.mean_s)
+                reason = "queue of the upstream is full"
+            elif late_s > 0 and is_full:
+                retry_s = late_s
+                reason = "expected wait exceeds the deadline"
+            else:
+                kept += 1
+                wait_s += waiting.cost_s / max(1, self.slots)
+                continue
+            self.cancel(waiting.call)
+            actions.append(Refuse(waiting.call, reason, retry_s))
+        return actions
+
     def _advance(self, now: float) -> list[Action]:
         actions: list[Action] = []
+        expired = [w.call for w in self._waiting.values() if w.deadline <= now]
+        for call in expired:
+            self.cancel(call)
+            actions.append(Refuse(call, "deadline passed"))
         if not self._waiting:
             return actions
-        for call, deadline in list(self._waiting.items()):
+        for waiting in self._ranked(now):
+            call = waiting.call
             if len(self._running) >= self.slots:
                 break
-            if deadline <= now:
-                del self._waiting[call]
-                actions.append(Refuse(call, "deadline passed"))
-            elif not self._startable(call):
+            if not self._startable(call):
                 # Calls behind it would otherwise keep the upstream busy, and one
                 # that must run alone would wait for ever.
                 break
             else:
-                del self._waiting[call]
-                self._running[call] = now
+                self.cancel(call)
+                self._running[call] = (now, waiting.kind)
                 actions.append(Start(call))
         return actions
--- a/lentilsill/daemon/announcements.py
+++ b/lentilsill/daemon/announcements.py
@@ -97,6 +97,11 @@
         # announcement must not bring them back.
         self._deleted: dict[str, int | None] = {}
 
+    @property
+    def has_heard(self) -> bool:
+        """Whether any upstream has told something since the start."""
+        return bool(self._newest or self._deleted)
+
     def announce(self, announcement: Announcement) -> bool:
         """Take an announcement; False when the node has too many upstreams.
 
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -47,6 +47,8 @@
 CRASH_CHECK_DELAY_S = 0.05
 CRASH_VERDICT_BOUND_S = 0.2
 DEFAULT_LIMITS = Limits()
+# Stands in an answer that tells nothing of the load.
+NO_LOAD = -1
 
 
 def fingerprint_of(
@@ -152,9 +154,15 @@
         own = self._upstreams.get(upstream)
         return own.queue.work if own else 0
 
-    def load(self, upstream: str) -> int:
-        """Load as reported on answers."""
-        return self.in_flight(upstream)
+    def load(self, call: Call) -> int:
+        """Time in ms that another call of this kind is expected to take."""
+        own = self._upstreams.get(call.upstream)
+        if own is None:
+            return 0
+        expected_s = own.queue.expected_time_s(
+            self.ctx.now(), call.priority, _kind(call)
+        )
+        return round(expected_s * 1000)
 
     def has_lost(self, upstream: str) -> bool:
         """Whether lost connections wait for a check for a crash."""
@@ -226,7 +234,17 @@
             if self.guard.is_quarantined(execution.fingerprint):
                 return not_run("request is quarantined")
         now = self.ctx.now()
-        actions = own.queue.offer(execution, now, execution.deadline)
+        objective_at = execution.deadline
+        if call.objective_ms:
+            objective_at = now + call.objective_ms / 1000
+        actions = own.queue.offer(
+            execution,
+            now,
+            execution.deadline,
+            call.priority,
+            objective_at,
+            _kind(call),
+        )
         if len(actions) != 1 or actions[0] != Start(execution):
             refused = await self._wait(own, execution, actions, now)
             if refused is not None:
@@ -346,8 +364,8 @@
             match action:
                 case Start():
                     fut.set_result(None)
-                case Refuse(reason=reason):
-                    fut.set_result(not_run(reason))
+                case Refuse(reason=reason, retry_after_s=retry_after_s):
+                    fut.set_result(not_run(reason, retry_after_s))
 
     def _drop_waiting(self, execution: Execution, reason: str) -> bool:
         """Refuse a call that waits for a slot; False when it does not wait."""
@@ -383,12 +401,12 @@
             self.ledger.finish(instance, call.call_id, result, self.ctx.now())
             self.keyed.finished(instance, call, result, execution.link)
             if execution.link is not None:
-                self._send_result(execution.link, call.call_id, call.upstream, result)
+                self._send_result(execution.link, call, result)
 
-    def _send_result(
-        self, link: Link, call_id: int, upstream: str, result: CallResult
-    ) -> None:
-        load = self.load(upstream)
+    def _send_result(self, link: Link, call: Call, result: CallResult) -> None:
+        self._send(link, call.call_id, self.load(call), result)
+
+    def _send(self, link: Link, call_id: int, load: int, result: CallResult) -> None:
         match result:
             case Answer(status, headers, body):
                 link.send(
@@ -402,12 +420,12 @@
                 )
 
     def _refuse(self, link: Link, call: Call, reason: str) -> None:
-        self._send_result(link, call.call_id, call.upstream, not_run(reason))
+        self._send_result(link, call, not_run(reason))
 
     def _tell(self, link: Link, instance: str, call_id: int) -> None:
         state = self.ledger.ask(instance, call_id, self.ctx.now())
         if not isinstance(state, CallState):
-            self._send_result(link, call_id, "", state)
+            self._send(link, call_id, NO_LOAD, state)
             return
         if state is CallState.RUNNING:
             execution = self._remote.get((instance, call_id))
@@ -444,5 +462,10 @@
         }
 
 
+def _kind(call: Call) -> str:
+    """Name calls that take about as long as each other."""
+    return f"{call.service}/{call.route}"
+
+
 def _ms(seconds: float) -> int:
     return max(0, int(seconds * 1000))
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -150,6 +150,9 @@
             oldest - 1,
             call.attempt,
             call.attempt_id,
+            call.route,
+            call.priority,
+            call.objective_ms,
         )
         if not link.send(message):
             return Reply(not_run(f"{UNREACHABLE}link to {address} is closed"))
--- a/lentilsill/daemon/controllers/reasons.py
+++ b/lentilsill/daemon/controllers/reasons.py
@@ -29,6 +29,6 @@
 UNREACHABLE = "unreachable: "
 
 
-def not_run(reason: str) -> Refused:
+def not_run(reason: str, retry_after_s: float = 0.0) -> Refused:
     """Make a refusal of a call that was not executed."""
-    return Refused(Outcome.NOT_RUN, reason)
+    return Refused(Outcome.NOT_RUN, reason, retry_after_s)
--- a/lentilsill/daemon/controllers/seeds.py
+++ b/lentilsill/daemon/controllers/seeds.py
@@ -23,6 +23,10 @@
 # Probes reach live nodes only, so two halves of a domain that took each other
 # for dead find each other again by these contacts.
 HEAL_INTERVAL_S = (5.0, 15.0)
+# A node that has just died is often started again, and may know nobody when the
+# platform is down.
+RETURN_INTERVAL_S = (0.5, 1.0)
+RETURN_S = 30.0
 
 
 class SeedContacts:
@@ -40,6 +44,7 @@
         self._summaries = summaries
         self._digest = digest
         self._met: set[str] = set()
+        self._died_at: dict[str, float] = {}
         own = {table.own.peer_address}
         self._seeds = set(ctx.cfg.membership.seeds) - own
         self._is_due = asyncio.Event()
@@ -64,13 +69,23 @@
         while True:
             await self._meet(seeds)
             if len(self._table.live()) > 1 and self._met >= seeds:
-                delay_s = rng.uniform(*HEAL_INTERVAL_S)
+                interval = RETURN_INTERVAL_S if self._may_return() else HEAL_INTERVAL_S
+                delay_s = rng.uniform(*interval)
             else:
                 delay_s = backoff.next_delay()
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._is_due.wait(), delay_s)
             self._is_due.clear()
 
+    def _may_return(self) -> bool:
+        """Whether a node that is taken for dead was alive a short time ago."""
+        now = self._ctx.now()
+        dead = {
+            e.record.node for e in self._table.entries() if e.liveness == Liveness.DEAD
+        }
+        self._died_at = {name: self._died_at.get(name, now) for name in dead}
+        return any(now - at < RETURN_S for at in self._died_at.values())
+
     async def _meet(self, seeds: set[str]) -> None:
         """Contact seeds that have not answered yet, or any seed or dead node."""
         unmet = seeds - self._met
--- a/lentilsill/daemon/integration.py
+++ b/lentilsill/daemon/integration.py
@@ -36,6 +36,8 @@
         Without it a successful answer is not the upstream's.
     load : str
         Calls that run and wait at the upstream, and its slots.
+    upstream : str
+        Id of the upstream that answers a health check.
     """
 
     deadline_ms: str = "Lentilsill-Deadline-Ms"
@@ -46,6 +48,7 @@
     not_run: str = ""
     answer_digest: str = ""
     load: str = ""
+    upstream: str = ""
 
 
 def _no_start(body: bytes) -> None:
@@ -67,6 +70,8 @@
         without a reset.
     upstreams_path, ready_path : str
         Where upstreams announce themselves and readiness is asked.
+    health_path : str
+        Where upstreams answer health checks.
     parse_announcement : callable
         Reads an announcement from the id and the body.
     parse_start : callable
@@ -82,6 +87,7 @@
     unframed_answers: bool = False
     upstreams_path: str = "/lentilsill/upstreams"
     ready_path: str = "/lentilsill/ready"
+    health_path: str = "/health"
     parse_announcement: Callable[[str, bytes], Result[Announcement, Findings]] = (
         parse_announcement
     )
--- a/lentilsill/daemon/main.py
+++ b/lentilsill/daemon/main.py
@@ -16,6 +16,7 @@
 from .integration import OWN_INTEGRATION, Integration
 from .logs import configure_logs
 from .node import running_node
+from .reload import LoadSettings, SettingsReload
 
 __all__ = ["main", "run_node", "serve"]
 
@@ -44,24 +45,37 @@
         raise typer.Exit(EXIT_BAD_SETTINGS) from exc
     if check:
         return
-    run_node(cfg)
+    run_node(cfg, reload=lambda: load_settings(settings))
 
 
-def run_node(cfg: NodeSettings, integration: Integration = OWN_INTEGRATION) -> None:
-    """Run a node in this process, which exits with status 1 when it fails."""
+def run_node(
+    cfg: NodeSettings,
+    integration: Integration = OWN_INTEGRATION,
+    reload: LoadSettings | None = None,
+) -> None:
+    """Run a node in this process, which exits with status 1 when it fails.
+
+    `reload` reads the settings again, on SIGHUP and when the file has changed.
+    """
     configure_logs(cfg.log_level)
     try:
-        asyncio.run(serve(cfg, integration))
+        asyncio.run(serve(cfg, integration, reload))
     except Exception as exc:
         # The traceback is written at level debug only.
         log.error("node_failed", error=f"{type(exc).__name__}: {exc}", exc_info=True)
         raise typer.Exit(EXIT_FAILED) from exc
 
 
-async def serve(cfg: NodeSettings, integration: Integration = OWN_INTEGRATION) -> None:
+async def serve(
+    cfg: NodeSettings,
+    integration: Integration = OWN_INTEGRATION,
+    reload: LoadSettings | None = None,
+) -> None:
     """Run a node until a signal, then drain it."""
     with _stop_signals() as stop:
         async with running_node(cfg, integration) as ctx:
+            if reload is not None:
+                ctx.spawn(SettingsReload(ctx, reload).run())
             drain = DrainController(ctx, lambda: ctx.in_flight())
             drain.start()
             log.info(
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -22,6 +22,7 @@
 from .controllers.claims import ClaimsController
 from .controllers.destination import DestinationController
 from .controllers.directory import DirectoryController
+from .controllers.discovery import UpstreamDiscovery
 from .controllers.distribution import DistributionController
 from .controllers.documents import DocumentsController
 from .controllers.entry import EntryController
@@ -79,6 +80,7 @@
         ctx, destination.on_upstream_gone, destination.in_flight, integration
     )
     destination.drop_upstream = admin.announcements.drop
+    UpstreamDiscovery(ctx, admin.announcements, integration).start()
     ctx.links.listen(cfg.peer_address)
     callers.listen(cfg.caller_address)
     admin.start()
--- a/lentilsill/platform/__main__.py
+++ b/lentilsill/platform/__main__.py
@@ -12,13 +12,14 @@
 
 def main() -> int:
     """Run the node that the platform's settings file describes."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        cfg = load_platform_settings(os.environ.get(SETTINGS_VARIABLE, ""))
+        cfg = load_platform_settings(path)
     except FindingsError as exc:
         for finding in exc.findings:
             print(finding, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    run_node(cfg, PLATFORM_INTEGRATION)
+    run_node(cfg, PLATFORM_INTEGRATION, lambda: load_platform_settings(path))
     return 0
 
 
--- a/lentilsill/platform/integration.py
+++ b/lentilsill/platform/integration.py
@@ -18,6 +18,7 @@
         # A seal over the body; its text is opaque to the node.
         answer_digest="X-Lentilsill-Response-Seal",
         load="X-Lentilsill-Server-Load",
+        upstream="X-Lentilsill-Instance-Id",
     ),
     routes_by_host=True,
     unframed_answers=True,
--- a/lentilsill/retries/budget.py
+++ b/lentilsill/retries/budget.py
@@ -1,13 +1,35 @@
-"""Token bucket that limits extra attempts to a share of calls."""
+"""Limits of extra attempts to a share of calls."""
 
-__all__ = ["RetryBudget"]
+from collections import deque
+from typing import Protocol
+
+__all__ = ["Budget", "RetryBudget", "SharedRetryBudget"]
 
 # Lets a service with few calls retry, while a failing one stops soon.
 BURST = 10.0
+# Parts of the window; the oldest part leaves as a whole.
+PARTS = 10
+# Of what the ratio allows to this node. Calls that a repeated call makes are
+# repeats too, and no node sees them as such.
+RATIO_SHARE = 0.6
+# Of what the allowance gives all nodes: nodes may be unknown to each other.
+ALLOWANCE_SHARE = 0.5
+
+
+class Budget(Protocol):
+    """Counts calls and gives out extra attempts."""
+
+    def add_call(self, now: float) -> None:
+        """Count a call."""
+        ...
+
+    def take(self, now: float) -> bool:
+        """Take an extra attempt; False when there is none."""
+        ...
 
 
 class RetryBudget:
-    """Each call adds `percent` / 100 tokens; each extra attempt takes one.
+    """Token bucket: each call adds `percent` / 100 tokens, an attempt takes one.
 
     Examples
     --------
@@ -26,13 +48,66 @@
         self.burst = burst
         self._tokens = burst if percent > 0 else 0.0
 
-    def add_call(self) -> None:
+    def add_call(self, now: float = 0.0) -> None:
         """Count a call."""
         self._tokens = min(self.burst, self._tokens + self.percent / 100)
 
-    def take(self) -> bool:
+    def take(self, now: float = 0.0) -> bool:
         """Take a token; False when there is none."""
         if self._tokens < 1:
             return False
         self._tokens -= 1
         return True
+
+
+class SharedRetryBudget:
+    """This node's part of a bound that holds for all nodes together.
+
+    In any `window_s`, extra attempts stay below `ratio` of this node's calls
+    plus its part of `allowance`. Both parts are taken small enough that the
+    bound holds also while nodes know fewer nodes than there are.
+
+    Examples
+    --------
+    >>> budget = SharedRetryBudget(ratio=0.5, window_s=10.0, allowance=4.0)
+    >>> budget.take(0.0), budget.take(0.0), budget.take(0.0)
+    (True, True, False)
+    >>> for _ in range(4):
+    ...     budget.add_call(1.0)
+    >>> budget.take(1.0), budget.take(1.0)
+    (True, False)
+    >>> budget.take(20.0)
+    True
+    """
+
+    def __init__(self, ratio: float, window_s: float, allowance: float) -> None:
+        self.ratio = ratio
+        self.window_s = window_s
+        self.allowance = allowance
+        self.nodes = 1
+        # Part number, calls and extra attempts.
+        self._parts: deque[list[int]] = deque()
+
+    def add_call(self, now: float) -> None:
+        """Count a call."""
+        self._part(now)[1] += 1
+
+    def take(self, now: float) -> bool:
+        """Take an extra attempt; False when there is none."""
+        part = self._part(now)
+        calls = sum(part[1] for part in self._parts)
+        extra = sum(part[2] for part in self._parts)
+        from_calls = RATIO_SHARE * self.ratio * calls
+        from_allowance = ALLOWANCE_SHARE * self.allowance / self.nodes
+        if extra + 1 > from_calls + from_allowance:
+            return False
+        part[2] += 1
+        return True
+
+    def _part(self, now: float) -> list[int]:
+        number = int(now * PARTS / self.window_s)
+        while self._parts and self._parts[0][0] <= number - PARTS - 1:
+            self._parts.popleft()
+        if not self._parts or self._parts[-1][0] != number:
+            self._parts.append([number, 0, 0])
+        return self._parts[-1]
--- a/lentilsill/retries/decide.py
+++ b/lentilsill/retries/decide.py
@@ -3,31 +3,42 @@
 from lentilsill.documents import HedgePolicy
 from lentilsill.outcomes import Answer, CallResult, Outcome
 
-from .budget import RetryBudget
-
 __all__ = ["decide_hedge", "decide_retry"]
 
+# Refusals that reached no upstream cost little, but a caller must not wait for
+# a whole fleet to refuse it.
+MAX_CHOICES = 4
+FAILED_STATUS = 500
+
 
 def decide_retry(
     result: CallResult,
     idempotent: bool,
-    attempts: int,
+    arrivals: int,
     max_attempts: int,
     remaining_s: float,
-    budget: RetryBudget | None,
+    choices: int,
 ) -> bool:
-    """Whether a call gets another attempt after `attempts` of them.
-
-    A call that is not idempotent is tried again only after ``not_run``. A
-    token is taken from `budget` when the answer is yes; None takes none.
+    """Whether a call may get another attempt.
+
+    A call that is not idempotent is tried again only after ``not_run``, an
+    idempotent one also after an answer that reports a failure. `arrivals` of
+    its `choices` upstreams have received it.
+
+    Examples
+    --------
+    >>> from lentilsill.outcomes import Refused
+    >>> decide_retry(Refused(Outcome.UNKNOWN, ""), False, 1, 3, 1.0, 1)
+    False
+    >>> decide_retry(Refused(Outcome.NOT_RUN, ""), False, 0, 3, 1.0, 1)
+    True
     """
     if isinstance(result, Answer):
+        if not idempotent or result.status < FAILED_STATUS:
+            return False
+    elif not idempotent and result.outcome is not Outcome.NOT_RUN:
         return False
-    if not idempotent and result.outcome is not Outcome.NOT_RUN:
-        return False
-    if attempts >= max_attempts or remaining_s <= 0:
-        return False
-    return budget is None or budget.take()
+    return arrivals < max_attempts and remaining_s > 0 and choices < MAX_CHOICES
 
 
 def decide_hedge(
--- a/lentilsill/routing/__init__.py
+++ b/lentilsill/routing/__init__.py
@@ -1,11 +1,13 @@
 """Choice of the route and the upstream of a call."""
 
 from .candidates import Candidate, build_candidates, is_leaving
+from .load import Demand
 from .match import choose_target, match_route
 from .selector import Selector
 
 __all__ = [
     "Candidate",
+    "Demand",
     "Selector",
     "build_candidates",
     "choose_target",
--- /dev/null
+++ b/lentilsill/routing/load.py
@@ -0,0 +1,100 @@
+"""What a node knows of the load and the failures of an upstream."""
+
+from dataclasses import dataclass, field
+
+__all__ = ["ANY_DEMAND", "Demand", "UpstreamLoad"]
+
+# A report loses half of its weight in this time: an upstream that was busy and
+# is not asked any more must be tried again.
+REPORT_HALF_LIFE_S = 0.5
+# Weight of the newest result in the moving average of failures.
+FAILURE_WEIGHT = 0.15
+# Time that a call loses on average when its upstream fails it.
+FAILURE_COST_MS = 200.0
+# A failing upstream still gets calls that show when it is well again.
+MAX_FAILURE_SHARE = 0.9
+# Taken for an upstream whose answers have not been seen yet.
+DEFAULT_ANSWER_MS = 20.0
+ANSWER_WEIGHT = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a call asks of its upstream.
+
+    `objective_ms` is the time within which an answer is worth most; 0 when the
+    route names none. `priority` is the rank among waiting calls, 0 first.
+    """
+
+    priority: int = 0
+    objective_ms: int = 0
+
+
+ANY_DEMAND = Demand()
+
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    expected_ms: float
+    at: float
+    outstanding: int
+
+
+NO_REPORT = _Report(0.0, float("-inf"), 0)
+
+
+@dataclass(slots=True)
+class UpstreamLoad:
+    """Load of one upstream as its node told it, and what was sent since.
+
+    Times are in seconds of one clock that never steps, expected times in ms.
+    """
+
+    first_seen: float
+    outstanding: int = 0
+    answer_ms: float = 0.0
+    failure_share: float = 0.0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = float("-inf")
+    refusing_until: float = float("-inf")
+    # The latest report by priority of the calls that it is about.
+    reports: dict[int, _Report] = field(default_factory=dict)
+
+    def report(self, expected_ms: float, now: float, priority: int = 0) -> None:
+        """Take the node's word of how long a new call would take there."""
+        self.reports[priority] = _Report(expected_ms, now, self.outstanding)
+
+    def add_result(self, failed: bool, taken_ms: float) -> None:
+        """Take the result of a call into the moving averages."""
+        self.failure_share += FAILURE_WEIGHT * (failed - self.failure_share)
+        if failed:
+            return
+        if not self.answer_ms:
+            self.answer_ms = taken_ms
+        self.answer_ms += ANSWER_WEIGHT * (taken_ms - self.answer_ms)
+
+    def expected_ms(self, slots: int, now: float, priority: int = 0) -> float:
+        """Expected time until a new call is answered well.
+
+        Examples
+        --------
+        >>> load = UpstreamLoad(0.0)
+        >>> load.report(60.0, now=1.0)
+        >>> load.expected_ms(slots=4, now=1.0), load.expected_ms(slots=4, now=1.5)
+        (65.0, 35.0)
+        >>> load.outstanding = 2
+        >>> load.expected_ms(slots=4, now=1.0)
+        75.0
+        """
+        report = self.reports.get(priority, NO_REPORT)
+        age_s = max(0.0, now - report.at)
+        told_ms = report.expected_ms * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+        if told_ms < 1.0:
+            since = self.outstanding
+        else:
+            since = max(0, self.outstanding - report.outstanding)
+        per_call_ms = (self.answer_ms or DEFAULT_ANSWER_MS) / max(1, slots)
+        share = min(MAX_FAILURE_SHARE, self.failure_share)
+        failure_ms = FAILURE_COST_MS * share / (1.0 - share)
+        return told_ms + (since + 1) * per_call_ms + failure_ms
--- a/lentilsill/routing/selector.py
+++ b/lentilsill/routing/selector.py
@@ -4,38 +4,31 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
 from lentilsill.membership import NodeRecord
 from lentilsill.versioning import Snapshot
 
 from .candidates import Candidate, build_candidates
+from .load import ANY_DEMAND, Demand, UpstreamLoad
 
 __all__ = ["Selector"]
 
-SLOW_START_S = 10.0
-# A cold upstream gets at least a tenth of its share, so that it warms up.
-MIN_WARMTH = 0.1
-# Load reports describe the past; older ones mislead more than they help.
-LOAD_REPORT_VALID_S = 1.0
+SLOW_START_S = 4.0
+# A cold upstream gets at least a quarter of its share, so that it warms up.
+MIN_WARMTH = 0.25
 FAILURES_TO_EJECT = 5
 EJECTION_S = 5.0
 MAX_EJECTION_S = 60.0
-# After a refusal for overload, others are tried first for this time.
+# After a refusal for overload, others are tried first for this time, or for the
+# time that the refusal names.
 REFUSAL_HOLD_S = 0.2
-
-
-@dataclass(slots=True)
-class _Load:
-    """What this node knows about the work of an upstream."""
-
-    first_seen: float
-    outstanding: int = 0
-    others: int = 0
-    reported_at: float = float("-inf")
-    failures: int = 0
-    ejections: int = 0
-    ejected_until: float = float("-inf")
-    refusing_until: float = float("-inf")
+MAX_REFUSAL_HOLD_S = 0.5
+# A route without an objective counts an upstream as busy from here on.
+DEFAULT_OBJECTIVE_MS = 100.0
+# Between upstreams that are both too slow, another domain must be this much
+# faster: crossing costs latency, and bytes between domains.
+FARTHER_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -49,7 +42,7 @@
 
 
 class Selector:
-    """Chooses upstreams by outstanding work, own domain first.
+    """Chooses upstreams by the time that a call is expected to take, near ones first.
 
     The better of two random candidates is taken (Mitzenmacher 2001). Lists of
     candidates are built once per change of snapshot or members. Times are in
@@ -64,7 +57,7 @@
         self._hosts: dict[str, list[NodeRecord]] = {}
         self._suspects: frozenset[str] = frozenset()
         self._pools: dict[tuple[str, str], _Pool] = {}
-        self._loads: dict[str, _Load] = {}
+        self._loads: dict[str, UpstreamLoad] = {}
 
     def update(
         self,
@@ -99,30 +92,46 @@
         now: float,
         wall_ms: int,
         tried: Collection[str] = (),
+        demand: Demand = ANY_DEMAND,
     ) -> Candidate | None:
         """Choose an upstream that is not in `tried`, or None.
 
-        Other domains are used when each upstream of the own domain is absent,
-        ejected, tried, or has refused a call within 0.2 s.
+        The best of two random candidates of the own domain is compared with the
+        best of two of the others, which is taken when it changes what the caller
+        gets: an answer within the objective, or one much sooner. An upstream
+        that has refused a call a moment ago is chosen only when there is no
+        other.
         """
         pool = self._pool(service, upstream_set)
         if now >= pool.valid_until:
             self._refresh(pool, now)
         for strict in (True, False):
-            for group in (pool.local, pool.remote):
-                chosen = self._best_of_two(group, now, wall_ms, tried, strict)
-                if chosen is not None:
-                    return chosen
+            near = self._best_of_two(pool.local, now, wall_ms, tried, strict, demand)
+            if near is not None:
+                near_ms = self._score(near, now, wall_ms, demand)
+                if near_ms <= (demand.objective_ms or DEFAULT_OBJECTIVE_MS):
+                    return near
+            far = self._best_of_two(pool.remote, now, wall_ms, tried, strict, demand)
+            if near is None or far is None:
+                if near is not None or far is not None:
+                    return near or far
+                continue
+            far_ms = self._score(far, now, wall_ms, demand)
+            is_in_time = far_ms <= (demand.objective_ms or DEFAULT_OBJECTIVE_MS)
+            return far if is_in_time or far_ms < FARTHER_SHARE * near_ms else near
         return None
 
     def started(self, upstream: str, now: float) -> None:
         """Count a call as outstanding."""
         self._load(upstream, now).outstanding += 1
 
-    def finished(self, upstream: str, now: float, failed: bool) -> None:
+    def finished(
+        self, upstream: str, now: float, failed: bool, taken_ms: float = 0.0
+    ) -> None:
         """Count the end of a call; failures in a row eject the upstream."""
         load = self._load(upstream, now)
         load.outstanding -= 1
+        load.add_result(failed, taken_ms)
         if not failed:
             load.failures = 0
             if now >= load.ejected_until + EJECTION_S:
@@ -137,22 +146,31 @@
             for pool in self._pools.values():
                 pool.valid_until = float("-inf")
 
-    def refused(self, upstream: str, now: float) -> None:
+    def refused(self, upstream: str, now: float, hold_s: float = 0.0) -> None:
         """Prefer others for a short time after a refusal."""
-        self._load(upstream, now).refusing_until = now + REFUSAL_HOLD_S
+        hold_s = min(hold_s or REFUSAL_HOLD_S, MAX_REFUSAL_HOLD_S)
+        self._load(upstream, now).refusing_until = now + hold_s
 
-    def report(self, upstream: str, work: int, now: float) -> None:
-        """Take a load report: calls running or queued there, this node's too."""
-        load = self._load(upstream, now)
-        load.others = max(0, work - load.outstanding)
-        load.reported_at = now
+    def report(
+        self, upstream: str, expected_ms: float, now: float, priority: int = 0
+    ) -> None:
+        """Take a load report: how long a new call is expected to take there."""
+        self._load(upstream, now).report(expected_ms, now, priority)
 
-    def dump(self, now: float) -> dict[str, dict[str, float | bool]]:
+    def dump(self, now: float) -> dict[str, dict[str, Any]]:
         """Give the state per upstream for the state dump."""
         return {
             upstream: {
                 "outstanding": load.outstanding,
-                "others": load.others,
+                "expected_ms": {
+                    priority: round(report.expected_ms, 1)
+                    for priority, report in load.reports.items()
+                },
+                "report_age_s": {
+                    priority: round(now - report.at, 3)
+                    for priority, report in load.reports.items()
+                },
+                "failure_share": round(load.failure_share, 3),
                 "ejected": now < load.ejected_until,
             }
             for upstream, load in self._loads.items()
@@ -197,6 +215,7 @@
         wall_ms: int,
         tried: Collection[str],
         strict: bool,
+        demand: Demand,
     ) -> Candidate | None:
         count = len(group)
         if not count:
@@ -206,11 +225,11 @@
             j = int(self._rng.random() * (count - 1))
             pair = [group[i], group[j + (j >= i)]]
             if all(self._usable(c, now, tried, strict) for c in pair):
-                return self._better(pair, now, wall_ms)
+                return self._better(pair, now, wall_ms, demand)
         usable = [c for c in group if self._usable(c, now, tried, strict)]
         if len(usable) > 2:
             usable = self._rng.sample(usable, 2)
-        return self._better(usable, now, wall_ms) if usable else None
+        return self._better(usable, now, wall_ms, demand) if usable else None
 
     def _usable(
         self, candidate: Candidate, now: float, tried: Collection[str], strict: bool
@@ -222,26 +241,29 @@
         load = self._loads.get(candidate.upstream)
         return load is None or now >= load.refusing_until
 
-    def _better(self, pair: list[Candidate], now: float, wall_ms: int) -> Candidate:
+    def _better(
+        self, pair: list[Candidate], now: float, wall_ms: int, demand: Demand
+    ) -> Candidate:
         if len(pair) == 1:
             return pair[0]
         first, second = pair
-        if self._score(first, now, wall_ms) <= self._score(second, now, wall_ms):
+        first_ms = self._score(first, now, wall_ms, demand)
+        if first_ms <= self._score(second, now, wall_ms, demand):
             return first
         return second
 
-    def _score(self, candidate: Candidate, now: float, wall_ms: int) -> float:
+    def _score(
+        self, candidate: Candidate, now: float, wall_ms: int, demand: Demand
+    ) -> float:
         load = self._load(candidate.upstream, now)
-        work = load.outstanding + 1
-        if now - load.reported_at < LOAD_REPORT_VALID_S:
-            work += load.others
+        expected_ms = load.expected_ms(candidate.slots, now, demand.priority)
         # The time since first sight bounds the slow start when clocks differ.
         age_s = max((wall_ms - candidate.ready_at_ms) / 1000, now - load.first_seen)
         warmth = min(1.0, max(MIN_WARMTH, age_s / SLOW_START_S))
-        return work / (candidate.slots * warmth)
+        return expected_ms / warmth
 
-    def _load(self, upstream: str, now: float) -> _Load:
+    def _load(self, upstream: str, now: float) -> UpstreamLoad:
         load = self._loads.get(upstream)
         if load is None:
-            load = self._loads[upstream] = _Load(now)
+            load = self._loads[upstream] = UpstreamLoad(now)
         return load
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -211,7 +211,9 @@
     The sender needs no record of calls with ids up to `settled` any more; the
     receiver drops those records and refuses such ids if they arrive late.
     `attempt` holds the claim of `request_key`; it is empty without a claim.
-    `attempt_id` is the caller's name of its attempt.
+    `attempt_id` is the caller's name of its attempt. `priority` and
+    `objective_ms` rank the call among those that wait, the latter counted from
+    its arrival; 0 stands for the deadline.
     """
 
     call_id: int
@@ -228,10 +230,16 @@
     settled: int = -1
     attempt: str = ""
     attempt_id: str = ""
+    route: str = ""
+    priority: int = 0
+    objective_ms: int = 0
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag=21):
-    """The upstream's answer; `body_length` is checked against `body`."""
+    """The upstream's answer; `body_length` is checked against `body`.
+
+    `load` is the time in ms that a new call is expected to take there.
+    """
 
     call_id: int
     status: int
