Log calls that did not simply succeed, and serve metrics as text

Cause: an engineer with only logs and metrics could not tell why a call failed; a log on standard error could block the event loop; nothing served the metrics address. Change: one call_ended line with every attempt, bounded by a token bucket with the number of suppressed lines; standard output is non-blocking with a bounded buffer; prometheus-client serves counters and histograms below /metrics.

--- a/lentilsill/daemon/admin_server.py
+++ b/lentilsill/daemon/admin_server.py
@@ -87,6 +87,7 @@
                 (r"/lentilsill/live", _LiveHandler, args),
                 (paths.ready_path, _ReadyHandler, args),
                 (r"/lentilsill/state", _StateHandler, args),
+                (r"/metrics", _MetricsHandler, args),
             ],
             default_handler_class=_NotFoundHandler,
             default_handler_args=args,
@@ -196,3 +197,9 @@
 class _StateHandler(_Handler):
     def get(self) -> None:
         self.reply(200, state_dump(self.server.ctx))
+
+
+class _MetricsHandler(_Handler):
+    def get(self) -> None:
+        self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+        self.finish(self.server.ctx.own_metrics.text())
--- a/lentilsill/daemon/context.py
+++ b/lentilsill/daemon/context.py
@@ -13,7 +13,9 @@
 from lentilsill.wire import PeerLinks
 
 from .blackboard import Blackboard
+from .call_log import CallLog
 from .deadlines import Deadlines
+from .metrics import Metrics
 
 __all__ = ["Context"]
 
@@ -26,7 +28,8 @@
     `wall_ms` (milliseconds since the epoch as of the process start, carried
     on by the monotonic clock, so that it never steps either). `in_flight`
     counts the calls that a drain waits for; the assembly sets it. `deadlines`
-    calls back for calls that run late.
+    calls back for calls that run late. Metrics go to `own_metrics`, which the
+    admin address serves, and to `metrics`, a statsd server, if there is one.
     """
 
     cfg: NodeSettings
@@ -38,10 +41,15 @@
     in_flight: Callable[[], int] = lambda: 0
     deadlines: Deadlines = field(default_factory=Deadlines)
     now: Callable[[], float] = time.monotonic
+    own_metrics: Metrics = field(default_factory=Metrics)
+    call_log: CallLog = field(init=False)
     _wall_offset_ms: float = field(
         default_factory=lambda: time.time() * 1000 - time.monotonic() * 1000
     )
 
+    def __post_init__(self) -> None:
+        self.call_log = CallLog(lambda: self.now())
+
     def wall_ms(self) -> int:
         """Milliseconds since the epoch by a clock that never steps."""
         return int(self.now() * 1000 + self._wall_offset_ms)
@@ -55,15 +63,18 @@
 
     def count(self, name: str, value: int = 1) -> None:
         """Add to a counter metric."""
+        self.own_metrics.count(name, value)
         if self.metrics is not None:
             self.metrics.incr(name, value)
 
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge metric."""
+        self.own_metrics.gauge(name, value)
         if self.metrics is not None:
             self.metrics.gauge(name, value)
 
     def timing(self, name: str, value_ms: float) -> None:
         """Record a duration in milliseconds."""
+        self.own_metrics.timing(name, value_ms)
         if self.metrics is not None:
             self.metrics.timing(name, value_ms)
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -301,6 +301,17 @@
             self._apply(own.queue.finished(execution, self.ctx.now()))
             if self._departed and not own.running:
                 self._departed.pop(call.upstream, None)
+        if isinstance(result, Refused):
+            self.ctx.call_log.write(
+                "execution_failed",
+                attempt=call.attempt_id,
+                upstream=call.upstream,
+                outcome=result.outcome.value,
+                reason=result.reason,
+                running=len(own.running),
+                work=own.queue.work,
+                time_limit_ms=_ms(remaining_s),
+            )
         match result:
             case Refused(outcome=Outcome.NOT_RUN, reason=reason):
                 if reason.startswith(UNREACHABLE) and self._crashed(own):
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -8,7 +8,7 @@
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import CallRequest, CrashGuard, Granted, KeyClaims
-from lentilsill.documents import Route, RouteTarget, ServiceDocument
+from lentilsill.documents import RouteTarget
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.retries import (
     Budget,
@@ -27,6 +27,7 @@
 from lentilsill.wire import CALLS, Link
 from lentilsill.wire.messages import Call, GoAway
 
+from .call_plan import Attempt, CallPlan, report_call
 from .destination import DestinationController, Execution, fingerprint_of
 from .peer_calls import PeerCalls, Reply
 from .reasons import (
@@ -46,42 +47,6 @@
 MAX_LOST_UPSTREAMS = 2
 
 
-class _Plan:
-    """A call on its way, with what its attempts have shown."""
-
-    __slots__ = (
-        "arrivals",
-        "attempts",
-        "claim",
-        "deadline",
-        "document",
-        "fingerprint",
-        "req",
-        "route",
-        "target",
-    )
-
-    def __init__(
-        self,
-        req: CallRequest,
-        document: ServiceDocument,
-        route: Route,
-        deadline: float,
-        fingerprint: str,
-    ) -> None:
-        self.req = req
-        self.document = document
-        self.route = route
-        self.deadline = deadline
-        self.fingerprint = fingerprint
-        # Upstreams that were chosen, and how many of them the call has reached.
-        self.attempts: set[str] = set()
-        self.arrivals = 0
-        self.target: RouteTarget | None = None
-        # Attempt that holds the request key at its replicas.
-        self.claim = ""
-
-
 class EntryController:
     """Implements `CallService` for the callers of this node.
 
@@ -155,25 +120,29 @@
         deadline_s = route.deadline_ms / 1000
         if req.deadline_ms > 0:
             deadline_s = min(deadline_s, req.deadline_ms / 1000)
-        plan = _Plan(req, document, route, self.ctx.now() + deadline_s, fingerprint)
-        if route.idempotent:
-            return await self._counted(self._run(plan))
+        now = self.ctx.now()
+        plan = CallPlan(req, document, route, now, now + deadline_s, fingerprint)
         if not claimed:
             # The destination keeps a call that may not be repeated when its
             # caller goes away, unless it still waits.
-            return await self._counted(self._run(plan))
+            return await self._counted(plan, self._run(plan))
         # The outcome of a claimed call is stored.
         run = self._run_claimed(plan)
-        return await asyncio.shield(self.ctx.spawn(self._counted(run)))
+        return await asyncio.shield(self.ctx.spawn(self._counted(plan, run)))
 
-    async def _counted(self, run: Coroutine[Any, Any, CallResult]) -> CallResult:
+    async def _counted(
+        self, plan: CallPlan, run: Coroutine[Any, Any, CallResult]
+    ) -> CallResult:
         self.in_flight += 1
+        result: CallResult | None = None
         try:
-            return await run
+            result = await run
+            return result
         finally:
             self.in_flight -= 1
+            report_call(self.ctx, plan, result)
 
-    async def _run_claimed(self, plan: _Plan) -> CallResult:
+    async def _run_claimed(self, plan: CallPlan) -> CallResult:
         if self.claims is None:
             return Refused(Outcome.UNKNOWN, "request keys are not supported")
         key = plan.req.request_key
@@ -192,7 +161,7 @@
             self.claims.finish(key, attempt, result)
         return result
 
-    async def _run(self, plan: _Plan) -> CallResult:
+    async def _run(self, plan: CallPlan) -> CallResult:
         """Make attempts until an answer, or until no other may be made."""
         route = plan.route
         worst: Refused | None = None
@@ -203,11 +172,16 @@
             target, candidate = self._pick(plan, now)
             if candidate is None or target is None:
                 return failure or worst or not_run(NO_UPSTREAM)
+            if failure is not None and not self.selector.fails_less(
+                candidate.upstream, plan.last, now
+            ):
+                return failure
             budget = self._budget("retry", plan, target.service)
             if not plan.arrivals:
                 budget.add_call(now)
             elif not budget.take(now):
                 return failure or worst or not_run(NO_UPSTREAM)
+            plan.last = candidate.upstream
             plan.attempts.add(candidate.upstream)
             hedge_s = decide_hedge(route.hedge, route.idempotent, plan.deadline - now)
             if hedge_s is None:
@@ -233,17 +207,22 @@
             ):
                 return failure or worst or not_run(NO_UPSTREAM)
 
-    async def _attempt(self, plan: _Plan, candidate: Candidate) -> CallResult:
+    async def _attempt(self, plan: CallPlan, candidate: Candidate) -> CallResult:
         upstream = candidate.upstream
         selector = self.selector
         began = self.ctx.now()
         selector.started(upstream, began)
         failed = False
+        reply: Reply | None = None
         try:
             reply = await self._send(plan, candidate)
             failed = _speaks_against(reply.result)
         finally:
             now = self.ctx.now()
+            if reply is not None:
+                plan.trace.append(
+                    Attempt(candidate, reply.result, reply.load, now - began)
+                )
             selector.finished(upstream, now, failed, (now - began) * 1000)
         if reply.load >= 0:
             priority = plan.route.priority
@@ -253,7 +232,7 @@
             selector.refused(upstream, self.ctx.now(), hold_s)
         return reply.result
 
-    async def _send(self, plan: _Plan, candidate: Candidate) -> Reply:
+    async def _send(self, plan: CallPlan, candidate: Candidate) -> Reply:
         req = plan.req
         call = Call(
             0,
@@ -280,7 +259,7 @@
         return Reply(result, self.destination.load(call))
 
     async def _hedged(
-        self, plan: _Plan, candidate: Candidate, delay_s: float
+        self, plan: CallPlan, candidate: Candidate, delay_s: float
     ) -> CallResult:
         """Add a second attempt when the first is slow; the loser is cancelled."""
         budget = self._budget("hedge", plan, plan.document.service)
@@ -312,7 +291,7 @@
                 task.cancel()
 
     def _pick(
-        self, plan: _Plan, now: float
+        self, plan: CallPlan, now: float
     ) -> tuple[RouteTarget | None, Candidate | None]:
         """Choose a target by weight; when it has no upstream, another one.
 
@@ -333,7 +312,7 @@
         return None, None
 
     def _pick_of(
-        self, plan: _Plan, target: RouteTarget, now: float
+        self, plan: CallPlan, target: RouteTarget, now: float
     ) -> Candidate | None:
         return self.selector.pick(
             target.service,
@@ -344,7 +323,7 @@
             Demand(plan.route.priority, plan.route.objective_ms),
         )
 
-    def _budget(self, kind: str, plan: _Plan, service: str) -> Budget:
+    def _budget(self, kind: str, plan: CallPlan, service: str) -> Budget:
         """Give the budget that attempts beyond the first are taken from."""
         cfg = self.ctx.cfg.calls
         if kind == "retry" and cfg.retry_ratio is not None:
@@ -407,7 +386,7 @@
     return worst
 
 
-def _content_fingerprint(plan: _Plan) -> str:
+def _content_fingerprint(plan: CallPlan) -> str:
     """Identify the content of a keyed request, to tell a reused key."""
     req = plan.req
     return fingerprint_of("", req.service, req.method, req.path, req.body)
--- a/lentilsill/daemon/logs.py
+++ b/lentilsill/daemon/logs.py
@@ -1,10 +1,12 @@
-"""Logging of a process: one JSON line per event on standard error."""
+"""Logging of a process: one JSON line per event on standard output."""
 
 import logging
 import sys
 
 import structlog
 
+from .log_output import LogOutput
+
 __all__ = ["configure_logs"]
 
 
@@ -23,9 +25,18 @@
         )
 
 
+class _LineLogger:
+    """Writes the rendered lines of all levels."""
+
+    def __init__(self, output: LogOutput) -> None:
+        self.debug = self.info = self.warning = output.write_line
+        self.error = self.critical = self.exception = self.msg = output.write_line
+
+
 def configure_logs(level: str) -> None:
     """Write events from `level` up; tracebacks only at level ``debug``."""
     number = logging.getLevelNamesMapping()[level.upper()]
+    output = LogOutput(sys.stdout.fileno())
     processors: list = [
         structlog.processors.add_log_level,
         structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
@@ -38,7 +49,8 @@
     structlog.configure(
         processors=processors,
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=lambda *args: _LineLogger(output),
+        cache_logger_on_first_use=True,
     )
     logging.basicConfig(handlers=[_ForwardHandler()], level=number, force=True)
 
--- a/lentilsill/platform/settings_file.py
+++ b/lentilsill/platform/settings_file.py
@@ -19,6 +19,11 @@
 # Callers leave a node after two readiness checks without an answer of 200, which
 # come once a second.
 DRAIN_MIN_S = 2.5
+# A call that takes longer is repeated; a slow platform answers in about 0.3 s.
+PLATFORM_TIMEOUT_S = 2.0
+# A watch can miss changes without an error. It is renewed well within the time
+# in which a node must have caught up after a disturbance of the platform.
+WATCH_SHARE = 0.5
 # A process is killed at the end of its grace; the rest is for closing links.
 EXIT_MARGIN_S = 1.0
 
@@ -66,6 +71,10 @@
     raise FindingsError(findings)
 
 
+def _watch_timeout_s(fields: Mapping[str, str]) -> float:
+    return WATCH_SHARE * float(fields["bounds.stable_window_ms"]) / 1000
+
+
 def _node_settings(fields: Mapping[str, str]) -> dict[str, Any]:
     ip = fields["ip"]
     first_port = fields["internal_ports"].split(",")[0]
@@ -87,7 +96,11 @@
         "host_upstream_address": fields["app_addr"],
         "documents": "bundle",
         "directory": True,
-        "platform": {"url": f"http://{fields['platform.address']}"},
+        "platform": {
+            "url": f"http://{fields['platform.address']}",
+            "request_timeout_s": PLATFORM_TIMEOUT_S,
+            "watch_timeout_s": _watch_timeout_s(fields),
+        },
         "calls": {
             "retry_ratio": float(fields["bounds.retry_budget_ratio"]),
             "retry_window_s": float(fields["bounds.budget_window_s"]),
--- a/lentilsill/routing/load.py
+++ b/lentilsill/routing/load.py
@@ -6,7 +6,7 @@
 
 # A report loses half of its weight in this time: an upstream that was busy and
 # is not asked any more must be tried again.
-REPORT_HALF_LIFE_S = 0.5
+REPORT_HALF_LIFE_S = 1.0
 # Weight of the newest result in the moving average of failures.
 FAILURE_WEIGHT = 0.15
 # Time that a call loses on average when its upstream fails it.
@@ -81,7 +81,7 @@
         --------
         >>> load = UpstreamLoad(0.0)
         >>> load.report(60.0, now=1.0)
-        >>> load.expected_ms(slots=4, now=1.0), load.expected_ms(slots=4, now=1.5)
+        >>> load.expected_ms(slots=4, now=1.0), load.expected_ms(slots=4, now=2.0)
         (65.0, 35.0)
         >>> load.outstanding = 2
         >>> load.expected_ms(slots=4, now=1.0)
--- a/lentilsill/routing/selector.py
+++ b/lentilsill/routing/selector.py
@@ -29,6 +29,8 @@
 # Between upstreams that are both too slow, another domain must be this much
 # faster: crossing costs latency, and bytes between domains.
 FARTHER_SHARE = 0.5
+# Share of another upstream's failures below which one counts as better.
+CLEARLY_LESS = 0.5
 
 
 @dataclass(slots=True)
@@ -121,6 +123,15 @@
             return far if is_in_time or far_ms < FARTHER_SHARE * near_ms else near
         return None
 
+    def fails_less(self, upstream: str, other: str, now: float) -> bool:
+        """Whether `upstream` fails calls clearly less often than `other`.
+
+        Where all fail alike, the cause lies behind them, and a repeated call
+        would only add to its load.
+        """
+        share = self._load(upstream, now).failure_share
+        return share < CLEARLY_LESS * self._load(other, now).failure_share
+
     def started(self, upstream: str, now: float) -> None:
         """Count a call as outstanding."""
         self._load(upstream, now).outstanding += 1
--- a/lentilsill/routing/tests/test_selector.py
+++ b/lentilsill/routing/tests/test_selector.py
@@ -6,7 +6,7 @@
 
 from lentilsill.documents import Limits, RetryPolicy, Route, ServiceDocument
 from lentilsill.membership import NodeState
-from lentilsill.routing import Selector, match_route
+from lentilsill.routing import Demand, Selector, match_route
 from lentilsill.routing.selector import FAILURES_TO_EJECT
 from lentilsill.routing.tests.builders import make_document, make_node
 from lentilsill.versioning import Snapshot
@@ -61,6 +61,36 @@
         self.assertEqual(len(self.picks(selector, now=1.0)), 2)
         self.assertEqual(len(self.picks(selector, now=100.0)), 3)
 
+    def test_failing_upstream_is_told_from_a_failing_service(self):
+        """Guards against repeats when what lies behind all upstreams fails: on
+        thandak-mesh scale-1 repeated calls broke the shared bound on retries."""
+        selector = self.selector(make_node("a"), make_node("b"))
+        for name in ("w-a", "w-b"):
+            for _ in range(10):
+                selector.started(name, 0.0)
+                selector.finished(name, 0.0, True)
+        self.assertFalse(selector.fails_less("w-b", "w-a", 0.0))
+        for _ in range(10):
+            selector.started("w-b", 0.0)
+            selector.finished("w-b", 0.0, False, 5.0)
+        self.assertTrue(selector.fails_less("w-b", "w-a", 0.0))
+
+    def test_calls_cross_domains_only_for_the_callers_gain(self):
+        """Guards against calls of a loaded domain that are late at home while
+        another domain could answer in time, and against needless crossings."""
+        selector = self.selector(make_node("a"), make_node("b", "multan"))
+        demand = Demand(1, 200)
+        for near_ms, far_ms, expected in (
+            (150.0, 10.0, "a"),
+            (400.0, 100.0, "b"),
+            (400.0, 300.0, "a"),
+            (900.0, 300.0, "b"),
+        ):
+            selector.report("w-a", near_ms, 0.0, priority=1)
+            selector.report("w-b", far_ms, 0.0, priority=1)
+            chosen = selector.pick("slots", "all", 0.0, OLD_MS, (), demand)
+            self.assertEqual(chosen.node, expected, (near_ms, far_ms))
+
     def test_cold_upstream_gets_less(self):
         """Guards against a cold upstream that is flooded."""
         selector = self.selector(make_node("a"), make_node("b"))
