--- /dev/null
+++ b/lentilsill/daemon/controllers/tests/test_upstream_answers.py
@@ -0,0 +1,107 @@
+"""Answers of upstreams prove what they say, and belong to their request."""
+
+import asyncio
+import socket
+import struct
+import unittest
+
+from lentilsill.daemon.controllers.upstream_client import Exchange, UpstreamClient
+from lentilsill.daemon.integration import HeaderNames, Integration
+from lentilsill.outcomes import Answer, Outcome
+
+NAMES = HeaderNames(
+    attempt_id="Attempt",
+    target_upstream="Target",
+    not_run="Not-Run",
+    answer_digest="Digest",
+)
+INTEGRATION = Integration(NAMES, routes_by_host=True, unframed_answers=True)
+
+
+def answer(status=200, attempt="a1", body=b"ok", digest=True, extra=""):
+    head = f"HTTP/1.1 {status} x\r\nContent-Length: {len(body)}\r\n{extra}"
+    head += f"Attempt: {attempt}\r\n" if attempt else ""
+    head += "Digest: d\r\n" if digest else ""
+    return head.encode() + b"\r\n" + body
+
+
+class UpstreamAnswerTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.script: list = []
+        self.requests = 0
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.client = UpstreamClient(f"127.0.0.1:{port}", 10.0, INTEGRATION)
+        self.addCleanup(self.client.close)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.requests += 1
+                data, end = self.script.pop(0)
+                writer.write(data)
+                await writer.drain()
+                if end == "reset":
+                    linger = struct.pack("ii", 1, 0)
+                    sock = writer.get_extra_info("socket")
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                if end:
+                    return
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def send(self, *script, attempt="a1", idempotent=False):
+        self.script += script
+        async with asyncio.timeout(5):
+            return await self.client.send(
+                Exchange(), "GET", "/", (("Host", "h"),), b"", idempotent, attempt
+            )
+
+    async def test_only_a_proof_makes_not_run(self):
+        """Guards against a refusal of a request that has run (G5)."""
+        proved = await self.send((answer(503, extra="Not-Run: 1\r\n"), ""))
+        self.assertEqual(proved.outcome, Outcome.NOT_RUN)
+        self.assertTrue(proved.arrived)
+        for status in (503, 429, 408):
+            claimed = await self.send((answer(status), ""))
+            self.assertEqual(claimed.outcome, Outcome.UNKNOWN, status)
+        other = await self.send((answer(421), ""))
+        self.assertEqual(other.outcome, Outcome.NOT_RUN)
+
+    async def test_success_without_digest_is_not_delivered(self):
+        """Guards against bytes that the upstream has not vouched for (G4)."""
+        result = await self.send((answer(digest=False), ""))
+        self.assertEqual(result.outcome, Outcome.RUN_ANSWER_LOST)
+        failure = await self.send((answer(500, digest=False), ""))
+        self.assertIsInstance(failure, Answer)
+
+    async def test_late_answer_of_an_earlier_request_is_skipped(self):
+        """Guards against the answer to another caller's request (G4)."""
+        await self.send((answer(), ""))
+        late = answer(attempt="a0", body=b"late") + answer(attempt="a2", body=b"mine")
+        result = await self.send((late, ""), attempt="a2")
+        self.assertEqual(result.body, b"mine")
+
+    async def test_second_answer_does_not_reach_the_next_request(self):
+        """Guards against an extra answer that waits on a kept connection (G4)."""
+        await self.send((answer() + answer(body=b"extra"), ""))
+        await asyncio.sleep(0.02)
+        result = await self.send((answer(attempt="a2", body=b"mine"), ""), attempt="a2")
+        self.assertEqual(result.body, b"mine")
+
+    async def test_answer_without_length_is_whole_only_without_a_reset(self):
+        """Guards against a cut answer that looks whole (G4)."""
+        head = b"HTTP/1.1 200 OK\r\nAttempt: a1\r\nDigest: d\r\n\r\nwhole"
+        result = await self.send((head, "end"))
+        self.assertEqual(result.body, b"whole")
+        cut = await self.send((head, "reset"))
+        self.assertEqual(cut.outcome, Outcome.RUN_ANSWER_LOST)
+
+    async def test_bytes_that_are_no_answer(self):
+        """Guards against a request that may have run and is told as not run."""
+        result = await self.send((b"\x00\x01garbage\r\n\r\n", "end"))
+        self.assertNotEqual(result.outcome, Outcome.NOT_RUN)
--- /dev/null
+++ b/lentilsill/daemon/tests/test_announcements.py
@@ -0,0 +1,73 @@
+"""Announcements that arrive late, twice or out of order change nothing."""
+
+import random
+import unittest
+
+from lentilsill.daemon.announcements import Announcements
+from lentilsill.daemon.blackboard import Blackboard
+from lentilsill.daemon.context import Context
+from lentilsill.membership import Announcement, UpstreamRecord, UpstreamState
+from lentilsill.versioning import EMPTY_SNAPSHOT
+from lentilsill.wire import PeerLinks
+from lentilsill.wire.links import Identity
+
+from .builders import node_settings
+
+ADDRESS = "127.0.0.1:9"
+
+
+def announcement(upstream="w1", started_ms=1000, sequence=1, state="READY"):
+    record = UpstreamRecord(upstream, "a", ADDRESS, 6, (), UpstreamState[state])
+    return Announcement(record, started_ms, sequence)
+
+
+class AnnouncementOrderTests(unittest.TestCase):
+    def setUp(self):
+        cfg = node_settings("n1", host_upstream_address=ADDRESS)
+        links = PeerLinks(Identity("n1", "i-1", "d", "127.0.0.1:1"), "127.0.0.1")
+        board = Blackboard(EMPTY_SNAPSHOT)
+        self.ctx = Context(cfg, board, links, None, random.Random(1))
+        self.gone: list[str] = []
+        self.announcements = Announcements(self.ctx, self.gone.append)
+
+    def states(self):
+        return {name: rec.state.name for name, rec in self.ctx.board.upstreams.items()}
+
+    def test_late_ready_does_not_undo_leaving(self):
+        """Guards against new work after an acknowledged drain."""
+        self.announcements.announce(announcement(sequence=5, state="LEAVING"))
+        self.announcements.announce(announcement(sequence=4))
+        self.assertEqual(self.states(), {"w1": "LEAVING"})
+
+    def test_late_report_of_a_crashed_process_does_not_replace_the_next(self):
+        """Guards against a report that was held up by a partition."""
+        self.announcements.announce(announcement("w2", started_ms=2000))
+        self.announcements.announce(announcement("w1", started_ms=1000, sequence=9))
+        self.assertEqual(self.states(), {"w2": "READY"})
+
+    def test_same_id_starts_anew(self):
+        """Guards against a restarted upstream whose counts seem old."""
+        self.announcements.announce(announcement(sequence=50, state="LEAVING"))
+        self.announcements.announce(announcement(started_ms=2000, sequence=1))
+        self.assertEqual(self.states(), {"w1": "READY"})
+
+    def test_deletion_is_final_for_its_process(self):
+        """Guards against a delayed report that brings a leaving upstream back."""
+        self.announcements.announce(announcement(sequence=1))
+        self.assertTrue(self.announcements.delete("w1"))
+        self.announcements.announce(announcement(sequence=2))
+        self.assertEqual(self.states(), {})
+        self.announcements.announce(announcement(started_ms=2000, sequence=1))
+        self.assertEqual(self.states(), {"w1": "READY"})
+
+    def test_late_deletion_spares_the_next_process(self):
+        """Guards against a deletion that was held up by a partition."""
+        self.announcements.announce(announcement(started_ms=2000))
+        self.announcements.delete("w1", started_ms=1000)
+        self.assertEqual(self.states(), {"w1": "READY"})
+
+    def test_upstream_that_says_that_it_leaves_has_not_crashed(self):
+        """Guards against quarantine of the calls that a leaving upstream ends."""
+        self.announcements.announce(announcement())
+        self.announcements.delete("w1")
+        self.assertEqual(self.gone, [])
--- /dev/null
+++ b/lentilsill/daemon/tests/test_pipelining.py
@@ -0,0 +1,94 @@
+"""Requests that are sent ahead run at once and are answered in their order."""
+
+import asyncio
+import unittest
+
+from lentilsill.daemon.caller_server import CallerServer
+from lentilsill.outcomes import Answer
+
+HEAD = b"HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class _Calls:
+    """Answers a call with its path when its gate is open."""
+
+    def __init__(self):
+        self.gates = {}
+        self.begun = []
+        self.cancelled = []
+
+    async def handle(self, req):
+        self.begun.append(req.path)
+        try:
+            await self.gates.setdefault(req.path, asyncio.Event()).wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(req.path)
+            raise
+        return Answer(200, (), req.path.encode())
+
+
+class PipeliningTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.calls = _Calls()
+        self.server = CallerServer(self.calls, 1000)
+        port = self.server.listen("127.0.0.1:0")
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
+        self.addAsyncCleanup(self.server.close)
+
+    async def begun(self, count):
+        async with asyncio.timeout(5):
+            while len(self.calls.begun) < count:
+                await asyncio.sleep(0.005)
+
+    async def body(self):
+        async with asyncio.timeout(5):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            return head, await self.reader.readexactly(length)
+
+    async def test_later_requests_run_and_wait_for_their_turn(self):
+        """Guards against a request that waits for the one before it to be answered,
+        and against answers that change places (G4)."""
+        self.writer.write(b"GET /s/1 " + HEAD + b"GET /s/2 " + HEAD)
+        await self.begun(2)
+        self.calls.gates["/2"].set()
+        await asyncio.sleep(0.02)
+        self.calls.gates["/1"].set()
+        self.assertEqual((await self.body())[1], b"/1")
+        self.assertEqual((await self.body())[1], b"/2")
+
+    async def test_caller_that_leaves_cancels_all_of_its_requests(self):
+        """Guards against work for a caller that has gone."""
+        self.writer.write(b"GET /s/1 " + HEAD + b"GET /s/2 " + HEAD)
+        await self.begun(2)
+        self.writer.close()
+        async with asyncio.timeout(5):
+            while len(self.calls.cancelled) < 2:
+                await asyncio.sleep(0.005)
+        self.assertEqual(set(self.calls.cancelled), {"/1", "/2"})
+
+    async def test_shutdown_answers_what_was_read(self):
+        """Guards against a shutdown that cuts requests in flight (G8)."""
+        self.writer.write(b"GET /s/1 " + HEAD + b"GET /s/2 " + HEAD)
+        await self.begun(2)
+        closing = asyncio.ensure_future(self.server.close())
+        await asyncio.sleep(0.02)
+        self.calls.gates["/1"].set()
+        self.calls.gates["/2"].set()
+        self.assertEqual((await self.body())[1], b"/1")
+        head, body = await self.body()
+        self.assertEqual(body, b"/2")
+        self.assertIn(b"connection: close", head.lower())
+        await closing
+        async with asyncio.timeout(5):
+            self.assertEqual(await self.reader.read(), b"")
+
+    async def test_malformed_request_gets_400_after_the_answers_before_it(self):
+        """Guards against an answer that overtakes those before it."""
+        self.writer.write(b"GET /s/1 " + HEAD + b"nonsense\r\n\r\n")
+        await self.begun(1)
+        await asyncio.sleep(0.02)
+        self.calls.gates["/1"].set()
+        self.assertEqual((await self.body())[1], b"/1")
+        async with asyncio.timeout(5):
+            self.assertIn(b"400", await self.reader.read())
--- /dev/null
+++ b/lentilsill/platform/tests/test_translation.py
@@ -0,0 +1,91 @@
+"""The platform's formats become the node's own, or are refused with the place."""
+
+import json
+import unittest
+
+from lentilsill.documents import parse_bundle
+from lentilsill.findings import FindingsError
+from lentilsill.membership import UpstreamState
+from lentilsill.platform.configuration import decode_configuration
+from lentilsill.platform.reports import parse_report, parse_start
+from lentilsill.platform.settings_file import parse_platform_settings
+
+from .builders import configuration, report, settings_text
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_hosts_and_services_become_one_bundle(self):
+        """Guards against a route that changes its meaning on the way."""
+        text = json.dumps(decode_configuration(configuration()))
+        bundle = parse_bundle(text, 31).unwrap()
+        self.assertEqual((bundle.version, bundle.revision), (12, 31))
+        self.assertEqual(set(bundle.documents), {"a", "b", "jepu9.example"})
+        plain, split = (bundle.documents["jepu9.example"].routes[i] for i in (1, 0))
+        self.assertEqual([t.service for t in split.targets], ["b", "a"])
+        self.assertEqual(split.targets[0].weight, 9 * split.targets[1].weight)
+        self.assertTrue(split.idempotent)
+        self.assertEqual((split.priority, split.objective_ms), (2, 200))
+        self.assertFalse(plain.idempotent)
+        self.assertEqual((plain.deadline_ms, plain.retry.max_attempts), (800, 1))
+        self.assertEqual(bundle.caller_limits.idle_timeout_ms, 15000)
+
+    def test_other_objects_are_refused(self):
+        """Guards against an unreadable object that is put in force in part."""
+        for spec in (None, "x", {}, configuration(version="xyz"), {"version": 7}):
+            with self.assertRaises(ValueError):
+                decode_configuration(spec)
+
+    def test_route_to_an_unknown_service_rejects_the_whole_bundle(self):
+        """Guards against a bundle that comes into force in part (G3)."""
+        spec = configuration(services=[{"name": "a"}])
+        text = json.dumps(decode_configuration(spec))
+        findings = parse_bundle(text, 31).unwrap_err()
+        self.assertEqual(findings.items[0].place, "jepu9.example.r-1")
+
+
+class ReportTests(unittest.TestCase):
+    def test_report_gives_state_and_order(self):
+        """Guards against a leaving upstream that is taken for a ready one."""
+        taken = parse_report("i-1", report(state="draining")).unwrap()
+        self.assertIs(taken.record.state, UpstreamState.LEAVING)
+        self.assertEqual(taken.sequence, 4)
+        self.assertEqual(taken.started_ms, 1_700_000_000_000)
+
+    def test_reports_of_other_writers_name_no_upstream(self):
+        """Guards against calls to what a malformed report names."""
+        for bad in (
+            report(state="resting"),
+            report(service=7),
+            report(slots="6"),
+            report(born=1.5),
+            b"\xff\xfe",
+            b"[]",
+        ):
+            self.assertTrue(parse_report("i-1", bad).is_err(), bad)
+
+    def test_start_of_a_deletion(self):
+        """Guards against a delayed deletion that hits the next process."""
+        self.assertEqual(parse_start(b'{"born": 5}'), 5)
+        self.assertIsNone(parse_start(b"not json"))
+
+
+class SettingsTests(unittest.TestCase):
+    def test_fields_are_translated(self):
+        """Guards against a node that serves at another address than asked."""
+        cfg = parse_platform_settings(settings_text(new_field="x"))
+        self.assertEqual(cfg.domains, ("lahore", "multan"))
+        self.assertEqual(cfg.caller_address, "10.1.0.8:8304")
+        self.assertEqual(cfg.admin_address, "10.1.0.8:7620")
+        self.assertEqual(cfg.calls.retry_allowance, 56.0)
+        self.assertLess(cfg.calls.drain_bound_s, 6.0)
+        self.assertEqual(cfg.platform.watch_timeout_s, 1.5)
+
+    def test_missing_and_bad_fields_are_named(self):
+        """Guards against a start with settings that were misread."""
+        for text, place in (
+            (settings_text(app_addr=None), "app_addr"),
+            (settings_text(zone="La hore"), "domain"),
+        ):
+            with self.assertRaises(FindingsError) as caught:
+                parse_platform_settings(text, "boot.conf")
+            self.assertEqual(caught.exception.findings.items[0].place, place)
