Read the directory at the start, contact a sample of it, and say when to return

Cause: after all processes were killed, a node refused calls for about 2 s because it read the directory late and met three nodes a round; it would have contacted each of 4,600 entries. Change: it reads at once, contacts six nodes of a few domains, and its refusals meanwhile carry Retry-After.

--- a/lentilsill/daemon/controllers/directory.py
+++ b/lentilsill/daemon/controllers/directory.py
@@ -5,6 +5,9 @@
 """
 
 import asyncio
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Any
 
 import structlog
@@ -21,14 +24,33 @@
 DIRECTORY_KIND = "nodes"
 BACKOFF_BASE_S = 0.2
 BACKOFF_CAP_S = 4.0
-# Nodes that start together have written their entries by then.
-FIRST_READ_S = 0.5
-# A node that knows no other node of some domain reads again.
-CHECK_S = 2.0
+# A node that knows no other node of some domain reads again after these times;
+# nodes that start together have not all written their entries at the first.
+READ_AGAIN_S = (0.4, 0.6, 1.0, 2.0)
+# Entries that are contacted per domain; the others are learned from these.
+OWN_DOMAIN_SEEDS = 4
+OTHER_DOMAIN_SEEDS = 2
 
 log = structlog.get_logger()
 
 
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    """One node as it has entered itself."""
+
+    domain: str
+    peer_address: str
+
+    @classmethod
+    def of(cls, obj: StoredObject) -> "_Entry | None":
+        """Read an entry; None for one of another form."""
+        value = obj.value if isinstance(obj.value, dict) else {}
+        domain, address = value.get("domain"), value.get("peer_address")
+        if not isinstance(domain, str) or not isinstance(address, str):
+            return None
+        return cls(domain, address) if ":" in address else None
+
+
 class DirectoryController:
     """Writes the own entry and gives the others' addresses to the membership."""
 
@@ -38,7 +60,7 @@
         self._ctx = ctx
         self._api = api
         self._membership = membership
-        self._known: dict[str, str] = {}
+        self._contacted: list[str] = []
         self._last_error = ""
 
     def start(self) -> None:
@@ -47,18 +69,23 @@
         self._ctx.spawn(self._run())
 
     async def _run(self) -> None:
+        self._ctx.spawn(self._write_until_done())
+        backoff = Backoff(BACKOFF_BASE_S, BACKOFF_CAP_S, self._ctx.rng)
+        reads = 0
+        while True:
+            if not self._is_isolated():
+                await asyncio.sleep(READ_AGAIN_S[-1])
+            elif await self._read():
+                backoff.reset()
+                await asyncio.sleep(READ_AGAIN_S[min(reads, len(READ_AGAIN_S) - 1)])
+                reads += 1
+            else:
+                await asyncio.sleep(backoff.next_delay())
+
+    async def _write_until_done(self) -> None:
         backoff = Backoff(BACKOFF_BASE_S, BACKOFF_CAP_S, self._ctx.rng)
         while not await self._write():
             await asyncio.sleep(backoff.next_delay())
-        await asyncio.sleep(FIRST_READ_S)
-        backoff.reset()
-        while True:
-            if self._is_isolated():
-                if await self._read():
-                    backoff.reset()
-                else:
-                    await asyncio.sleep(backoff.next_delay())
-            await asyncio.sleep(CHECK_S)
 
     def _is_isolated(self) -> bool:
         """Whether this node knows nobody else of its own or another domain."""
@@ -83,30 +110,38 @@
         match await self._api.list(DIRECTORY_KIND, stale=False):
             case Ok(listing):
                 self._last_error = ""
-                found = [_address(obj) for obj in listing.objects]
-                own = self._ctx.links.identity.peer_address
-                addresses = {a for a in found if a and a != own}
-                self._known = dict.fromkeys(sorted(addresses), "")
-                self._membership.add_seeds(addresses)
-                log.info("directory_read", entries=len(listing.objects))
+                self._contacted = self._choose(listing.objects)
+                self._membership.add_seeds(self._contacted)
+                log.info(
+                    "directory_read",
+                    entries=len(listing.objects),
+                    contacted=len(self._contacted),
+                )
                 return True
             case Err(exc):
                 self._failed("read", str(exc))
         return False
 
+    def _choose(self, objects: Iterable[StoredObject]) -> list[str]:
+        """Choose some entries of each domain at random."""
+        by_domain: dict[str, list[str]] = defaultdict(list)
+        for obj in objects:
+            entry = _Entry.of(obj)
+            if entry is None:
+                log.warning("directory_entry_unreadable", name=obj.name)
+            elif entry.peer_address != self._ctx.links.identity.peer_address:
+                by_domain[entry.domain].append(entry.peer_address)
+        chosen: list[str] = []
+        for domain, addresses in sorted(by_domain.items()):
+            is_own = domain == self._ctx.cfg.domain
+            count = OWN_DOMAIN_SEEDS if is_own else OTHER_DOMAIN_SEEDS
+            chosen += self._ctx.rng.sample(addresses, min(count, len(addresses)))
+        return chosen
+
     def _failed(self, what: str, error: str) -> None:
         if not self._last_error:
             log.warning("directory_failed", what=what, error=error)
         self._last_error = error
 
     def _dump(self) -> dict[str, Any]:
-        return {"known": list(self._known), "last_error": self._last_error}
-
-
-def _address(obj: StoredObject) -> str:
-    """Give the peer address of an entry; empty for one of another form."""
-    value = obj.value
-    address = value.get("peer_address") if isinstance(value, dict) else None
-    if not isinstance(address, str) or ":" not in address:
-        return ""
-    return address
+        return {"contacted": self._contacted, "last_error": self._last_error}
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -36,6 +36,7 @@
     NO_UPSTREAM,
     NOT_READY,
     OVERLOADED,
+    STARTING_RETRY_S,
     UNREACHABLE,
     not_run,
 )
@@ -171,7 +172,7 @@
             now = self.ctx.now()
             target, candidate = self._pick(plan, now)
             if candidate is None or target is None:
-                return failure or worst or not_run(NO_UPSTREAM)
+                return failure or worst or not_run(NO_UPSTREAM, STARTING_RETRY_S)
             if failure is not None and not self.selector.fails_less(
                 candidate.upstream, plan.last, now
             ):
@@ -180,7 +181,7 @@
             if not plan.arrivals:
                 budget.add_call(now)
             elif not budget.take(now):
-                return failure or worst or not_run(NO_UPSTREAM)
+                return failure or worst or not_run(NO_UPSTREAM, STARTING_RETRY_S)
             plan.last = candidate.upstream
             plan.attempts.add(candidate.upstream)
             hedge_s = decide_hedge(route.hedge, route.idempotent, plan.deadline - now)
@@ -205,7 +206,7 @@
                 plan.deadline - self.ctx.now(),
                 len(plan.attempts),
             ):
-                return failure or worst or not_run(NO_UPSTREAM)
+                return failure or worst or not_run(NO_UPSTREAM, STARTING_RETRY_S)
 
     async def _attempt(self, plan: CallPlan, candidate: Candidate) -> CallResult:
         upstream = candidate.upstream
@@ -285,7 +286,7 @@
                     if isinstance(result, Answer):
                         return result
                     worst = _worse(worst, result)
-            return worst or not_run(NO_UPSTREAM)
+            return worst or not_run(NO_UPSTREAM, STARTING_RETRY_S)
         finally:
             for task in running:
                 task.cancel()
@@ -365,7 +366,7 @@
     replicas of the key can tell.
     """
     outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
-    return Refused(outcome, reason)
+    return Refused(outcome, reason, STARTING_RETRY_S)
 
 
 def _speaks_against(result: CallResult) -> bool:
--- a/lentilsill/daemon/controllers/reasons.py
+++ b/lentilsill/daemon/controllers/reasons.py
@@ -11,6 +11,7 @@
     "NO_UPSTREAM",
     "OVERLOADED",
     "REFUSED_BY_UPSTREAM",
+    "STARTING_RETRY_S",
     "UNREACHABLE",
     "not_run",
 ]
@@ -27,6 +28,8 @@
 REFUSED_BY_UPSTREAM = "upstream refused the call"
 # Prefix of reasons that speak against the upstream or its host.
 UNREACHABLE = "unreachable: "
+# A node that starts knows its documents and peers within about this time.
+STARTING_RETRY_S = 0.3
 
 
 def not_run(reason: str, retry_after_s: float = 0.0) -> Refused:
--- a/lentilsill/daemon/controllers/seeds.py
+++ b/lentilsill/daemon/controllers/seeds.py
@@ -16,7 +16,7 @@
 
 __all__ = ["SeedContacts"]
 
-JOIN_SEEDS = 3
+JOIN_SEEDS = 8
 ASK_AGAIN_S = 2.0
 BACKOFF_BASE_S = 0.5
 BACKOFF_CAP_S = 5.0
--- /dev/null
+++ b/lentilsill/daemon/controllers/tests/test_directory.py
@@ -0,0 +1,71 @@
+"""Nodes find each other by entries in the platform."""
+
+import random
+import unittest
+
+from result import Err, Ok
+
+from lentilsill.daemon.blackboard import Blackboard
+from lentilsill.daemon.context import Context
+from lentilsill.daemon.controllers.directory import DIRECTORY_KIND, DirectoryController
+from lentilsill.daemon.tests.builders import node_settings
+from lentilsill.platform import Listing, StoredObject, Unavailable
+from lentilsill.versioning import EMPTY_SNAPSHOT
+from lentilsill.wire import PeerLinks
+from lentilsill.wire.links import Identity
+
+
+class _Seeds:
+    def __init__(self):
+        self.added = []
+
+    def add_seeds(self, addresses):
+        self.added += addresses
+
+
+class _Api:
+    def __init__(self, values):
+        self.values = values
+        self.is_up = True
+
+    async def list(self, kind, stale=False):
+        if not self.is_up:
+            return Err(Unavailable("outage"))
+        items = self.values.items()
+        return Ok(
+            Listing(1, tuple(StoredObject(DIRECTORY_KIND, n, 1, v) for n, v in items))
+        )
+
+
+class DirectoryTests(unittest.IsolatedAsyncioTestCase):
+    def make(self, values):
+        links = PeerLinks(Identity("n0", "i", "d", "127.0.0.1:1"), "127.0.0.1")
+        board = Blackboard(EMPTY_SNAPSHOT)
+        cfg = node_settings("n0", domains=("d", "e"))
+        ctx = Context(cfg, board, links, None, random.Random(1))
+        self.api, self.seeds = _Api(values), _Seeds()
+        return DirectoryController(ctx, self.api, self.seeds)
+
+    async def test_some_nodes_of_each_domain_are_contacted(self):
+        """Guards against a node of a large fleet that contacts all others."""
+        values = {
+            f"{domain}{i}": {"domain": domain, "peer_address": f"10.0.0.{i}:1"}
+            for domain in "de"
+            for i in range(100)
+        }
+        self.assertTrue(await self.make(values)._read())
+        self.assertEqual(len(self.seeds.added), 6)
+
+    async def test_entries_of_another_form_are_skipped(self):
+        """Guards against one bad entry that hides all others."""
+        good = {"domain": "e", "peer_address": "10.0.0.1:1"}
+        own = {"domain": "d", "peer_address": "127.0.0.1:1"}
+        values = {"a": None, "b": {"domain": 7}, "c": good, "n0": own}
+        self.assertTrue(await self.make(values)._read())
+        self.assertEqual(self.seeds.added, ["10.0.0.1:1"])
+
+    async def test_outage_is_tried_again(self):
+        """Guards against a node that stays alone after an outage."""
+        directory = self.make({})
+        self.api.is_up = False
+        self.assertFalse(await directory._read())
