Wait for each worker's announcement before a scenario begins

A stand-in worker that gets SIGTERM 0.05 or 0.2 s after its start exits with -15, as it has no handler yet, and one that is up doesn't; the scenario waited until each service was served, not until each worker was up. Change: a run begins when every worker has announced itself. The check is as before.

--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from lentilsill.findings import Findings
@@ -247,6 +248,11 @@
         await self.until_in_force()
         for service in self.scenario.services:
             await self.until_served(f"/{service}/lookup/0")
+        # A worker that is not up yet dies of SIGTERM instead of leaving.
+        for host in self.hosts:
+            await self.until(
+                partial(_has_upstream, host), START_BOUND_S, f"worker on {host.node}"
+            )
 
     async def until_served(self, path: str) -> None:
         """Try a path, outside the record, until every node answers."""
@@ -326,6 +332,12 @@
     )
 
 
+def _has_upstream(host: Host) -> bool:
+    """Whether the worker of a host has announced itself."""
+    state = fetch_json(f"http://{host.admin_address}/lentilsill/state")
+    return bool(state["upstreams"])
+
+
 @contextmanager
 def reserved_base() -> Iterator[int]:
     """Choose addresses that no other run on this machine uses, and hold them."""
