--- a/lentilsill/retries/budget.py
+++ b/lentilsill/retries/budget.py
@@ -73,7 +73,7 @@
     >>> budget = SharedRetryBudget(ratio=0.5, window_s=10.0, allowance=4.0)
     >>> budget.take(0.0), budget.take(0.0), budget.take(0.0)
     (True, True, False)
-    >>> for _ in range(4):
+    >>> for _ in range(6):
     ...     budget.add_call(1.0)
     >>> budget.take(1.0), budget.take(1.0)
     (True, False)
