Leave out addresses on which a killed run's platform still listens

Their revisions went on from 361 to 448 and from 453 to 554 without a gap, although each starts a platform of its own at 0: both wrote to one stand-in, left over by a test run that I had ended with a signal an hour before; 14 of its processes still ran on 127.106 and are ended now. The choice of addresses repeats, since hypothesis seeds the random module. Ruled out: lost log lines, a full disk; partition passed alone.

--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -332,6 +332,16 @@
     )
 
 
+def _is_free(base: int) -> bool:
+    """Whether no platform stand-in of a run that was killed still listens."""
+    with socket.socket() as sock:
+        try:
+            sock.bind((f"127.{base}.0.1", PLATFORM_PORT))
+        except OSError:
+            return False
+    return True
+
+
 def _has_upstream(host: Host) -> bool:
     """Whether the worker of a host has announced itself."""
     state = fetch_json(f"http://{host.admin_address}/lentilsill/state")
@@ -349,6 +359,8 @@
                 sock.listen()
             except OSError:
                 continue
+            if not _is_free(base):
+                continue
             yield base
             return
     raise RuntimeError("no free addresses on loopback")
