Remember the deletion of an upstream that the node does not know

Log of sidecar-almaty-a-3: the node was restarted, its upstream's first word was a deletion without a body, which had no effect and no log line; a report that was sent before it arrived 2.2 s later and made the upstream ready again. A deletion is now kept also without a known start; an announcement of a process that started before it is then taken as of the one that left. Deletions are answered 200 also when repeated. Ruled out: the health check at the start (it answered 503 and announced nothing).

--- a/lentilsill/daemon/admin_server.py
+++ b/lentilsill/daemon/admin_server.py
@@ -178,8 +178,8 @@
 
     def delete(self, upstream: str) -> None:
         started_ms = self.server.integration.parse_start(self.request.body)
-        found = self.server.announcements.delete(upstream, started_ms)
-        self.reply(200 if found else 404, {})
+        self.server.announcements.delete(upstream, started_ms)
+        self.reply(200, {})
 
 
 class _LiveHandler(_Handler):
--- a/lentilsill/daemon/announcements.py
+++ b/lentilsill/daemon/announcements.py
@@ -2,7 +2,7 @@
 
 import re
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Annotated, Literal
 
 import structlog
@@ -77,6 +77,14 @@
     return Ok(Announcement(record))
 
 
+@dataclass(slots=True)
+class _Deletion:
+    """Start of the process that left, None while unknown, and when it said so."""
+
+    started_ms: int | None
+    deleted_ms: int
+
+
 class Announcements:
     """Keeps `board.upstreams` from announcements; its only writer.
 
@@ -93,9 +101,9 @@
         self._heard_s: dict[str, float] = {}
         # The newest announcement by address.
         self._newest: dict[str, Announcement] = {}
-        # Start by id of upstreams that said that they leave; a delayed
-        # announcement must not bring them back.
-        self._deleted: dict[str, int | None] = {}
+        # Upstreams by id that said that they leave; a delayed announcement must
+        # not bring them back.
+        self._deleted: dict[str, _Deletion] = {}
 
     @property
     def has_heard(self) -> bool:
@@ -143,27 +151,35 @@
             self.ctx.board.changed(Topic.UPSTREAMS)
         return True
 
-    def delete(self, upstream: str, started_ms: int | None = None) -> bool:
-        """Take the word of an upstream that it leaves; False when there is none."""
+    def delete(self, upstream: str, started_ms: int | None = None) -> None:
+        """Take the word of an upstream that it leaves.
+
+        A node that was restarted a moment ago may hear it of an upstream that it
+        does not know, and remembers it all the same.
+        """
         rec = self.ctx.board.upstreams.get(upstream)
         newest = self._newest.get(rec.address) if rec is not None else None
         known_ms = newest.started_ms if newest is not None else None
         if started_ms is not None and known_ms is not None and started_ms < known_ms:
             log.info("deletion_superseded", upstream=upstream, started_ms=started_ms)
-            return True
-        if known_ms is not None or started_ms is not None:
-            self._deleted[upstream] = known_ms if started_ms is None else started_ms
-            while len(self._deleted) > MAX_UPSTREAMS:
-                del self._deleted[next(iter(self._deleted))]
-        return self.drop(upstream, "deleted")
+            return
+        left_ms = known_ms if started_ms is None else started_ms
+        self._deleted[upstream] = _Deletion(left_ms, self.ctx.wall_ms())
+        while len(self._deleted) > MAX_UPSTREAMS:
+            del self._deleted[next(iter(self._deleted))]
+        if not self.drop(upstream, "deleted"):
+            log.info("unknown_upstream_deleted", upstream=upstream, started_ms=left_ms)
 
     def _is_deleted(self, announcement: Announcement) -> bool:
         upstream = announcement.record.upstream
         started_ms = announcement.started_ms
-        if upstream not in self._deleted or started_ms is None:
+        deletion = self._deleted.get(upstream)
+        if deletion is None or started_ms is None:
             return False
-        deleted_ms = self._deleted[upstream]
-        return deleted_ms is not None and started_ms <= deleted_ms
+        if deletion.started_ms is None and started_ms <= deletion.deleted_ms:
+            # It started before the deletion, so that it is the one that left.
+            deletion.started_ms = started_ms
+        return deletion.started_ms is not None and started_ms <= deletion.started_ms
 
     def drop(self, upstream: str, reason: str) -> bool:
         """Remove an upstream; False when there is none."""
