--- a/lentilsill/daemon/controllers/tests/test_calls.py
+++ b/lentilsill/daemon/controllers/tests/test_calls.py
@@ -323,6 +323,8 @@
         self.far.destination.drop_upstream = drop
         self.far.serve("w2", free_port())
         self.near.learn(self.far.record())
+        # Otherwise fast answers of the other one may keep it from being chosen.
+        self.near.entry.selector.report("w1", 1000.0, self.near.ctx.now())
         # The budget allows no retry of so many calls.
         for _ in range(20):
             result = await self.near.entry.handle(make_request("POST", "/p"))
