Compress links between domains

Both sides name the method in Hello, so that an older node is understood. Ruled out: bodies, which hardly shrink. A message that finds no room in the buffer is not compressed either, as later ones would refer to it.

--- a/lentilsill/wire/handshake.py
+++ b/lentilsill/wire/handshake.py
@@ -2,7 +2,15 @@
 
 import msgpack
 
-from .messages import CALLS, CONTROL, PROTOCOL_VERSION, Hello, WireError, decode
+from .messages import (
+    CALLS,
+    CONTROL,
+    PROTOCOL_VERSION,
+    Hello,
+    WireError,
+    decode,
+    make_unpacker,
+)
 from .streams import ProtocolStream
 
 __all__ = ["READ_CHUNK_BYTES", "read_hello"]
@@ -10,18 +18,22 @@
 READ_CHUNK_BYTES = 65536
 
 
-async def read_hello(
-    stream: ProtocolStream, unpacker: msgpack.Unpacker
-) -> tuple[Hello, list]:
-    """Read up to and including `Hello`; also give what came after it."""
-    objs: list = []
-    while not objs:
-        unpacker.feed(await stream.read_bytes(READ_CHUNK_BYTES, partial=True))
+async def read_hello(stream: ProtocolStream) -> tuple[Hello, bytes]:
+    """Read up to and including `Hello`; also give the bytes that came after it."""
+    unpacker = make_unpacker()
+    data = b""
+    while True:
+        chunk = await stream.read_bytes(READ_CHUNK_BYTES, partial=True)
+        data += chunk
         try:
-            objs = list(unpacker)
+            unpacker.feed(chunk)
+            obj = unpacker.unpack()
+            break
+        except msgpack.OutOfData:
+            continue
         except (msgpack.UnpackException, ValueError) as exc:
             raise WireError(f"not a message stream: {exc}") from exc
-    hello = decode(objs[0])
+    hello = decode(obj)
     if not isinstance(hello, Hello):
         raise WireError(f"expected Hello, got {type(hello).__name__}")
     if hello.protocol_version != PROTOCOL_VERSION:
@@ -30,4 +42,4 @@
         )
     if hello.purpose not in (CONTROL, CALLS):
         raise WireError(f"unknown link purpose {hello.purpose!r}")
-    return hello, objs[1:]
+    return hello, data[unpacker.tell() :]
--- a/lentilsill/wire/link.py
+++ b/lentilsill/wire/link.py
@@ -6,11 +6,15 @@
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
+from .compression import Compressor
 from .messages import Hello, Message, encode
 from .streams import ProtocolStream
 
 __all__ = ["Identity", "Link", "LinkError", "Traffic"]
 
+# Bytes by which compression lengthens a message of 8 MB at most.
+MAX_EXPANSION_BYTES = 8 * 1024
+
 
 class LinkError(Exception):
     """A link could not be made, or a peer broke the protocol."""
@@ -52,6 +56,7 @@
     last_received: float
     traffic: Traffic
     on_close: list[Callable[["Link"], None]] = field(default_factory=list)
+    compressor: Compressor | None = None
     last_sent: float = 0.0
     is_closed: bool = False
 
@@ -68,6 +73,11 @@
     def send(self, message: Message) -> bool:
         """Queue a message; False when the stream is closed or its buffer is full."""
         data = encode(message)
+        if self.compressor is not None:
+            # What is compressed must be sent, as later messages refer to it.
+            if not self.stream.has_room(len(data) + MAX_EXPANSION_BYTES):
+                return False
+            data = self.compressor.compress(data)
         try:
             self.stream.write(data)
         except (StreamClosedError, StreamBufferFullError):
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -12,6 +12,12 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import add_accept_handler, bind_sockets
 
+from .compression import (
+    COMPRESSION,
+    Compressor,
+    Decompressor,
+    uses_compression,
+)
 from .handshake import read_hello
 from .link import Identity, Link, LinkError, Traffic
 from .messages import (
@@ -222,7 +228,13 @@
     def _hello(self, purpose: str) -> Hello:
         me = self.identity
         return Hello(
-            PROTOCOL_VERSION, me.node, me.instance, me.domain, purpose, me.peer_address
+            PROTOCOL_VERSION,
+            me.node,
+            me.instance,
+            me.domain,
+            purpose,
+            me.peer_address,
+            (COMPRESSION,),
         )
 
     async def _dial(self, address: str, purpose: str) -> Link:
@@ -247,14 +259,11 @@
 
     async def _open(self, stream: ProtocolStream, address: str, purpose: str) -> Link:
         """Exchange `Hello` and start reading; `purpose` is empty when accepting."""
-        unpacker = make_unpacker()
         dialed = bool(purpose)
         try:
             if dialed:
                 stream.write(encode(self._hello(purpose)))
-            hello, pending = await asyncio.wait_for(
-                read_hello(stream, unpacker), CONNECT_TIMEOUT_S
-            )
+            hello, rest = await asyncio.wait_for(read_hello(stream), CONNECT_TIMEOUT_S)
             if not dialed:
                 stream.write(encode(self._hello(hello.purpose)))
         except (WireError, StreamClosedError, TimeoutError) as exc:
@@ -263,33 +272,44 @@
         loop = asyncio.get_running_loop()
         traffic = self.traffic[purpose or hello.purpose]
         link = Link(stream, hello, address, dialed, loop.time(), traffic)
+        decompressor = None
+        if uses_compression(self._hello(hello.purpose), hello):
+            link.compressor = Compressor()
+            decompressor = Decompressor()
         if not dialed:
             self.accepted.add(link)
         # Handlers must find the link, which is known when this method has ended.
-        loop.call_soon(self._start, link, unpacker, pending)
+        loop.call_soon(self._start, link, decompressor, rest)
         return link
 
-    def _start(self, link: Link, unpacker: msgpack.Unpacker, pending: list) -> None:
+    def _start(
+        self, link: Link, decompressor: Decompressor | None, rest: bytes
+    ) -> None:
         """Dispatch what came with `Hello`, and then what arrives."""
         stream = link.stream
+        unpacker = make_unpacker()
         stream.set_close_callback(lambda: self._closed(link))
-        try:
-            for obj in pending:
-                self._dispatch(link, decode(obj))
-        except WireError as exc:
-            self._fail(link, exc)
-        stream.consume(lambda chunk: self._receive(link, unpacker, chunk))
+        self._receive(link, unpacker, decompressor, rest)
+        stream.consume(lambda chunk: self._receive(link, unpacker, decompressor, chunk))
         if stream.closed():
             # The connection was lost before its close callback was set.
             self._closed(link)
 
-    def _receive(self, link: Link, unpacker: msgpack.Unpacker, chunk: bytes) -> None:
+    def _receive(
+        self,
+        link: Link,
+        unpacker: msgpack.Unpacker,
+        decompressor: Decompressor | None,
+        chunk: bytes,
+    ) -> None:
         link.last_received = asyncio.get_running_loop().time()
         link.traffic.received_bytes += len(chunk)
         try:
-            unpacker.feed(chunk)
-            for obj in unpacker:
-                self._dispatch(link, decode(obj))
+            pieces = decompressor.decompress(chunk) if decompressor else (chunk,)
+            for piece in pieces:
+                unpacker.feed(piece)
+                for obj in unpacker:
+                    self._dispatch(link, decode(obj))
         except (WireError, msgpack.UnpackException, ValueError) as exc:
             self._fail(link, exc)
         except Exception as exc:
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -68,7 +68,10 @@
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=0):
-    """First message in both directions of a link."""
+    """First message in both directions of a link.
+
+    `compression` lists the methods that the sender can read.
+    """
 
     protocol_version: int
     node: str
@@ -76,6 +79,7 @@
     domain: str
     purpose: str
     peer_address: str
+    compression: tuple[str, ...] = ()
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -168,10 +168,8 @@
             raise StreamClosedError()
         transport = self._transport
         assert transport is not None
-        if self._is_writing_paused and self.max_write_buffer_size is not None:
-            waiting = transport.get_write_buffer_size()
-            if waiting + len(data) > self.max_write_buffer_size:
-                raise StreamBufferFullError("too many bytes wait for the peer")
+        if not self.has_room(len(data)):
+            raise StreamBufferFullError("too many bytes wait for the peer")
         if data:
             transport.write(data)
         if not self._is_writing_paused:
@@ -181,6 +179,15 @@
         self._writes.append(fut)
         return fut
 
+    def has_room(self, size: int) -> bool:
+        """Whether the stream is open and takes `size` more bytes."""
+        if self._closed or self._transport is None:
+            return False
+        if not self._is_writing_paused or self.max_write_buffer_size is None:
+            return True
+        waiting = self._transport.get_write_buffer_size()
+        return waiting + size <= self.max_write_buffer_size
+
     def writing(self) -> bool:
         """Whether bytes wait for the peer."""
         return self._is_writing_paused
