Order waiting calls so that the fewest are late, and know how old a call is

With the margin alone, calls that running calls make failed behind long ones (500 answers of upstreams 1334 to 1935). - Load reports are kept per kind of call, not per priority. Two refusals for want of room end the search. Ruled out by simulation: newest first, late calls into the slack of those on time, the oldest late call first without regard to its chance; longer queues change little.

--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -4,10 +4,16 @@
 from dataclasses import dataclass
 
 from .costs import CostEstimates
+from .plan import Waiting, plan_starts
 
 __all__ = ["AdmissionQueue", "Refuse", "Start"]
 
 
+# A call may wait for this share of the slack to its objective, or longer where its
+# kind is known to end in time all the same.
+WAIT_SHARE = 0.5
+
+
 @dataclass(frozen=True, slots=True)
 class Start:
     """The call runs now."""
@@ -31,27 +37,6 @@
 Action = Start | Refuse
 
 
-@dataclass(frozen=True, slots=True)
-class _Waiting:
-    call: Hashable
-    deadline: float
-    objective_at: float
-    priority: int
-    cost_s: float
-    kind: str
-    number: int
-
-    def rank(self, now: float) -> tuple[int, bool, float, int]:
-        """Order of starts: by priority, then those that can still be on time.
-
-        Among these the earliest objective goes first, among the late ones the
-        earliest deadline.
-        """
-        if now + self.cost_s <= self.objective_at:
-            return (self.priority, False, self.objective_at, self.number)
-        return (self.priority, True, self.deadline, self.number)
-
-
 class AdmissionQueue:
     """Decides which calls run on an upstream, wait for it, or are refused.
 
@@ -90,7 +75,7 @@
         self._may_start = may_start
         # Start time and kind by running call.
         self._running: dict[Hashable, tuple[float, str]] = {}
-        self._waiting: dict[Hashable, _Waiting] = {}
+        self._waiting: dict[Hashable, Waiting] = {}
         self._count = 0
 
     @property
@@ -125,16 +110,33 @@
         self._count += 1
         objective = deadline if objective_at is None else min(objective_at, deadline)
         cost_s = self.costs.of(kind)
-        waiting = _Waiting(
-            call, deadline, objective, priority, cost_s, kind, self._count
+        # Where objectives are tight, all calls would count as late otherwise.
+        slack_s = max(0.0, objective - now - cost_s)
+        likely_s = min(self.costs.likely_s(kind), cost_s + WAIT_SHARE * slack_s)
+        waiting = Waiting(
+            call,
+            deadline,
+            objective,
+            priority,
+            cost_s,
+            likely_s,
+            kind,
+            self._count,
         )
         self._waiting[call] = waiting
         return [*self._shed(now), *self.advance(now)]
 
-    def expected_time_s(self, now: float, priority: int = 0, kind: str = "") -> float:
+    def expected_time_s(
+        self,
+        now: float,
+        priority: int = 0,
+        kind: str = "",
+        objective_at: float = float("inf"),
+    ) -> float:
         """Expected time from joining the queue to the answer.
 
-        A new call passes those of lower priority and those that are late.
+        A new call passes those of lower priority, those that are late, and those
+        whose objective ends after `objective_at`.
         """
         cost_s = self.costs.of(kind)
         if len(self._running) < self.slots:
@@ -142,9 +144,13 @@
         ahead_s = sum(
             waiting.cost_s
             for waiting in self._waiting.values()
-            if waiting.rank(now)[:2] <= (priority, False)
+            if waiting.priority < priority
+            or (
+                waiting.priority == priority
+                and now + waiting.likely_s <= waiting.objective_at <= objective_at
+            )
         )
-        return cost_s + (ahead_s + self.costs.mean_s) / max(1, self.slots)
+        return cost_s + ahead_s / max(1, self.slots) + self._first_start_s
 
     def finished(self, call: Hashable, now: float) -> list[Action]:
         """A running call has ended."""
@@ -179,16 +185,23 @@
     def _startable(self, call: Hashable) -> bool:
         return self._may_start is None or self._may_start(call, self._running.keys())
 
-    def _ranked(self, now: float) -> list[_Waiting]:
-        return sorted(self._waiting.values(), key=lambda waiting: waiting.rank(now))
+    @property
+    def _first_start_s(self) -> float:
+        """Expected time until a slot is free, in seconds."""
+        if len(self._running) < self.slots:
+            return 0.0
+        return self.costs.mean_s / max(1, self.slots)
+
+    def _planned(self, now: float) -> list[Waiting]:
+        return plan_starts(self._waiting.values(), now, self._first_start_s, self.slots)
 
     def _shed(self, now: float) -> list[Action]:
         """Refuse what is over the limit, and what would end after its deadline."""
         actions: list[Action] = []
         is_full = len(self._running) >= self.slots
-        wait_s = self.costs.mean_s / max(1, self.slots) if is_full else 0.0
+        wait_s = self._first_start_s
         kept = 0
-        for waiting in self._ranked(now):
+        for waiting in self._planned(now):
             late_s = now + wait_s + waiting.cost_s - waiting.deadline
             if kept >= self.queue_limit:
                 retry_s = max(wait_s, self.costs.mean_s)
@@ -213,7 +226,7 @@
             actions.append(Refuse(call, "deadline passed"))
         if not self._waiting:
             return actions
-        for waiting in self._ranked(now):
+        for waiting in self._planned(now):
             call = waiting.call
             if len(self._running) >= self.slots:
                 break
--- a/lentilsill/daemon/controllers/call_plan.py
+++ b/lentilsill/daemon/controllers/call_plan.py
@@ -58,6 +58,10 @@
         Attempt that holds the request key at its replicas.
     is_suspect : bool
         Whether an upstream died while it ran the call.
+    overloaded : int
+        Upstreams that had no room for the call.
+    age_s : float
+        How long before `began` the caller first tried, as far as that shows.
     """
 
     req: CallRequest
@@ -72,8 +76,25 @@
     target: RouteTarget | None = None
     claim: str = ""
     is_suspect: bool = False
+    overloaded: int = 0
+    age_s: float = 0.0
     trace: list[Attempt] = field(default_factory=list)
 
+    @property
+    def kind(self) -> str:
+        """Name calls that take about as long as each other."""
+        return f"{self.document.service}/{self.route.name}"
+
+    def objective_ms(self, now: float) -> int:
+        """What is left of the objective of the route; 0 when it has none.
+
+        An objective that has passed leaves 1 ms, which nothing can meet.
+        """
+        if not self.route.objective_ms:
+            return 0
+        waited_ms = (now - self.began + self.age_s) * 1000
+        return max(1, round(self.route.objective_ms - waited_ms))
+
 
 def report_call(ctx: Context, plan: CallPlan, result: CallResult | None) -> None:
     """Count a call, and log it unless its first attempt served it.
@@ -101,6 +122,7 @@
         revision=plan.document.version,
         outcome=kind,
         status=status,
+        age_ms=round(plan.age_s * 1000),
         reason=result.reason if isinstance(result, Refused) else "",
         retry_after_s=round(getattr(result, "retry_after_s", 0.0), 3),
         ms=round(taken_s * 1000, 1),
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -1,107 +1,38 @@
 """Execution of calls on the upstreams of this node."""
 
 import asyncio
+import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
-import xxhash
-
-from lentilsill.admission import AdmissionQueue, Refuse, Start
+from lentilsill.admission import Refuse, Start
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.integration import OWN_INTEGRATION, Integration
 from lentilsill.daemon.interfaces import CrashGuard
 from lentilsill.documents import Limits
 from lentilsill.membership import UpstreamRecord, UpstreamState
-from lentilsill.outcomes import (
-    Answer,
-    Begin,
-    CallLedger,
-    CallResult,
-    CallState,
-    Outcome,
-    Refused,
-)
+from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.routing import is_leaving
-from lentilsill.wire import CALLS, Link
-from lentilsill.wire.messages import (
-    Answer as AnswerMessage,
-    Call,
-    Cancel,
-    GoAway,
-    OutcomeQuery,
-    OutcomeReply,
-    Ping,
-    Pong,
-    Refusal,
+from lentilsill.wire import CALLS
+from lentilsill.wire.messages import Call, GoAway
+
+from .keyed_calls import StoreForLost
+from .own_upstream import (
+    Execution,
+    OwnUpstream,
+    fingerprint_of,
+    kind_of,
+    objective_at,
 )
-
-from .keyed_calls import KeyedCalls, StoreForLost
 from .reasons import CRASHED, LEAVING, MISDIRECTED, UNREACHABLE, not_run
-from .upstream_client import Exchange, UpstreamClient
+from .served_calls import ServedCalls
 
-__all__ = ["DestinationController", "Execution", "fingerprint_of"]
+__all__ = ["DestinationController"]
 
-EXPIRY_INTERVAL_S = 1.0
 # All connections of a crashed upstream have closed after this time.
 CRASH_CHECK_DELAY_S = 0.05
 CRASH_VERDICT_BOUND_S = 0.2
 DEFAULT_LIMITS = Limits()
-# Stands in an answer that tells nothing of the load.
-NO_LOAD = -1
-
-
-def fingerprint_of(
-    request_key: str, service: str, method: str, path: str, body: bytes
-) -> str:
-    """Identify requests that are the same for the quarantine."""
-    if request_key:
-        return request_key
-    head = f"{service}\0{method}\0{path}\0".encode()
-    return xxhash.xxh3_128_hexdigest(head + body)
-
-
-@dataclass(eq=False, slots=True)
-class Execution:
-    """A call at its destination; `link` is None for a call of this node."""
-
-    call: Call
-    deadline: float
-    link: Link | None = None
-    fingerprint: str = ""
-    admitted: asyncio.Future[Refused | None] | None = None
-    exchange: Exchange = field(default_factory=Exchange)
-
-
-class _Upstream:
-    """An upstream of this node with its queue and connections."""
-
-    def __init__(
-        self,
-        record: UpstreamRecord,
-        guard: CrashGuard | None,
-        reuse_s: float,
-        integration: Integration,
-    ) -> None:
-        self.record = record
-        self.guard = guard
-        self.running: dict[Execution, None] = {}
-        self.lost: list[str] = []
-        self.check: asyncio.Task[bool] | None = None
-        self.is_out = False
-        self.client = UpstreamClient(record.address, reuse_s, integration)
-        may_start = None if guard is None else self._may_start
-        self.queue = AdmissionQueue(max(1, record.slots), 0, may_start)
-
-    def fingerprints(self) -> tuple[str, ...]:
-        return tuple(execution.fingerprint for execution in self.running)
-
-    def _may_start(self, execution, running) -> bool:
-        assert self.guard is not None
-        # A call that starts before it is known whether a suspect has killed the
-        # upstream would share the crash, which then proves nothing.
-        others = (*(other.fingerprint for other in running), *self.lost)
-        return self.guard.may_start(execution.fingerprint, others)
 
 
 class DestinationController:
@@ -122,28 +53,21 @@
         self.ctx = ctx
         self.integration = integration
         self.guard = guard
-        self.keyed = KeyedCalls(store_for_lost, ctx.cfg.keys.max_answer_bytes)
-        self.ledger = CallLedger(ctx.cfg.calls.execution_record_s)
-        self._upstreams: dict[str, _Upstream] = {}
+        self.peers = ServedCalls(ctx, self, store_for_lost)
+        self._upstreams: dict[str, OwnUpstream] = {}
         # Removed upstreams whose last calls have not ended.
-        self._departed: dict[str, _Upstream] = {}
-        self._remote: dict[tuple[str, int], Execution] = {}
+        self._departed: dict[str, OwnUpstream] = {}
         # Takes an upstream out; the assembly sets it.
         self.drop_upstream: Callable[[str, str], bool] | None = None
-        ctx.links.on(Call, self._on_call)
-        ctx.links.on(Cancel, self._on_cancel)
-        ctx.links.on(OutcomeQuery, self._on_outcome_query)
-        ctx.links.on(Ping, self._on_ping)
-        ctx.links.close_handlers.append(self.keyed.on_link_closed)
         for topic in (Topic.UPSTREAMS, Topic.IN_FORCE, Topic.DRAIN):
             ctx.board.follow(topic, self.refresh)
         ctx.board.follow(Topic.DRAIN, self._tell_of_drain)
         ctx.board.dump_parts["destination"] = self._dump
 
     def start(self) -> None:
-        """Start the expiry of execution records."""
+        """Take in the blackboard and take calls of peers."""
         self.refresh()
-        self.ctx.spawn(self._expire_records())
+        self.peers.start()
 
     @property
     def in_flight_total(self) -> int:
@@ -161,8 +85,9 @@
         own = self._upstreams.get(call.upstream)
         if own is None:
             return 0
+        now = self.ctx.now()
         expected_s = own.queue.expected_time_s(
-            self.ctx.now(), call.priority, _kind(call)
+            now, call.priority, kind_of(call), objective_at(call, now, math.inf)
         )
         return round(expected_s * 1000)
 
@@ -171,7 +96,7 @@
         own = self._upstreams.get(upstream)
         return bool(own and own.lost)
 
-    def _crashed(self, own: _Upstream) -> bool:
+    def _crashed(self, own: OwnUpstream) -> bool:
         """Report a dead upstream and take it out; False if nothing does that."""
         if not own.is_out:
             self._report_death(own)
@@ -199,7 +124,7 @@
                 if own.running:
                     self._departed[upstream] = own
         for upstream, record in board.upstreams.items():
-            own = self._upstreams.get(upstream) or _Upstream(
+            own = self._upstreams.get(upstream) or OwnUpstream(
                 record,
                 self.guard,
                 self.ctx.cfg.calls.post_reuse_s,
@@ -238,16 +163,13 @@
             if call.is_suspect:
                 self.guard.suspect(execution.fingerprint)
         now = self.ctx.now()
-        objective_at = execution.deadline
-        if call.objective_ms:
-            objective_at = now + call.objective_ms / 1000
         actions = own.queue.offer(
             execution,
             now,
             execution.deadline,
             call.priority,
-            objective_at,
-            _kind(call),
+            objective_at(call, now, execution.deadline),
+            kind_of(call),
         )
         if len(actions) != 1 or actions[0] != Start(execution):
             refused = await self._wait(own, execution, actions, now)
@@ -259,7 +181,7 @@
         return await asyncio.shield(self.ctx.spawn(self._run(own, execution)))
 
     async def _wait(
-        self, own: _Upstream, execution: Execution, actions: list, now: float
+        self, own: OwnUpstream, execution: Execution, actions: list, now: float
     ) -> Refused | None:
         """Wait for a slot; give the refusal when there is none in time."""
         loop = asyncio.get_running_loop()
@@ -267,7 +189,7 @@
         self._apply(actions)
         entry = self.ctx.deadlines.add(
             execution.deadline - now,
-            lambda: self._drop_waiting(execution, "deadline passed"),
+            lambda: self.drop_waiting(execution, "deadline passed"),
         )
         try:
             return await execution.admitted
@@ -278,7 +200,7 @@
         finally:
             self.ctx.deadlines.remove(entry)
 
-    async def _run(self, own: _Upstream, execution: Execution) -> CallResult:
+    async def _run(self, own: OwnUpstream, execution: Execution) -> CallResult:
         call = execution.call
         remaining_s = execution.deadline - self.ctx.now()
         own.running[execution] = None
@@ -340,7 +262,7 @@
         return headers
 
     def _judge(
-        self, own: _Upstream, execution: Execution, result: CallResult | None
+        self, own: OwnUpstream, execution: Execution, result: CallResult | None
     ) -> None:
         """Keep the fingerprint when the connection was lost by the upstream."""
         assert self.guard is not None
@@ -354,7 +276,7 @@
                     own.check = self.ctx.spawn(self._check_crash(own))
                 own.lost.append(execution.fingerprint)
 
-    async def _check_crash(self, own: _Upstream) -> bool:
+    async def _check_crash(self, own: OwnUpstream) -> bool:
         """Whether the upstream whose connections were lost has died."""
         await asyncio.sleep(CRASH_CHECK_DELAY_S)
         if await own.client.is_accepting():
@@ -364,7 +286,7 @@
         self._crashed(own)
         return True
 
-    def _report_death(self, own: _Upstream) -> None:
+    def _report_death(self, own: OwnUpstream) -> None:
         suspects = (*own.lost, *own.fingerprints())
         own.lost.clear()
         if self.guard is not None and suspects:
@@ -388,7 +310,7 @@
                 case Refuse(reason=reason, retry_after_s=retry_after_s):
                     fut.set_result(not_run(reason, retry_after_s))
 
-    def _drop_waiting(self, execution: Execution, reason: str) -> bool:
+    def drop_waiting(self, execution: Execution, reason: str) -> bool:
         """Refuse a call that waits for a slot; False when it does not wait."""
         own = self._upstreams.get(execution.call.upstream)
         if own is None or not own.queue.cancel(execution):
@@ -396,86 +318,9 @@
         self._apply([Refuse(execution, reason)])
         return True
 
-    def _on_call(self, link: Link, call) -> None:
-        now = self.ctx.now()
-        instance = link.hello.instance
-        match self.ledger.begin(instance, call.call_id, call.settled, now):
-            case Begin.RUN:
-                execution = Execution(call, now + call.deadline_ms / 1000, link)
-                self._remote[instance, call.call_id] = execution
-                self.keyed.began(instance, call.settled)
-                self.ctx.spawn(self._serve(instance, execution))
-            case Begin.DUPLICATE:
-                self._tell(link, instance, call.call_id)
-            case Begin.FENCED:
-                self._refuse(link, call, "call was given up by its entry node")
-            case Begin.FULL:
-                self._refuse(link, call, "too many execution records")
-
-    async def _serve(self, instance: str, execution: Execution) -> None:
-        call = execution.call
-        result: CallResult = Refused(Outcome.UNKNOWN, "node stopped")
-        try:
-            result = await self.execute(execution)
-        finally:
-            del self._remote[instance, call.call_id]
-            self.ledger.finish(instance, call.call_id, result, self.ctx.now())
-            self.keyed.finished(instance, call, result, execution.link)
-            if execution.link is not None:
-                self._send_result(execution.link, call, result)
-
-    def _send_result(self, link: Link, call: Call, result: CallResult) -> None:
-        self._send(link, call.call_id, self.load(call), result)
-
-    def _send(self, link: Link, call_id: int, load: int, result: CallResult) -> None:
-        match result:
-            case Answer(status, headers, body):
-                link.send(
-                    AnswerMessage(call_id, status, headers, body, len(body), load)
-                )
-            case Refused(outcome, reason, retry_after_s, arrived):
-                link.send(
-                    Refusal(
-                        call_id, outcome.value, reason, load, retry_after_s, arrived
-                    )
-                )
-
-    def _refuse(self, link: Link, call: Call, reason: str) -> None:
-        self._send_result(link, call, not_run(reason))
-
-    def _tell(self, link: Link, instance: str, call_id: int) -> None:
-        state = self.ledger.ask(instance, call_id, self.ctx.now())
-        if not isinstance(state, CallState):
-            self._send(link, call_id, NO_LOAD, state)
-            return
-        if state is CallState.RUNNING:
-            execution = self._remote.get((instance, call_id))
-            if execution is not None:
-                execution.link = link
-        link.send(OutcomeReply(call_id, state.value))
-
-    def _on_outcome_query(self, link: Link, query) -> None:
-        for call_id in query.call_ids:
-            self._tell(link, query.instance, call_id)
-
-    def _on_cancel(self, link: Link, message) -> None:
-        execution = self._remote.get((link.hello.instance, message.call_id))
-        if execution is None or self._drop_waiting(execution, "cancelled"):
-            return
-        if execution.call.idempotent:
-            execution.exchange.abort("cancelled")
-
-    def _on_ping(self, link: Link, message) -> None:
-        link.send(Pong(message.token))
-
-    async def _expire_records(self) -> None:
-        while True:
-            await asyncio.sleep(EXPIRY_INTERVAL_S)
-            self.ledger.expire(self.ctx.now())
-
     def _dump(self) -> dict[str, object]:
         return {
-            "records": len(self.ledger),
+            "records": len(self.peers.ledger),
             "upstreams": {
                 name: {"running": len(own.running), "work": own.queue.work}
                 for name, own in self._upstreams.items()
@@ -483,10 +328,5 @@
         }
 
 
-def _kind(call: Call) -> str:
-    """Name calls that take about as long as each other."""
-    return f"{call.service}/{call.route}"
-
-
 def _ms(seconds: float) -> int:
     return max(0, int(seconds * 1000))
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from lentilsill.admission import CallAges
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import CallRequest, CrashGuard, Granted, KeyClaims
@@ -28,7 +29,9 @@
 from lentilsill.wire.messages import Call, GoAway
 
 from .call_plan import Attempt, CallPlan, report_call
-from .destination import DestinationController, Execution, fingerprint_of
+from .call_results import speaks_against, worse_of
+from .destination import DestinationController
+from .own_upstream import Execution, fingerprint_of
 from .peer_calls import PeerCalls, Reply
 from .reasons import (
     CONNECTION_LOST,
@@ -38,7 +41,6 @@
     NOT_READY,
     OVERLOADED,
     STARTING_RETRY_S,
-    UNREACHABLE,
     not_run,
 )
 
@@ -69,6 +71,7 @@
         self.guard = guard
         self.peers = PeerCalls(ctx)
         self.selector = Selector(ctx.cfg.domain, ctx.rng)
+        self.ages = CallAges()
         self.in_flight = 0
         self._attempt_ids = itertools.count(1)
         self._budgets: dict[tuple[str, str, str], RetryBudget] = {}
@@ -124,6 +127,8 @@
             deadline_s = min(deadline_s, req.deadline_ms / 1000)
         now = self.ctx.now()
         plan = CallPlan(req, document, route, now, now + deadline_s, fingerprint)
+        if req.deadline_ms > 0:
+            plan.age_s = self.ages.age_ms(plan.kind, req.deadline_ms) / 1000
         if not claimed:
             # The destination keeps a call that may not be repeated when its
             # caller goes away, unless it still waits.
@@ -196,8 +201,9 @@
                     return result
                 failure = result
             else:
-                worst = _worse(worst, result)
+                worst = worse_of(worst, result)
                 plan.arrivals += result.arrived
+                plan.overloaded += result.is_overload
                 lost += result.reason in (CONNECTION_LOST, CRASHED)
                 plan.is_suspect |= result.reason == CRASHED
             if lost >= MAX_LOST_UPSTREAMS or not decide_retry(
@@ -207,6 +213,7 @@
                 route.retry.max_attempts,
                 plan.deadline - self.ctx.now(),
                 len(plan.attempts),
+                plan.overloaded,
             ):
                 return failure or worst or not_run(NO_UPSTREAM, STARTING_RETRY_S)
 
@@ -219,7 +226,7 @@
         reply: Reply | None = None
         try:
             reply = await self._send(plan, candidate)
-            failed = _speaks_against(reply.result)
+            failed = speaks_against(reply.result)
         finally:
             now = self.ctx.now()
             if reply is not None:
@@ -228,8 +235,7 @@
                 )
             selector.finished(upstream, now, failed, (now - began) * 1000)
         if reply.load >= 0:
-            priority = plan.route.priority
-            selector.report(upstream, reply.load, self.ctx.now(), priority)
+            selector.report(upstream, reply.load, self.ctx.now(), plan.kind)
         if isinstance(reply.result, Refused) and not failed:
             hold_s = reply.result.retry_after_s
             selector.refused(upstream, self.ctx.now(), hold_s)
@@ -253,7 +259,7 @@
             attempt_id=req.attempt_id,
             route=plan.route.name,
             priority=plan.route.priority,
-            objective_ms=plan.route.objective_ms,
+            objective_ms=plan.objective_ms(self.ctx.now()),
             is_suspect=plan.is_suspect,
         )
         if candidate.node != self.ctx.cfg.node:
@@ -288,7 +294,7 @@
                     result = task.result()
                     if isinstance(result, Answer):
                         return result
-                    worst = _worse(worst, result)
+                    worst = worse_of(worst, result)
             return worst or not_run(NO_UPSTREAM, STARTING_RETRY_S)
         finally:
             for task in running:
@@ -324,7 +330,7 @@
             now,
             self.ctx.wall_ms(),
             plan.attempts,
-            Demand(plan.route.priority, plan.route.objective_ms),
+            Demand(plan.objective_ms(now), plan.kind),
         )
 
     def _budget(self, kind: str, plan: CallPlan, service: str) -> Budget:
@@ -372,24 +378,6 @@
     return Refused(outcome, reason, STARTING_RETRY_S)
 
 
-def _speaks_against(result: CallResult) -> bool:
-    """Whether the result counts as a failure of the upstream or its host."""
-    match result:
-        case Answer(status=status):
-            return status >= 500
-        case Refused(outcome=Outcome.NOT_RUN, reason=reason, arrived=arrived):
-            return arrived or reason.startswith(UNREACHABLE)
-    return True
-
-
-def _worse(worst: Refused | None, result: Refused) -> Refused:
-    """Keep what is known over all attempts: one that may have run stays."""
-    order = (Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.RUN_ANSWER_LOST)
-    if worst is None or order.index(result.outcome) >= order.index(worst.outcome):
-        return result
-    return worst
-
-
 def _content_fingerprint(plan: CallPlan) -> str:
     """Identify the content of a keyed request, to tell a reused key."""
     req = plan.req
--- a/lentilsill/outcomes/model.py
+++ b/lentilsill/outcomes/model.py
@@ -36,5 +36,10 @@
     retry_after_s: float = 0.0
     arrived: bool = False
 
+    @property
+    def is_overload(self) -> bool:
+        """Whether the node of an upstream refused for want of room."""
+        return not self.arrived and self.retry_after_s > 0
+
 
 CallResult = Answer | Refused
--- a/lentilsill/retries/decide.py
+++ b/lentilsill/retries/decide.py
@@ -8,6 +8,9 @@
 # Refusals that reached no upstream cost little, but a caller must not wait for
 # a whole fleet to refuse it.
 MAX_CHOICES = 4
+# The upstream with the shortest expected time is asked first: when two have no
+# room, a third seldom has, and asking costs all of them time.
+MAX_OVERLOADED = 2
 FAILED_STATUS = 500
 
 
@@ -18,12 +21,13 @@
     max_attempts: int,
     remaining_s: float,
     choices: int,
+    overloaded: int = 0,
 ) -> bool:
     """Whether a call may get another attempt.
 
     A call that is not idempotent is tried again only after ``not_run``, an
     idempotent one also after an answer that reports a failure. `arrivals` of
-    its `choices` upstreams have received it.
+    its `choices` upstreams have received it, and `overloaded` had no room for it.
 
     Examples
     --------
@@ -38,7 +42,9 @@
             return False
     elif not idempotent and result.outcome is not Outcome.NOT_RUN:
         return False
-    return arrivals < max_attempts and remaining_s > 0 and choices < MAX_CHOICES
+    if choices >= MAX_CHOICES or overloaded >= MAX_OVERLOADED:
+        return False
+    return arrivals < max_attempts and remaining_s > 0
 
 
 def decide_hedge(
--- a/lentilsill/routing/load.py
+++ b/lentilsill/routing/load.py
@@ -16,6 +16,8 @@
 # Taken for an upstream whose answers have not been seen yet.
 DEFAULT_ANSWER_MS = 20.0
 ANSWER_WEIGHT = 0.1
+# Kinds of calls whose reports are kept per upstream.
+MAX_KINDS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,11 +25,11 @@
     """What a call asks of its upstream.
 
     `objective_ms` is the time within which an answer is worth most; 0 when the
-    route names none. `priority` is the rank among waiting calls, 0 first.
+    route names none. Calls of one `kind` take about as long as each other.
     """
 
-    priority: int = 0
     objective_ms: int = 0
+    kind: str = ""
 
 
 ANY_DEMAND = Demand()
@@ -58,12 +60,14 @@
     ejections: int = 0
     ejected_until: float = float("-inf")
     refusing_until: float = float("-inf")
-    # The latest report by priority of the calls that it is about.
-    reports: dict[int, _Report] = field(default_factory=dict)
+    # The latest report by kind of the calls that it is about.
+    reports: dict[str, _Report] = field(default_factory=dict)
 
-    def report(self, expected_ms: float, now: float, priority: int = 0) -> None:
+    def report(self, expected_ms: float, now: float, kind: str = "") -> None:
         """Take the node's word of how long a new call would take there."""
-        self.reports[priority] = _Report(expected_ms, now, self.outstanding)
+        if kind not in self.reports and len(self.reports) >= MAX_KINDS:
+            del self.reports[next(iter(self.reports))]
+        self.reports[kind] = _Report(expected_ms, now, self.outstanding)
 
     def add_result(self, failed: bool, taken_ms: float) -> None:
         """Take the result of a call into the moving averages."""
@@ -74,7 +78,7 @@
             self.answer_ms = taken_ms
         self.answer_ms += ANSWER_WEIGHT * (taken_ms - self.answer_ms)
 
-    def expected_ms(self, slots: int, now: float, priority: int = 0) -> float:
+    def expected_ms(self, slots: int, now: float, kind: str = "") -> float:
         """Expected time until a new call is answered well.
 
         Examples
@@ -87,7 +91,7 @@
         >>> load.expected_ms(slots=4, now=1.0)
         75.0
         """
-        report = self.reports.get(priority, NO_REPORT)
+        report = self.reports.get(kind, NO_REPORT)
         age_s = max(0.0, now - report.at)
         told_ms = report.expected_ms * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
         if told_ms < 1.0:
--- a/lentilsill/routing/selector.py
+++ b/lentilsill/routing/selector.py
@@ -168,10 +168,10 @@
         self._load(upstream, now).refusing_until = now + hold_s
 
     def report(
-        self, upstream: str, expected_ms: float, now: float, priority: int = 0
+        self, upstream: str, expected_ms: float, now: float, kind: str = ""
     ) -> None:
         """Take a load report: how long a new call is expected to take there."""
-        self._load(upstream, now).report(expected_ms, now, priority)
+        self._load(upstream, now).report(expected_ms, now, kind)
 
     def dump(self, now: float) -> dict[str, dict[str, Any]]:
         """Give the state per upstream for the state dump."""
@@ -179,12 +179,12 @@
             upstream: {
                 "outstanding": load.outstanding,
                 "expected_ms": {
-                    priority: round(report.expected_ms, 1)
-                    for priority, report in load.reports.items()
+                    kind: round(report.expected_ms, 1)
+                    for kind, report in load.reports.items()
                 },
                 "report_age_s": {
-                    priority: round(now - report.at, 3)
-                    for priority, report in load.reports.items()
+                    kind: round(now - report.at, 3)
+                    for kind, report in load.reports.items()
                 },
                 "failure_share": round(load.failure_share, 3),
                 "ejected": now < load.ejected_until,
@@ -272,7 +272,7 @@
         self, candidate: Candidate, now: float, wall_ms: int, demand: Demand
     ) -> float:
         load = self._load(candidate.upstream, now)
-        expected_ms = load.expected_ms(candidate.slots, now, demand.priority)
+        expected_ms = load.expected_ms(candidate.slots, now, demand.kind)
         # The time since first sight bounds the slow start when clocks differ.
         age_s = max((wall_ms - candidate.ready_at_ms) / 1000, now - load.first_seen)
         warmth = min(1.0, max(MIN_WARMTH, age_s / SLOW_START_S))
--- a/lentilsill/routing/tests/test_selector.py
+++ b/lentilsill/routing/tests/test_selector.py
@@ -79,7 +79,7 @@
         """Guards against calls of a loaded domain that are late at home while
         another domain could answer in time, and against needless crossings."""
         selector = self.selector(make_node("a"), make_node("b", "multan"))
-        demand = Demand(1, 200)
+        demand = Demand(200, "read")
         for near_ms, far_ms, expected in (
             (150.0, 10.0, "a"),
             (210.0, 10.0, "a"),
@@ -87,8 +87,8 @@
             (400.0, 300.0, "a"),
             (900.0, 300.0, "b"),
         ):
-            selector.report("w-a", near_ms, 0.0, priority=1)
-            selector.report("w-b", far_ms, 0.0, priority=1)
+            selector.report("w-a", near_ms, 0.0, "read")
+            selector.report("w-b", far_ms, 0.0, "read")
             chosen = selector.pick("slots", "all", 0.0, OLD_MS, (), demand)
             self.assertEqual(chosen.node, expected, (near_ms, far_ms))
 
