--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -14,6 +14,11 @@
 WAIT_SHARE = 0.5
 
 
+# Told to callers until the first call of an upstream has ended: as long as a usual
+# call takes.
+FIRST_RETRY_S = 0.1
+
+
 @dataclass(frozen=True, slots=True)
 class Start:
     """The call runs now."""
@@ -204,7 +209,7 @@
         for waiting in self._planned(now):
             late_s = now + wait_s + waiting.cost_s - waiting.deadline
             if kept >= self.queue_limit:
-                retry_s = max(wait_s, self.costs.mean_s)
+                retry_s = max(wait_s, self.costs.mean_s) or FIRST_RETRY_S
                 reason = "queue of the upstream is full"
             elif late_s > 0 and is_full:
                 retry_s = late_s
--- a/lentilsill/admission/tests/test_queue.py
+++ b/lentilsill/admission/tests/test_queue.py
@@ -105,6 +105,13 @@
         queue.offer("urgent", 0.0, 9.0, priority=0)
         self.assertEqual(queue.finished("running", 0.1), [Start("urgent")])
 
+    def test_full_queue_says_when_to_return_before_any_call_has_ended(self):
+        """Guards against callers that come back at once after a restart of all."""
+        queue = AdmissionQueue(1, 0)
+        queue.offer("running", 0.0, 9.0)
+        (refused,) = queue.offer("next", 0.0, 9.0)
+        self.assertGreater(getattr(refused, "retry_after_s", 0.0), 0.0)
+
     def test_full_queue_refuses_the_least_urgent_and_says_when_to_return(self):
         """Guards against an urgent call that is refused for a usual one."""
         queue = AdmissionQueue(1, 1)
