Report busy slots, waits, runs and held answers in the log

Change: load_summary every 5 s with calls by route, the use of slots, and answers that waited for those before them on their connection; gauge slots.busy, timer answers.held. No decision changes. Ruled out: a line per call, which would be 14 lines a second and node.

--- a/lentilsill/admission/__init__.py
+++ b/lentilsill/admission/__init__.py
@@ -2,5 +2,14 @@
 
 from .ages import CallAges
 from .queue import AdmissionQueue, Refuse, Start
+from .usage import KindUsage, SlotUsage, UsageReport
 
-__all__ = ["AdmissionQueue", "CallAges", "Refuse", "Start"]
+__all__ = [
+    "AdmissionQueue",
+    "CallAges",
+    "KindUsage",
+    "Refuse",
+    "SlotUsage",
+    "Start",
+    "UsageReport",
+]
--- a/lentilsill/admission/plan.py
+++ b/lentilsill/admission/plan.py
@@ -30,6 +30,8 @@
         Calls of one kind take about as long as each other.
     number : int
         Order of arrival.
+    offered_at : float
+        When it arrived.
     """
 
     call: Hashable
@@ -40,6 +42,7 @@
     likely_s: float
     kind: str
     number: int
+    offered_at: float = 0.0
 
 
 def plan_starts(
--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -5,6 +5,7 @@
 
 from .costs import CostEstimates
 from .plan import Waiting, plan_starts
+from .usage import SlotUsage
 
 __all__ = ["AdmissionQueue", "Refuse", "Start"]
 
@@ -77,6 +78,7 @@
         self.queue_limit = queue_limit
         self.draining = False
         self.costs = CostEstimates()
+        self.usage = SlotUsage()
         self._may_start = may_start
         # Start time and kind by running call.
         self._running: dict[Hashable, tuple[float, str]] = {}
@@ -88,6 +90,11 @@
         """Calls that run or wait."""
         return len(self._running) + len(self._waiting)
 
+    @property
+    def waiting(self) -> int:
+        """Calls that wait."""
+        return len(self._waiting)
+
     @property
     def has_room(self) -> bool:
         """Whether a new call would start at once."""
@@ -112,15 +119,15 @@
             return [Refuse(call, "upstream is leaving")]
         if deadline <= now:
             return [Refuse(call, "deadline passed")]
+        objective = deadline if objective_at is None else min(objective_at, deadline)
         if (
             len(self._running) < self.slots
             and not self._waiting
             and self._startable(call)
         ):
-            self._running[call] = (now, kind)
+            self._start(call, kind, now, 0.0, objective)
             return [Start(call)]
         self._count += 1
-        objective = deadline if objective_at is None else min(objective_at, deadline)
         cost_s = self.costs.of(kind)
         # Where objectives are tight, all calls would count as late otherwise.
         slack_s = max(0.0, objective - now - cost_s)
@@ -134,6 +141,7 @@
             likely_s,
             kind,
             self._count,
+            now,
         )
         self._waiting[call] = waiting
         return [*self._shed(now), *self.advance(now)]
@@ -168,7 +176,12 @@
         """A running call has ended."""
         started = self._running.pop(call, None)
         if started is not None:
-            self.costs.add(started[1], now - started[0])
+            began, kind = started
+            self.costs.add(kind, now - began)
+            usage = self.usage.of(kind)
+            usage.ended += 1
+            usage.ran_s += now - began
+            self.usage.running(now, len(self._running))
         return self.advance(now)
 
     def cancel(self, call: Hashable) -> bool:
@@ -226,6 +239,7 @@
                 wait_s += waiting.cost_s / max(1, self.slots)
                 continue
             self.cancel(waiting.call)
+            self.usage.of(waiting.kind).refused += 1
             actions.append(Refuse(waiting.call, reason, retry_s))
         return actions
 
@@ -248,6 +262,22 @@
                 break
             else:
                 self.cancel(call)
-                self._running[call] = (now, waiting.kind)
+                waited_s = now - waiting.offered_at
+                self._start(call, waiting.kind, now, waited_s, waiting.objective_at)
                 actions.append(Start(call))
         return actions
+
+    def _start(
+        self,
+        call: Hashable,
+        kind: str,
+        now: float,
+        waited_s: float,
+        objective_at: float,
+    ) -> None:
+        self._running[call] = (now, kind)
+        self.usage.running(now, len(self._running))
+        usage = self.usage.of(kind)
+        usage.started += 1
+        usage.started_late += now + self.costs.of(kind) > objective_at
+        usage.waited_s += waited_s
--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -21,7 +21,7 @@
 from .caller_request import CallerRequest, json_response, response_of
 from .integration import OWN_INTEGRATION, Integration
 from .interfaces import CallService, IssuedKeys
-from .pipelining import ARRIVAL_BOUND_S, PipelinedConnection
+from .pipelining import ARRIVAL_BOUND_S, OnHeld, PipelinedConnection, ignore_held
 
 __all__ = ["CallerServer", "IssueKeys"]
 
@@ -56,6 +56,8 @@
         Service of this host, which calls that begin here are marked with.
     limits : callable, optional
         Gives the limits of the documents in force, or None.
+    on_held : callable, optional
+        Takes the time in seconds that an answer waited for those before it.
     """
 
     def __init__(
@@ -66,12 +68,14 @@
         integration: Integration = OWN_INTEGRATION,
         host_service: str = "",
         limits: Callable[[], CallerLimits | None] = lambda: None,
+        on_held: OnHeld = ignore_held,
     ) -> None:
         self.calls = calls
         self.issue_keys = issue_keys
         self.integration = integration
         self.host_service = host_service
         self.limits = limits
+        self._on_held = on_held
         self._max_body_bytes = max_body_bytes
         # The delegate checks the limit itself, to answer 413 and not 400. A
         # timer per request for the headers costs more than one for all.
@@ -165,7 +169,7 @@
 
     def _serve(self, stream: ProtocolStream) -> None:
         conn = PipelinedConnection(
-            stream, self._params, self._make_request, self._forget
+            stream, self._params, self._make_request, self._forget, self._on_held
         )
         self._connections[conn] = asyncio.ensure_future(conn.run())
 
--- a/lentilsill/daemon/context.py
+++ b/lentilsill/daemon/context.py
@@ -15,6 +15,7 @@
 from .blackboard import Blackboard
 from .call_log import CallLog
 from .deadlines import Deadlines
+from .load_summary import LoadSummary
 from .metrics import Metrics
 
 __all__ = ["Context"]
@@ -43,6 +44,7 @@
     now: Callable[[], float] = time.monotonic
     own_metrics: Metrics = field(default_factory=Metrics)
     call_log: CallLog = field(init=False)
+    load_summary: LoadSummary = field(default_factory=LoadSummary)
     _wall_offset_ms: float = field(
         default_factory=lambda: time.time() * 1000 - time.monotonic() * 1000
     )
--- a/lentilsill/daemon/controllers/call_plan.py
+++ b/lentilsill/daemon/controllers/call_plan.py
@@ -118,6 +118,14 @@
             kind, status = "abandoned", 0
     ctx.count(f"calls.ended.{kind}")
     ctx.timing("calls.duration", taken_s * 1000)
+    ctx.load_summary.ended(
+        plan.kind,
+        result,
+        plan.objective_ms(ctx.now()) == 1,
+        taken_s,
+        len(plan.asked),
+        len(plan.trace),
+    )
     if kind == "served" and len(plan.trace) == 1:
         return
     ctx.call_log.write(
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
-from lentilsill.admission import Refuse, Start
+from lentilsill.admission import AdmissionQueue, Refuse, Start
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.integration import OWN_INTEGRATION, Integration
@@ -75,6 +75,10 @@
         owned = (*self._upstreams.values(), *self._departed.values())
         return sum(own.queue.work for own in owned)
 
+    def queues(self) -> Iterator[tuple[str, AdmissionQueue]]:
+        """Give the upstreams of this node with their queues."""
+        return ((name, own.queue) for name, own in self._upstreams.items())
+
     def in_flight(self, upstream: str) -> int:
         """Calls that run or wait on one upstream."""
         own = self._upstreams.get(upstream)
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -27,6 +27,7 @@
 from .controllers.distribution import DistributionController
 from .controllers.documents import DocumentsController
 from .controllers.entry import EntryController
+from .controllers.load_report import LoadReportController
 from .controllers.membership import MembershipController
 from .controllers.platform_watch import PlatformWatchController
 from .controllers.quarantine import QuarantineController
@@ -69,6 +70,8 @@
     ctx.in_flight = lambda: (
         entry.in_flight + destination.in_flight_total + claims.unfinished()
     )
+    load_report = LoadReportController(ctx, destination)
+    load_report.start()
     callers = CallerServer(
         entry,
         cfg.calls.max_body_bytes,
@@ -76,6 +79,7 @@
         integration,
         cfg.host_service,
         lambda: ctx.board.snapshot.caller_limits,
+        load_report.answer_held,
     )
     admin = AdminServer(
         ctx, destination.on_upstream_gone, destination.in_flight, integration
--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -18,7 +18,16 @@
 
 from lentilsill.wire.streams import ProtocolStream
 
-__all__ = ["ARRIVAL_BOUND_S", "PipelinedConnection", "PipelinedDelegate"]
+__all__ = [
+    "ARRIVAL_BOUND_S",
+    "OnHeld",
+    "PipelinedConnection",
+    "PipelinedDelegate",
+    "ignore_held",
+]
+
+# Takes the time in seconds that an answer waited for those before it.
+OnHeld = Callable[[float], None]
 
 # More requests are left in the kernel's buffer until the oldest is answered.
 MAX_PIPELINED = 32
@@ -27,6 +36,10 @@
 ARRIVAL_BOUND_S = 0.2
 
 
+def ignore_held(held_s: float) -> None:
+    """Stand for `OnHeld` where nobody asks."""
+
+
 class PipelinedDelegate(HTTPMessageDelegate):
     """Takes one request; `received` is done when its last byte has arrived."""
 
@@ -40,6 +53,7 @@
         self._owner = owner
         self._stream = owner.stream
         self._waiting: list[tuple[bytes, asyncio.Future[None]]] = []
+        self._held_since = 0.0
         self.on_close: Callable[[], None] | None = None
         self.is_done = False
         self.closes = False
@@ -56,13 +70,19 @@
         """Write now, or when the responses before this one are written."""
         if self._owner.is_next(self):
             return self._stream.write(data)
-        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        fut: asyncio.Future[None] = loop.create_future()
+        if not self._waiting:
+            self._held_since = loop.time()
         self._waiting.append((data, fut))
         return fut
 
     def flush(self) -> None:
         """Write what has waited for the responses before this one."""
         waiting, self._waiting = self._waiting, []
+        if waiting:
+            now = asyncio.get_running_loop().time()
+            self._owner.on_held(now - self._held_since)
         for data, fut in waiting:
             try:
                 self._stream.write(data)
@@ -116,6 +136,7 @@
         answers on and this connection.
     on_closed : callable
         Called once when the connection has closed.
+    on_held : OnHeld
     """
 
     def __init__(
@@ -126,8 +147,10 @@
             [HTTP1Connection, "PipelinedConnection"], PipelinedDelegate
         ],
         on_closed: Callable[["PipelinedConnection"], None],
+        on_held: OnHeld = ignore_held,
     ) -> None:
         self.stream = stream
+        self.on_held = on_held
         self.used_at = asyncio.get_running_loop().time()
         self.is_leaving = False
         self._params = params
--- /dev/null
+++ b/lentilsill/daemon/tests/test_load_summary.py
@@ -0,0 +1,40 @@
+"""What the log tells of all calls of a node."""
+
+import unittest
+
+from lentilsill.daemon.load_summary import LoadSummary
+from lentilsill.outcomes import Answer, Outcome, Refused
+
+
+class LoadSummaryTests(unittest.TestCase):
+    def test_calls_are_told_by_what_callers_got(self):
+        """Guards against late answers that no log line tells from those in time."""
+        summary = LoadSummary()
+        answer = Answer(200, (), b"")
+        summary.ended("slots/get", answer, False, 0.1, 1, 1)
+        summary.ended("slots/get", answer, True, 0.5, 2, 1)
+        summary.ended("slots/get", Refused(Outcome.NOT_RUN, "full"), False, 0.0, 0, 1)
+        summary.ended("slots/get", Answer(500, (), b""), False, 0.2, 0, 1)
+        summary.ended("slots/get", None, False, 0.2, 0, 1)
+        summary.held(0.2)
+        fields = summary.take()
+        self.assertEqual(
+            fields["routes"]["slots/get"],
+            {
+                "in_time": 1,
+                "late": 1,
+                "refused": 1,
+                "failed": 2,
+                "asked": 3,
+                "attempts": 5,
+                "mean_ms": 200.0,
+            },
+        )
+        self.assertEqual((fields["held"], fields["held_ms"]), (1, 200.0))
+
+    def test_next_report_starts_anew(self):
+        """Guards against calls that are told twice."""
+        summary = LoadSummary()
+        summary.held(0.2)
+        summary.take()
+        self.assertEqual(summary.take(), {"routes": {}, "held": 0, "held_ms": 0.0})
--- a/lentilsill/daemon/tests/test_pipelining.py
+++ b/lentilsill/daemon/tests/test_pipelining.py
@@ -30,7 +30,8 @@
 class PipeliningTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.calls = _Calls()
-        self.server = CallerServer(self.calls, 1000)
+        self.held: list[float] = []
+        self.server = CallerServer(self.calls, 1000, on_held=self.held.append)
         port = self.server.listen("127.0.0.1:0")
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
         self.addAsyncCleanup(self.server.close)
@@ -57,6 +58,18 @@
         self.assertEqual((await self.body())[1], b"/1")
         self.assertEqual((await self.body())[1], b"/2")
 
+    async def test_time_that_an_answer_waits_for_its_turn_is_told(self):
+        """Guards against answers that are late for a reason that no metric shows."""
+        self.writer.write(b"GET /s/1 " + HEAD + b"GET /s/2 " + HEAD)
+        await self.begun(2)
+        self.calls.gates["/2"].set()
+        await asyncio.sleep(0.05)
+        self.calls.gates["/1"].set()
+        await self.body()
+        await self.body()
+        self.assertEqual(len(self.held), 1)
+        self.assertGreater(self.held[0], 0.04)
+
     async def test_caller_that_leaves_cancels_all_of_its_requests(self):
         """Guards against work for a caller that has gone."""
         self.writer.write(b"GET /s/1 " + HEAD + b"GET /s/2 " + HEAD)
