Tell late calls of the late calls ahead of them

Cause: the time that an upstream tells for a new call left out all late calls that wait there, as a call in time passes them. A call that is late there in any case does not pass them, so that slow upstreams with long queues of late calls seemed quick. Fix: for a call whose usual time exceeds what is left of its objective, late calls count.

The unit test failed before.

--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -167,19 +167,23 @@
     ) -> float:
         """Expected time from joining the queue to the answer.
 
-        A new call passes those of lower priority, those that are late, and those
-        whose objective ends after `objective_at`.
+        A new call passes those of lower priority and, unless it would itself be late
+        here, those that are late and those whose objective ends after `objective_at`.
         """
         cost_s = self.costs.of(kind)
         if len(self._running) < self.slots:
             return cost_s
+        is_late = now + cost_s > objective_at
         ahead_s = sum(
             waiting.cost_s
             for waiting in self._waiting.values()
             if waiting.priority < priority
             or (
                 waiting.priority == priority
-                and now + waiting.likely_s <= waiting.objective_at <= objective_at
+                and (
+                    is_late
+                    or now + waiting.likely_s <= waiting.objective_at <= objective_at
+                )
             )
         )
         return cost_s + ahead_s / max(1, self.slots) + self._first_start_s
--- a/lentilsill/admission/tests/test_overload.py
+++ b/lentilsill/admission/tests/test_overload.py
@@ -100,6 +100,26 @@
         self.assertEqual(late, [])
 
 
+class ExpectedTimeTests(unittest.TestCase):
+    def expected_s(self, left_s: float) -> float:
+        """Expected time of a call with `left_s` of its objective, behind late ones."""
+        queue = AdmissionQueue(1, 12)
+        queue.offer("first", 0.0, 9.0, 1, 9.0, "lookup")
+        queue.finished("first", 0.2)
+        for name in ("running", "late", "later"):
+            queue.offer(name, 1.0, 9.0, 1, 1.1, "lookup")
+        return queue.expected_time_s(1.0, 1, "lookup", 1.0 + left_s)
+
+    def test_call_that_is_late_on_a_slow_upstream_waits_for_late_ones(self):
+        """Guards against slow upstreams that seem the quickest, as a call that is late
+        there in any case was told that it passes the late ones."""
+        self.assertAlmostEqual(self.expected_s(0.15), 0.2 + 0.2 + 2 * 0.2)
+
+    def test_call_in_time_passes_late_ones(self):
+        """Guards against upstreams that seem busy with calls that wait behind."""
+        self.assertAlmostEqual(self.expected_s(0.5), 0.2 + 0.2)
+
+
 class PlanTests(unittest.TestCase):
     def names(self, *calls: Waiting, now: float = 0.0, wait_s: float = 0.0):
         return [call.call for call in plan_starts(calls, now, wait_s, 1)]
