--- a/lentilsill/daemon/load_summary.py
+++ b/lentilsill/daemon/load_summary.py
@@ -40,8 +40,7 @@
 class LoadSummary:
     """What became of the calls of this node's callers, by route.
 
-    Only calls that succeed or fail at an upstream on their first attempt appear
-    nowhere else in the log.
+    Calls that are served by their first attempt have no line of their own.
     """
 
     def __init__(self) -> None:
