Log and count closed connections of callers with what they lost

Change: connection_closed (reason, idle time, dropped bytes, lost requests with their attempt ids, at a limited rate), connections.closed.<reason> and connections.lost_requests.<reason>. Decisions are unchanged.

--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -75,6 +75,7 @@
         self.body_size = 0
         self.task: asyncio.Task[None] | None = None
         self.is_answered = False
+        self.is_passed_on = False
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -107,6 +108,7 @@
         if self.is_answered:
             return
         self.http.set_close_callback(self.on_connection_close)  # type: ignore
+        self.is_passed_on = True
         self.server.start_call(self)
         if not self.received.done():
             self.received.set_result(None)
@@ -114,11 +116,21 @@
     def on_connection_close(self) -> None:
         if self.method and not self.is_answered:
             self.conn.unanswered_count -= 1
+            self._record_lost()
         self.is_answered = True
         self.chunks.clear()
         if self.task is not None:
             self.task.cancel()
 
+    @property
+    def attempt_id(self) -> str:
+        """Id of the caller's attempt; empty without one."""
+        return self.headers.get(self.server.integration.headers.attempt_id, "")
+
+    def _record_lost(self) -> None:
+        if self.is_passed_on:
+            self.conn.record_lost(self.attempt_id)
+
     def call_request(self) -> CallRequest:
         """Build the call that the request describes."""
         integration = self.server.integration
@@ -133,7 +145,7 @@
             if integration.headers.request_key
             else "",
             self.deadline_ms,
-            self.headers.get(integration.headers.attempt_id, ""),
+            self.attempt_id,
         )
 
     def _service_and_path(self, integration: Integration) -> tuple[str, str]:
@@ -190,7 +202,7 @@
             fut.add_done_callback(_ignore_closed)
             self.http.finish()
         except StreamClosedError:
-            pass
+            self._record_lost()
         except ValueError as exc:
             # Nothing has been written; without another answer, the caller would
             # keep waiting.
--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -19,6 +19,7 @@
 from lentilsill.wire.streams import ProtocolStream
 
 from .caller_request import CallerRequest, call_response, json_response
+from .connection_close import CloseReason, OnClosed, ignore_close
 from .integration import DEFAULT_INTEGRATION, Integration
 from .interfaces import CallService, IssuedKeys
 from .pipelining import (
@@ -67,6 +68,8 @@
     on_answer_held : callable, optional
         Receives the time in seconds that an answer was held until earlier ones
         on its connection were written.
+    on_closed : callable, optional
+        Receives each connection that has closed.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         host_service: str = "",
         limits: Callable[[], CallerLimits | None] = lambda: None,
         on_answer_held: OnAnswerHeld = ignore_held_answer,
+        on_closed: OnClosed = ignore_close,
     ) -> None:
         self.calls = calls
         self.issue_keys = issue_keys
@@ -85,6 +89,7 @@
         self.host_service = host_service
         self.limits = limits
         self._on_answer_held = on_answer_held
+        self._on_closed = on_closed
         self._max_body_bytes = max_body_bytes
         # The delegate checks the body size itself, since tornado would answer 400
         # instead of 413. There is no header timeout per request, as one timer for
@@ -152,7 +157,7 @@
         if self._idle_timer is not None:
             self._idle_timer.cancel()
         for conn, task in list(self._connections.items()):
-            conn.close()
+            conn.close(CloseReason.STOP)
             task.cancel()
 
     def _accept_queued(self, sock: socket.socket) -> None:
@@ -189,6 +194,7 @@
 
     def _forget(self, conn: PipelinedConnection) -> None:
         self._connections.pop(conn, None)
+        self._on_closed(conn.end_record())
 
     def _close_idle(self) -> None:
         """Close connections that have been idle too long; repeat periodically."""
@@ -200,7 +206,7 @@
         used_before_s = loop.time() - idle_s
         for conn in list(self._connections):
             if conn.last_used_s < used_before_s and not conn.unanswered_count:
-                conn.close()
+                conn.close(CloseReason.IDLE)
         self._idle_timer = loop.call_later(IDLE_CHECK_INTERVAL_S, self._close_idle)
 
     def start_call(self, request: CallerRequest) -> None:
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -18,6 +18,7 @@
 from .admin_server import AdminServer
 from .blackboard import Blackboard
 from .caller_server import CallerServer
+from .connection_log import ConnectionLog
 from .context import Context
 from .controllers.bundle import BundleController
 from .controllers.claims import ClaimsController
@@ -80,6 +81,7 @@
         cfg.host_service,
         lambda: ctx.board.snapshot.caller_limits,
         load_report.record_held_answer,
+        ConnectionLog(ctx).record,
     )
     admin_server = AdminServer(
         ctx, destination.on_upstream_crash, destination.in_flight, integration
--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -18,6 +18,8 @@
 
 from lentilsill.wire.streams import ProtocolStream
 
+from .connection_close import CloseReason, ConnectionClose
+
 __all__ = [
     "ARRIVAL_TIMEOUT_S",
     "OnAnswerHeld",
@@ -45,6 +47,8 @@
     """Receives one request; `received` is done when its last byte has arrived."""
 
     received: "asyncio.Future[None]"
+    # Whether the request was read completely and its call was started.
+    is_passed_on: bool
 
 
 class _RequestStream:
@@ -58,6 +62,7 @@
         self._stream = conn.stream
         self._pending_writes: list[tuple[bytes, asyncio.Future[None]]] = []
         self._held_since_s = 0.0
+        self.request: PipelinedDelegate | None = None
         self.on_close: Callable[[], None] | None = None
         self.is_done = False
         self.is_close_requested = False
@@ -116,7 +121,14 @@
         """Close the connection when the earlier responses have been written."""
         self.is_close_requested = True
         if self._conn.can_write(self):
-            self._conn.close()
+            self._conn.close(self.close_reason)
+
+    @property
+    def close_reason(self) -> CloseReason:
+        """Why tornado closes this stream: the request said so, or is malformed."""
+        if self.request is not None and self.request.is_passed_on:
+            return CloseReason.REQUESTED
+        return CloseReason.BAD_REQUEST
 
     def closed(self) -> bool:
         return self._stream.closed()
@@ -161,6 +173,9 @@
         self._make_delegate = make_delegate
         self._on_closed = on_closed
         self._streams: deque[_RequestStream] = deque()
+        self._close_reason: CloseReason | None = None
+        self._idle_at_close_s = 0.0
+        self._lost_attempts: list[str] = []
         # Requests whose headers have arrived and that have not been answered.
         self.unanswered_count = 0
         stream.set_close_callback(self._on_stream_closed)
@@ -176,6 +191,7 @@
             # tornado declares an `IOStream` but uses only the part implemented here.
             http_conn = HTTP1Connection(request_stream, False, self._params)  # type: ignore[arg-type]
             request = self._make_delegate(http_conn, self)
+            request_stream.request = request
             reading = asyncio.ensure_future(http_conn.read_response(request))
             reading.add_done_callback(
                 partial(self._end_request, request_stream, request)
@@ -195,7 +211,7 @@
         """
         self.is_closing = True
         if self._has_finished_reading and not self.has_unsent_answers:
-            self.close()
+            self.close(CloseReason.STOP)
         else:
             loop = asyncio.get_running_loop()
             loop.call_later(ARRIVAL_TIMEOUT_S, self._close_unless_answering)
@@ -223,12 +239,35 @@
     def _close_unless_answering(self) -> None:
         """Close unless answers are due; an incomplete last request is dropped."""
         if not self.has_unsent_answers:
-            self.close()
+            self.close(CloseReason.STOP)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close after the written bytes have been sent."""
+        self._set_close_reason(reason)
         self.stream.close_gracefully()
 
+    def record_lost(self, attempt_id: str) -> None:
+        """Record a request that was passed on and whose caller gets no answer."""
+        self._lost_attempts.append(attempt_id)
+
+    def end_record(self) -> ConnectionClose:
+        """Return how the connection ended; valid once it has closed."""
+        self._set_close_reason(CloseReason.CALLER)
+        assert self._close_reason is not None
+        return ConnectionClose(
+            self._close_reason,
+            self._idle_at_close_s,
+            self.stream.dropped_byte_count,
+            tuple(self._lost_attempts),
+        )
+
+    def _set_close_reason(self, reason: CloseReason) -> None:
+        """Keep the first reason, and the idle time at that moment."""
+        if self._close_reason is None:
+            self._close_reason = reason
+            now_s = asyncio.get_running_loop().time()
+            self._idle_at_close_s = now_s - self.last_used_s
+
     async def _wait_for_room(self) -> None:
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[None] = loop.create_future()
@@ -252,6 +291,7 @@
                 asyncio.get_running_loop().call_exception_handler(
                     {"message": "request handling failed", "exception": exc}
                 )
+                self._set_close_reason(CloseReason.FAILED)
                 self.stream.close()
         request_stream.is_done = True
         if not request.received.done():
@@ -259,14 +299,14 @@
         while self._streams and self._streams[0].is_done:
             done = self._streams.popleft()
             if done.is_close_requested:
-                self.close()
+                self.close(done.close_reason)
                 break
             if self._streams:
                 self._streams[0].flush()
         if self._room_waiter is not None and not self._room_waiter.done():
             self._room_waiter.set_result(None)
         if self._has_finished_reading and not self.has_unsent_answers:
-            self.close()
+            self.close(CloseReason.STOP)
 
     def _on_stream_closed(self) -> None:
         for request_stream in list(self._streams):
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -63,6 +63,8 @@
         # True when the peer has ended the stream, rather than reset it.
         self.has_received_eof = False
         self._consumer: Callable[[bytes], None] | None = None
+        # Written bytes that this process dropped when it closed the connection.
+        self.dropped_byte_count = 0
 
     @property
     def io_loop(self) -> IOLoop:
@@ -217,8 +219,7 @@
 
     def close(self) -> None:
         """Close immediately; bytes that are buffered for the peer are dropped."""
-        if self._transport is not None:
-            self._transport.abort()
+        self._abort()
         self._set_closed()
 
     def close_gracefully(self) -> None:
@@ -235,7 +236,12 @@
         self._buffer.clear()
         if transport.can_write_eof():
             transport.write_eof()
-        self._loop.call_later(LINGER_S, transport.abort)
+        self._loop.call_later(LINGER_S, self._abort)
+
+    def _abort(self) -> None:
+        if self._transport is not None:
+            self.dropped_byte_count += self._transport.get_write_buffer_size()
+            self._transport.abort()
 
     def set_close_callback(self, callback: Callable[[], None] | None) -> None:
         """Set the function that is called once after the connection has closed."""
