--- /dev/null
+++ b/lentilsill/daemon/tests/test_kept_connections.py
@@ -0,0 +1,127 @@
+"""Requests on kept connections that are passed on get their answers."""
+
+import asyncio
+import socket
+import time
+import unittest
+
+from .connection_builders import (
+    TIMEOUT_S,
+    get,
+    read_until_closed,
+    running_server,
+)
+
+CONNECTION_COUNT = 10
+IDLE_S = 1.0
+
+
+def connect(port):
+    return asyncio.open_connection("127.0.0.1", port)
+
+
+class IdleCloseTests(unittest.IsolatedAsyncioTestCase):
+    async def test_idle_timer_after_a_stall_closes_before_the_answer(self):
+        """The loop stalls while requests arrive within the idle limit."""
+        async with running_server(0.02, IDLE_S) as (calls, _, port):
+            socks = [
+                socket.create_connection(("127.0.0.1", port), TIMEOUT_S)
+                for _ in range(CONNECTION_COUNT)
+            ]
+            for sock in socks:
+                self.addCleanup(sock.close)
+                sock.sendall(get(1))
+            for sock in socks:
+                await asyncio.to_thread(sock.recv, 9999)
+            calls.passed_on.clear()
+            time.sleep(0.5 * IDLE_S)
+            for sock in socks:
+                sock.sendall(get(2))
+            time.sleep(0.8 * IDLE_S)
+            answers = [await asyncio.to_thread(sock.recv, 9999) for sock in socks]
+        self.assertEqual(len(calls.passed_on), CONNECTION_COUNT)
+        self.assertEqual([b"whole /2" in data for data in answers], [True] * 10)
+
+    async def test_idle_time_starts_before_a_slow_answer_has_ended(self):
+        """An answer takes longer than the idle limit; the next request follows it."""
+        async with running_server(1.5 * IDLE_S, IDLE_S) as (_, _, port):
+            reader, writer = await connect(port)
+            self.addCleanup(writer.close)
+            for number in range(2):
+                writer.write(get(number))
+                async with asyncio.timeout(TIMEOUT_S):
+                    await reader.readuntil(b"whole /%d" % number)
+                await asyncio.sleep(0.7 * IDLE_S)
+
+
+class PipelinedCloseTests(unittest.IsolatedAsyncioTestCase):
+    async def test_planned_stop_announces_the_close_before_the_last_answer(self):
+        """A caller that obeys the first `Connection: close` loses later answers."""
+        async with running_server(0.2) as (calls, server, port):
+            reader, writer = await connect(port)
+            self.addCleanup(writer.close)
+            writer.write(b"".join(get(number) for number in range(4)))
+            await asyncio.sleep(0.1)
+            stop = asyncio.ensure_future(server.close())
+            data = await read_until_closed(reader)
+            await stop
+        answers = data.lower().split(b"http/1.1 ")[1:]
+        self.assertEqual(len(answers), len(calls.passed_on))
+        says_close = [b"connection: close" in answer for answer in answers]
+        self.assertEqual(says_close, [False, False, False, True])
+
+    async def test_oversized_head_closes_before_earlier_answers(self):
+        async with running_server(0.3) as (calls, _, port):
+            reader, writer = await connect(port)
+            self.addCleanup(writer.close)
+            writer.write(get(1))
+            await asyncio.sleep(0.05)
+            writer.write(get("a" * 70_000))
+            data = await read_until_closed(reader)
+        self.assertEqual(calls.passed_on, ["/1"])
+        self.assertIn(b"whole /1", data)
+
+    async def test_request_behind_connection_close_is_passed_on(self):
+        async with running_server(0.05) as (calls, _, port):
+            reader, writer = await connect(port)
+            self.addCleanup(writer.close)
+            writer.write(get(1) + get(2, b"Connection: close\r\n") + get(3))
+            data = await read_until_closed(reader)
+        self.assertEqual(calls.passed_on, ["/1", "/2"])
+        self.assertEqual(data.count(b"whole"), 2)
+
+
+class CallerEndTests(unittest.IsolatedAsyncioTestCase):
+    async def test_caller_that_ends_its_sending_side_gets_no_answer(self):
+        async with running_server(0.3) as (calls, _, port):
+            reader, writer = await connect(port)
+            self.addCleanup(writer.close)
+            writer.write(get(1) + get(2))
+            await asyncio.sleep(0.02)
+            writer.write_eof()
+            data = await read_until_closed(reader)
+        self.assertEqual(calls.passed_on, ["/1", "/2"])
+        self.assertEqual(data.count(b"whole"), 2)
+
+    async def test_call_of_a_caller_that_has_closed_goes_on(self):
+        """A full close looks like the end of the sending side until bytes are sent."""
+        async with running_server(TIMEOUT_S) as (calls, _, port):
+            _, writer = await connect(port)
+            writer.write(get(1))
+            await asyncio.sleep(0.05)
+            writer.close()
+            async with asyncio.timeout(0.5):
+                while not calls.cancelled:
+                    await asyncio.sleep(0.01)
+
+
+class FailedCallTests(unittest.IsolatedAsyncioTestCase):
+    async def test_cancelled_call_is_not_answered_and_holds_back_others(self):
+        async with running_server(0.05) as (calls, _, port):
+            reader, writer = await connect(port)
+            self.addCleanup(writer.close)
+            writer.write(get(0) + get("cancelled") + get(2) + get("failed"))
+            data = await read_until_closed(reader, 1.0)
+        self.assertEqual(len(calls.passed_on), 4)
+        statuses = [answer[:3] for answer in data.split(b"HTTP/1.1 ")[1:]]
+        self.assertEqual(statuses, [b"200", b"504", b"200", b"504"])
