Keep a connection with requests that were read from its idle close

What callers saw: after a stall of the process, connections on which requests had waited unread were closed as idle. The requests were passed on all the same and got no answer.

Cause: the idle timer decided from a count that rose only when the task that parses the head ran, one turn of the event loop after the bytes had been read. A turn that reads the bytes and runs the timer closed the connection in between, and nothing kept a request of a closed connection from being passed on.

Change: whether a request is outstanding follows from its stream alone, from the moment its head is taken from the buffer; the separate count is gone. The idle timer also asks the kernel for unread bytes, counts idle time from the first byte of a partial request, and a request whose connection has closed is not passed on.

--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -81,7 +81,6 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, RequestStartLine)
-        self.conn.unanswered_count += 1
         self.method, self.path, _ = start_line
         self.headers = headers
         length = headers.get("Content-Length", "0")
@@ -107,6 +106,10 @@
     def finish(self) -> None:
         if self.is_answered:
             return
+        if self.conn.stream.closed():
+            # The caller gets no answer; it sends the request again.
+            self.is_answered = True
+            return
         self.http.set_close_callback(self.on_connection_close)  # type: ignore
         self.is_passed_on = True
         self.server.start_call(self)
@@ -114,8 +117,7 @@
             self.received.set_result(None)
 
     def on_connection_close(self) -> None:
-        if self.method and not self.is_answered:
-            self.conn.unanswered_count -= 1
+        if not self.is_answered:
             self._record_lost()
         self.is_answered = True
         self.chunks.clear()
@@ -189,7 +191,6 @@
         if self.is_answered:
             return
         self.is_answered = True
-        self.conn.unanswered_count -= 1
         length: int | None = len(body)
         if self.method == "HEAD" or status in (204, 304):
             body, length = b"", None
@@ -208,7 +209,6 @@
             # keep waiting.
             log.warning("answer_not_written", path=self.path, error=str(exc))
             self.is_answered = False
-            self.conn.unanswered_count += 1
             reason = "answer can't be written"
             self.respond(*call_response(Refused(Outcome.RUN_ANSWER_LOST, reason)))
 
--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -205,7 +205,7 @@
             idle_s = limits.idle_timeout_ms / 1000
         used_before_s = loop.time() - idle_s
         for conn in list(self._connections):
-            if conn.last_used_s < used_before_s and not conn.unanswered_count:
+            if conn.is_idle_since(used_before_s):
                 conn.close(CloseReason.IDLE)
         self._idle_timer = loop.call_later(IDLE_CHECK_INTERVAL_S, self._close_idle)
 
--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -49,6 +49,8 @@
     received: "asyncio.Future[None]"
     # Whether the request was read completely and its call was started.
     is_passed_on: bool
+    # Whether its answer was written, or held until earlier ones are written.
+    is_answered: bool
 
 
 class _RequestStream:
@@ -60,6 +62,7 @@
     def __init__(self, conn: "PipelinedConnection") -> None:
         self._conn = conn
         self._stream = conn.stream
+        self._head: asyncio.Future[bytes] | None = None
         self._pending_writes: list[tuple[bytes, asyncio.Future[None]]] = []
         self._held_since_s = 0.0
         self.request: PipelinedDelegate | None = None
@@ -69,12 +72,33 @@
         self.max_buffer_size = conn.stream.max_buffer_size
         self.read_bytes = conn.stream.read_bytes
         self.read_until = conn.stream.read_until
-        self.read_until_regex = conn.stream.read_until_regex
 
     @property
     def io_loop(self) -> IOLoop:
         return IOLoop.current()
 
+    def read_until_regex(
+        self, regex: bytes, max_bytes: int | None = None
+    ) -> "asyncio.Future[bytes]":
+        """Read up to and including a match; the first read is that of the head."""
+        fut = self._stream.read_until_regex(regex, max_bytes)
+        if self._head is None:
+            self._head = fut
+        return fut
+
+    @property
+    def is_outstanding(self) -> bool:
+        """Whether the head of the request has arrived and its answer is due.
+
+        The head counts as soon as its bytes are taken from the connection, before
+        the task that parses it runs.
+        """
+        head = self._head
+        if head is None or not head.done() or head.cancelled() or head.exception():
+            return False
+        is_answered = self.request is not None and self.request.is_answered
+        return not (self.is_done or is_answered)
+
     def write(self, data: bytes) -> "asyncio.Future[None]":
         """Write now, or when the earlier responses have been written."""
         if self._conn.can_write(self):
@@ -173,11 +197,10 @@
         self._make_delegate = make_delegate
         self._on_closed = on_closed
         self._streams: deque[_RequestStream] = deque()
+        self._room_waiter: asyncio.Future[None] | None = None
         self._close_reason: CloseReason | None = None
         self._idle_at_close_s = 0.0
         self._lost_attempts: list[str] = []
-        # Requests whose headers have arrived and that have not been answered.
-        self.unanswered_count = 0
         stream.set_close_callback(self._on_stream_closed)
 
     async def run(self) -> None:
@@ -221,10 +244,19 @@
         """Whether requests are in progress or answers have not left this process."""
         if self.stream.closed():
             return False
-        is_answer_held = any(
-            request_stream.has_pending_writes for request_stream in self._streams
+        return self.stream.writing() or any(
+            request_stream.is_outstanding or request_stream.has_pending_writes
+            for request_stream in self._streams
+        )
+
+    def is_idle_since(self, time_s: float) -> bool:
+        """Return whether nothing has arrived since then and no answer is due."""
+        used_s = max(self.last_used_s, self.stream.input_since_s)
+        return (
+            used_s < time_s
+            and not any(stream.is_outstanding for stream in self._streams)
+            and not self.stream.has_input_in_kernel()
         )
-        return bool(self.unanswered_count) or is_answer_held or self.stream.writing()
 
     @property
     def has_unread_bytes(self) -> bool:
@@ -274,8 +306,6 @@
         self._room_waiter = waiter
         await waiter
 
-    _room_waiter: "asyncio.Future[None] | None" = None
-
     def _end_request(
         self,
         request_stream: _RequestStream,
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -65,6 +65,8 @@
         self._consumer: Callable[[bytes], None] | None = None
         # Written bytes that this process dropped when it closed the connection.
         self.dropped_byte_count = 0
+        # Time of the event loop's clock when the unread bytes began to arrive.
+        self.input_since_s = 0.0
 
     @property
     def io_loop(self) -> IOLoop:
@@ -213,9 +215,15 @@
         """
         if self._is_closed or self._buffer or self._transport is None:
             return False
+        return not self.has_input_in_kernel()
+
+    def has_input_in_kernel(self) -> bool:
+        """Return whether the kernel holds bytes or a close of the peer."""
+        if self._is_closed or self._transport is None:
+            return False
         poll = select.poll()
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return bool(poll.poll(0))
 
     def close(self) -> None:
         """Close immediately; bytes that are buffered for the peer are dropped."""
@@ -278,6 +286,8 @@
         if self._consumer is not None:
             self._consumer(data)
             return
+        if not self._buffer:
+            self.input_since_s = self._loop.time()
         self._buffer += data
         if self._pending_read is not None:
             self._try_complete_read()
