Count idle time from the end of an answer

What callers saw: a caller whose answer took longer than the idle limit found its connection closed a fraction of the limit later, while its next request was on the way.

Cause: the last use of a connection was the moment at which its last request had arrived.

Change: the end of an answer is a use as well.

--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -324,6 +324,7 @@
                 self._set_close_reason(CloseReason.FAILED)
                 self.stream.close()
         request_stream.is_done = True
+        self.last_used_s = asyncio.get_running_loop().time()
         if not request.received.done():
             request.received.set_result(None)
         while self._streams and self._streams[0].is_done:
