Read no request behind one that says Connection: close

What callers saw: requests sent behind one that said `Connection: close` were passed on, and the connection closed without their answers.

Cause: the connection went on reading while the answer to the closing request was due, and closed with that answer whatever had been read meanwhile.

Change: a connection has one state in which it reads no further request (`stop_reading`). A request whose head has not arrived by then is never passed on, and the connection closes only when every request that has arrived is answered. Tornado's own close of a request goes the same way.

--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -17,12 +17,13 @@
 
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 
+from .connection_close import CloseReason
 from .controllers.reasons import NO_ROUTE
 from .controllers.upstream_client import HOP_BY_HOP
 from .integration import Integration
 from .interfaces import CallRequest
 from .outgoing_headers import OutgoingHeaders
-from .pipelining import PipelinedConnection, PipelinedDelegate
+from .pipelining import PipelinedDelegate, RequestStream
 
 __all__ = ["CallerRequest", "RequestServer", "call_response", "json_response"]
 
@@ -61,11 +62,12 @@
         self,
         server: RequestServer,
         http: HTTP1Connection,
-        conn: PipelinedConnection,
+        stream: RequestStream,
     ) -> None:
         self.server = server
         self.http = http
-        self.conn = conn
+        self.stream = stream
+        self.conn = stream.conn
         self.received: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.method = ""
         self.path = ""
@@ -81,6 +83,12 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, RequestStartLine)
+        if not self.stream.can_be_passed_on:
+            # The caller gets no answer, and sends the request again.
+            self.is_answered = True
+            return None
+        if _says_close(start_line, headers):
+            self.conn.stop_reading(CloseReason.REQUESTED)
         self.method, self.path, _ = start_line
         self.headers = headers
         length = headers.get("Content-Length", "0")
@@ -106,8 +114,7 @@
     def finish(self) -> None:
         if self.is_answered:
             return
-        if self.conn.stream.closed():
-            # The caller gets no answer; it sends the request again.
+        if not self.stream.can_be_passed_on:
             self.is_answered = True
             return
         self.http.set_close_callback(self.on_connection_close)  # type: ignore
@@ -195,7 +202,7 @@
         if self.method == "HEAD" or status in (204, 304):
             body, length = b"", None
         fields = OutgoingHeaders(headers, length)
-        if self.conn.is_closing:
+        if self.conn.is_closing or self.conn.is_last(self.stream):
             fields["Connection"] = "close"
         start_line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "?"))
         try:
@@ -213,6 +220,15 @@
             self.respond(*call_response(Refused(Outcome.RUN_ANSWER_LOST, reason)))
 
 
+def _says_close(start_line: RequestStartLine, headers: HTTPHeaders) -> bool:
+    """Return whether the caller sends no further request on the connection."""
+    options = headers.get("Connection", "").lower().split(",")
+    tokens = {option.strip() for option in options}
+    if start_line.version == "HTTP/1.0":
+        return "keep-alive" not in tokens
+    return "close" in tokens
+
+
 def call_response(result: CallResult) -> Response:
     """Return the response for the result of a call."""
     match result:
--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -26,6 +26,7 @@
     ARRIVAL_TIMEOUT_S,
     OnAnswerHeld,
     PipelinedConnection,
+    RequestStream,
     ignore_held_answer,
 )
 
@@ -189,8 +190,8 @@
         )
         self._connections[conn] = asyncio.ensure_future(conn.run())
 
-    def _make_request(self, http, conn: PipelinedConnection) -> CallerRequest:
-        return CallerRequest(self, http, conn)
+    def _make_request(self, http, stream: RequestStream) -> CallerRequest:
+        return CallerRequest(self, http, stream)
 
     def _forget(self, conn: PipelinedConnection) -> None:
         self._connections.pop(conn, None)
--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -25,6 +25,7 @@
     "OnAnswerHeld",
     "PipelinedConnection",
     "PipelinedDelegate",
+    "RequestStream",
     "ignore_held_answer",
 ]
 
@@ -53,14 +54,16 @@
     is_answered: bool
 
 
-class _RequestStream:
+class RequestStream:
     """View of the connection's stream for one request.
 
     Reads pass through; writes are held until the earlier responses are written.
+    `is_excluded` is set when the connection reads no further request before the
+    head of this one has arrived.
     """
 
     def __init__(self, conn: "PipelinedConnection") -> None:
-        self._conn = conn
+        self.conn = conn
         self._stream = conn.stream
         self._head: asyncio.Future[bytes] | None = None
         self._pending_writes: list[tuple[bytes, asyncio.Future[None]]] = []
@@ -68,7 +71,7 @@
         self.request: PipelinedDelegate | None = None
         self.on_close: Callable[[], None] | None = None
         self.is_done = False
-        self.is_close_requested = False
+        self.is_excluded = False
         self.max_buffer_size = conn.stream.max_buffer_size
         self.read_bytes = conn.stream.read_bytes
         self.read_until = conn.stream.read_until
@@ -87,21 +90,30 @@
         return fut
 
     @property
-    def is_outstanding(self) -> bool:
-        """Whether the head of the request has arrived and its answer is due.
+    def has_begun(self) -> bool:
+        """Whether the head of the request has arrived.
 
-        The head counts as soon as its bytes are taken from the connection, before
-        the task that parses it runs.
+        It has as soon as its bytes are taken from the connection, before the task
+        that parses them runs.
         """
         head = self._head
-        if head is None or not head.done() or head.cancelled() or head.exception():
+        return bool(head and head.done() and not (head.cancelled() or head.exception()))
+
+    @property
+    def can_be_passed_on(self) -> bool:
+        """Whether the caller can still get an answer to the request."""
+        return not (self.is_excluded or self.conn.stream.closed())
+
+    @property
+    def is_outstanding(self) -> bool:
+        """Whether the head of the request has arrived and its answer is due."""
+        if self.is_done or self.is_excluded or not self.has_begun:
             return False
-        is_answered = self.request is not None and self.request.is_answered
-        return not (self.is_done or is_answered)
+        return self.request is None or not self.request.is_answered
 
     def write(self, data: bytes) -> "asyncio.Future[None]":
         """Write now, or when the earlier responses have been written."""
-        if self._conn.can_write(self):
+        if self.conn.can_write(self):
             return self._stream.write(data)
         loop = asyncio.get_running_loop()
         fut: asyncio.Future[None] = loop.create_future()
@@ -115,7 +127,7 @@
         pending_writes, self._pending_writes = self._pending_writes, []
         if pending_writes:
             now_s = asyncio.get_running_loop().time()
-            self._conn.on_answer_held(now_s - self._held_since_s)
+            self.conn.on_answer_held(now_s - self._held_since_s)
         for data, fut in pending_writes:
             try:
                 self._stream.write(data)
@@ -126,9 +138,9 @@
                 fut.set_result(None)
 
     @property
-    def has_pending_writes(self) -> bool:
-        """Whether data is held until the earlier responses are written."""
-        return bool(self._pending_writes)
+    def is_due(self) -> bool:
+        """Whether an answer is due, or held until earlier ones are written."""
+        return self.is_outstanding or bool(self._pending_writes)
 
     def abort(self) -> None:
         """Notify the request that the connection has closed."""
@@ -142,17 +154,14 @@
             callback()
 
     def close(self) -> None:
-        """Close the connection when the earlier responses have been written."""
-        self.is_close_requested = True
-        if self._conn.can_write(self):
-            self._conn.close(self.close_reason)
+        """Close the connection once the requests that have arrived are answered.
 
-    @property
-    def close_reason(self) -> CloseReason:
-        """Why tornado closes this stream: the request said so, or is malformed."""
-        if self.request is not None and self.request.is_passed_on:
-            return CloseReason.REQUESTED
-        return CloseReason.BAD_REQUEST
+        Tornado calls this when the request said so or is malformed.
+        """
+        is_passed_on = self.request is not None and self.request.is_passed_on
+        self.conn.stop_reading(
+            CloseReason.REQUESTED if is_passed_on else CloseReason.BAD_REQUEST
+        )
 
     def closed(self) -> bool:
         return self._stream.closed()
@@ -173,7 +182,7 @@
     params : HTTP1ConnectionParameters
     make_delegate : callable
         Makes the delegate of a request from the `HTTP1Connection` on which the
-        request is answered and this connection.
+        request is answered and the stream of the request.
     on_closed : callable
         Called once when the connection has closed.
     on_answer_held : OnAnswerHeld
@@ -183,9 +192,7 @@
         self,
         stream: ProtocolStream,
         params: HTTP1ConnectionParameters,
-        make_delegate: Callable[
-            [HTTP1Connection, "PipelinedConnection"], PipelinedDelegate
-        ],
+        make_delegate: Callable[[HTTP1Connection, RequestStream], PipelinedDelegate],
         on_closed: Callable[["PipelinedConnection"], None],
         on_answer_held: OnAnswerHeld = ignore_held_answer,
     ) -> None:
@@ -196,24 +203,28 @@
         self._params = params
         self._make_delegate = make_delegate
         self._on_closed = on_closed
-        self._streams: deque[_RequestStream] = deque()
+        self._streams: deque[RequestStream] = deque()
         self._room_waiter: asyncio.Future[None] | None = None
+        # Why no further request is read.
+        self._end_reason: CloseReason | None = None
         self._close_reason: CloseReason | None = None
         self._idle_at_close_s = 0.0
         self._lost_attempts: list[str] = []
         stream.set_close_callback(self._on_stream_closed)
 
     async def run(self) -> None:
-        """Read requests until the connection closes."""
-        while not self.stream.closed() and not self._has_finished_reading:
+        """Read requests until the connection closes or reading is stopped."""
+        while not (
+            self.stream.closed() or self._end_reason or self._has_finished_reading
+        ):
             if len(self._streams) >= MAX_PIPELINED_REQUESTS:
                 await self._wait_for_room()
                 continue
-            request_stream = _RequestStream(self)
+            request_stream = RequestStream(self)
             self._streams.append(request_stream)
             # tornado declares an `IOStream` but uses only the part implemented here.
             http_conn = HTTP1Connection(request_stream, False, self._params)  # type: ignore[arg-type]
-            request = self._make_delegate(http_conn, self)
+            request = self._make_delegate(http_conn, request_stream)
             request_stream.request = request
             reading = asyncio.ensure_future(http_conn.read_response(request))
             reading.add_done_callback(
@@ -222,10 +233,24 @@
             await request.received
             self.last_used_s = asyncio.get_running_loop().time()
 
-    def can_write(self, request_stream: _RequestStream) -> bool:
+    def can_write(self, request_stream: RequestStream) -> bool:
         """Return whether all responses before that of `request_stream` are written."""
         return bool(self._streams) and self._streams[0] is request_stream
 
+    def stop_reading(self, reason: CloseReason) -> None:
+        """Read no further request; close once those that have arrived are answered."""
+        if self._end_reason is None:
+            self._end_reason = reason
+        for request_stream in self._streams:
+            request_stream.is_excluded |= not request_stream.has_begun
+
+    def is_last(self, request_stream: RequestStream) -> bool:
+        """Return whether the connection closes after the answer to this request."""
+        if self._end_reason is None:
+            return False
+        begun = [stream for stream in self._streams if not stream.is_excluded]
+        return begun[-1:] == [request_stream]
+
     def close_when_answered(self) -> None:
         """Close once all requests that have arrived are read and answered.
 
@@ -244,10 +269,7 @@
         """Whether requests are in progress or answers have not left this process."""
         if self.stream.closed():
             return False
-        return self.stream.writing() or any(
-            request_stream.is_outstanding or request_stream.has_pending_writes
-            for request_stream in self._streams
-        )
+        return self.stream.writing() or any(stream.is_due for stream in self._streams)
 
     def is_idle_since(self, time_s: float) -> bool:
         """Return whether nothing has arrived since then and no answer is due."""
@@ -308,7 +330,7 @@
 
     def _end_request(
         self,
-        request_stream: _RequestStream,
+        request_stream: RequestStream,
         request: PipelinedDelegate,
         reading: "asyncio.Future[bool]",
     ) -> None:
@@ -328,15 +350,20 @@
         if not request.received.done():
             request.received.set_result(None)
         while self._streams and self._streams[0].is_done:
-            done = self._streams.popleft()
-            if done.is_close_requested:
-                self.close(done.close_reason)
-                break
+            self._streams.popleft()
             if self._streams:
                 self._streams[0].flush()
         if self._room_waiter is not None and not self._room_waiter.done():
             self._room_waiter.set_result(None)
-        if self._has_finished_reading and not self.has_unsent_answers:
+        self._close_if_answered()
+
+    def _close_if_answered(self) -> None:
+        """Close if no further request is read and all answers are written."""
+        if any(stream.is_due for stream in self._streams):
+            return
+        if self._end_reason is not None:
+            self.close(self._end_reason)
+        elif self._has_finished_reading and not self.stream.writing():
             self.close(CloseReason.STOP)
 
     def _on_stream_closed(self) -> None:
