Announce the close of a planned stop in the last answer only

What callers saw: during a planned stop every answer to requests sent ahead said `Connection: close`. A caller that obeys the first takes the others as not read: it loses their answers, and sends again what has already run.

Cause: whether an answer says close was decided from the state of the connection, not from the place of the request on it.

Change: an answer says close only if it is the last of the requests that have arrived and nothing unread is left; from then on nothing further is passed on.

--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -202,7 +202,7 @@
         if self.method == "HEAD" or status in (204, 304):
             body, length = b"", None
         fields = OutgoingHeaders(headers, length)
-        if self.conn.is_closing or self.conn.is_last(self.stream):
+        if self.conn.ends_with(self.stream):
             fields["Connection"] = "close"
         start_line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "?"))
         try:
--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -97,7 +97,9 @@
         that parses them runs.
         """
         head = self._head
-        return bool(head and head.done() and not (head.cancelled() or head.exception()))
+        if head is None or self.is_excluded or not head.done():
+            return False
+        return not (head.cancelled() or head.exception())
 
     @property
     def can_be_passed_on(self) -> bool:
@@ -107,7 +109,7 @@
     @property
     def is_outstanding(self) -> bool:
         """Whether the head of the request has arrived and its answer is due."""
-        if self.is_done or self.is_excluded or not self.has_begun:
+        if self.is_done or not self.has_begun:
             return False
         return self.request is None or not self.request.is_answered
 
@@ -244,12 +246,21 @@
         for request_stream in self._streams:
             request_stream.is_excluded |= not request_stream.has_begun
 
-    def is_last(self, request_stream: RequestStream) -> bool:
-        """Return whether the connection closes after the answer to this request."""
-        if self._end_reason is None:
+    def ends_with(self, request_stream: RequestStream) -> bool:
+        """Return whether the connection closes after the answer to this request.
+
+        A connection that stops ends with the last request that has arrived. Callers
+        take requests behind an answer that says ``close`` as not read, so only the
+        last answer may say it, and nothing may be passed on behind it.
+        """
+        if self._end_reason is None and not self.is_closing:
+            return False
+        begun = [stream for stream in self._streams if stream.has_begun]
+        if begun[-1:] != [request_stream]:
             return False
-        begun = [stream for stream in self._streams if not stream.is_excluded]
-        return begun[-1:] == [request_stream]
+        if self._has_finished_reading:
+            self.stop_reading(CloseReason.STOP)
+        return self._end_reason is not None
 
     def close_when_answered(self) -> None:
         """Close once all requests that have arrived are read and answered.
