Answer the requests before one whose head is too large

What callers saw: a request whose head was over the limit closed the connection at once; requests before it that had been passed on got no answer.

Cause: the stream closed itself when a read could not be satisfied, without regard for what else the connection carried.

Change: only the read fails. The connection reads no further request, answers those that have arrived, answers the oversized one with 431 and closes. An unexpected error of a request's reader goes the same way.

--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -38,6 +38,9 @@
 # Time that a closing connection waits for the remainder of a request whose first bytes
 # have arrived.
 ARRIVAL_TIMEOUT_S = 0.2
+BAD_REQUEST = b"400 Bad Request"
+HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
+NO_CONTENT_HEAD = b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
 def ignore_held_answer(held_s: float) -> None:
@@ -346,16 +349,19 @@
         reading: "asyncio.Future[bool]",
     ) -> None:
         """Remove a request whose response was written or failed; flush the next."""
-        if not reading.cancelled():
-            exc = reading.exception()
-            if exc is not None and not isinstance(
-                exc, StreamClosedError | UnsatisfiableReadError
-            ):
+        match None if reading.cancelled() else reading.exception():
+            case None | StreamClosedError():
+                pass
+            case UnsatisfiableReadError():
+                if not (request.is_answered or self.stream.closed()):
+                    status = BAD_REQUEST if request_stream.has_begun else HEAD_TOO_LARGE
+                    request_stream.write(NO_CONTENT_HEAD % status)
+                self.stop_reading(CloseReason.BAD_REQUEST)
+            case exc:
                 asyncio.get_running_loop().call_exception_handler(
                     {"message": "request handling failed", "exception": exc}
                 )
-                self._set_close_reason(CloseReason.FAILED)
-                self.stream.close()
+                self.stop_reading(CloseReason.FAILED)
         request_stream.is_done = True
         self.last_used_s = asyncio.get_running_loop().time()
         if not request.received.done():
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -140,8 +140,10 @@
         fut, find_end = self._pending_read
         try:
             size = find_end(self._buffer)
-        except UnsatisfiableReadError:
-            self.close()
+        except UnsatisfiableReadError as exc:
+            self._pending_read = None
+            if not fut.done():
+                fut.set_exception(exc)
             return
         if not size:
             return
