Answer a call that ends in CancelledError

What callers would see: a call that ends in CancelledError is never answered and holds back the answers of all requests behind it on its connection.

Cause: CancelledError is no Exception, so the handler of failed calls missed it.

Change: unless the caller has closed its connection, such a call is answered with 504 and logged. No call of a real node is known to end so.

--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -224,6 +224,12 @@
             return
         try:
             result = await self.calls.handle(request.call_request())
+        except asyncio.CancelledError:
+            if request.is_answered:
+                # The caller has closed its connection.
+                raise
+            log.warning("call_cancelled", path=path)
+            result = Refused(Outcome.UNKNOWN, "call was cancelled")
         except Exception:
             log.exception("call_failed", path=path)
             result = Refused(Outcome.UNKNOWN, "internal error")
