Answer a caller that has ended its sending side

What callers saw: a caller that ends its stream after its requests and reads on got no answer; its calls were cancelled.

Cause: the end of the caller's stream was taken for its leaving. The two look the same until something is sent: a caller that has closed answers with a reset, of which the transport learns nothing once it has stopped reading.

Change: a connection with unanswered requests stays open at the end of the caller's stream. If an answer takes longer than 50 ms, an interim response (100 Continue, for HTTP/1.1 callers) is sent once and the connection is checked every 50 ms; a reset cancels the calls as before. The connection closes after the last answer.

Ruled out: leaving half-closed connections alone, since calls of callers that have closed would run on (GONE); test_call_of_a_caller_that_has_closed_goes_on guards that and passes before and after.

Evidence: test_caller_that_ends_its_sending_side_gets_no_answer failed before (2 passed on, 0 answered) and passes; all seven cases of kept_connections.py pass.

--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -70,6 +70,7 @@
         self.conn = stream.conn
         self.received: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.method = ""
+        self.version = ""
         self.path = ""
         self.headers = HTTPHeaders()
         self.deadline_ms = 0
@@ -89,7 +90,7 @@
             return None
         if _says_close(start_line, headers):
             self.conn.stop_reading(CloseReason.REQUESTED)
-        self.method, self.path, _ = start_line
+        self.method, self.path, self.version = start_line
         self.headers = headers
         length = headers.get("Content-Length", "0")
         if length.isdigit() and int(length) > self.server.max_body_bytes:
--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -38,6 +38,10 @@
 # Time that a closing connection waits for the remainder of a request whose first bytes
 # have arrived.
 ARRIVAL_TIMEOUT_S = 0.2
+# Requests of a caller that has closed its connection end within a few of these
+# intervals.
+HALF_CLOSE_CHECK_INTERVAL_S = 0.05
+INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 BAD_REQUEST = b"400 Bad Request"
 HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
 NO_CONTENT_HEAD = b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -51,6 +55,8 @@
     """Receives one request; `received` is done when its last byte has arrived."""
 
     received: "asyncio.Future[None]"
+    # HTTP version, empty until the head is parsed.
+    version: str
     # Whether the request was read completely and its call was started.
     is_passed_on: bool
     # Whether its answer was written, or held until earlier ones are written.
@@ -216,6 +222,7 @@
         self._idle_at_close_s = 0.0
         self._lost_attempts: list[str] = []
         stream.set_close_callback(self._on_stream_closed)
+        stream.set_eof_callback(self._on_eof)
 
     async def run(self) -> None:
         """Read requests until the connection closes or reading is stopped."""
@@ -297,12 +304,14 @@
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes of the caller have arrived that have not been read."""
-        return not self.stream.closed() and not self.stream.is_open_without_input()
+        return not self.stream.closed() and self.stream.has_unread_input()
 
     @property
     def _has_finished_reading(self) -> bool:
         """Whether the connection is closing and all that has arrived has been read."""
-        return self.is_closing and self.stream.is_open_without_input()
+        return self.is_closing and not (
+            self.stream.closed() or self.stream.has_unread_input()
+        )
 
     def _close_unless_answering(self) -> None:
         """Close unless answers are due; an incomplete last request is dropped."""
@@ -350,6 +359,8 @@
     ) -> None:
         """Remove a request whose response was written or failed; flush the next."""
         match None if reading.cancelled() else reading.exception():
+            case StreamClosedError() if self.stream.has_received_eof:
+                self.stop_reading(CloseReason.CALLER)
             case None | StreamClosedError():
                 pass
             case UnsatisfiableReadError():
@@ -383,6 +394,42 @@
         elif self._has_finished_reading and not self.stream.writing():
             self.close(CloseReason.STOP)
 
+    def _on_eof(self) -> bool:
+        """Stay open if requests are unanswered: the caller may still read.
+
+        A caller that has closed its connection looks the same until something is
+        sent to it.
+        """
+        is_unanswered = self.has_unsent_answers or self.stream.has_unread_input()
+        if is_unanswered:
+            loop = asyncio.get_running_loop()
+            loop.call_later(HALF_CLOSE_CHECK_INTERVAL_S, self._check_caller, True)
+        return is_unanswered
+
+    def _check_caller(self, sends_probe: bool) -> None:
+        """Close if a caller that ended its stream doesn't read any more.
+
+        Its host answers an interim response with a reset, of which the transport
+        learns nothing because it has stopped reading.
+        """
+        if self.stream.closed():
+            return
+        if self.stream.is_broken():
+            self.stream.close()
+            return
+        if sends_probe:
+            sends_probe = not self._send_interim_response()
+        loop = asyncio.get_running_loop()
+        loop.call_later(HALF_CLOSE_CHECK_INTERVAL_S, self._check_caller, sends_probe)
+
+    def _send_interim_response(self) -> bool:
+        """Send ``100 Continue`` if the next answer is due to an HTTP/1.1 request."""
+        due = next((stream for stream in self._streams if stream.is_outstanding), None)
+        if due is None or due.request is None or due.request.version != "HTTP/1.1":
+            return False
+        self.stream.write(INTERIM_RESPONSE)
+        return True
+
     def _on_stream_closed(self) -> None:
         for request_stream in list(self._streams):
             request_stream.abort()
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -60,6 +60,7 @@
         self._completed_write: asyncio.Future[None] = self._loop.create_future()
         self._completed_write.set_result(None)
         self._close_callback: Callable[[], None] | None = None
+        self._eof_callback: Callable[[], bool] | None = None
         # True when the peer has ended the stream, rather than reset it.
         self.has_received_eof = False
         self._consumer: Callable[[bytes], None] | None = None
@@ -129,7 +130,7 @@
         if self._buffer:
             self._try_complete_read()
         if self._pending_read is not None:
-            if self._is_closed:
+            if self._is_closed or self.has_received_eof:
                 self._pending_read = None
                 raise StreamClosedError()
             self._resume_reading()
@@ -215,17 +216,31 @@
 
         This asks the kernel, since the event loop may not have processed either yet.
         """
-        if self._is_closed or self._buffer or self._transport is None:
-            return False
-        return not self.has_input_in_kernel()
+        return not (
+            self._is_closed
+            or self._transport is None
+            or self.has_received_eof
+            or self.has_unread_input()
+        )
+
+    def has_unread_input(self) -> bool:
+        """Return whether bytes are unread, here or in the kernel."""
+        return bool(self._buffer) or self.has_input_in_kernel()
 
     def has_input_in_kernel(self) -> bool:
-        """Return whether the kernel holds bytes or a close of the peer."""
+        """Return whether the kernel holds bytes or a close that was not read."""
+        return not self.has_received_eof and bool(self._poll(select.POLLIN))
+
+    def is_broken(self) -> bool:
+        """Return whether the kernel knows that the peer has reset the connection."""
+        return bool(self._poll(0))
+
+    def _poll(self, events: int) -> list[tuple[int, int]]:
         if self._is_closed or self._transport is None:
-            return False
+            return []
         poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        poll.register(self._transport.get_extra_info("socket").fileno(), events)
+        return poll.poll(0)
 
     def close(self) -> None:
         """Close immediately; bytes that are buffered for the peer are dropped."""
@@ -257,16 +272,26 @@
         """Set the function that is called once after the connection has closed."""
         self._close_callback = callback
 
-    def _set_closed(self) -> None:
-        if self._is_closed:
-            return
-        self._is_closed = True
+    def set_eof_callback(self, callback: Callable[[], bool]) -> None:
+        """Set the function that is called when the peer has ended its stream.
+
+        The connection stays open for writing if it returns True.
+        """
+        self._eof_callback = callback
+
+    def _fail_pending_read(self) -> None:
         if self._pending_read is not None:
             fut, _ = self._pending_read
             self._pending_read = None
             if not fut.done():
                 fut.set_exception(StreamClosedError())
                 fut.exception()
+
+    def _set_closed(self) -> None:
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._fail_pending_read()
         for write in self._pending_writes:
             if not write.done():
                 write.set_exception(StreamClosedError())
@@ -297,9 +322,12 @@
             self._pause_reading()
 
     def eof_received(self) -> bool:
-        """Record that the peer ended the stream; the transport then closes it."""
+        """Record that the peer ended its stream; return whether to stay open."""
         self.has_received_eof = True
-        return False
+        if self._is_closed or self._eof_callback is None or not self._eof_callback():
+            return False
+        self._fail_pending_read()
+        return True
 
     def _pause_reading(self) -> None:
         if not self._is_reading_paused and not self._is_closed:
