--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -23,7 +23,7 @@
 from .integration import Integration
 from .interfaces import CallRequest
 from .outgoing_headers import OutgoingHeaders
-from .pipelining import PipelinedDelegate, RequestStream
+from .request_stream import PipelinedDelegate, RequestStream
 
 __all__ = ["CallerRequest", "RequestServer", "call_response", "json_response"]
 
--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -22,13 +22,8 @@
 from .connection_close import CloseReason, OnClosed, ignore_close
 from .integration import DEFAULT_INTEGRATION, Integration
 from .interfaces import CallService, IssuedKeys
-from .pipelining import (
-    ARRIVAL_TIMEOUT_S,
-    OnAnswerHeld,
-    PipelinedConnection,
-    RequestStream,
-    ignore_held_answer,
-)
+from .pipelining import ARRIVAL_TIMEOUT_S, PipelinedConnection
+from .request_stream import OnAnswerHeld, RequestStream, ignore_held_answer
 
 __all__ = ["CallerServer", "IssueKeys"]
 
