Linger after a close while the caller still reads

What callers saw: an answer that was held behind another and is longer than the kernel's buffers broke off when the connection closed after it, if the caller took more than a second to read it.

Cause: a closed stream dropped its unsent bytes after a fixed second, whether or not the caller was reading, and tornado counts a held answer as written when it is handed to the stream.

Change: the second starts again as long as the peer has taken some of the bytes.

--- a/lentilsill/daemon/tests/connection_builders.py
+++ b/lentilsill/daemon/tests/connection_builders.py
@@ -23,10 +23,12 @@
     """Answers each call with its path after `delay_s`.
 
     Calls of ``/cancelled`` end in CancelledError, those of ``/failed`` in an exception.
+    `body_bytes` is the size of the filler behind the path.
     """
 
     def __init__(self, delay_s: float) -> None:
         self.delay_s = delay_s
+        self.body_bytes = 0
         self.passed_on: list[str] = []
         self.cancelled: list[str] = []
 
@@ -42,7 +44,8 @@
                 raise asyncio.CancelledError
             case "/failed":
                 raise RuntimeError("call failed")
-        return Answer(200, (), b"whole " + req.path.encode())
+        filler = b"x" * self.body_bytes
+        return Answer(200, (), b"whole " + req.path.encode() + filler + b"end")
 
 
 @asynccontextmanager
--- a/lentilsill/daemon/tests/test_kept_connections.py
+++ b/lentilsill/daemon/tests/test_kept_connections.py
@@ -14,6 +14,9 @@
 
 CONNECTION_COUNT = 10
 IDLE_S = 1.0
+LARGE_BODY_BYTES = 2 * 1024 * 1024
+SOCKET_BUFFER_BYTES = 64 * 1024
+SLOW_READ_PAUSE_S = 0.08
 
 
 def connect(port):
@@ -127,3 +130,36 @@
         self.assertEqual(len(calls.passed_on), 4)
         statuses = [answer[:3] for answer in data.split(b"HTTP/1.1 ")[1:]]
         self.assertEqual(statuses, [b"200", b"504", b"200", b"504"])
+
+
+class UnsentBytesTests(unittest.IsolatedAsyncioTestCase):
+    async def read_slowly(self, sock):
+        """Read in steps that take longer in total than a closed stream lingers."""
+        data = b""
+        async with asyncio.timeout(4 * TIMEOUT_S):
+            while chunk := await asyncio.to_thread(sock.recv, SOCKET_BUFFER_BYTES):
+                data += chunk
+                await asyncio.sleep(SLOW_READ_PAUSE_S)
+        return data
+
+    async def connect_with_small_buffers(self, server, port):
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+        sock.connect(("127.0.0.1", port))
+        while not server._connections:
+            await asyncio.sleep(0.005)
+        for conn in server._connections:
+            accepted = conn.stream._transport.get_extra_info("socket")
+            accepted.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES
+            )
+        return sock
+
+    async def test_close_drops_the_end_of_a_held_answer_to_a_slow_reader(self):
+        async with running_server(0.01) as (calls, server, port):
+            calls.body_bytes = LARGE_BODY_BYTES
+            sock = await self.connect_with_small_buffers(server, port)
+            sock.sendall(get(1) + get(2, b"Connection: close\r\n"))
+            data = await self.read_slowly(sock)
+        self.assertTrue(data.endswith(b"end"), f"{len(data)} bytes")
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -22,7 +22,8 @@
 
 # With more unread bytes than this, the transport stops reading from the socket.
 MAX_UNREAD_BYTES = 256 * 1024
-# A peer that has read the end of the stream closes its side well within this time.
+# A peer that has read the end of the stream closes its side well within this time, and
+# one that still reads takes some of the written bytes.
 LINGER_S = 1.0
 DEFAULT_MAX_BUFFER_BYTES = 100 * 1024 * 1024
 
@@ -261,11 +262,27 @@
         self._buffer.clear()
         if transport.can_write_eof():
             transport.write_eof()
-        self._loop.call_later(LINGER_S, self._abort)
+        self._linger()
+
+    def _linger(self) -> None:
+        self._loop.call_later(LINGER_S, self._end_linger, self.unsent_byte_count)
+
+    def _end_linger(self, earlier_unsent_count: int) -> None:
+        """Close, unless the peer has read some of the written bytes meanwhile."""
+        if self.unsent_byte_count < earlier_unsent_count:
+            self._linger()
+        else:
+            self._abort()
+
+    @property
+    def unsent_byte_count(self) -> int:
+        """Number of written bytes that the kernel has not accepted."""
+        transport = self._transport
+        return 0 if transport is None else transport.get_write_buffer_size()
 
     def _abort(self) -> None:
         if self._transport is not None:
-            self.dropped_byte_count += self._transport.get_write_buffer_size()
+            self.dropped_byte_count += self.unsent_byte_count
             self._transport.abort()
 
     def set_close_callback(self, callback: Callable[[], None] | None) -> None:
