Wait at a planned stop while callers send or read

What callers saw: at a planned stop, a request that arrived behind another was passed on and cut half a second after the earlier ones had ended; an answer that a slow caller was still reading broke off.

Cause: the stop waited for the calls that were in progress when it began and then a fixed half second for everything else, and a closed connection with unsent bytes did not count.

Change: the stop waits while calls are in progress, and for half a second after the last progress of any caller: bytes that the kernel took, or a connection that ended. After one second no further requests behind others are read, so that a caller that sends without a pause cannot delay the exit.

--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -22,7 +22,7 @@
 from .connection_close import CloseReason, OnClosed, ignore_close
 from .integration import DEFAULT_INTEGRATION, Integration
 from .interfaces import CallService, IssuedKeys
-from .pipelining import ARRIVAL_TIMEOUT_S, PipelinedConnection
+from .pipelining import PipelinedConnection
 from .request_stream import OnAnswerHeld, RequestStream, ignore_held_answer
 
 __all__ = ["CallerServer", "IssueKeys"]
@@ -39,8 +39,11 @@
 KEYS_PATH = "/lentilsill/keys"
 NODE_PATH_PREFIX = "/lentilsill/"
 POLL_INTERVAL_S = 0.005
-# Time that the exit waits for a caller that does not read its answers.
-ANSWER_TIMEOUT_S = 0.5
+# After this time, requests behind others on a connection are not read any more, so that
+# a caller that sends without a pause does not delay the exit.
+MAX_READING_S = 1.0
+# Time that the exit waits for callers that neither send nor read anything.
+PROGRESS_TIMEOUT_S = 0.5
 # Connections that wait to be accepted. A full queue delays callers by seconds.
 ACCEPT_BACKLOG = 1024
 
@@ -137,25 +140,31 @@
             await asyncio.wait(self._opening)
         for conn in list(self._connections):
             conn.close_when_answered()
-        deadline = asyncio.get_running_loop().time() + ARRIVAL_TIMEOUT_S
-        while any(conn.has_unread_bytes for conn in self._connections):
-            if asyncio.get_running_loop().time() > deadline:
-                break
-            await asyncio.sleep(POLL_INTERVAL_S)
-        if self._request_tasks:
-            await asyncio.wait(self._request_tasks)
-        deadline = asyncio.get_running_loop().time() + ANSWER_TIMEOUT_S
-        while any(conn.has_unsent_answers for conn in self._connections):
-            if asyncio.get_running_loop().time() > deadline:
-                log.warning("answers_dropped", connections=len(self._connections))
-                break
-            await asyncio.sleep(POLL_INTERVAL_S)
+        await self._wait_until_answered()
         if self._idle_timer is not None:
             self._idle_timer.cancel()
         for conn, task in list(self._connections.items()):
             conn.close(CloseReason.STOP)
             task.cancel()
 
+    async def _wait_until_answered(self) -> None:
+        """Wait while calls are in progress or callers send or read something."""
+        loop = asyncio.get_running_loop()
+        progress: tuple[int, ...] = ()
+        started_at_s = progress_at_s = loop.time()
+        while busy := [conn for conn in self._connections if conn.is_busy]:
+            now_s = loop.time()
+            if now_s - started_at_s > MAX_READING_S:
+                for conn in busy:
+                    conn.finish_reading()
+            unsent = sum(conn.unsent_byte_count for conn in busy)
+            if self._request_tasks or progress != (len(busy), unsent):
+                progress, progress_at_s = (len(busy), unsent), now_s
+            elif now_s - progress_at_s > PROGRESS_TIMEOUT_S:
+                log.warning("answers_dropped", connections=len(busy))
+                break
+            await asyncio.sleep(POLL_INTERVAL_S)
+
     def _accept_queued(self, sock: socket.socket) -> None:
         for _ in range(ACCEPT_BACKLOG):
             try:
--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -24,10 +24,7 @@
     ignore_held_answer,
 )
 
-__all__ = [
-    "ARRIVAL_TIMEOUT_S",
-    "PipelinedConnection",
-]
+__all__ = ["PipelinedConnection"]
 
 # Further requests stay in the kernel's buffer until the oldest one is answered.
 MAX_PIPELINED_REQUESTS = 32
@@ -144,6 +141,11 @@
             loop = asyncio.get_running_loop()
             loop.call_later(ARRIVAL_TIMEOUT_S, self._close_unless_answering)
 
+    def finish_reading(self) -> None:
+        """Stop at the requests that have arrived, and close when they are answered."""
+        self.stop_reading(CloseReason.STOP)
+        self._close_if_answered()
+
     @property
     def has_unsent_answers(self) -> bool:
         """Whether requests are in progress or answers have not left this process."""
@@ -161,9 +163,16 @@
         )
 
     @property
-    def has_unread_bytes(self) -> bool:
-        """Whether bytes of the caller have arrived that have not been read."""
-        return not self.stream.closed() and self.stream.has_unread_input()
+    def is_busy(self) -> bool:
+        """Whether the end of the process would lose requests or answers."""
+        if self.stream.closed():
+            return bool(self.unsent_byte_count)
+        return self.has_unsent_answers or self.stream.has_unread_input()
+
+    @property
+    def unsent_byte_count(self) -> int:
+        """Number of written bytes that the kernel has not accepted."""
+        return self.stream.unsent_byte_count
 
     @property
     def _has_finished_reading(self) -> bool:
--- a/lentilsill/daemon/tests/test_kept_connections.py
+++ b/lentilsill/daemon/tests/test_kept_connections.py
@@ -163,3 +163,46 @@
             sock.sendall(get(1) + get(2, b"Connection: close\r\n"))
             data = await self.read_slowly(sock)
         self.assertTrue(data.endswith(b"end"), f"{len(data)} bytes")
+
+    async def test_planned_stop_drops_the_end_of_an_answer_to_a_slow_reader(self):
+        async with running_server(0.01) as (calls, server, port):
+            calls.body_bytes = LARGE_BODY_BYTES
+            sock = await self.connect_with_small_buffers(server, port)
+            sock.sendall(get(1))
+            await asyncio.sleep(0.1)
+            reading = asyncio.ensure_future(self.read_slowly(sock))
+            await server.close()
+            # The process ends here: bytes that the kernel doesn't have are lost.
+            for conn in list(server._connections):
+                conn.stream.close()
+            data = await reading
+        self.assertTrue(data.endswith(b"end"), f"{len(data)} bytes")
+
+    async def test_planned_stop_cuts_a_request_that_arrives_behind_another(self):
+        async with running_server(0.3) as (calls, server, port):
+            reader, writer = await connect(port)
+            self.addCleanup(writer.close)
+            writer.write(get(1))
+            await asyncio.sleep(0.1)
+            stop = asyncio.ensure_future(server.close())
+            await asyncio.sleep(0.1)
+            calls.delay_s = 1.2
+            writer.write(get(2))
+            data = await read_until_closed(reader)
+            await stop
+        self.assertEqual(calls.passed_on, ["/1", "/2"])
+        self.assertEqual(data.count(b"whole"), 2)
+
+    async def test_caller_that_sends_without_a_pause_delays_a_planned_stop(self):
+        async with running_server(0.1) as (calls, server, port):
+            reader, writer = await connect(port)
+            self.addCleanup(writer.close)
+            reading = asyncio.ensure_future(read_until_closed(reader))
+            writer.write(get(0) + get(0))
+            stop = asyncio.ensure_future(server.close())
+            async with asyncio.timeout(0.6 * TIMEOUT_S):
+                while not stop.done():
+                    writer.write(get(1))
+                    await asyncio.sleep(0.02)
+            data = await reading
+        self.assertEqual(data.count(b"whole"), len(calls.passed_on))
