Write nothing for a request that is not read any more

A request behind the last answer of a connection is not passed on. If it arrived with `Expect: 100-continue` while that answer was still being sent, tornado's interim response was held for it and would have counted as an answer that is due, so that the connection closed late. Found by reading; a test with a slow reader did not hit the moment, so there is none.

--- a/lentilsill/daemon/request_stream.py
+++ b/lentilsill/daemon/request_stream.py
@@ -101,7 +101,15 @@
         return self.request is None or not self.request.is_answered
 
     def write(self, data: bytes) -> "asyncio.Future[None]":
-        """Write now, or when the earlier responses have been written."""
+        """Write now, or when the earlier responses have been written.
+
+        Raises
+        ------
+        StreamClosedError
+            The connection has closed, or reads this request no more.
+        """
+        if self.is_excluded:
+            raise StreamClosedError()
         if self.conn.can_write(self):
             return self._stream.write(data)
         loop = asyncio.get_running_loop()
