Log and count closed links between nodes with their calls

Change: link_closed (reason, idle time, dropped bytes, calls without a result, calls served for the peer, at a limited rate), links.closed.<reason> and links.unanswered_calls.<reason>. Decisions are unchanged. The choice of idle links moved to a module of its own.

Evidence: test_link_log; 29 tests of lentilsill.wire and 105 of lentilsill.daemon.controllers pass.

--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -9,6 +9,7 @@
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import CallRequest, CrashGuard, KeyClaims, KeyGranted
+from lentilsill.daemon.link_log import LinkLog
 from lentilsill.documents import ServiceDocument
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.retries import (
@@ -70,6 +71,7 @@
         self.claims = claims
         self.guard = guard
         self.peers = PeerCalls(ctx)
+        LinkLog(ctx, self.peers.count_calls, destination.served_calls.count_calls)
         self.selector = Selector(ctx.cfg.domain, ctx.rng)
         self.call_ages = CallAges()
         self.in_flight = 0
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -202,12 +202,19 @@
         if not has_result:
             attempt.link.send(Cancel(attempt.call_id))
 
-    def _has_calls(self, link: Link) -> bool:
+    def count_calls(self, link: Link) -> int:
+        """Return the number of attempts on a link that have no result."""
         peer = self._peers.get(link.address)
-        return peer is not None and any(
-            attempt.link is link for attempt in peer.outstanding.values()
+        if peer is None:
+            return 0
+        return sum(
+            attempt.link is link and not attempt.fut.done()
+            for attempt in peer.outstanding.values()
         )
 
+    def _has_calls(self, link: Link) -> bool:
+        return self.count_calls(link) > 0
+
     def _find(self, link: Link, call_id: int) -> _Attempt | None:
         peer = self._peers.get(link.address)
         return peer.outstanding.get(call_id) if peer else None
--- a/lentilsill/daemon/controllers/served_calls.py
+++ b/lentilsill/daemon/controllers/served_calls.py
@@ -76,6 +76,10 @@
         """Start to expire execution records periodically."""
         self.ctx.spawn(self._expire_records())
 
+    def count_calls(self, link: Link) -> int:
+        """Return the number of calls that run for the entry node of a link."""
+        return sum(execution.link is link for execution in self._executions.values())
+
     def _on_call(self, link: Link, call) -> None:
         now = self.ctx.now()
         instance = link.hello.instance
--- a/lentilsill/wire/__init__.py
+++ b/lentilsill/wire/__init__.py
@@ -3,6 +3,7 @@
 A link is one stream to another node, either for control messages or for calls.
 """
 
+from .link import LinkCloseReason
 from .links import Link, PeerLinks
 from .messages import (
     CALLS,
@@ -21,6 +22,7 @@
     "PROTOCOL_VERSION",
     "Hello",
     "Link",
+    "LinkCloseReason",
     "Message",
     "PeerLinks",
     "WireError",
--- a/lentilsill/wire/link.py
+++ b/lentilsill/wire/link.py
@@ -1,8 +1,10 @@
 """One link to another node, and traffic counters of links."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
@@ -10,12 +12,23 @@
 from .messages import Hello, Message, encode
 from .streams import ProtocolStream
 
-__all__ = ["Identity", "Link", "LinkError", "Traffic"]
+__all__ = ["Identity", "Link", "LinkCloseReason", "LinkError", "Traffic"]
 
 # Upper bound on the bytes that compression adds to a message of 8 MB.
 MAX_EXPANSION_BYTES = 8 * 1024
 
 
+class LinkCloseReason(StrEnum):
+    """Why a link was closed; `PEER` when the other end closed or reset it first."""
+
+    PEER = "peer"
+    IDLE = "idle"
+    SILENT = "silent"
+    PROTOCOL = "protocol"
+    FAILED = "failed"
+    STOP = "stop"
+
+
 class LinkError(Exception):
     """A link could not be opened, or a peer violated the protocol."""
 
@@ -51,6 +64,7 @@
     """One stream to a peer after both sides have sent `Hello`.
 
     `last_received_s` and `last_sent_s` are in seconds of the event loop's clock.
+    `close_reason` and `idle_at_close_s` hold how the link was closed, once it is.
     """
 
     stream: ProtocolStream
@@ -63,6 +77,8 @@
     compressor: Compressor | None = None
     last_sent_s: float = 0.0
     is_closed: bool = False
+    close_reason: LinkCloseReason | None = None
+    idle_at_close_s: float = 0.0
 
     @property
     def last_used_s(self) -> float:
@@ -91,6 +107,14 @@
         self.last_sent_s = asyncio.get_running_loop().time()
         return True
 
-    def close(self) -> None:
+    def close(self, reason: LinkCloseReason = LinkCloseReason.SILENT) -> None:
         """Close the stream."""
+        self.set_close_reason(reason)
         self.stream.close()
+
+    def set_close_reason(self, reason: LinkCloseReason) -> None:
+        """Keep the first reason, and the idle time at that moment."""
+        if self.close_reason is None:
+            self.close_reason = LinkCloseReason.PEER if not self.is_open else reason
+            # No event loop runs when a node is closed after its loop has ended.
+            self.idle_at_close_s = time.monotonic() - self.last_used_s
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -19,7 +19,8 @@
     uses_compression,
 )
 from .handshake import read_hello
-from .link import Identity, Link, LinkError, Traffic
+from .idle_links import select_idle
+from .link import Identity, Link, LinkCloseReason, LinkError, Traffic
 from .messages import (
     CONTROL,
     MAX_MESSAGE_BYTES,
@@ -139,12 +140,17 @@
             return fut.result()
         return None
 
-    def disconnect(self, address: str, purpose: str) -> None:
+    def disconnect(
+        self,
+        address: str,
+        purpose: str,
+        reason: LinkCloseReason = LinkCloseReason.SILENT,
+    ) -> None:
         """Close the dialed link, so that the next `connect` dials a new one."""
         link = self.find(address, purpose)
         self._dialed.pop((address, purpose), None)
         if link is not None:
-            link.close()
+            link.close(reason)
 
     def send(self, address: str, purpose: str, message: Message) -> None:
         """Send without waiting; a message to an unreachable peer is dropped."""
@@ -190,9 +196,9 @@
             stop()
         self._stop_accepting.clear()
         for link in list(self.accepted):
-            link.close()
+            link.close(LinkCloseReason.STOP)
         for address, purpose in list(self._dialed):
-            self.disconnect(address, purpose)
+            self.disconnect(address, purpose, LinkCloseReason.STOP)
 
     async def _dial_and_send(
         self,
@@ -227,19 +233,13 @@
         }
         is_control = purpose == CONTROL
         limit = self.max_control_links if is_control else self.max_compressed_call_links
-        excess = max(0, len(counted) + 1 - limit)
-        if not excess:
+        excess = len(counted) + 1 - limit
+        if excess <= 0:
             return
-        idle = [
-            (link.last_used_s, key)
-            for key, link in counted.items()
-            if now - link.last_used_s > self.min_idle_s
-            and not link.stream.writing()
-            and not self.is_awaiting_answer(link)
-        ]
-        for _, key in sorted(idle)[:excess]:
+        used_before_s = now - self.min_idle_s
+        for key in select_idle(counted, excess, used_before_s, self.is_awaiting_answer):
             self.traffic[purpose].idle_closed += 1
-            self.disconnect(*key)
+            self.disconnect(*key, LinkCloseReason.IDLE)
 
     def _start_task(self, coro) -> None:
         task = asyncio.ensure_future(coro)
@@ -349,7 +349,7 @@
                 error=repr(exc),
                 exc_info=True,
             )
-            link.close()
+            link.close(LinkCloseReason.FAILED)
 
     def _close_invalid(self, link: Link, exc: Exception) -> None:
         log.warning(
@@ -358,7 +358,7 @@
             address=link.address,
             error=str(exc),
         )
-        link.close()
+        link.close(LinkCloseReason.PROTOCOL)
 
     def _dispatch(self, link: Link, message: Message) -> None:
         handler = self.handlers.get(type(message))
@@ -371,6 +371,7 @@
         if link.is_closed:
             return
         link.is_closed = True
+        link.set_close_reason(LinkCloseReason.PEER)
         self.accepted.discard(link)
         for handler in [*link.on_close, *self.close_handlers]:
             handler(link)
