--- a/lentilsill/wire/link.py
+++ b/lentilsill/wire/link.py
@@ -1,8 +1,10 @@
 """One link to another node, and traffic counters of links."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
@@ -10,12 +12,23 @@
 from .messages import Hello, Message, encode
 from .streams import ProtocolStream
 
-__all__ = ["Identity", "Link", "LinkError", "Traffic"]
+__all__ = ["Identity", "Link", "LinkCloseReason", "LinkError", "Traffic"]
 
 # Upper bound on the bytes that compression adds to a message of 8 MB.
 MAX_EXPANSION_BYTES = 8 * 1024
 
 
+class LinkCloseReason(StrEnum):
+    """Why a link was closed; `PEER` when the other end closed or reset it first."""
+
+    PEER = "peer"
+    IDLE = "idle"
+    SILENT = "silent"
+    PROTOCOL = "protocol"
+    FAILED = "failed"
+    STOP = "stop"
+
+
 class LinkError(Exception):
     """A link could not be opened, or a peer violated the protocol."""
 
@@ -51,6 +64,7 @@
     """One stream to a peer after both sides have sent `Hello`.
 
     `last_received_s` and `last_sent_s` are in seconds of the event loop's clock.
+    `close_reason` and `idle_at_close_s` hold how the link was closed, once it is.
     """
 
     stream: ProtocolStream
@@ -63,6 +77,8 @@
     compressor: Compressor | None = None
     last_sent_s: float = 0.0
     is_closed: bool = False
+    close_reason: LinkCloseReason | None = None
+    idle_at_close_s: float = 0.0
 
     @property
     def last_used_s(self) -> float:
@@ -74,6 +90,14 @@
         """Whether the stream still accepts writes."""
         return not self.stream.closed()
 
+    def has_unread_input(self) -> bool:
+        """Return whether bytes, or the end of the stream, wait to be read.
+
+        After a stall, timers can run before the bytes that have arrived are read, so
+        a decision that a peer is silent or late must check this first.
+        """
+        return self.is_open and not self.stream.is_open_without_input()
+
     def send(self, message: Message) -> bool:
         """Queue a message; return False if the stream is closed or the buffer full."""
         data = encode(message)
@@ -91,6 +115,14 @@
         self.last_sent_s = asyncio.get_running_loop().time()
         return True
 
-    def close(self) -> None:
+    def close(self, reason: LinkCloseReason = LinkCloseReason.SILENT) -> None:
         """Close the stream."""
+        self.set_close_reason(reason)
         self.stream.close()
+
+    def set_close_reason(self, reason: LinkCloseReason) -> None:
+        """Keep the first reason, and the idle time at that moment."""
+        if self.close_reason is None:
+            self.close_reason = LinkCloseReason.PEER if not self.is_open else reason
+            # No event loop runs when a node is closed after its loop has ended.
+            self.idle_at_close_s = time.monotonic() - self.last_used_s
