Take in what waits in the kernel before a stop or close gives up

What callers saw: a node that was stopped and continued (SIGSTOP, or starved of processor time) during a planned stop dropped requests whose last bytes had arrived meanwhile, and broke off answers that callers were reading.

Cause: when epoll is interrupted and its time limit has passed, the event loop reports no events, so that timers run before the bytes that have arrived are read and before written bytes go to room that the peer has made. Three bounds of time took the stall for the caller's.

Change: the timer of a closing connection asks the kernel for unread bytes, the one of a lingering stream asks it for room, and the stop counts polls instead of time.

Evidence: the three tests of StoppedProcessTests failed before (request of which 10 bytes were read: no answer; answers of 2 MiB broke off) and pass.

--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -42,8 +42,9 @@
 # After this time, requests behind others on a connection are not read any more, so that
 # a caller that sends without a pause does not delay the exit.
 MAX_READING_S = 1.0
-# Time that the exit waits for callers that neither send nor read anything.
-PROGRESS_TIMEOUT_S = 0.5
+# The exit waits about 0.5 s for callers that neither send nor read anything. Polls are
+# counted, since a stall of this process leaves callers no time.
+MAX_IDLE_POLLS = 100
 # Connections that wait to be accepted. A full queue delays callers by seconds.
 ACCEPT_BACKLOG = 1024
 
@@ -151,18 +152,19 @@
         """Wait while calls are in progress or callers send or read something."""
         loop = asyncio.get_running_loop()
         progress: tuple[int, ...] = ()
-        started_at_s = progress_at_s = loop.time()
+        started_at_s = loop.time()
+        polls_left = MAX_IDLE_POLLS
         while busy := [conn for conn in self._connections if conn.is_busy]:
-            now_s = loop.time()
-            if now_s - started_at_s > MAX_READING_S:
+            if loop.time() - started_at_s > MAX_READING_S:
                 for conn in busy:
                     conn.finish_reading()
             unsent = sum(conn.unsent_byte_count for conn in busy)
             if self._request_tasks or progress != (len(busy), unsent):
-                progress, progress_at_s = (len(busy), unsent), now_s
-            elif now_s - progress_at_s > PROGRESS_TIMEOUT_S:
+                progress, polls_left = (len(busy), unsent), MAX_IDLE_POLLS
+            elif not polls_left:
                 log.warning("answers_dropped", connections=len(busy))
                 break
+            polls_left -= 1
             await asyncio.sleep(POLL_INTERVAL_S)
 
     def _accept_queued(self, sock: socket.socket) -> None:
--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -182,8 +182,14 @@
         )
 
     def _close_unless_answering(self) -> None:
-        """Close unless answers are due; an incomplete last request is dropped."""
-        if not self.has_unsent_answers:
+        """Close unless answers are due; an incomplete last request is dropped.
+
+        After a stall, timers can run before the bytes that have arrived are read.
+        """
+        if self.stream.has_input_in_kernel():
+            loop = asyncio.get_running_loop()
+            loop.call_later(ARRIVAL_TIMEOUT_S, self._close_unless_answering)
+        elif not self.has_unsent_answers:
             self.close(CloseReason.STOP)
 
     def close(self, reason: CloseReason) -> None:
--- a/lentilsill/daemon/tests/connection_builders.py
+++ b/lentilsill/daemon/tests/connection_builders.py
@@ -1,6 +1,7 @@
 """Builders of servers and requests for tests of callers' connections."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 
@@ -8,9 +9,20 @@
 from lentilsill.documents import CallerLimits
 from lentilsill.outcomes import Answer
 
-__all__ = ["TIMEOUT_S", "DelayedCalls", "get", "read_until_closed", "running_server"]
+__all__ = [
+    "TIMEOUT_S",
+    "DelayedCalls",
+    "connect_with_small_buffers",
+    "get",
+    "read_available",
+    "read_slowly",
+    "read_until_closed",
+    "running_server",
+]
 
 TIMEOUT_S = 5.0
+SOCKET_BUFFER_BYTES = 64 * 1024
+SLOW_READ_PAUSE_S = 0.08
 MAX_BODY_BYTES = 1024
 
 
@@ -75,3 +87,37 @@
             while chunk := await reader.read(65536):
                 data += chunk
     return data
+
+
+async def connect_with_small_buffers(server: CallerServer, port: int) -> socket.socket:
+    """Connect so that the kernel holds only a small part of a large answer."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    sock.connect(("127.0.0.1", port))
+    while not server._connections:
+        await asyncio.sleep(0.005)
+    for conn in server._connections:
+        transport = conn.stream._transport
+        assert transport is not None
+        accepted = transport.get_extra_info("socket")
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+    return sock
+
+
+def read_available(sock: socket.socket) -> bytes:
+    """Return the bytes that have arrived, without waiting."""
+    data = b""
+    with suppress(BlockingIOError):
+        while chunk := sock.recv(SOCKET_BUFFER_BYTES, socket.MSG_DONTWAIT):
+            data += chunk
+    return data
+
+
+async def read_slowly(sock: socket.socket) -> bytes:
+    """Read to the end, over a longer time than a closed stream lingers."""
+    data = b""
+    async with asyncio.timeout(4 * TIMEOUT_S):
+        while chunk := await asyncio.to_thread(sock.recv, SOCKET_BUFFER_BYTES):
+            data += chunk
+            await asyncio.sleep(SLOW_READ_PAUSE_S)
+    return data
--- a/lentilsill/daemon/tests/test_kept_connections.py
+++ b/lentilsill/daemon/tests/test_kept_connections.py
@@ -5,9 +5,15 @@
 import time
 import unittest
 
+from lentilsill.daemon.controllers.tests.call_builders import stop_process
+from lentilsill.wire.streams import LINGER_S
+
 from .connection_builders import (
     TIMEOUT_S,
+    connect_with_small_buffers,
     get,
+    read_available,
+    read_slowly,
     read_until_closed,
     running_server,
 )
@@ -15,8 +21,6 @@
 CONNECTION_COUNT = 10
 IDLE_S = 1.0
 LARGE_BODY_BYTES = 2 * 1024 * 1024
-SOCKET_BUFFER_BYTES = 64 * 1024
-SLOW_READ_PAUSE_S = 0.08
 
 
 def connect(port):
@@ -133,44 +137,23 @@
 
 
 class UnsentBytesTests(unittest.IsolatedAsyncioTestCase):
-    async def read_slowly(self, sock):
-        """Read in steps that take longer in total than a closed stream lingers."""
-        data = b""
-        async with asyncio.timeout(4 * TIMEOUT_S):
-            while chunk := await asyncio.to_thread(sock.recv, SOCKET_BUFFER_BYTES):
-                data += chunk
-                await asyncio.sleep(SLOW_READ_PAUSE_S)
-        return data
-
-    async def connect_with_small_buffers(self, server, port):
-        sock = socket.socket()
-        self.addCleanup(sock.close)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-        sock.connect(("127.0.0.1", port))
-        while not server._connections:
-            await asyncio.sleep(0.005)
-        for conn in server._connections:
-            accepted = conn.stream._transport.get_extra_info("socket")
-            accepted.setsockopt(
-                socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES
-            )
-        return sock
-
     async def test_close_drops_the_end_of_a_held_answer_to_a_slow_reader(self):
         async with running_server(0.01) as (calls, server, port):
             calls.body_bytes = LARGE_BODY_BYTES
-            sock = await self.connect_with_small_buffers(server, port)
+            sock = await connect_with_small_buffers(server, port)
+            self.addCleanup(sock.close)
             sock.sendall(get(1) + get(2, b"Connection: close\r\n"))
-            data = await self.read_slowly(sock)
+            data = await read_slowly(sock)
         self.assertTrue(data.endswith(b"end"), f"{len(data)} bytes")
 
     async def test_planned_stop_drops_the_end_of_an_answer_to_a_slow_reader(self):
         async with running_server(0.01) as (calls, server, port):
             calls.body_bytes = LARGE_BODY_BYTES
-            sock = await self.connect_with_small_buffers(server, port)
+            sock = await connect_with_small_buffers(server, port)
+            self.addCleanup(sock.close)
             sock.sendall(get(1))
             await asyncio.sleep(0.1)
-            reading = asyncio.ensure_future(self.read_slowly(sock))
+            reading = asyncio.ensure_future(read_slowly(sock))
             await server.close()
             # The process ends here: bytes that the kernel doesn't have are lost.
             for conn in list(server._connections):
@@ -206,3 +189,55 @@
                     await asyncio.sleep(0.02)
             data = await reading
         self.assertEqual(data.count(b"whole"), len(calls.passed_on))
+
+
+class StoppedProcessTests(unittest.IsolatedAsyncioTestCase):
+    """The process is stopped and continued; timers run before unread bytes."""
+
+    async def test_planned_stop_drops_a_request_whose_rest_waits_unread(self):
+        async with running_server(0.01) as (_, server, port):
+            sock = socket.create_connection(("127.0.0.1", port), TIMEOUT_S)
+            self.addCleanup(sock.close)
+            request = get(1)
+            sock.sendall(request[:10])
+            await asyncio.sleep(0.05)
+            stop = asyncio.ensure_future(server.close())
+            await asyncio.sleep(0.05)
+            stop_process(0.3, lambda: sock.sendall(request[10:]))
+            data = await asyncio.to_thread(sock.recv, 9999)
+            await stop
+        self.assertIn(b"whole /1", data)
+
+    async def test_close_drops_the_end_of_an_answer_that_was_being_read(self):
+        async with running_server(0.01) as (calls, server, port):
+            calls.body_bytes = LARGE_BODY_BYTES
+            sock = await connect_with_small_buffers(server, port)
+            self.addCleanup(sock.close)
+            sock.sendall(get(1) + get(2, b"Connection: close\r\n"))
+            (conn,) = server._connections
+            received = []
+            while not conn.stream.closed():
+                received.append(read_available(sock))
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(1.3 * LINGER_S)
+            stop_process(LINGER_S, lambda: received.append(read_available(sock)))
+            await asyncio.sleep(0.05)
+            received.append(await read_slowly(sock))
+        self.assertTrue(b"".join(received).endswith(b"end"))
+
+    async def test_planned_stop_drops_an_answer_that_was_being_read(self):
+        async with running_server(0.01) as (calls, server, port):
+            calls.body_bytes = LARGE_BODY_BYTES
+            sock = await connect_with_small_buffers(server, port)
+            self.addCleanup(sock.close)
+            sock.sendall(get(1))
+            await asyncio.sleep(0.1)
+            stop = asyncio.ensure_future(server.close())
+            await asyncio.sleep(0.1)
+            received = []
+            stop_process(1.0, lambda: received.append(read_available(sock)))
+            await asyncio.sleep(0.02)
+            self.assertFalse(stop.done())
+            received.append(await read_slowly(sock))
+            await stop
+        self.assertTrue(b"".join(received).endswith(b"end"))
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -230,14 +230,16 @@
 
     def has_input_in_kernel(self) -> bool:
         """Return whether the kernel holds bytes or a close that was not read."""
-        return not self.has_received_eof and bool(self._poll(select.POLLIN))
+        if self._is_closed or self.has_received_eof:
+            return False
+        return bool(self._poll(select.POLLIN))
 
     def is_broken(self) -> bool:
         """Return whether the kernel knows that the peer has reset the connection."""
-        return bool(self._poll(0))
+        return not self._is_closed and bool(self._poll(0))
 
     def _poll(self, events: int) -> list[tuple[int, int]]:
-        if self._is_closed or self._transport is None:
+        if self._transport is None:
             return []
         poll = select.poll()
         poll.register(self._transport.get_extra_info("socket").fileno(), events)
@@ -268,8 +270,14 @@
         self._loop.call_later(LINGER_S, self._end_linger, self.unsent_byte_count)
 
     def _end_linger(self, earlier_unsent_count: int) -> None:
-        """Close, unless the peer has read some of the written bytes meanwhile."""
-        if self.unsent_byte_count < earlier_unsent_count:
+        """Close, unless the peer has read some of the written bytes meanwhile.
+
+        After a stall, timers can run before the transport has written to the room
+        that the peer has made.
+        """
+        unsent_count = self.unsent_byte_count
+        has_room = bool(unsent_count and self._poll(select.POLLOUT))
+        if unsent_count < earlier_unsent_count or has_room:
             self._linger()
         else:
             self._abort()
