Deliver answers of idempotent calls after their link was lost

Callers saw: when a node stalled for longer than the wait for a probe (0.25 s), all idempotent calls on its link ended at once as UNKNOWN "link was lost". Those without another upstream, or beyond the retry budget, got 504 with time left, while the upstream had an answer that was then dropped.

Cause: PeerCalls queried the outcome over the new link only for calls that are not idempotent; the others were taken out of the table of outstanding calls, although the execution record of the destination node has their result too.

Change: the loss of the link still permits another attempt at once, within the budget as before. The lost attempt stays outstanding and its outcome is queried like that of other calls; its future is Reply.late. The first answer is delivered and the other attempt is cancelled. Without another attempt the call waits for the outcome until its deadline instead of failing.

Evidence: test_link_faults, with a relay that holds bytes back for 0.8 s. Now all are answered; the upstream saw 6 requests for the 6 calls, and the second upstream at most the 11 that the budget allows for the 18.

--- a/lentilsill/daemon/controllers/call_progress.py
+++ b/lentilsill/daemon/controllers/call_progress.py
@@ -9,6 +9,8 @@
 from lentilsill.outcomes import Answer, CallResult, Refused
 from lentilsill.routing import Candidate
 
+from .late_replies import LateReplies
+
 __all__ = ["Attempt", "CallProgress", "report_call"]
 
 MIN_FAILED_STATUS = 500
@@ -71,6 +73,8 @@
     ended_attempts : list of Attempt
         Attempts with a result, in the order of their ends. Slot probes that found
         no free slot are left out.
+    late_replies : LateReplies
+        Results of attempts whose links were lost.
     """
 
     req: CallRequest
@@ -90,6 +94,7 @@
     busy_upstreams: set[str] = field(default_factory=set)
     is_in_retry_budget: bool = False
     ended_attempts: list[Attempt] = field(default_factory=list)
+    late_replies: LateReplies = field(default_factory=LateReplies)
 
     @property
     def kind(self) -> str:
@@ -134,7 +139,10 @@
         len(progress.busy_upstreams),
         len(progress.ended_attempts),
     )
-    if kind == "served" and len(progress.ended_attempts) == 1:
+    is_late_reply = progress.late_replies.has_answered
+    if is_late_reply:
+        ctx.count("calls.late_reply")
+    if kind == "served" and len(progress.ended_attempts) == 1 and not is_late_reply:
         return
     ctx.call_log.write(
         "call_ended",
@@ -150,5 +158,6 @@
         retry_after_s=round(getattr(result, "retry_after_s", 0.0), 3),
         ms=round(duration_s * 1000, 1),
         time_limit_ms=round((progress.deadline - progress.started_at) * 1000),
+        late_reply=is_late_reply,
         attempts=[attempt.log_fields() for attempt in progress.ended_attempts],
     )
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -29,7 +29,8 @@
 from .call_results import is_upstream_failure, worse_refusal
 from .destination import DestinationController
 from .local_upstream import Execution, request_fingerprint
-from .peer_calls import PeerCalls, Reply
+from .peer_attempts import Reply
+from .peer_calls import PeerCalls
 from .placement import AttemptPlacer
 from .reasons import (
     BUSY,
@@ -191,6 +192,16 @@
         return result
 
     async def _run_attempts(self, progress: CallProgress) -> CallResult:
+        """Make attempts; deliver an answer that arrives after its link was lost."""
+        try:
+            result = await self._make_attempts(progress)
+            if isinstance(result, Refused):
+                return await progress.late_replies.first_answer() or result
+            return result
+        finally:
+            progress.late_replies.cancel()
+
+    async def _make_attempts(self, progress: CallProgress) -> CallResult:
         """Make attempts until one is answered or no further attempt is allowed."""
         route = progress.route
         refusal: Refused | None = None
@@ -220,14 +231,12 @@
             hedge_delay_s = decide_hedge(
                 route.hedge, route.idempotent, progress.deadline - now
             )
-            if hedge_delay_s is None:
-                result = await self._make_attempt(
-                    progress, candidate, placement.only_if_free
-                )
-            else:
-                result = await self._attempt_with_hedge(
-                    progress, candidate, hedge_delay_s
-                )
+            attempt = (
+                self._make_attempt(progress, candidate, placement.only_if_free)
+                if hedge_delay_s is None
+                else self._attempt_with_hedge(progress, candidate, hedge_delay_s)
+            )
+            result = await progress.late_replies.run(attempt)
             if placement.only_if_free:
                 self._placer.record_slot_probe(progress, not _is_busy(result))
             if _is_busy(result):
@@ -280,6 +289,8 @@
                     Attempt(candidate, reply.result, reply.load, now - started_at)
                 )
             selector.record_end(upstream, now, failed, (now - started_at) * 1000)
+        if reply.late is not None:
+            progress.late_replies.add(reply.late)
         if reply.load >= 0:
             selector.record_report(upstream, reply.load, self.ctx.now(), progress.kind)
         if isinstance(reply.result, Refused) and not (failed or _is_busy(reply.result)):
--- /dev/null
+++ b/lentilsill/daemon/controllers/late_replies.py
@@ -0,0 +1,61 @@
+"""Results of attempts that arrive after their link was lost."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from lentilsill.outcomes import Answer, CallResult
+
+from .peer_attempts import Reply
+
+__all__ = ["LateReplies"]
+
+
+class LateReplies:
+    """Results that destination nodes may still have for one call.
+
+    `has_answered` is whether the call was answered by one of them.
+    """
+
+    def __init__(self) -> None:
+        self.has_answered = False
+        self._pending: set[asyncio.Future[Reply]] = set()
+
+    def add(self, late: asyncio.Future[Reply]) -> None:
+        """Add the late result of an attempt."""
+        self._pending.add(late)
+
+    async def run(self, attempt: Coroutine[Any, Any, CallResult]) -> CallResult:
+        """Run another attempt, and cancel it if a late answer comes first."""
+        if not self._pending:
+            return await attempt
+        task = asyncio.ensure_future(attempt)
+        try:
+            return await self.first_answer(task) or task.result()
+        finally:
+            task.cancel()
+
+    async def first_answer(
+        self, task: asyncio.Task[CallResult] | None = None
+    ) -> Answer | None:
+        """Wait for a late answer; None once there can be none or `task` has ended."""
+        while task is None or not task.done():
+            waited: set[asyncio.Future[Any]] = {*self._pending}
+            if task is not None:
+                waited.add(task)
+            if not waited:
+                return None
+            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+            arrived = {late for late in self._pending if late.done()}
+            self._pending -= arrived
+            for late in arrived:
+                result = late.result().result
+                if isinstance(result, Answer):
+                    self.has_answered = True
+                    return result
+        return None
+
+    def cancel(self) -> None:
+        """Stop waiting, so that the destination nodes stop the calls."""
+        for late in self._pending:
+            late.cancel()
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import itertools
-from dataclasses import dataclass, field
+from functools import partial
 
 from lentilsill.daemon.context import Context
-from lentilsill.outcomes import Answer, CallResult, CallState, Outcome, Refused
+from lentilsill.daemon.deadlines import Entry as DeadlineEntry
+from lentilsill.outcomes import Answer, CallState, Outcome, Refused
 from lentilsill.wire import CALLS, Link
 from lentilsill.wire.links import LinkError
 from lentilsill.wire.messages import (
@@ -19,21 +20,14 @@
     Refusal,
 )
 
+from .peer_attempts import Peer, PeerAttempt, Reply
 from .reasons import UNREACHABLE, not_run_refusal
 
-__all__ = ["PeerCalls", "Reply"]
+__all__ = ["PeerCalls"]
 
 # The destination node enforces the deadline. The timeout here leaves time to receive
 # its refusal, which is more precise.
 DEADLINE_GRACE_S = 0.02
-# A link is probed when it has been silent for this multiple of the mean answer time,
-# so that a call on a dead link has time left for a second attempt.
-PROBE_AFTER_ANSWER_TIMES = 4.0
-ANSWER_TIME_WEIGHT = 0.1
-MIN_PROBE_AFTER_S = 0.05
-# The link of a long call is probed each time the age of the call doubles, not at a
-# fixed interval.
-PROBE_AFTER_SHARE_OF_AGE = 0.5
 # The peer node answers a `Ping` itself. The wait covers a short stall of its event
 # loop: to close the link for such a stall would only fail calls.
 MAX_PING_WAIT_S = 0.25
@@ -47,55 +41,6 @@
 RECONNECT_PAUSE_S = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """Result of one attempt.
-
-    `load` is the expected time in ms that the destination node reported, or -1.
-    """
-
-    result: CallResult
-    load: int = -1
-
-
-@dataclass(eq=False, slots=True)
-class _Attempt:
-    call_id: int
-    link: Link
-    idempotent: bool
-    sent_at: float
-    fut: asyncio.Future[Reply]
-
-    def settle(self, result: CallResult, load: int = -1) -> None:
-        if not self.fut.done():
-            self.fut.set_result(Reply(result, load))
-
-
-@dataclass(slots=True)
-class _Peer:
-    """Outstanding attempts at one address in the order of their call ids."""
-
-    outstanding: dict[int, _Attempt] = field(default_factory=dict)
-    probed_link: Link | None = None
-    probed_at: float = 0.0
-    mean_answer_s: float = 0.0
-
-    def record_answer_time(self, answer_s: float) -> None:
-        """Update the moving average; the first answer time sets it."""
-        if not self.mean_answer_s:
-            self.mean_answer_s = answer_s
-        self.mean_answer_s += ANSWER_TIME_WEIGHT * (answer_s - self.mean_answer_s)
-
-    def probe_after_s(self, age_s: float, max_silence_s: float) -> float:
-        """Return the silence after which the link of a call of this age is probed."""
-        if not self.mean_answer_s:
-            return max_silence_s
-        typical_s = max(
-            MIN_PROBE_AFTER_S, PROBE_AFTER_ANSWER_TIMES * self.mean_answer_s
-        )
-        return min(max_silence_s, max(typical_s, PROBE_AFTER_SHARE_OF_AGE * age_s))
-
-
 class PeerCalls:
     """Sends calls over links and matches the replies by call id."""
 
@@ -104,7 +49,7 @@
         self.links = ctx.links
         self.silent_link_s = ctx.cfg.calls.silent_link_s
         self._ids = itertools.count(1)
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, Peer] = {}
         # Addresses with outstanding calls; the others need no check for silence.
         self._active_addresses: set[str] = set()
         self._active_event = asyncio.Event()
@@ -145,10 +90,10 @@
         loop = asyncio.get_running_loop()
         peer = self._peers.get(address)
         if peer is None:
-            peer = self._peers[address] = _Peer()
+            peer = self._peers[address] = Peer()
         call_id = next(self._ids)
         oldest = next(iter(peer.outstanding), call_id)
-        attempt = _Attempt(call_id, link, call.idempotent, now, loop.create_future())
+        attempt = PeerAttempt(call_id, link, call.idempotent, now, loop.create_future())
         message = Call(
             call_id,
             call.upstream,
@@ -185,17 +130,34 @@
                 peer.record_answer_time(self.ctx.now() - now)
             return reply
         except asyncio.CancelledError:
+            attempt.fut.cancel()
             self._cancel(attempt)
             raise
         finally:
-            deadlines.remove(entry)
-            peer.outstanding.pop(call_id, None)
+            # The deadline also holds for a late result.
+            end = partial(self._end, peer, attempt, entry)
+            if attempt.has_lost_link:
+                attempt.fut.add_done_callback(end)
+            else:
+                end(attempt.fut)
+
+    def _end(
+        self,
+        peer: Peer,
+        attempt: PeerAttempt,
+        entry: DeadlineEntry,
+        fut: asyncio.Future[Reply],
+    ) -> None:
+        self.ctx.deadlines.remove(entry)
+        peer.outstanding.pop(attempt.call_id, None)
+        if attempt.has_lost_link and fut.cancelled():
+            self._cancel(attempt)
 
-    def _settle_overdue(self, attempt: _Attempt) -> None:
+    def _settle_overdue(self, attempt: PeerAttempt) -> None:
         self._cancel(attempt)
         attempt.settle(Refused(Outcome.UNKNOWN, "deadline passed", arrived=True))
 
-    def _cancel(self, attempt: _Attempt) -> None:
+    def _cancel(self, attempt: PeerAttempt) -> None:
         has_result = attempt.fut.done() and not attempt.fut.cancelled()
         # The destination node drops a queued call, and also a running one if it
         # is idempotent.
@@ -215,7 +177,7 @@
     def _has_calls(self, link: Link) -> bool:
         return self.count_calls(link) > 0
 
-    def _find(self, link: Link, call_id: int) -> _Attempt | None:
+    def _find(self, link: Link, call_id: int) -> PeerAttempt | None:
         peer = self._peers.get(link.address)
         return peer.outstanding.get(call_id) if peer else None
 
@@ -257,17 +219,21 @@
         peer = self._peers.get(link.address) if link.is_dialed else None
         if peer is None:
             return
-        lost_attempts = [a for a in peer.outstanding.values() if a.link is link]
-        unresolved = []
-        for attempt in lost_attempts:
-            if attempt.idempotent:
-                attempt.settle(Refused(Outcome.UNKNOWN, "link was lost", arrived=True))
-            else:
-                unresolved.append(attempt)
+        unresolved = [
+            attempt
+            for attempt in peer.outstanding.values()
+            if attempt.link is link and not attempt.fut.done()
+        ]
+        for attempt in unresolved:
+            # Another attempt of an idempotent call need not wait for the outcome.
+            if attempt.idempotent and not attempt.has_lost_link:
+                attempt.settle_as_lost()
         if unresolved:
             self.ctx.spawn(self._query_outcomes(link, unresolved))
 
-    async def _query_outcomes(self, lost_link: Link, attempts: list[_Attempt]) -> None:
+    async def _query_outcomes(
+        self, lost_link: Link, attempts: list[PeerAttempt]
+    ) -> None:
         """Query the outcomes of calls on a lost link over a new one."""
         link = await self._reconnect(lost_link.address)
         is_same_instance = (
@@ -324,13 +290,17 @@
             if self.links.find(address, CALLS) is None:
                 del self._peers[address]
 
-    def _probe_if_silent(self, address: str, peer: _Peer, now: float) -> float:
+    def _probe_if_silent(self, address: str, peer: Peer, now: float) -> float:
         """Probe the link of the oldest attempt if it is silent.
 
         Closes the link when the probe isn't answered in time. Returns when to check
         again.
         """
-        oldest = next(iter(peer.outstanding.values()))
+        on_open_links = (a for a in peer.outstanding.values() if a.link.is_open)
+        oldest = next(on_open_links, None)
+        if oldest is None:
+            # The outcomes of all calls are queried over a link that is being opened.
+            return now + MAX_CHECK_INTERVAL_S
         link = oldest.link
         last_heard_at = max(link.last_received_s, oldest.sent_at)
         age_s = now - oldest.sent_at
--- a/lentilsill/daemon/controllers/tests/call_builders.py
+++ b/lentilsill/daemon/controllers/tests/call_builders.py
@@ -207,6 +207,33 @@
             sink.close()
 
 
+class FreezableRelay(BlackholeRelay):
+    """TCP relay that can hold all bytes back, like a node that is stopped."""
+
+    def __init__(self, target: int) -> None:
+        super().__init__(target)
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def freeze(self) -> None:
+        """Accept connections and bytes without passing anything on."""
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Pass on what was held back, and all further bytes."""
+        self._running.set()
+
+    async def _copy(self, source, sink, flow) -> None:
+        try:
+            while True:
+                data = await source.read_bytes(65536, partial=True)
+                await self._running.wait()
+                await sink.write(data)
+        except StreamClosedError:
+            await self._running.wait()
+            sink.close()
+
+
 async def wait_for(condition, timeout_s: float = 5.0) -> None:
     """Wait until `condition()` is true; fail after `timeout_s` seconds."""
 
--- /dev/null
+++ b/lentilsill/daemon/controllers/tests/test_link_faults.py
@@ -0,0 +1,116 @@
+"""Calls on links to nodes that stall for a moment."""
+
+import asyncio
+import unittest
+
+from lentilsill.daemon.controllers.tests.call_builders import (
+    HOST,
+    FakeNode,
+    FakeUpstream,
+    FreezableRelay,
+    make_request,
+    wait_for,
+)
+from lentilsill.outcomes import Answer
+
+# Longer than the silence and the wait after which a link is closed.
+STALL_S = 0.8
+CALLS_IN_FLIGHT = 20
+
+
+class StalledPeerTests(unittest.IsolatedAsyncioTestCase):
+    """The node `near` has calls at the node `far` while `far` stalls."""
+
+    async def asyncSetUp(self):
+        self.upstream = FakeUpstream()
+        self.addCleanup(self.upstream.stop)
+        self.near = self.start_node("near")
+        self.far = self.start_node("far")
+        self.far.add_upstream("w1", self.upstream.port)
+        self.relay = FreezableRelay(self.far.port)
+        self.addCleanup(self.relay.stop)
+        self.far_record = self.far.record(f"{HOST}:{self.relay.port}")
+        self.near.set_members(self.far_record)
+
+    def start_node(self, name):
+        node = FakeNode(name, silent_link_s=0.2)
+        self.addCleanup(node.close)
+        return node
+
+    async def start_calls(self, count):
+        gate = self.upstream.gates["/p"] = asyncio.Event()
+        self.addCleanup(gate.set)
+        calls = [
+            asyncio.ensure_future(self.near.entry.handle(make_request("GET", "/p")))
+            for _ in range(count)
+        ]
+        await wait_for(lambda: len(self.upstream.seen) == min(count, 6))
+        return gate, calls
+
+    async def test_ready_answers_of_a_stalled_node_are_dropped_with_its_link(self):
+        """The only node with the service stalls while its upstream answers."""
+        gate, calls = await self.start_calls(6)
+        self.relay.freeze()
+        gate.set()
+        await asyncio.sleep(STALL_S)
+        self.relay.resume()
+        results = await asyncio.gather(*calls)
+        self.assertEqual([r for r in results if not isinstance(r, Answer)], [])
+        self.assertEqual(len(self.upstream.seen), 6)
+        metrics = self.near.ctx.metrics.text()
+        self.assertIn(b"lentilsill_calls_late_reply_total 6.0", metrics)
+        self.assertEqual(self.near.entry.peers.outstanding, 0)
+
+    async def test_calls_beyond_the_retry_budget_fail_when_a_node_stalls(self):
+        """Another node could answer, but the budget covers only some of the calls."""
+        other_upstream = FakeUpstream()
+        self.addCleanup(other_upstream.stop)
+        other = self.start_node("other")
+        other.add_upstream("w2", other_upstream.port)
+        gate, calls = await self.start_calls(18)
+        self.near.set_members(self.far_record, other.record())
+        self.relay.freeze()
+        gate.set()
+        await asyncio.sleep(STALL_S)
+        self.relay.resume()
+        results = await asyncio.gather(*calls)
+        self.assertEqual([r for r in results if not isinstance(r, Answer)], [])
+        # 10 tokens of the retry budget at the start, and 10% of the calls.
+        self.assertLessEqual(len(other_upstream.seen), 11)
+        self.assertEqual(self.near.entry.peers.outstanding, 0)
+
+    async def test_late_answer_waits_for_a_slow_second_attempt(self):
+        """The second attempt is slow; the stalled node's answer is ready before."""
+        other_upstream = FakeUpstream()
+        self.addCleanup(other_upstream.stop)
+        slow = other_upstream.gates["/p"] = asyncio.Event()
+        self.addCleanup(slow.set)
+        other = self.start_node("other")
+        other.add_upstream("w2", other_upstream.port)
+        gate, (call,) = await self.start_calls(1)
+        self.near.set_members(self.far_record, other.record())
+        self.relay.freeze()
+        gate.set()
+        await wait_for(lambda: other_upstream.seen == ["/p"])
+        self.relay.resume()
+        result = await asyncio.wait_for(call, 1.5)
+        self.assertEqual(result.body, b"/p")
+        await wait_for(lambda: not other.destination.in_flight_total)
+
+    async def test_call_on_a_lost_link_runs_on_when_its_caller_leaves(self):
+        """Its caller leaves while the answer is due over the new link."""
+        _, (call,) = await self.start_calls(1)
+        (lost_link,) = self.far.ctx.links.accepted
+        self.relay.freeze()
+        await asyncio.sleep(STALL_S)
+        self.relay.resume()
+        served_calls = self.far.destination.served_calls
+        await wait_for(
+            lambda: (
+                sum(map(served_calls.count_calls, self.far.ctx.links.accepted))
+                and lost_link not in self.far.ctx.links.accepted
+            )
+        )
+        call.cancel()
+        await wait_for(lambda: self.far.destination.in_flight_total == 0, 1.0)
+        await wait_for(lambda: self.near.entry.peers.outstanding == 0, 1.0)
