Read what has arrived before a peer counts as silent

Callers saw: a node that was stopped for a moment closed a link whose peer had replied to its probe. All idempotent calls on it were sent to another upstream as well, out of the retry budget.

Cause: the check for silent links goes by the time of the last read. When epoll is interrupted by SIGSTOP and SIGCONT and its time limit has passed, Python reports no events, so timers run before the bytes that have arrived are read.

Change: before it closes a link, the check asks the kernel whether input is unread, and if so checks again after the next turn of the event loop.

Evidence: test_own_stall_is_taken_for_the_silence_of_a_peer; before, the second upstream got the call as well.

--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -315,6 +315,8 @@
             peer.probed_at = now
             link.send(Ping(oldest.call_id))
         if now - peer.probed_at >= ping_wait_s:
+            if link.has_unread_input():
+                return now
             peer.probed_link = None
             self.ctx.count("calls.silent_link")
             if self.links.find(address, CALLS) is link:
--- a/lentilsill/daemon/controllers/tests/call_builders.py
+++ b/lentilsill/daemon/controllers/tests/call_builders.py
@@ -1,8 +1,11 @@
 """Builders of nodes, upstreams and relays on loopback."""
 
 import asyncio
+import os
 import random
 import socket
+import time
+from collections.abc import Callable
 from functools import partial
 from types import MappingProxyType
 
@@ -27,7 +30,7 @@
 from lentilsill.membership import NodeRecord, NodeState, UpstreamRecord, UpstreamState
 from lentilsill.settings import NodeSettings
 from lentilsill.versioning import Snapshot
-from lentilsill.wire import PeerLinks
+from lentilsill.wire import Link, Message, PeerLinks, encode
 from lentilsill.wire.links import Identity
 
 HOST = "127.0.0.1"
@@ -234,6 +237,30 @@
             sink.close()
 
 
+def stop_process(stall_s: float, meanwhile: Callable[[], object]) -> None:
+    """Stall the event loop like SIGSTOP and SIGCONT; call `meanwhile` in the stall.
+
+    When epoll is interrupted and its time limit has passed, Python reports no events,
+    so that timers run before bytes that have arrived are read.
+    """
+    selector = asyncio.get_running_loop()._selector  # type: ignore[attr-defined]
+    select = selector.select
+
+    def select_nothing(timeout: float | None) -> list:
+        selector.select = select
+        meanwhile()
+        time.sleep(stall_s)
+        return []
+
+    selector.select = select_nothing
+
+
+def send_unread(link: Link, message: Message) -> None:
+    """Send a message directly to the kernel, without a turn of the event loop."""
+    sock = link.stream._transport.get_extra_info("socket")  # type: ignore[union-attr]
+    os.write(sock.fileno(), encode(message))
+
+
 async def wait_for(condition, timeout_s: float = 5.0) -> None:
     """Wait until `condition()` is true; fail after `timeout_s` seconds."""
 
--- a/lentilsill/daemon/controllers/tests/test_link_faults.py
+++ b/lentilsill/daemon/controllers/tests/test_link_faults.py
@@ -1,4 +1,4 @@
-"""Calls on links to nodes that stall for a moment."""
+"""Calls on links between nodes of which one stalls for a moment."""
 
 import asyncio
 import unittest
@@ -9,9 +9,12 @@
     FakeUpstream,
     FreezableRelay,
     make_request,
+    send_unread,
+    stop_process,
     wait_for,
 )
 from lentilsill.outcomes import Answer
+from lentilsill.wire.messages import Ping, Pong
 
 # Longer than the silence and the wait after which a link is closed.
 STALL_S = 0.8
@@ -114,3 +117,49 @@
         call.cancel()
         await wait_for(lambda: self.far.destination.in_flight_total == 0, 1.0)
         await wait_for(lambda: self.near.entry.peers.outstanding == 0, 1.0)
+
+
+class StoppedNodeTests(unittest.IsolatedAsyncioTestCase):
+    """The node `near` is stopped while bytes of the node `far` arrive."""
+
+    async def asyncSetUp(self):
+        self.upstream = FakeUpstream()
+        self.addCleanup(self.upstream.stop)
+        self.near = FakeNode("near", silent_link_s=0.2)
+        self.far = FakeNode("far")
+        for node in (self.near, self.far):
+            self.addCleanup(node.close)
+        self.far.add_upstream("w1", self.upstream.port)
+        self.near.set_members(self.far.record())
+        self.gate = self.upstream.gates["/p"] = asyncio.Event()
+        self.addCleanup(self.gate.set)
+
+    async def start_call(self, method):
+        req = make_request(method, "/p")
+        call = asyncio.ensure_future(self.near.entry.handle(req))
+        await wait_for(lambda: self.upstream.seen == ["/p"])
+        (link,) = self.far.ctx.links.accepted
+        return call, link
+
+    async def test_own_stall_is_taken_for_the_silence_of_a_peer(self):
+        """The reply to a probe arrives while the node that probes is stopped.
+
+        Another upstream would get the call a second time.
+        """
+        other_upstream = FakeUpstream()
+        self.addCleanup(other_upstream.stop)
+        other = FakeNode("other")
+        self.addCleanup(other.close)
+        other.add_upstream("w2", other_upstream.port)
+        pings = []
+        self.far.ctx.links.on(Ping, lambda link, message: pings.append(message))
+        call, link = await self.start_call("GET")
+        self.near.set_members(self.far.record(), other.record())
+        await wait_for(lambda: pings)
+        stop_process(0.3, lambda: send_unread(link, Pong(pings[0].token)))
+        await asyncio.sleep(0.3)
+        await asyncio.sleep(0.1)
+        self.gate.set()
+        self.assertEqual((await call).body, b"/p")
+        self.assertEqual(other_upstream.seen, [])
+        self.assertTrue(link.is_open)
--- a/lentilsill/wire/link.py
+++ b/lentilsill/wire/link.py
@@ -90,6 +90,14 @@
         """Whether the stream still accepts writes."""
         return not self.stream.closed()
 
+    def has_unread_input(self) -> bool:
+        """Return whether bytes, or the end of the stream, wait to be read.
+
+        After a stall, timers can run before the bytes that have arrived are read, so
+        a decision that a peer is silent or late must check this first.
+        """
+        return self.is_open and not self.stream.is_open_without_input()
+
     def send(self, message: Message) -> bool:
         """Queue a message; return False if the stream is closed or the buffer full."""
         data = encode(message)
