Deliver an answer that arrived before the deadline of a stopped node

Callers saw: after a stall of the entry node across the deadline of a call, 504 "deadline passed" although the answer had arrived during the stall.

Change: when the link has unread input at the deadline, the attempt is settled by a timer of the next turn of the event loop, which reads first. The deadline itself is unchanged; a call whose answer is not among those bytes ends one turn later.

--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -122,7 +122,7 @@
         self._active_event.set()
         deadlines = self.ctx.deadlines
         entry = deadlines.add(
-            remaining_s + DEADLINE_GRACE_S, lambda: self._settle_overdue(attempt)
+            remaining_s + DEADLINE_GRACE_S, lambda: self._end_overdue(attempt)
         )
         try:
             reply = await attempt.fut
@@ -153,6 +153,15 @@
         if attempt.has_lost_link and fut.cancelled():
             self._cancel(attempt)
 
+    def _end_overdue(self, attempt: PeerAttempt) -> None:
+        """Settle an attempt at its deadline, after bytes that have arrived are read."""
+        if attempt.link.has_unread_input():
+            # The event loop reads before it runs timers that are due.
+            loop = asyncio.get_running_loop()
+            loop.call_later(0, self._settle_overdue, attempt)
+        else:
+            self._settle_overdue(attempt)
+
     def _settle_overdue(self, attempt: PeerAttempt) -> None:
         self._cancel(attempt)
         attempt.settle(Refused(Outcome.UNKNOWN, "deadline passed", arrived=True))
--- a/lentilsill/daemon/controllers/tests/test_link_faults.py
+++ b/lentilsill/daemon/controllers/tests/test_link_faults.py
@@ -1,7 +1,9 @@
 """Calls on links between nodes of which one stalls for a moment."""
 
 import asyncio
+import dataclasses
 import unittest
+from functools import partial
 
 from lentilsill.daemon.controllers.tests.call_builders import (
     HOST,
@@ -14,7 +16,7 @@
     wait_for,
 )
 from lentilsill.outcomes import Answer
-from lentilsill.wire.messages import Ping, Pong
+from lentilsill.wire.messages import Answer as AnswerMessage, Ping, Pong
 
 # Longer than the silence and the wait after which a link is closed.
 STALL_S = 0.8
@@ -134,8 +136,9 @@
         self.gate = self.upstream.gates["/p"] = asyncio.Event()
         self.addCleanup(self.gate.set)
 
-    async def start_call(self, method):
+    async def start_call(self, method, deadline_ms=0):
         req = make_request(method, "/p")
+        req = dataclasses.replace(req, deadline_ms=deadline_ms)
         call = asyncio.ensure_future(self.near.entry.handle(req))
         await wait_for(lambda: self.upstream.seen == ["/p"])
         (link,) = self.far.ctx.links.accepted
@@ -163,3 +166,15 @@
         self.assertEqual((await call).body, b"/p")
         self.assertEqual(other_upstream.seen, [])
         self.assertTrue(link.is_open)
+
+    async def test_answer_that_arrived_before_the_deadline_is_dropped(self):
+        """The node is stopped across the deadline of a call that was answered."""
+        for method in ("GET", "POST"):
+            self.upstream.seen.clear()
+            call, link = await self.start_call(method, deadline_ms=200)
+            (peer,) = self.near.entry.peers._peers.values()
+            (call_id,) = peer.outstanding
+            answer = AnswerMessage(call_id, 200, (), b"ready", 5, 0)
+            stop_process(0.4, partial(send_unread, link, answer))
+            result = await call
+            self.assertEqual(getattr(result, "body", result), b"ready", method)
