Test calls that wait unread at a stalled node when their link closes

After the stall, the node reads the calls and the query for their outcomes in one go. Each of 3 GETs and 3 POSTs is answered and runs once.

--- a/lentilsill/daemon/controllers/tests/test_link_faults.py
+++ b/lentilsill/daemon/controllers/tests/test_link_faults.py
@@ -20,7 +20,7 @@
 
 # Longer than the silence and the wait after which a link is closed.
 STALL_S = 0.8
-CALLS_IN_FLIGHT = 20
+METHODS = ("GET", "POST")
 
 
 class StalledPeerTests(unittest.IsolatedAsyncioTestCase):
@@ -66,6 +66,27 @@
         self.assertIn(b"lentilsill_calls_late_reply_total 6.0", metrics)
         self.assertEqual(self.near.entry.peers.outstanding, 0)
 
+    async def test_calls_sent_to_a_stalled_node_fail_or_run_twice(self):
+        """The calls wait unread at the stalled node when their link is closed.
+
+        After the stall, the node reads them and the query for their outcomes.
+        """
+        self.assertIsInstance(await self.near.entry.handle(make_request()), Answer)
+        self.upstream.seen.clear()
+        self.relay.freeze()
+        paths = {method: [f"/{method}{i}" for i in range(3)] for method in METHODS}
+        calls = [
+            asyncio.ensure_future(self.near.entry.handle(make_request(method, path)))
+            for method in METHODS
+            for path in paths[method]
+        ]
+        await asyncio.sleep(STALL_S)
+        self.relay.resume()
+        results = await asyncio.gather(*calls)
+        self.assertEqual([r for r in results if not isinstance(r, Answer)], [])
+        await asyncio.sleep(0.1)
+        self.assertEqual(sorted(self.upstream.seen), sorted(sum(paths.values(), [])))
+
     async def test_calls_beyond_the_retry_budget_fail_when_a_node_stalls(self):
         """Another node could answer, but the budget covers only some of the calls."""
         other_upstream = FakeUpstream()
