Keep links whose claim replies have arrived but are unread

Callers saw: after a stall of a node for longer than a round of claims (1 s), the node closed the links of all replicas that had replied, because no byte had been read since the claims were sent. The calls on these links are then resolved over new links, and idempotent ones use the retry budget.

Cause and change as for the check for silent links: timers can run before bytes that have arrived are read, so the kernel is asked before the link is closed.

Evidence: test_own_stall_closes_links_with_unread_claim_replies; before, both links were closed.

--- a/lentilsill/daemon/controllers/claims.py
+++ b/lentilsill/daemon/controllers/claims.py
@@ -252,7 +252,7 @@
         waiting = [self._pending_claims.get(rid) for rid in pending.request_ids]
         for link in [entry[2] for entry in waiting if entry is not None]:
             pending.has_lost_reply = True
-            if link.last_received_s < sent_at_s:
+            if link.last_received_s < sent_at_s and not link.has_unread_input():
                 link.close()
 
     def _close_round(self, pending: _PendingRound, is_done: bool) -> None:
--- a/lentilsill/daemon/controllers/tests/test_claims.py
+++ b/lentilsill/daemon/controllers/tests/test_claims.py
@@ -14,8 +14,9 @@
 from lentilsill.outcomes import Answer, Outcome, Refused
 from lentilsill.wire import CALLS, CONTROL
 from lentilsill.wire.links import split_address
+from lentilsill.wire.messages import Claim
 
-from .call_builders import HOST, BlackholeRelay
+from .call_builders import HOST, BlackholeRelay, stop_process
 from .claim_builders import FakeApi, make_call, make_node, register_members, wait_for
 
 ANSWER = Answer(200, (("a", "b"),), b"done")
@@ -104,6 +105,30 @@
             relay.blackhole()
         self.assertEqual(await a.claim(second, "2", "f", 5.0), KeyGranted())
 
+    async def test_own_stall_closes_links_with_unread_claim_replies(self):
+        """Guards against losing the calls on links whose nodes have replied.
+
+        The node is stopped for longer than a round of claims.
+        """
+        a, b, c = self.make_claims()
+        first, second = a.issue_keys(2).keys
+        self.assertEqual(await a.claim(first, "1", "f", 5.0), KeyGranted())
+        links = [link for ctx in self.nodes[1:] for link in ctx.links.accepted]
+        held = []
+        for claims in (b, c):
+            claims.ctx.links.on(Claim, lambda *args, c=claims: held.append((c, args)))
+        claim = asyncio.ensure_future(a.claim(second, "2", "f", 5.0))
+        await wait_for(lambda: held)
+
+        def reply():
+            for claims, args in held:
+                claims._on_claim(*args)
+                claims.ctx.links.on(Claim, claims._on_claim)
+
+        stop_process(1.1, reply)
+        self.assertEqual(await claim, KeyGranted())
+        self.assertEqual([link for link in links if not link.is_open], [])
+
     async def test_restarted_node_at_the_same_address_is_not_a_replica(self):
         """Guards against a grant by a restarted node, which lost its claim records."""
         a, b, _ = self.make_claims()
