Read the answers of a node that has exited before its link is given up

Callers saw: 504 "node of the upstream is lost" although the answer had arrived. The peer had answered and exited, as in a planned stop, while the entry node was stalled; new calls were then sent on the link before its bytes were read.

Cause: the first write to the closed connection resets it, and the next one fails. asyncio then closes the transport without reading what has arrived.

Change: LinkStream reads the rest from the socket when its connection is lost with an error, before it reports the close.

--- a/lentilsill/daemon/controllers/tests/call_builders.py
+++ b/lentilsill/daemon/controllers/tests/call_builders.py
@@ -30,8 +30,18 @@
 from lentilsill.membership import NodeRecord, NodeState, UpstreamRecord, UpstreamState
 from lentilsill.settings import NodeSettings
 from lentilsill.versioning import Snapshot
-from lentilsill.wire import Link, Message, PeerLinks, encode
+from lentilsill.wire import (
+    CALLS,
+    PROTOCOL_VERSION,
+    Hello,
+    Link,
+    Message,
+    PeerLinks,
+    decode,
+    encode,
+)
 from lentilsill.wire.links import Identity
+from lentilsill.wire.messages import Call, make_unpacker
 
 HOST = "127.0.0.1"
 
@@ -237,6 +247,54 @@
             sink.close()
 
 
+class RawPeer:
+    """Node with the upstream `w1` that uses blocking sockets and answers by hand."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server((HOST, 0))
+        self.address = f"{HOST}:{self.listener.getsockname()[1]}"
+        self.conn: socket.socket | None = None
+
+    def record(self) -> NodeRecord:
+        """Return the node's record."""
+        upstream = UpstreamRecord("w1", "slots", "", 6, (), UpstreamState.READY)
+        return NodeRecord(
+            "raw",
+            "lahore",
+            "i-raw",
+            1,
+            1,
+            self.address,
+            "",
+            NodeState.READY,
+            (upstream,),
+        )
+
+    def receive_call(self) -> int:
+        """Accept a link, and return the id of its first call."""
+        self.conn, _ = self.listener.accept()
+        unpacker = make_unpacker()
+        hello = Hello(PROTOCOL_VERSION, "raw", "i-raw", "lahore", CALLS, self.address)
+        self.conn.sendall(encode(hello))
+        while True:
+            unpacker.feed(self.conn.recv(65536))
+            for message in map(decode, unpacker):
+                if isinstance(message, Call):
+                    return message.call_id
+
+    def send_and_close(self, message: Message) -> None:
+        """Send a message and exit."""
+        assert self.conn is not None
+        self.conn.sendall(encode(message))
+        self.close()
+
+    def close(self) -> None:
+        """Close the link, and accept no other."""
+        self.listener.close()
+        if self.conn is not None:
+            self.conn.close()
+
+
 def stop_process(stall_s: float, meanwhile: Callable[[], object]) -> None:
     """Stall the event loop like SIGSTOP and SIGCONT; call `meanwhile` in the stall.
 
--- a/lentilsill/daemon/controllers/tests/test_link_faults.py
+++ b/lentilsill/daemon/controllers/tests/test_link_faults.py
@@ -10,6 +10,7 @@
     FakeNode,
     FakeUpstream,
     FreezableRelay,
+    RawPeer,
     make_request,
     send_unread,
     stop_process,
@@ -199,3 +200,28 @@
             stop_process(0.4, partial(send_unread, link, answer))
             result = await call
             self.assertEqual(getattr(result, "body", result), b"ready", method)
+
+
+class StoppedPeerTests(unittest.IsolatedAsyncioTestCase):
+    """The peer answers and exits while the node `near` is stalled."""
+
+    async def asyncSetUp(self):
+        self.near = FakeNode("near")
+        self.addCleanup(self.near.close)
+        self.peer = RawPeer()
+        self.addCleanup(self.peer.close)
+        self.near.set_members(self.peer.record())
+
+    async def test_unread_answers_are_dropped_when_a_write_fails(self):
+        """New calls are sent before the answers on the closed link are read.
+
+        The first write to the closed connection resets it, the second one fails.
+        """
+        first = asyncio.ensure_future(self.near.entry.handle(make_request("POST")))
+        call_id = await asyncio.to_thread(self.peer.receive_call)
+        answer = AnswerMessage(call_id, 200, (), b"ready", 5, 0)
+        stop_process(0.05, partial(self.peer.send_and_close, answer))
+        calls = [self.near.entry.handle(make_request("POST")) for _ in range(3)]
+        result, *others = await asyncio.gather(first, *calls)
+        self.assertEqual(getattr(result, "body", result), b"ready")
+        self.assertEqual([r for r in others if isinstance(r, Answer)], [])
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -21,6 +21,7 @@
 from .handshake import read_hello
 from .idle_links import select_idle
 from .link import Identity, Link, LinkCloseReason, LinkError, Traffic
+from .link_stream import LinkStream
 from .messages import (
     CONTROL,
     MAX_MESSAGE_BYTES,
@@ -377,8 +378,8 @@
             handler(link)
 
 
-def _make_stream() -> ProtocolStream:
-    return ProtocolStream(MAX_WRITE_BUFFER_BYTES)
+def _make_stream() -> LinkStream:
+    return LinkStream(MAX_WRITE_BUFFER_BYTES)
 
 
 def split_address(address: str) -> tuple[str, int]:
