Test that an exiting node loses no answers it has sent or is about to send

Two guards that pass without a change of code: the last result is sent when a node exits in the turn of the event loop in which it counts no more calls, and an answer that has arrived survives the reset by a peer that exits with unread bytes.

--- a/lentilsill/daemon/controllers/tests/test_link_faults.py
+++ b/lentilsill/daemon/controllers/tests/test_link_faults.py
@@ -16,7 +16,7 @@
     stop_process,
     wait_for,
 )
-from lentilsill.outcomes import Answer
+from lentilsill.outcomes import Answer, Refused
 from lentilsill.wire.messages import Answer as AnswerMessage, Ping, Pong
 
 # Longer than the silence and the wait after which a link is closed.
@@ -202,6 +202,29 @@
             self.assertEqual(getattr(result, "body", result), b"ready", method)
 
 
+class ExitTests(unittest.IsolatedAsyncioTestCase):
+    """The node `far` exits as soon as it counts no calls in flight."""
+
+    async def test_result_is_unsent_when_its_node_counts_no_calls(self):
+        """The exit closes the links before the last result is passed to its link."""
+        upstream = FakeUpstream()
+        self.addCleanup(upstream.stop)
+        near, far = FakeNode("near"), FakeNode("far")
+        for node in (near, far):
+            self.addCleanup(node.close)
+        far.add_upstream("w1", upstream.port)
+        near.set_members(far.record())
+        call = asyncio.ensure_future(near.entry.handle(make_request("POST")))
+        while not far.destination.in_flight_total:
+            await asyncio.sleep(0)
+        while far.destination.in_flight_total:
+            await asyncio.sleep(0)
+        await far.ctx.links.flush(1.0)
+        far.close()
+        result = await call
+        self.assertEqual(getattr(result, "body", result), b"/a")
+
+
 class StoppedPeerTests(unittest.IsolatedAsyncioTestCase):
     """The peer answers and exits while the node `near` is stalled."""
 
@@ -225,3 +248,15 @@
         result, *others = await asyncio.gather(first, *calls)
         self.assertEqual(getattr(result, "body", result), b"ready")
         self.assertEqual([r for r in others if isinstance(r, Answer)], [])
+
+    async def test_unread_answers_are_dropped_when_the_peer_resets_the_link(self):
+        """The peer exits with an unread call, which resets the connection."""
+        first = asyncio.ensure_future(self.near.entry.handle(make_request("POST")))
+        call_id = await asyncio.to_thread(self.peer.receive_call)
+        second = asyncio.ensure_future(self.near.entry.handle(make_request("POST")))
+        await wait_for(lambda: self.near.entry.peers.outstanding == 2)
+        answer = AnswerMessage(call_id, 200, (), b"ready", 5, 0)
+        stop_process(0.05, partial(self.peer.send_and_close, answer))
+        result, other = await asyncio.gather(first, second)
+        self.assertEqual(getattr(result, "body", result), b"ready")
+        self.assertIsInstance(other, Refused)
