--- a/lentilsill/daemon/controllers/peer_attempts.py
+++ b/lentilsill/daemon/controllers/peer_attempts.py
@@ -51,14 +51,13 @@
         if not self.fut.done():
             self.fut.set_result(Reply(result, load))
 
-    def settle_as_lost(self) -> asyncio.Future[Reply]:
+    def settle_as_lost(self) -> None:
         """Report the loss of the link; a result can still arrive at the new future."""
-        late = self.fut.get_loop().create_future()
+        late: asyncio.Future[Reply] = self.fut.get_loop().create_future()
         lost = Refused(Outcome.UNKNOWN, "link was lost", arrived=True)
         self.fut.set_result(Reply(lost, late=late))
         self.fut = late
         self.has_lost_link = True
-        return late
 
 
 @dataclass(slots=True)
