Bound the wait for the late reply of a lost link

What callers would see: since idempotent calls wait for the outcome that their destination may still have, a call at a node that is dead rather than stalled kept its caller waiting until the deadline, with no time left to try again.

Change: without another attempt in progress the wait ends after one second, longer than a stall usually lasts.

Evidence: test_call_at_a_node_that_stays_silent_waits_until_its_deadline failed before (no result within 2 s of 5) and passes.

--- a/lentilsill/daemon/controllers/late_replies.py
+++ b/lentilsill/daemon/controllers/late_replies.py
@@ -10,6 +10,10 @@
 
 __all__ = ["LateReplies"]
 
+# A peer that stalls is back within this time; with a dead one, the caller gets its
+# refusal while it has time to try again.
+MAX_WAIT_S = 1.0
+
 
 class LateReplies:
     """Results that destination nodes may still have for one call.
@@ -38,14 +42,24 @@
     async def first_answer(
         self, task: asyncio.Task[CallResult] | None = None
     ) -> Answer | None:
-        """Wait for a late answer; None once there can be none or `task` has ended."""
+        """Wait for a late answer; None once there can be none or `task` has ended.
+
+        Without a task, the wait is bounded.
+        """
+        loop = asyncio.get_running_loop()
+        timeout_at_s = loop.time() + MAX_WAIT_S
         while task is None or not task.done():
             waited: set[asyncio.Future[Any]] = {*self._pending}
+            timeout_s = None
             if task is not None:
                 waited.add(task)
-            if not waited:
+            else:
+                timeout_s = timeout_at_s - loop.time()
+            if not waited or (timeout_s is not None and timeout_s <= 0):
                 return None
-            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(
+                waited, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+            )
             arrived = {late for late in self._pending if late.done()}
             self._pending -= arrived
             for late in arrived:
