--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -126,7 +126,7 @@
 
     def on_connection_close(self) -> None:
         if not self.is_answered:
-            self._record_lost()
+            self.record_lost()
         self.is_answered = True
         self.chunks.clear()
         if self.task is not None:
@@ -137,7 +137,8 @@
         """Id of the caller's attempt; empty without one."""
         return self.headers.get(self.server.integration.headers.attempt_id, "")
 
-    def _record_lost(self) -> None:
+    def record_lost(self) -> None:
+        """Record that the caller gets no answer, if the request was passed on."""
         if self.is_passed_on:
             self.conn.record_lost(self.attempt_id)
 
@@ -211,7 +212,7 @@
             fut.add_done_callback(_ignore_closed)
             self.http.finish()
         except StreamClosedError:
-            self._record_lost()
+            self.record_lost()
         except ValueError as exc:
             # Nothing has been written; without another answer, the caller would
             # keep waiting.
--- a/lentilsill/daemon/request_stream.py
+++ b/lentilsill/daemon/request_stream.py
@@ -40,6 +40,9 @@
     # Whether its answer was written, or held until earlier ones are written.
     is_answered: bool
 
+    def record_lost(self) -> None:
+        """Record that the caller gets no answer, if the request was passed on."""
+
 
 class RequestStream:
     """View of the connection's stream for one request.
@@ -141,6 +144,8 @@
 
     def abort(self) -> None:
         """Notify the request that the connection has closed."""
+        if self._pending_writes and self.request is not None:
+            self.request.record_lost()
         for _, fut in self._pending_writes:
             if not fut.done():
                 fut.set_exception(StreamClosedError())
--- a/lentilsill/daemon/tests/test_connection_log.py
+++ b/lentilsill/daemon/tests/test_connection_log.py
@@ -22,13 +22,14 @@
 
 
 class PendingCalls:
-    """Answers the calls once `gate` is set."""
+    """Answers the calls once `gate` is set, and those of ``/quick`` at once."""
 
     def __init__(self):
         self.gate = asyncio.Event()
 
     async def handle(self, req):
-        await self.gate.wait()
+        if req.path != "/quick":
+            await self.gate.wait()
         return Answer(200, (), b"ok")
 
 
@@ -58,15 +59,16 @@
                 await asyncio.sleep(0.005)
 
     async def test_requests_of_a_caller_that_leaves_are_named(self):
-        self.writer.write(GET % (1, 1, b"") + GET % (2, 2, b""))
+        quick = GET.replace(b"%d HTTP", b"quick HTTP", 1) % (3, b"")
+        self.writer.write(GET % (1, 1, b"") + GET % (2, 2, b"") + quick)
         await asyncio.sleep(0.05)
         with capture_logs() as logs:
             self.writer.transport.abort()
             await self.wait_until_closed("caller")
         (line,) = [line for line in logs if line["event"] == "connection_closed"]
-        self.assertEqual((line["reason"], line["lost"]), ("caller", 2))
-        self.assertEqual(line["attempts"], ["1", "2"])
-        line = self.counter_line(f"{LOST}_caller", 2)
+        self.assertEqual((line["reason"], line["lost"]), ("caller", 3))
+        self.assertEqual(line["attempts"], ["1", "2", "3"])
+        line = self.counter_line(f"{LOST}_caller", 3)
         self.assertIn(line, self.metrics.text())
 
     async def test_close_that_a_request_asks_for_is_named(self):
