Read a large answer completely before its call ends at the deadline

Callers saw: 504 "deadline passed" after a stall across the deadline of a call whose answer had arrived and was larger than one read of the event loop (256 KB).

Cause: at the deadline, the entry node waited for one turn of the event loop.

Change: it waits while the link has unread input, for at most 64 turns, which read two messages of the largest size.

--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -28,6 +28,8 @@
 # The destination node enforces the deadline. The timeout here leaves time to receive
 # its refusal, which is more precise.
 DEADLINE_GRACE_S = 0.02
+# Turns of the event loop that read at most 256 KB each: two of the largest messages.
+MAX_READ_TURNS = 64
 # The peer node answers a `Ping` itself. The wait covers a short stall of its event
 # loop: to close the link for such a stall would only fail calls.
 MAX_PING_WAIT_S = 0.25
@@ -153,12 +155,16 @@
         if attempt.has_lost_link and fut.cancelled():
             self._cancel(attempt)
 
-    def _end_overdue(self, attempt: PeerAttempt) -> None:
+    def _end_overdue(
+        self, attempt: PeerAttempt, max_read_turns: int = MAX_READ_TURNS
+    ) -> None:
         """Settle an attempt at its deadline, after bytes that have arrived are read."""
-        if attempt.link.has_unread_input():
+        if attempt.fut.done():
+            return
+        if max_read_turns and attempt.link.has_unread_input():
             # The event loop reads before it runs timers that are due.
             loop = asyncio.get_running_loop()
-            loop.call_later(0, self._settle_overdue, attempt)
+            loop.call_later(0, self._end_overdue, attempt, max_read_turns - 1)
         else:
             self._settle_overdue(attempt)
 
--- a/lentilsill/daemon/controllers/tests/test_link_faults.py
+++ b/lentilsill/daemon/controllers/tests/test_link_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import threading
 import unittest
 from functools import partial
 
@@ -260,3 +261,16 @@
         result, other = await asyncio.gather(first, second)
         self.assertEqual(getattr(result, "body", result), b"ready")
         self.assertIsInstance(other, Refused)
+
+    async def test_large_answer_that_arrived_before_the_deadline_is_dropped(self):
+        """The answer takes several turns of the event loop to read."""
+        req = dataclasses.replace(make_request("POST"), deadline_ms=200)
+        call = asyncio.ensure_future(self.near.entry.handle(req))
+        call_id = await asyncio.to_thread(self.peer.receive_call)
+        body = bytes(2 * 1024 * 1024)
+        answer = AnswerMessage(call_id, 200, (), body, len(body), 0)
+        sender = threading.Thread(target=self.peer.send_and_close, args=(answer,))
+        stop_process(0.4, sender.start)
+        result = await call
+        await asyncio.to_thread(sender.join)
+        self.assertIsInstance(result, Answer)
