Soak kept connections under stalled and restarted nodes

The scenario kept-connections runs callers that keep connections open, send requests ahead, rest within the idle limit, end their sending side and say `Connection: close`, while nodes and workers are stopped and continued, and nodes get SIGHUP, stop and start. Each request that ran must get its answer, unless its deadline has passed, and none may run behind a close; the lost requests in connection_closed must agree. An idempotent call may end as unknown.

The idle limit of callers comes with a bundle only, so a scenario with caller_limits writes its documents as one bundle, and bundle_applied names the instance and the time, which the history needs.

--- a/harness/documents.py
+++ b/harness/documents.py
@@ -1,11 +1,14 @@
 """Service documents of scenarios, with an idempotent and a non-idempotent route."""
 
+from collections.abc import Iterable
 from typing import Any
 
-__all__ = ["BOOK", "LOOKUP", "make_document"]
+__all__ = ["BOOK", "BUNDLE", "LOOKUP", "make_bundle", "make_document"]
 
 LOOKUP = "lookup"
 BOOK = "book"
+# Name of the object that holds the bundle.
+BUNDLE = "bundle"
 DEADLINE_MS = 3000
 
 
@@ -58,3 +61,14 @@
         "limits": {"slots_per_upstream": slots, "queue_per_upstream": 100 + edit},
         "requires": list(requires),
     }
+
+
+def make_bundle(
+    services: Iterable[str], caller_limits: dict[str, int], edit: int, **options: Any
+) -> dict[str, Any]:
+    """Make a bundle of one document for each service; `edit` is its version."""
+    return {
+        "version": edit,
+        "documents": [make_document(name, edit=edit, **options) for name in services],
+        "caller_limits": caller_limits,
+    }
--- a/harness/layout.py
+++ b/harness/layout.py
@@ -63,14 +63,14 @@
         Second octet of all addresses; concurrent runs need different ones.
     sections : dict
         Sections to merge into the settings of each node, for example
-        ``{"distribution": {...}}``.
+        ``{"distribution": {...}}``; other values replace a setting.
     """
 
     second_octet: int
     domains: tuple[str, ...]
     hosts_per_domain: int
     with_relay: bool = False
-    sections: dict[str, dict[str, Any]] = field(default_factory=dict)
+    sections: dict[str, Any] = field(default_factory=dict)
 
     @property
     def platform_address(self) -> str:
@@ -144,7 +144,8 @@
             address = self.platform_relay_address(host.domain)
             cfg["platform"] = {"url": f"http://{address}"}
         for name, section in self.sections.items():
-            cfg[name] = cfg.get(name, {}) | section
+            is_section = isinstance(section, dict)
+            cfg[name] = cfg.get(name, {}) | section if is_section else section
         return cfg
 
     def relay_config(self) -> dict[str, Any]:
--- a/harness/recording.py
+++ b/harness/recording.py
@@ -9,6 +9,7 @@
 
 from standins.caller import CallRecord as CallerRecord
 
+from .documents import BUNDLE
 from .history import (
     AppliedSnapshot,
     CallRecord,
@@ -127,6 +128,13 @@
             yield AppliedSnapshot(
                 node, event["instance"], event["monotonic_s"], versions
             )
+        for node, event in self._node_events("bundle_applied"):
+            yield AppliedSnapshot(
+                node,
+                event["instance"],
+                event["monotonic_s"],
+                ((BUNDLE, event["revision"]),),
+            )
 
     def ready(self) -> list[NodeReady]:
         """Return when each process of each node began to accept calls."""
--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -14,7 +14,7 @@
 from lentilsill.findings import Findings
 from standins.caller import Caller, CallPlan
 
-from .documents import make_document
+from .documents import BUNDLE, make_bundle, make_document
 from .history import DocumentWrite, check_history
 from .layout import PLATFORM_PORT, Host, Layout
 from .load import Load, make_mixed_plans
@@ -51,6 +51,8 @@
         The services are assigned to the workers in turn.
     document_options : dict
         Keyword arguments of `make_document` for every document.
+    caller_limits : dict
+        If given, the documents are written as one bundle with these limits.
     can_lose_answers : bool
         Whether the faults can make callers lose answers. If not, G8 requires an
         answer or `not_run` for every call.
@@ -64,7 +66,8 @@
     seed: int = 1
     with_relay: bool = False
     can_lose_answers: bool = True
-    sections: dict[str, dict[str, Any]] = field(default_factory=dict)
+    sections: dict[str, Any] = field(default_factory=dict)
+    caller_limits: dict[str, int] = field(default_factory=dict)
     document_options: dict[str, Any] = field(default_factory=dict)
     parameters: dict[str, float] = field(default_factory=dict)
     soak_parameters: dict[str, float] = field(default_factory=dict)
@@ -167,12 +170,16 @@
     ) -> int:
         """Write a document to the platform, record it and return its version.
 
-        If `value` is None, `make_document` makes the document from the options.
+        If `value` is None, the document or bundle is made from the options.
         """
         self.edit_count += 1
         if value is None:
-            options = self.scenario.document_options | options
-            value = make_document(service, edit=self.edit_count, **options)
+            cfg = self.scenario
+            options = cfg.document_options | options | {"edit": self.edit_count}
+            if service == BUNDLE:
+                value = make_bundle(cfg.services, cfg.caller_limits, **options)
+            else:
+                value = make_document(service, **options)
         url = self.cluster.layout.platform_url
         requested_s = time.monotonic()
         version = await asyncio.to_thread(write_object, url, "service", service, value)
@@ -218,7 +225,8 @@
 
     def fetch_versions_in_force(self, host: Host) -> dict[str, int]:
         """Fetch the versions in force on a node; empty when it does not answer."""
-        return self.fetch_state(host).get("documents", {}).get("in_force", {})
+        in_force = self.fetch_state(host).get("documents", {}).get("in_force") or {}
+        return {BUNDLE: in_force["rev"]} if "rev" in in_force else in_force
 
     def fetch_state(self, host: Host) -> dict[str, Any]:
         """Fetch the state dump of a node; empty when it does not answer."""
@@ -251,12 +259,14 @@
 
     async def start(self) -> None:
         """Start nodes and workers, write documents, and wait until all nodes serve."""
+        if self.scenario.caller_limits:
+            await self.write(BUNDLE)
         for host in self.hosts:
             self.cluster.start_node(host)
         for host in self.hosts:
             await asyncio.to_thread(self.cluster.wait_ready, host, START_TIMEOUT_S)
             self.start_worker(host)
-        for service in self.scenario.services:
+        for service in () if self.scenario.caller_limits else self.scenario.services:
             await self.write(service)
         await self.wait_until_in_force()
         for service in self.scenario.services:
@@ -304,21 +314,17 @@
     seed = scenario.seed if seed is None else seed
     parameters = scenario.parameters | (scenario.soak_parameters if is_soak else {})
     start_s = time.monotonic()
-    with (
-        reserved_second_octet() as second_octet,
-        running_cluster(_layout(scenario, second_octet), log_folder) as cluster,
-    ):
-        return asyncio.run(_run(scenario, seed, cluster, parameters, start_s))
-
-
-def _layout(scenario: Scenario, second_octet: int) -> Layout:
-    return Layout(
-        second_octet,
-        scenario.domains,
-        scenario.hosts_per_domain,
-        scenario.with_relay,
-        scenario.sections,
-    )
+    cfg = scenario
+    with reserved_second_octet() as second_octet:
+        layout = Layout(
+            second_octet,
+            cfg.domains,
+            cfg.hosts_per_domain,
+            cfg.with_relay,
+            cfg.sections,
+        )
+        with running_cluster(layout, log_folder) as cluster:
+            return asyncio.run(_run(scenario, seed, cluster, parameters, start_s))
 
 
 async def _run(
--- a/harness/scenarios/__init__.py
+++ b/harness/scenarios/__init__.py
@@ -6,6 +6,7 @@
 from .crossing import CROSSING
 from .freeze import FREEZE
 from .herd import HERD
+from .kept_connections import KEPT_CONNECTIONS
 from .operators import OPERATORS
 from .outages import OUTAGES
 from .pairs import PAIRS
@@ -26,6 +27,7 @@
         RETIREMENT,
         SILENCE,
         FREEZE,
+        KEPT_CONNECTIONS,
         POISON,
         *OUTAGES,
         *OPERATORS,
--- a/lentilsill/daemon/controllers/bundle.py
+++ b/lentilsill/daemon/controllers/bundle.py
@@ -165,6 +165,8 @@
                     replaces=replaced,
                     revision=revision,
                     documents=len(bundle.documents),
+                    instance=self.ctx.links.identity.instance,
+                    monotonic_s=self.ctx.now(),
                 )
                 board.notify(Topic.IN_FORCE)
         board.notify(Topic.DOCUMENTS)
