Ignore SIGHUP while a node exits

Cause: the handler of SIGHUP is removed when the node's tasks are cancelled. From then until the process has ended, the default action of the signal applies, which ends the process.

Change: the signal is ignored once its handler is removed.

Evidence: test_sighup_during_the_exit_does_not_end_the_process failed before (SIG_DFL) and passes.

--- a/lentilsill/daemon/reload.py
+++ b/lentilsill/daemon/reload.py
@@ -90,3 +90,5 @@
             yield
         finally:
             loop.remove_signal_handler(signal.SIGHUP)
+            # By default, the signal would end the process before its exit.
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/lentilsill/daemon/tests/test_reload.py
+++ b/lentilsill/daemon/tests/test_reload.py
@@ -27,8 +27,8 @@
         self.load_count = 0
         self.new_cfg = cfg
         self.findings = Findings()
-        task = asyncio.ensure_future(SettingsReload(self.ctx, self.load).run())
-        self.addCleanup(task.cancel)
+        self.task = asyncio.ensure_future(SettingsReload(self.ctx, self.load).run())
+        self.addCleanup(self.task.cancel)
         await asyncio.sleep(0)
 
     def load(self):
@@ -53,6 +53,13 @@
         # Listening addresses are bound only at the start.
         self.assertEqual(self.ctx.cfg.peer_address, "127.0.0.1:1")
 
+    async def test_sighup_during_the_exit_does_not_end_the_process(self):
+        """Guards against exit status 129 of a node that has drained."""
+        self.addCleanup(signal.signal, signal.SIGHUP, signal.SIG_DFL)
+        self.task.cancel()
+        await asyncio.wait([self.task])
+        self.assertEqual(signal.getsignal(signal.SIGHUP), signal.SIG_IGN)
+
     async def test_settings_with_findings_change_nothing(self):
         """Guards against a node that applies invalid settings."""
         self.findings.add("domain", "is wrong")
