Log and count closed connections to upstreams

Cause: no log line or counter said whether the upstream or this process closed a connection to an upstream, after how much idle time, and which request was on it, so lost answers of upstreams could not be told from closes by timers.

Change: upstream_connection_closed (reason, idle time, request and attempt id, at a limited rate), upstream_connections.closed.<reason> and upstream_connections.lost_requests.<reason>. Decisions are unchanged.

--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -26,6 +26,7 @@
 from .reasons import BUSY, CRASHED, LEAVING, MISDIRECTED, UNREACHABLE, not_run_refusal
 from .served_calls import ServedCalls
 from .unacknowledged_results import StoreOrphanedResult
+from .upstream_connection_log import UpstreamConnectionLog
 
 __all__ = ["DestinationController"]
 
@@ -53,6 +54,7 @@
         self.ctx = ctx
         self.integration = integration
         self.guard = guard
+        self._connection_log = UpstreamConnectionLog(ctx)
         self.served_calls = ServedCalls(ctx, self, store_orphaned_result)
         self._upstreams: dict[str, LocalUpstream] = {}
         # Removed upstreams that still run calls.
@@ -136,6 +138,7 @@
                 self.guard,
                 self.ctx.cfg.calls.post_reuse_s,
                 self.integration,
+                self._connection_log.record,
             )
             self._upstreams[upstream] = local
             local.record = record
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -14,6 +14,7 @@
 from lentilsill.wire.messages import Call
 
 from .upstream_client import Exchange, UpstreamClient
+from .upstream_connections import OnUpstreamClosed, ignore_upstream_close
 
 __all__ = [
     "Execution",
@@ -68,6 +69,7 @@
         guard: CrashGuard | None,
         post_reuse_s: float,
         integration: Integration,
+        on_closed: OnUpstreamClosed = ignore_upstream_close,
     ) -> None:
         self.record = record
         self.guard = guard
@@ -75,7 +77,9 @@
         self.lost_fingerprints: list[str] = []
         self.crash_check: asyncio.Task[bool] | None = None
         self.is_dropped = False
-        self.client = UpstreamClient(record.address, post_reuse_s, integration)
+        self.client = UpstreamClient(
+            record.address, post_reuse_s, integration, on_closed
+        )
         can_start = None if guard is None else self._can_start
         self.queue = AdmissionQueue(max(1, record.slots), 0, can_start)
 
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Iterable
 
 import structlog
@@ -21,7 +20,6 @@
 from lentilsill.daemon.integration import DEFAULT_INTEGRATION, Integration
 from lentilsill.daemon.outgoing_headers import OutgoingHeaders
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
-from lentilsill.wire.links import split_address
 from lentilsill.wire.streams import ProtocolStream
 
 from .reasons import (
@@ -31,17 +29,21 @@
     UNREACHABLE,
     not_run_refusal,
 )
+from .upstream_connections import (
+    MAX_IDLE_S,
+    Exchange,
+    OnUpstreamClosed,
+    UpstreamCloseReason,
+    UpstreamConnections,
+    ignore_upstream_close,
+)
 
 __all__ = ["HOP_BY_HOP", "Exchange", "UpstreamClient"]
 
 log = structlog.get_logger()
 
-CONNECT_TIMEOUT_S = 1.0
 # An answer and its headers must fit in a message of 8 MB.
 MAX_ANSWER_BYTES = 7 * 1024 * 1024
-MAX_IDLE_CONNECTIONS = 32
-# Servers commonly close idle connections after 5 s or more.
-MAX_IDLE_S = 4.0
 # A connection is reused only within this share of the upstream's keep-alive timeout,
 # as the upstream may close it while a request is on its way.
 KEEP_ALIVE_SHARE = 0.5
@@ -68,25 +70,6 @@
 )
 
 
-class Exchange:
-    """One request on its connection; `abort` closes the connection."""
-
-    __slots__ = ("abort_reason", "connecting", "stream")
-
-    def __init__(self) -> None:
-        self.abort_reason = ""
-        self.stream: ProtocolStream | None = None
-        self.connecting: asyncio.Future | None = None
-
-    def abort(self, reason: str) -> None:
-        """Stop waiting for the answer."""
-        self.abort_reason = reason
-        if self.connecting is not None:
-            self.connecting.cancel()
-        if self.stream is not None:
-            self.stream.close()
-
-
 class _AnswerReader(HTTPMessageDelegate):
     """Collects one answer to a request."""
 
@@ -204,12 +187,12 @@
         address: str,
         post_reuse_s: float = 0.0,
         integration: Integration = DEFAULT_INTEGRATION,
+        on_closed: OnUpstreamClosed = ignore_upstream_close,
     ) -> None:
         self.address = address
         self.post_reuse_s = post_reuse_s
         self.integration = integration
-        self._target = split_address(address)
-        self._idle: deque[tuple[float, ProtocolStream]] = deque()
+        self._connections = UpstreamConnections(address, on_closed)
         self._params = HTTP1ConnectionParameters(
             max_body_size=MAX_ANSWER_BYTES, decompress=False
         )
@@ -232,7 +215,9 @@
         reused only after a short idle time, and only if the kernel has not seen it
         close.
         """
-        stream = self._take_idle(MAX_IDLE_S if idempotent else self.post_reuse_s)
+        stream = self._connections.take(
+            exchange, MAX_IDLE_S if idempotent else self.post_reuse_s
+        )
         was_sent = stream is not None
         request = (method, path, headers, body, attempt_id)
         if stream is not None:
@@ -242,7 +227,7 @@
             if not idempotent:
                 return _closed_early(exchange)
         try:
-            stream = await self._connect(exchange)
+            stream = await self._connections.connect(exchange)
         except (OSError, StreamClosedError, TimeoutError) as exc:
             if was_sent:
                 return _closed_early(exchange)
@@ -253,7 +238,7 @@
     async def is_accepting(self) -> bool:
         """Return whether the upstream accepts connections."""
         try:
-            stream = await self._connect(Exchange())
+            stream = await self._connections.connect(Exchange())
         except (OSError, StreamClosedError, TimeoutError):
             return False
         stream.close()
@@ -261,48 +246,7 @@
 
     def close(self) -> None:
         """Close idle connections."""
-        while self._idle:
-            self._idle.pop()[1].close()
-
-    def _take_idle(self, max_idle_s: float) -> ProtocolStream | None:
-        """Take the most recently used connection, unless it was idle for too long."""
-        now = asyncio.get_running_loop().time()
-        while self._idle:
-            last_used_at, stream = self._idle[-1]
-            if last_used_at < now - MAX_IDLE_S:
-                self.close()
-            elif last_used_at < now - max_idle_s:
-                break
-            else:
-                self._idle.pop()
-                if stream.is_open_without_input():
-                    return stream
-                stream.close()
-        return None
-
-    async def _connect(self, exchange: Exchange) -> ProtocolStream:
-        if exchange.abort_reason:
-            raise StreamClosedError()
-        loop = asyncio.get_running_loop()
-        connecting = asyncio.ensure_future(
-            loop.create_connection(ProtocolStream, *self._target)
-        )
-        exchange.connecting = connecting
-        timer = loop.call_later(CONNECT_TIMEOUT_S, connecting.cancel)
-        try:
-            await asyncio.wait([connecting])
-        except asyncio.CancelledError:
-            connecting.cancel()
-            connecting.add_done_callback(_close_unused_connection)
-            raise
-        finally:
-            timer.cancel()
-            exchange.connecting = None
-        if connecting.cancelled():
-            raise TimeoutError("no connection in time")
-        _, stream = connecting.result()
-        exchange.stream = stream
-        return stream
+        self._connections.close()
 
     async def _exchange(
         self,
@@ -349,31 +293,41 @@
                 done = await conn.read_response(reader)
         except (StreamClosedError, UnsatisfiableReadError):
             pass
+        except asyncio.CancelledError:
+            exchange.abort_reason = exchange.abort_reason or "cancelled"
+            raise
         finally:
             is_answered = done and reader.is_complete and not reader.is_stray
+            can_reuse = is_answered and reader.can_reuse_connection
             # Unsent bytes of this request must not precede the next request.
-            if not (is_answered and reader.can_reuse_connection) or stream.writing():
+            if not can_reuse or stream.writing() or stream.closed():
+                reason = _close_reason(stream, is_answered, can_reuse)
                 stream.close()
+                self._connections.record_close(
+                    reason, exchange, attempt_id, not is_answered
+                )
         if not reader.status:
             return _closed_early(exchange) if exchange.abort_reason else None
         if not reader.is_complete or reader.is_stray:
             return _answer_lost(exchange.abort_reason or "answer is incomplete")
         if not stream.closed():
-            self._keep(stream, reader.idle_limit_s())
+            self._connections.keep(stream, reader.idle_limit_s())
         return reader.result()
 
-    def _keep(self, stream: ProtocolStream, idle_limit_s: float) -> None:
-        """Keep an idle connection; a shorter limit is stored as an earlier last use."""
-        if len(self._idle) >= MAX_IDLE_CONNECTIONS:
-            self._idle.popleft()[1].close()
-        last_used_at = asyncio.get_running_loop().time() - (MAX_IDLE_S - idle_limit_s)
-        self._idle.append((last_used_at, stream))
-
 
-def _close_unused_connection(connecting: asyncio.Future) -> None:
-    """Close a connection that was established after its request was cancelled."""
-    if not connecting.cancelled() and connecting.exception() is None:
-        connecting.result()[0].abort()
+def _close_reason(
+    stream: ProtocolStream, is_answered: bool, can_reuse: bool
+) -> UpstreamCloseReason:
+    """Return why a connection takes no further request."""
+    if is_answered and not can_reuse:
+        return UpstreamCloseReason.REQUESTED
+    if stream.closed() or stream.has_received_eof:
+        return (
+            UpstreamCloseReason.CLOSED_IDLE
+            if is_answered
+            else UpstreamCloseReason.CLOSED_IN_REQUEST
+        )
+    return UpstreamCloseReason.BAD_ANSWER
 
 
 def _closed_early(exchange: Exchange) -> Refused:
--- /dev/null
+++ b/lentilsill/daemon/controllers/upstream_connections.py
@@ -0,0 +1,218 @@
+"""Connections to one upstream: opened, kept while idle, and closed for a reason."""
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from tornado.iostream import StreamClosedError
+
+from lentilsill.wire.links import split_address
+from lentilsill.wire.streams import ProtocolStream
+
+__all__ = [
+    "MAX_IDLE_S",
+    "Exchange",
+    "OnUpstreamClosed",
+    "UpstreamClose",
+    "UpstreamCloseReason",
+    "UpstreamConnections",
+    "ignore_upstream_close",
+]
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_CONNECTIONS = 32
+# Servers commonly close idle connections after 5 s or more.
+MAX_IDLE_S = 4.0
+
+
+class UpstreamCloseReason(StrEnum):
+    """Why a connection to an upstream was closed.
+
+    In the first two cases the upstream closed it first.
+    """
+
+    CLOSED_IDLE = "closed_idle"
+    CLOSED_IN_REQUEST = "closed_in_request"
+    ABORTED = "aborted"
+    BAD_ANSWER = "bad_answer"
+    REQUESTED = "requested"
+    IDLE = "idle"
+    SURPLUS = "surplus"
+    REMOVED = "removed"
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamClose:
+    """The end of one connection to an upstream.
+
+    Parameters
+    ----------
+    reason : UpstreamCloseReason
+    address : str
+        Address of the upstream.
+    idle_s : float
+        Time for which the connection was idle before its close, or before the
+        request that was on it, in seconds.
+    has_request : bool
+        Whether a request was on the connection whose answer had not ended.
+    attempt_id : str
+        Attempt id of the last request, if it had one.
+    detail : str
+        Why the request was aborted, if it was.
+    """
+
+    reason: UpstreamCloseReason
+    address: str
+    idle_s: float = 0.0
+    has_request: bool = False
+    attempt_id: str = ""
+    detail: str = ""
+
+
+# Callback that receives each connection that has closed.
+OnUpstreamClosed = Callable[[UpstreamClose], None]
+
+
+def ignore_upstream_close(close: UpstreamClose) -> None:
+    """Do nothing; the default for `OnUpstreamClosed`."""
+
+
+class Exchange:
+    """One request on its connection; `abort` closes the connection."""
+
+    __slots__ = ("abort_reason", "connecting", "idle_s", "stream")
+
+    def __init__(self) -> None:
+        self.abort_reason = ""
+        self.stream: ProtocolStream | None = None
+        self.connecting: asyncio.Future | None = None
+        # Idle time of the connection before the request, in seconds.
+        self.idle_s = 0.0
+
+    def abort(self, reason: str) -> None:
+        """Stop waiting for the answer."""
+        self.abort_reason = reason
+        if self.connecting is not None:
+            self.connecting.cancel()
+        if self.stream is not None:
+            self.stream.close()
+
+
+@dataclass(slots=True)
+class _IdleConnection:
+    """A kept connection; it is not used for a request after `expires_at_s`."""
+
+    stream: ProtocolStream
+    kept_at_s: float
+    expires_at_s: float
+
+
+class UpstreamConnections:
+    """Opens connections to the upstream at `address`, and keeps idle ones."""
+
+    def __init__(self, address: str, on_closed: OnUpstreamClosed) -> None:
+        self.address = address
+        self._target = split_address(address)
+        self._on_closed = on_closed
+        self._idle: deque[_IdleConnection] = deque()
+
+    def close(self) -> None:
+        """Close idle connections."""
+        while self._idle:
+            self._drop(self._idle.pop(), UpstreamCloseReason.REMOVED)
+
+    def take(self, exchange: Exchange, max_idle_s: float) -> ProtocolStream | None:
+        """Take the most recently used connection, unless it was idle for too long."""
+        now = time.monotonic()
+        while self._idle:
+            conn = self._idle[-1]
+            if conn.expires_at_s < now:
+                while self._idle:
+                    self._drop(self._idle.pop(), UpstreamCloseReason.IDLE)
+            elif conn.expires_at_s < now + MAX_IDLE_S - max_idle_s:
+                break
+            else:
+                self._idle.pop()
+                if conn.stream.is_open_without_input():
+                    exchange.idle_s = now - conn.kept_at_s
+                    return conn.stream
+                self._drop(conn, UpstreamCloseReason.CLOSED_IDLE)
+        return None
+
+    def keep(self, stream: ProtocolStream, idle_limit_s: float) -> None:
+        """Keep a connection that has become idle, for at most `idle_limit_s`."""
+        if len(self._idle) >= MAX_IDLE_CONNECTIONS:
+            self._drop(self._idle.popleft(), UpstreamCloseReason.SURPLUS)
+        now = time.monotonic()
+        self._idle.append(_IdleConnection(stream, now, now + idle_limit_s))
+
+    def record_close(
+        self,
+        reason: UpstreamCloseReason,
+        exchange: Exchange,
+        attempt_id: str,
+        has_request: bool,
+    ) -> None:
+        """Report a connection that closed with a request, or right after its answer."""
+        if exchange.abort_reason:
+            reason = UpstreamCloseReason.ABORTED
+        self._on_closed(
+            UpstreamClose(
+                reason,
+                self.address,
+                exchange.idle_s,
+                has_request,
+                attempt_id,
+                exchange.abort_reason,
+            )
+        )
+
+    def _drop(self, conn: _IdleConnection, reason: UpstreamCloseReason) -> None:
+        idle_s = time.monotonic() - conn.kept_at_s
+        conn.stream.close()
+        self._on_closed(UpstreamClose(reason, self.address, idle_s))
+
+    async def connect(self, exchange: Exchange) -> ProtocolStream:
+        """Open a connection for a request.
+
+        Raises
+        ------
+        TimeoutError
+            The connection was not established in time, or the request was aborted.
+        StreamClosedError
+            The request was aborted before.
+        OSError
+            The upstream refused the connection.
+        """
+        if exchange.abort_reason:
+            raise StreamClosedError()
+        loop = asyncio.get_running_loop()
+        connecting = asyncio.ensure_future(
+            loop.create_connection(ProtocolStream, *self._target)
+        )
+        exchange.connecting = connecting
+        timer = loop.call_later(CONNECT_TIMEOUT_S, connecting.cancel)
+        try:
+            await asyncio.wait([connecting])
+        except asyncio.CancelledError:
+            connecting.cancel()
+            connecting.add_done_callback(_close_unused_connection)
+            raise
+        finally:
+            timer.cancel()
+            exchange.connecting = None
+        if connecting.cancelled():
+            raise TimeoutError("no connection in time")
+        _, stream = connecting.result()
+        exchange.stream = stream
+        exchange.idle_s = 0.0
+        return stream
+
+
+def _close_unused_connection(connecting: asyncio.Future) -> None:
+    """Close a connection that was established after its request was cancelled."""
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result()[0].abort()
