Don't close a kept connection for an exchange that has ended

Callers saw: an idempotent call was sent to its upstream twice, and failed if the second connection failed, after another call's deadline had passed in a stall.

Cause: an exchange kept its reference to the connection after the answer. The deadline of a call and its answer run in the same turn after a stall; the answer puts the connection back, a call that starts in that turn takes it, and the abort of the ended exchange then closes it with the other call's request on it.

Evidence: two tests failed before. With a node: the upstream saw /first, /next, /next. With the client alone: the second request got no answer. Both pass now.

Why it works: the exchange forgets the connection in the step in which its answer ends, so that an abort finds only a connection that carries its own request.

--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -297,6 +297,8 @@
             exchange.abort_reason = exchange.abort_reason or "cancelled"
             raise
         finally:
+            # The connection may carry another request from now on.
+            exchange.stream = None
             is_answered = done and reader.is_complete and not reader.is_stray
             can_reuse = is_answered and reader.can_reuse_connection
             # Unsent bytes of this request must not precede the next request.
--- a/lentilsill/daemon/controllers/upstream_connections.py
+++ b/lentilsill/daemon/controllers/upstream_connections.py
@@ -81,7 +81,10 @@
 
 
 class Exchange:
-    """One request on its connection; `abort` closes the connection."""
+    """One request on its connection; `abort` closes the connection.
+
+    `stream` is set while the request is on the connection.
+    """
 
     __slots__ = ("abort_reason", "connecting", "idle_s", "stream")
 
