Take in a connection that was made during a stall before giving it up

Callers saw: after a stall of more than 1 s of this node, a call was refused with "upstream is leaving", and the upstream, which was well, was dropped as crashed until its next announcement; its calls and its requests in flight were reported to the quarantine.

Cause: the timer of CONNECT_TIMEOUT_S ran in the turn in which the event loop first saw the connection, and cancelled it. The call ended as unreachable, which counts as a crash. The crash check of a lost connection has the same timer.

Evidence: three of test_stalled_node.ConnectTests failed before (stall of 1.2 s: no answer; dropped as "crashed"; a running upstream reported as not accepting) and pass now. The fourth, of a connection that nobody accepts, passed before and passes: the timeout still holds. AnswerTests passed before and pass: an answer that arrived in a stall is delivered although its deadline has passed, or its connection was closed or reset behind it.

Why it works: at the timeout the kernel is asked. A connection that it has established or refused is left to the event loop; only one that is still being established is cancelled. lentilsill.daemon.controllers: 118 passed.

--- /dev/null
+++ b/lentilsill/daemon/controllers/tests/test_stalled_node.py
@@ -0,0 +1,146 @@
+"""A node that has stalled takes in what has arrived before it gives up a call."""
+
+import asyncio
+import dataclasses
+import socket
+import threading
+import unittest
+
+from lentilsill.daemon.controllers import upstream_connections
+from lentilsill.daemon.controllers.tests.call_builders import FakeNode, make_request
+from lentilsill.daemon.controllers.upstream_client import Exchange, UpstreamClient
+from lentilsill.outcomes import Answer, Outcome, Refused
+
+from .upstream_builders import (
+    HOST,
+    TIMEOUT_S,
+    answer,
+    read_request,
+    reset,
+    running_upstream,
+    send,
+    stall,
+)
+
+STALL_S = upstream_connections.CONNECT_TIMEOUT_S + 0.2
+
+
+def serve_answers(conn, number):
+    while read_request(conn):
+        conn.sendall(answer())
+
+
+class ConnectTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against an upstream that counts as unreachable after a stall."""
+
+    def start(self, serve=serve_answers):
+        port = self.enterContext(running_upstream(serve))
+        client = UpstreamClient(f"{HOST}:{port}", 10.0)
+        self.addCleanup(client.close)
+        return client
+
+    async def test_connection_made_during_a_stall_is_cancelled(self):
+        client = self.start()
+        call = asyncio.ensure_future(send(client, False))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        stall(STALL_S)
+        self.assertEqual(getattr(await call, "body", None), b"ok")
+
+    async def test_crash_check_that_stalls_reports_a_running_upstream_as_dead(self):
+        client = self.start()
+        check = asyncio.ensure_future(client.is_accepting())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        stall(STALL_S)
+        self.assertTrue(await check)
+
+    async def test_running_upstream_is_dropped_as_crashed_after_a_stall(self):
+        dropped: list[str] = []
+
+        def drop_upstream(upstream, reason):
+            dropped.append(reason)
+            return True
+
+        node = FakeNode("near")
+        self.addCleanup(node.close)
+        node.destination.drop_upstream = drop_upstream
+        port = self.enterContext(running_upstream(serve_answers))
+        node.add_upstream("w1", port)
+        node.set_members(node.record())
+        call = asyncio.ensure_future(node.entry.handle(make_request("POST")))
+        local = node.destination._upstreams["w1"]
+        async with asyncio.timeout(TIMEOUT_S):
+            while not any(e.exchange.connecting for e in local.running):
+                await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        stall(STALL_S)
+        result = await call
+        self.assertEqual(dropped, [])
+        self.assertIsInstance(result, Answer)
+
+    async def test_connection_that_is_not_accepted_ends_in_time(self):
+        """Guards against a call that waits for its deadline instead."""
+        with socket.socket() as listener:
+            listener.bind((HOST, 0))
+            listener.listen(0)
+            port = listener.getsockname()[1]
+            fillers = [socket.socket() for _ in range(4)]
+            for sock in fillers:
+                sock.setblocking(False)
+                sock.connect_ex((HOST, port))
+                self.addCleanup(sock.close)
+            client = UpstreamClient(f"{HOST}:{port}", 10.0)
+            async with asyncio.timeout(upstream_connections.CONNECT_TIMEOUT_S + 1):
+                result = await client.send(Exchange(), "GET", "/", (), b"", False)
+            assert isinstance(result, Refused)
+            self.assertEqual(result.outcome, Outcome.NOT_RUN)
+            self.assertIn("no connection in time", result.reason)
+
+
+class AnswerTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against answers that have arrived and are thrown away."""
+
+    async def call(self, serve, time_limit_ms=300, stall_s=0.6):
+        node = FakeNode("near")
+        self.addCleanup(node.close)
+        node.add_upstream("w1", self.enterContext(running_upstream(serve)))
+        node.set_members(node.record())
+        call = asyncio.ensure_future(
+            node.entry.handle(
+                dataclasses.replace(make_request("POST"), deadline_ms=time_limit_ms)
+            )
+        )
+        await asyncio.sleep(0.1)
+        stall(stall_s)
+        return await call
+
+    async def test_answer_that_arrived_in_a_stall_is_given_up_at_the_deadline(self):
+        def serve(conn, number):
+            read_request(conn)
+            threading.Event().wait(0.15)
+            conn.sendall(answer())
+            conn.recv(1)
+
+        result = await self.call(serve)
+        self.assertIsInstance(result, Answer)
+
+    async def test_answer_followed_by_the_close_in_a_stall_is_lost(self):
+        def serve(conn, number):
+            read_request(conn)
+            threading.Event().wait(0.15)
+            conn.sendall(answer())
+
+        result = await self.call(serve, 3000)
+        self.assertIsInstance(result, Answer)
+
+    async def test_answer_followed_by_a_reset_in_a_stall_is_lost(self):
+        def serve(conn, number):
+            read_request(conn)
+            threading.Event().wait(0.15)
+            conn.sendall(answer())
+            threading.Event().wait(0.05)
+            reset(conn)
+
+        result = await self.call(serve, 3000)
+        self.assertIsInstance(result, Answer)
--- a/lentilsill/daemon/controllers/upstream_connections.py
+++ b/lentilsill/daemon/controllers/upstream_connections.py
@@ -1,6 +1,8 @@
 """Connections to one upstream: opened, kept while idle, and closed for a reason."""
 
 import asyncio
+import select
+import socket
 import time
 from collections import deque
 from collections.abc import Callable
@@ -192,30 +194,57 @@
         """
         if exchange.abort_reason:
             raise StreamClosedError()
-        loop = asyncio.get_running_loop()
-        connecting = asyncio.ensure_future(
-            loop.create_connection(ProtocolStream, *self._target)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        connecting = asyncio.ensure_future(_open(sock, self._target))
+        # A task that is cancelled before its first step closes nothing.
+        connecting.add_done_callback(
+            lambda task: sock.close() if task.cancelled() else None
         )
         exchange.connecting = connecting
-        timer = loop.call_later(CONNECT_TIMEOUT_S, connecting.cancel)
         try:
-            await asyncio.wait([connecting])
+            while not connecting.done():
+                done, _ = await asyncio.wait([connecting], timeout=CONNECT_TIMEOUT_S)
+                if not done and not _has_outcome(sock):
+                    connecting.cancel()
         except asyncio.CancelledError:
             connecting.cancel()
             connecting.add_done_callback(_close_unused_connection)
             raise
         finally:
-            timer.cancel()
             exchange.connecting = None
         if connecting.cancelled():
             raise TimeoutError("no connection in time")
-        _, stream = connecting.result()
+        stream = connecting.result()
         exchange.stream = stream
         exchange.idle_s = 0.0
         return stream
 
 
-def _close_unused_connection(connecting: asyncio.Future) -> None:
+async def _open(sock: socket.socket, target: tuple[str, int]) -> ProtocolStream:
+    loop = asyncio.get_running_loop()
+    try:
+        await loop.sock_connect(sock, target)
+    except BaseException:
+        sock.close()
+        raise
+    _, stream = await loop.create_connection(ProtocolStream, sock=sock)
+    return stream
+
+
+def _has_outcome(sock: socket.socket) -> bool:
+    """Return whether the kernel has established or refused the connection.
+
+    After a stall, the timeout can run before the event loop has processed either.
+    """
+    if sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLOUT)
+    return bool(poll.poll(0))
+
+
+def _close_unused_connection(connecting: asyncio.Future[ProtocolStream]) -> None:
     """Close a connection that was established after its request was cancelled."""
     if not connecting.cancelled() and connecting.exception() is None:
-        connecting.result()[0].abort()
+        connecting.result().close()
