Treat a connection that is reset before its request as not run

Callers saw: 504 for a request that must not be repeated, of which no byte had been sent; and an upstream that only had too many connections was dropped as crashed.

Cause: an upstream that is full accepts a connection and resets it. The reset may have arrived before the event loop sends the request, or even before it sees the connection, above all in a stall. The first case sent the request on the closed connection and reported an unknown outcome; the second counted as unreachable, and so as a crash, although a process that has died refuses connections instead.

Evidence: ResetTests play a stall of 0.2 s after each of the first 8 turns. Before, 5 turns gave "unknown" for a request that had not arrived, and 2 turns dropped the upstream. Now all are "not run", without a drop. lentilsill.daemon.controllers: 120 passed.

Why it works: the kernel is asked right before the request is written, in the same step. A reset is a reason of its own, which counts as a failure of the upstream but not as its crash; the crash check takes it for a sign of life.

--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -23,7 +23,15 @@
     objective_at,
     request_fingerprint,
 )
-from .reasons import BUSY, CRASHED, LEAVING, MISDIRECTED, UNREACHABLE, not_run_refusal
+from .reasons import (
+    BUSY,
+    CRASHED,
+    LEAVING,
+    MISDIRECTED,
+    RESET_BEFORE_REQUEST,
+    UNREACHABLE,
+    not_run_refusal,
+)
 from .served_calls import ServedCalls
 from .unacknowledged_results import StoreOrphanedResult
 from .upstream_connection_log import UpstreamConnectionLog
@@ -252,7 +260,10 @@
             )
         match result:
             case Refused(outcome=Outcome.NOT_RUN, reason=reason):
-                if reason.startswith(UNREACHABLE) and self._remove_crashed(local):
+                is_dead = (
+                    reason.startswith(UNREACHABLE) and reason != RESET_BEFORE_REQUEST
+                )
+                if is_dead and self._remove_crashed(local):
                     return not_run_refusal(LEAVING)
                 if reason == MISDIRECTED and self.drop_upstream is not None:
                     self.drop_upstream(call.upstream, reason)
--- a/lentilsill/daemon/controllers/reasons.py
+++ b/lentilsill/daemon/controllers/reasons.py
@@ -14,6 +14,7 @@
     "NO_UPSTREAM",
     "OVERLOADED",
     "REFUSED_BY_UPSTREAM",
+    "RESET_BEFORE_REQUEST",
     "STARTUP_RETRY_S",
     "UNREACHABLE",
     "not_run_refusal",
@@ -37,6 +38,8 @@
 REFUSED_BY_UPSTREAM = "upstream refused the call"
 # Prefix of reasons that count as a failure of the upstream or its host.
 UNREACHABLE = "unreachable: "
+# The upstream runs, and closed the connection before the request was sent.
+RESET_BEFORE_REQUEST = f"{UNREACHABLE}connection was closed before the request"
 # A starting node has its documents and peers within about this time.
 STARTUP_RETRY_S = 0.3
 
--- a/lentilsill/daemon/controllers/tests/test_stalled_node.py
+++ b/lentilsill/daemon/controllers/tests/test_stalled_node.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import unittest
+from contextlib import suppress
 
 from lentilsill.daemon.controllers import upstream_connections
 from lentilsill.daemon.controllers.tests.call_builders import FakeNode, make_request
@@ -144,3 +145,65 @@
 
         result = await self.call(serve, 3000)
         self.assertIsInstance(result, Answer)
+
+
+class ResetTests(unittest.IsolatedAsyncioTestCase):
+    """Connections that an upstream with too many of them resets at once.
+
+    The node stalls after `turns` turns of its event loop, so that the reset precedes
+    the request in some of the cases.
+    """
+
+    async def call(self, turns):
+        """Return the result, whether the request arrived, and reasons of drops."""
+        arrived = threading.Event()
+        dropped: list[str] = []
+
+        def serve(conn, number):
+            if number > 1:
+                serve_answers(conn, number)
+                return
+            threading.Event().wait(0.05)
+            conn.setblocking(False)
+            with suppress(BlockingIOError):
+                if conn.recv(1, socket.MSG_PEEK):
+                    arrived.set()
+            reset(conn)
+
+        def drop_upstream(upstream, reason):
+            dropped.append(reason)
+            return True
+
+        node = FakeNode("near")
+        self.addCleanup(node.close)
+        node.destination.drop_upstream = drop_upstream
+        node.add_upstream("w1", self.enterContext(running_upstream(serve)))
+        node.set_members(node.record())
+        call = asyncio.ensure_future(node.entry.handle(make_request("POST")))
+        local = node.destination._upstreams["w1"]
+        async with asyncio.timeout(TIMEOUT_S):
+            while not local.running:
+                await asyncio.sleep(0)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            stall(0.2)
+            return await call, arrived.is_set(), dropped
+
+    async def test_reset_before_the_request_counts_as_a_possible_execution(self):
+        """Guards against ``unknown`` for a request of which no byte was sent."""
+        early = 0
+        for turns in range(8):
+            with self.subTest(turns=turns):
+                result, has_arrived, _ = await self.call(turns)
+                assert isinstance(result, Refused)
+                early += not has_arrived
+                if not has_arrived:
+                    self.assertEqual(result.outcome, Outcome.NOT_RUN)
+        self.assertGreater(early, 0)
+
+    async def test_upstream_that_resets_connections_is_dropped_as_crashed(self):
+        """Guards against the loss of an upstream that is well and only full."""
+        for turns in range(8):
+            with self.subTest(turns=turns):
+                _, _, dropped = await self.call(turns)
+                self.assertEqual(dropped, [])
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -26,6 +26,7 @@
     CONNECTION_LOST,
     MISDIRECTED,
     REFUSED_BY_UPSTREAM,
+    RESET_BEFORE_REQUEST,
     UNREACHABLE,
     not_run_refusal,
 )
@@ -229,8 +230,15 @@
         try:
             stream = await self._connections.connect(exchange)
         except (OSError, StreamClosedError, TimeoutError) as exc:
+            is_reset = isinstance(exc, ConnectionResetError)
+            if is_reset:
+                self._connections.record_close(
+                    UpstreamCloseReason.CLOSED_UNUSED, exchange, attempt_id, False
+                )
             if was_sent:
                 return _closed_early(exchange)
+            if is_reset and not exchange.abort_reason:
+                return not_run_refusal(RESET_BEFORE_REQUEST)
             return not_run_refusal(exchange.abort_reason or f"{UNREACHABLE}{exc}")
         result = await self._exchange(exchange, stream, *request)
         return result or _closed_early(exchange)
@@ -239,6 +247,9 @@
         """Return whether the upstream accepts connections."""
         try:
             stream = await self._connections.connect(Exchange())
+        except ConnectionResetError:
+            # A process that has died refuses connections instead.
+            return True
         except (OSError, StreamClosedError, TimeoutError):
             return False
         stream.close()
--- a/lentilsill/daemon/controllers/upstream_connections.py
+++ b/lentilsill/daemon/controllers/upstream_connections.py
@@ -33,9 +33,10 @@
 class UpstreamCloseReason(StrEnum):
     """Why a connection to an upstream was closed.
 
-    In the first two cases the upstream closed it first.
+    In the first three cases the upstream closed it first.
     """
 
+    CLOSED_UNUSED = "closed_unused"
     CLOSED_IDLE = "closed_idle"
     CLOSED_IN_REQUEST = "closed_in_request"
     ABORTED = "aborted"
@@ -189,6 +190,8 @@
             The connection was not established in time, or the request was aborted.
         StreamClosedError
             The request was aborted before.
+        ConnectionResetError
+            The upstream accepted the connection and closed it, as a full one does.
         OSError
             The upstream refused the connection.
         """
@@ -216,6 +219,9 @@
         if connecting.cancelled():
             raise TimeoutError("no connection in time")
         stream = connecting.result()
+        if not stream.is_open_without_input():
+            stream.close()
+            raise ConnectionResetError("connection was closed before the request")
         exchange.stream = stream
         exchange.idle_s = 0.0
         return stream
