Don't count a stall of the node as silence of its upstream

Callers saw: after a stall or freeze as long as the rest of announce_timeout_s (of 6 s by default), calls that waited for the upstream of the host were refused, and the requests that ran on it were reported to the quarantine as crash suspects, though the upstream was well and its announcement waited unread in the kernel.

Cause: the check for silent upstreams is a timer, and ran in the first turn after the stall; to accept a connection and read an announcement takes several turns.

Evidence: test_silent_upstreams, timeout 1 s and stall 1.5 s with an announcement under way: dropped before, kept now. The second test passed before and passes: an upstream that died in the stall is dropped within the timeout after it.

Why it works: the time by which a check is late is not counted as silence, and one check, never two in a row, is left out after a stall, so that waiting announcements are read first.

--- a/lentilsill/daemon/admin_server.py
+++ b/lentilsill/daemon/admin_server.py
@@ -97,9 +97,23 @@
         )
 
     async def _drop_silent_upstreams(self) -> None:
+        """Check periodically for upstreams that are silent.
+
+        The time by which a check is late is no silence of upstreams: the node could
+        not read their announcements, which may still wait in the kernel. One check
+        is therefore left out after a stall.
+        """
+        loop = asyncio.get_running_loop()
+        was_late = False
         while True:
+            due_s = loop.time() + SILENCE_CHECK_INTERVAL_S
             await asyncio.sleep(SILENCE_CHECK_INTERVAL_S)
-            self.announcements.drop_silent_upstreams()
+            late_s = max(0.0, loop.time() - due_s)
+            self.announcements.excuse_silence(late_s)
+            is_late = late_s > SILENCE_CHECK_INTERVAL_S
+            if was_late or not is_late:
+                self.announcements.drop_silent_upstreams()
+            was_late = is_late and not was_late
 
 
 def state_dump(ctx: Context) -> dict[str, Any]:
--- a/lentilsill/daemon/announcements.py
+++ b/lentilsill/daemon/announcements.py
@@ -223,6 +223,12 @@
             self.on_upstream_crash(upstream)
         return True
 
+    def excuse_silence(self, stalled_s: float) -> None:
+        """Leave out of each silence a time in which the node read no announcements."""
+        now_s = self.ctx.now()
+        for upstream, announced_s in self._announced_at_s.items():
+            self._announced_at_s[upstream] = min(now_s, announced_s + stalled_s)
+
     def drop_silent_upstreams(self) -> None:
         """Remove the upstreams that were not announced within the timeout."""
         timeout_s = self.ctx.cfg.membership.announce_timeout_s
