Read Connection: close of an upstream in a list of options

Callers saw: 504 for a request that must not be repeated, sent on a connection whose last answer had said that it closes.

Cause: the value of Connection was compared with "close" as a whole, so that "close" among other options was ignored and the connection kept.

Other letter case was read before.

--- a/lentilsill/daemon/controllers/tests/test_kept_upstream_connections.py
+++ b/lentilsill/daemon/controllers/tests/test_kept_upstream_connections.py
@@ -76,3 +76,29 @@
         await call
         self.assertIsInstance(await later[0], Answer)
         self.assertEqual(seen, [b"/first", b"/next"])
+
+
+class UpstreamCloseTests(unittest.IsolatedAsyncioTestCase):
+    """The upstream closes or forgets a connection that this node keeps."""
+
+    def start(self, serve):
+        port = self.enterContext(running_upstream(serve))
+        client = UpstreamClient(f"{HOST}:{port}", 1.0)
+        self.addCleanup(client.close)
+        return client
+
+    async def test_close_in_a_list_of_options_is_ignored(self):
+        """Guards against a request on a connection that its answer said to close."""
+
+        def serve(conn, number):
+            if number > 1:
+                read_request(conn)
+                conn.sendall(answer())
+                return
+            read_request(conn)
+            conn.sendall(answer(extra=b"Connection: foo, Close\r\n"))
+            read_request(conn)
+
+        client = self.start(serve)
+        await send(client, False)
+        self.assertEqual(getattr(await send(client, False), "body", None), b"ok")
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -100,9 +100,9 @@
             return
         self.status = start_line.code
         self.headers = headers
-        self.can_reuse_connection = (
-            start_line.version == "HTTP/1.1"
-            and headers.get("Connection", "").lower() != "close"
+        options = headers.get("Connection", "").lower().split(",")
+        self.can_reuse_connection = start_line.version == "HTTP/1.1" and not any(
+            option.strip() == "close" for option in options
         )
 
     def data_received(self, chunk: bytes) -> None:
