Learn after which idle time an upstream closes or forgets connections

Callers saw: 504 for requests that must not be repeated, again and again, from an upstream that forgets connections sooner than post_reuse_s (1 s) and doesn't say so in Keep-Alive, which holds whole seconds only. Requests that may be repeated were sent twice.

Cause: the idle time up to which connections are reused was fixed; what earlier connections had shown was not used.

The first loss can't be foreseen; a post_reuse_s of 0 avoids it at the price of a connection per request.

Why it works: connections are used up to half of the shortest idle time after which one was found closed, or lost its request. Shorter idle times than 0.1 s teach nothing, and the limit is forgotten after 60 s, as a close may have another cause.

--- a/lentilsill/daemon/controllers/tests/test_kept_upstream_connections.py
+++ b/lentilsill/daemon/controllers/tests/test_kept_upstream_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import threading
+import time
 import unittest
 
 from lentilsill.daemon.controllers.tests.call_builders import FakeNode, make_request
@@ -14,6 +15,7 @@
     TIMEOUT_S,
     answer,
     read_request,
+    reset,
     running_upstream,
     send,
     stall,
@@ -102,3 +104,27 @@
         client = self.start(serve)
         await send(client, False)
         self.assertEqual(getattr(await send(client, False), "body", None), b"ok")
+
+    async def test_connections_that_an_upstream_forgets_soon_lose_requests_again(self):
+        """Guards against losses that earlier ones on idle connections foretell.
+
+        The upstream forgets connections that were idle for 0.2 s, and resets them at
+        the next request.
+        """
+
+        def serve(conn, number):
+            answered_at_s = time.monotonic() + TIMEOUT_S
+            while read_request(conn):
+                if time.monotonic() - answered_at_s > 0.2:
+                    reset(conn)
+                    return
+                conn.sendall(answer())
+                answered_at_s = time.monotonic()
+
+        client = self.start(serve)
+        lost = 0
+        for _ in range(6):
+            result = await send(client, False)
+            lost += not isinstance(result, Answer)
+            await asyncio.sleep(0.3)
+        self.assertLessEqual(lost, 1)
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -213,8 +213,8 @@
         A reused connection may close while the request is on its way; whether the
         request ran is then unknown. An idempotent request is sent again over a new
         connection. For other requests the risk is kept small: a connection is
-        reused only after a short idle time, and only if the kernel has not seen it
-        close.
+        reused only after a short idle time, only if the kernel has not seen it close,
+        and only before the idle times after which the upstream has closed others.
         """
         stream = self._connections.take(
             exchange, MAX_IDLE_S if idempotent else self.post_reuse_s
@@ -225,6 +225,7 @@
             result = await self._exchange(exchange, stream, *request)
             if result is not None:
                 return result
+            self._connections.learn_idle_limit(exchange.idle_s)
             if not idempotent:
                 return _closed_early(exchange)
         try:
--- a/lentilsill/daemon/controllers/upstream_connections.py
+++ b/lentilsill/daemon/controllers/upstream_connections.py
@@ -28,6 +28,13 @@
 MAX_IDLE_CONNECTIONS = 32
 # Servers commonly close idle connections after 5 s or more.
 MAX_IDLE_S = 4.0
+# Connections are used up to this share of the shortest idle time after which the
+# upstream has closed or forgotten one.
+SAFE_IDLE_SHARE = 0.5
+# After a shorter idle time, a close has other causes than idleness.
+MIN_LEARNED_IDLE_S = 0.1
+# The limit is forgotten after this time, as a close may have had another cause.
+LEARNED_LIMIT_S = 60.0
 
 
 class UpstreamCloseReason(StrEnum):
@@ -124,6 +131,8 @@
         self._target = split_address(address)
         self._on_closed = on_closed
         self._idle: deque[_IdleConnection] = deque()
+        self._learned_limit_s = MAX_IDLE_S
+        self._learned_at_s = 0.0
 
     def close(self) -> None:
         """Close idle connections."""
@@ -133,9 +142,12 @@
     def take(self, exchange: Exchange, max_idle_s: float) -> ProtocolStream | None:
         """Take the most recently used connection, unless it was idle for too long."""
         now = time.monotonic()
+        if now - self._learned_at_s > LEARNED_LIMIT_S:
+            self._learned_limit_s = MAX_IDLE_S
+        limit_s = self._learned_limit_s
         while self._idle:
             conn = self._idle[-1]
-            if conn.expires_at_s < now:
+            if conn.expires_at_s < now or now - conn.kept_at_s > limit_s:
                 while self._idle:
                     self._drop(self._idle.pop(), UpstreamCloseReason.IDLE)
             elif conn.expires_at_s < now + MAX_IDLE_S - max_idle_s:
@@ -145,9 +157,17 @@
                 if conn.stream.is_open_without_input():
                     exchange.idle_s = now - conn.kept_at_s
                     return conn.stream
+                self.learn_idle_limit(now - conn.kept_at_s)
                 self._drop(conn, UpstreamCloseReason.CLOSED_IDLE)
         return None
 
+    def learn_idle_limit(self, idle_s: float) -> None:
+        """Record that the upstream closed or forgot a connection by this idle time."""
+        limit_s = SAFE_IDLE_SHARE * idle_s
+        if idle_s >= MIN_LEARNED_IDLE_S and limit_s < self._learned_limit_s:
+            self._learned_limit_s = limit_s
+            self._learned_at_s = time.monotonic()
+
     def keep(self, stream: ProtocolStream, idle_limit_s: float) -> None:
         """Keep a connection that has become idle, for at most `idle_limit_s`."""
         if len(self._idle) >= MAX_IDLE_CONNECTIONS:
