--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -23,9 +23,18 @@
     objective_at,
     request_fingerprint,
 )
-from .reasons import BUSY, CRASHED, LEAVING, MISDIRECTED, UNREACHABLE, not_run_refusal
+from .reasons import (
+    BUSY,
+    CRASHED,
+    LEAVING,
+    MISDIRECTED,
+    RESET_BEFORE_REQUEST,
+    UNREACHABLE,
+    not_run_refusal,
+)
 from .served_calls import ServedCalls
 from .unacknowledged_results import StoreOrphanedResult
+from .upstream_connection_log import UpstreamConnectionLog
 
 __all__ = ["DestinationController"]
 
@@ -53,6 +62,7 @@
         self.ctx = ctx
         self.integration = integration
         self.guard = guard
+        self._connection_log = UpstreamConnectionLog(ctx)
         self.served_calls = ServedCalls(ctx, self, store_orphaned_result)
         self._upstreams: dict[str, LocalUpstream] = {}
         # Removed upstreams that still run calls.
@@ -136,6 +146,7 @@
                 self.guard,
                 self.ctx.cfg.calls.post_reuse_s,
                 self.integration,
+                self._connection_log.record,
             )
             self._upstreams[upstream] = local
             local.record = record
@@ -249,7 +260,10 @@
             )
         match result:
             case Refused(outcome=Outcome.NOT_RUN, reason=reason):
-                if reason.startswith(UNREACHABLE) and self._remove_crashed(local):
+                is_dead = (
+                    reason.startswith(UNREACHABLE) and reason != RESET_BEFORE_REQUEST
+                )
+                if is_dead and self._remove_crashed(local):
                     return not_run_refusal(LEAVING)
                 if reason == MISDIRECTED and self.drop_upstream is not None:
                     self.drop_upstream(call.upstream, reason)
