Keep a connection with held answers from its idle close

Cause: the idle timer asked for requests whose answer was due. When the last of them had been written, the answers held behind it and the use of the connection were noted some turns later, and a timer in between saw an old last use.

Change: a request is in progress from the moment it is passed on until its answer has ended. A request that is still being received no longer counts, so that a caller that never sends the rest is closed as idle, which did not happen before.

Evidence: test_idle_timer_after_a_stall_drops_answers_held_behind_the_first (1 of 3 answers) and test_request_whose_body_never_comes_keeps_its_connection (open after 5 s with a limit of 0.3 s) failed before and pass.

--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -154,11 +154,11 @@
         return self.stream.writing() or any(stream.is_due for stream in self._streams)
 
     def is_idle_since(self, time_s: float) -> bool:
-        """Return whether nothing has arrived since then and no answer is due."""
+        """Return whether nothing has arrived since then and no call is in progress."""
         used_s = max(self.last_used_s, self.stream.input_since_s)
         return (
             used_s < time_s
-            and not any(stream.is_outstanding for stream in self._streams)
+            and not any(stream.is_in_progress for stream in self._streams)
             and not self.stream.has_input_in_kernel()
         )
 
--- a/lentilsill/daemon/request_stream.py
+++ b/lentilsill/daemon/request_stream.py
@@ -103,6 +103,12 @@
             return False
         return self.request is None or not self.request.is_answered
 
+    @property
+    def is_in_progress(self) -> bool:
+        """Whether the request was passed on and its answer has not ended."""
+        is_passed_on = self.request is not None and self.request.is_passed_on
+        return (is_passed_on and not self.is_done) or bool(self._pending_writes)
+
     def write(self, data: bytes) -> "asyncio.Future[None]":
         """Write now, or when the earlier responses have been written.
 
--- a/lentilsill/daemon/tests/connection_builders.py
+++ b/lentilsill/daemon/tests/connection_builders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 
@@ -35,12 +36,14 @@
     """Answers each call with its path after `delay_s`.
 
     Calls of ``/cancelled`` end in CancelledError, those of ``/failed`` in an exception.
+    Those of ``/stalled`` take longer and stall the event loop for `stall_s` seconds.
     `body_bytes` is the size of the filler behind the path.
     """
 
     def __init__(self, delay_s: float) -> None:
         self.delay_s = delay_s
         self.body_bytes = 0
+        self.stall_s = 0.0
         self.passed_on: list[str] = []
         self.cancelled: list[str] = []
 
@@ -52,6 +55,9 @@
             self.cancelled.append(req.path)
             raise
         match req.path:
+            case "/stalled":
+                await asyncio.sleep(10 * self.delay_s)
+                time.sleep(self.stall_s)
             case "/cancelled":
                 raise asyncio.CancelledError
             case "/failed":
--- a/lentilsill/daemon/tests/test_kept_connections.py
+++ b/lentilsill/daemon/tests/test_kept_connections.py
@@ -60,6 +60,26 @@
                     await reader.readuntil(b"whole /%d" % number)
                 await asyncio.sleep(0.7 * IDLE_S)
 
+    async def test_idle_timer_after_a_stall_drops_answers_held_behind_the_first(self):
+        """The loop stalls until the first of three requests is answered."""
+        async with running_server(0.01, IDLE_S) as (calls, _, port):
+            calls.stall_s = 1.5 * IDLE_S
+            reader, writer = await connect(port)
+            self.addCleanup(writer.close)
+            writer.write(get("stalled") + get(1) + get(2))
+            data = await read_until_closed(reader, 2 * IDLE_S)
+        self.assertEqual(len(calls.passed_on), 3)
+        self.assertEqual(data.count(b"whole"), 3)
+
+    async def test_request_whose_body_never_comes_keeps_its_connection(self):
+        async with running_server(0.01, 0.3) as (calls, _, port):
+            reader, writer = await connect(port)
+            self.addCleanup(writer.close)
+            writer.write(get(1, b"Content-Length: 10\r\n") + b"body")
+            async with asyncio.timeout(TIMEOUT_S):
+                await reader.read()
+        self.assertEqual(calls.passed_on, [])
+
 
 class PipelinedCloseTests(unittest.IsolatedAsyncioTestCase):
     async def test_planned_stop_announces_the_close_before_the_last_answer(self):
