Wait for a late reply for half of the remaining time

Change: the wait takes up to half of the time until the deadline, so that a caller with a short limit still has time to try again.

Evidence: test_call_at_a_node_that_stays_silent_waits_until_its_deadline with a limit of 2 s fails when the whole time is taken, and passes with half of it.

--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -12,10 +12,7 @@
 from lentilsill.daemon.link_log import LinkLog
 from lentilsill.documents import ServiceDocument
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
-from lentilsill.retries import (
-    decide_hedge,
-    decide_retry,
-)
+from lentilsill.retries import decide_hedge, decide_retry
 from lentilsill.routing import (
     Candidate,
     RouteIndex,
@@ -193,13 +190,16 @@
 
     async def _run_attempts(self, progress: CallProgress) -> CallResult:
         """Make attempts; deliver an answer that arrives after its link was lost."""
+        late_replies = progress.late_replies
         try:
             result = await self._make_attempts(progress)
             if isinstance(result, Refused):
-                return await progress.late_replies.first_answer() or result
+                return (
+                    await late_replies.first_answer(None, progress.deadline) or result
+                )
             return result
         finally:
-            progress.late_replies.cancel()
+            late_replies.cancel()
 
     async def _make_attempts(self, progress: CallProgress) -> CallResult:
         """Make attempts until one is answered or no further attempt is allowed."""
--- a/lentilsill/daemon/controllers/late_replies.py
+++ b/lentilsill/daemon/controllers/late_replies.py
@@ -10,9 +10,9 @@
 
 __all__ = ["LateReplies"]
 
-# A peer that stalls is back within this time; with a dead one, the caller gets its
-# refusal while it has time to try again.
-MAX_WAIT_S = 1.0
+# Share of its remaining time for which a call waits for a peer that may only have
+# stalled; if the peer is dead, its caller has time to try again.
+WAIT_SHARE = 0.5
 
 
 class LateReplies:
@@ -40,14 +40,16 @@
             task.cancel()
 
     async def first_answer(
-        self, task: asyncio.Task[CallResult] | None = None
+        self,
+        task: asyncio.Task[CallResult] | None = None,
+        deadline_s: float = 0.0,
     ) -> Answer | None:
         """Wait for a late answer; None once there can be none or `task` has ended.
 
-        Without a task, the wait is bounded.
+        Without a task, the wait takes up to half of the time until the deadline.
         """
         loop = asyncio.get_running_loop()
-        timeout_at_s = loop.time() + MAX_WAIT_S
+        timeout_at_s = loop.time() + WAIT_SHARE * (deadline_s - loop.time())
         while task is None or not task.done():
             waited: set[asyncio.Future[Any]] = {*self._pending}
             timeout_s = None
