--- a/lentilsill/daemon/connection_log.py
+++ b/lentilsill/daemon/connection_log.py
@@ -6,12 +6,14 @@
 
 __all__ = ["ConnectionLog"]
 
+# Usual ends of a connection, which are logged only if something was lost.
+CLOSED_BY_CALLER = frozenset({CloseReason.CALLER, CloseReason.REQUESTED})
 # Attempt ids listed in one line.
 MAX_LISTED_ATTEMPTS = 8
 
 
 class ConnectionLog:
-    """Counts closed connections; logs closes by this process, and lost requests."""
+    """Counts closed connections; logs closes of this process, and lost requests."""
 
     def __init__(self, ctx: Context) -> None:
         self.ctx = ctx
@@ -26,8 +28,8 @@
             self.ctx.count(
                 f"connections.lost_requests.{close.reason.value}", lost_count
             )
-        is_by_caller = close.reason is CloseReason.CALLER
-        if is_by_caller and not lost_count and not close.dropped_bytes:
+        is_loss = bool(lost_count or close.dropped_bytes)
+        if close.reason in CLOSED_BY_CALLER and not is_loss:
             return
         self._call_log.write(
             "connection_closed",
