Close after an answer that refuses a body

What callers saw: after 413 the connection stayed open without saying that it closes; the next request was taken for the rest of the refused body and got no answer.

Change: the refusal is the last answer of its connection, says `Connection: close` and closes it once earlier requests are answered.

--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -190,8 +190,11 @@
         return tuple(fields)
 
     def _refuse(self, status: int, reason: str) -> None:
+        """Refuse the request and close, since the rest of its body is not read."""
         body = {"outcome": Outcome.NOT_RUN.value, "reason": reason}
+        self.conn.stop_reading(CloseReason.BAD_REQUEST)
         self.respond(*json_response(status, body, Outcome.NOT_RUN))
+        self.conn.close_if_answered()
 
     def respond(
         self, status: int, headers: tuple[tuple[str, str], ...], body: bytes
--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -142,7 +142,7 @@
     def finish_reading(self) -> None:
         """Stop at the requests that have arrived, and close when they are answered."""
         self.stop_reading(CloseReason.STOP)
-        self._close_if_answered()
+        self.close_if_answered()
 
     @property
     def has_unsent_answers(self) -> bool:
@@ -255,9 +255,9 @@
                 self._streams[0].flush()
         if self._room_waiter is not None and not self._room_waiter.done():
             self._room_waiter.set_result(None)
-        self._close_if_answered()
+        self.close_if_answered()
 
-    def _close_if_answered(self) -> None:
+    def close_if_answered(self) -> None:
         """Close if no further request is read and all answers are written."""
         if any(stream.is_due for stream in self._streams):
             return
--- a/lentilsill/daemon/tests/test_kept_connections.py
+++ b/lentilsill/daemon/tests/test_kept_connections.py
@@ -19,6 +19,7 @@
 )
 
 CONNECTION_COUNT = 10
+TOO_LARGE = b"POST /s/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n"
 IDLE_S = 1.0
 LARGE_BODY_BYTES = 2 * 1024 * 1024
 
@@ -141,6 +142,31 @@
         self.assertEqual(data.count(b"whole"), 2)
 
 
+class RefusedBodyTests(unittest.IsolatedAsyncioTestCase):
+    async def test_connection_stays_open_after_its_body_is_refused(self):
+        """The caller waits for the answer before it sends the body."""
+        async with running_server(0.01) as (_, _, port):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            self.addCleanup(writer.close)
+            writer.write(TOO_LARGE)
+            async with asyncio.timeout(1.0):
+                data = await reader.read()
+        self.assertIn(b" 413 ", data)
+
+    async def test_request_behind_a_refused_body_gets_no_answer(self):
+        """The answer doesn't say that the connection closes; it must stay usable."""
+        async with running_server(0.01) as (_, _, port):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            self.addCleanup(writer.close)
+            writer.write(TOO_LARGE)
+            data = await reader.read(9999)
+            writer.write(get(2))
+            data += await read_until_closed(reader)
+            is_closed = reader.at_eof()
+        self.assertIn(b" 413 ", data)
+        self.assertTrue(is_closed or b"whole /2" in data, data)
+
+
 class CallerEndTests(unittest.IsolatedAsyncioTestCase):
     async def test_caller_that_ends_its_sending_side_gets_no_answer(self):
         async with running_server(0.3) as (calls, _, port):
