Write no 431 for a request that is not read any more

A request behind the last answer of a connection with too large a head raised StreamClosedError in the callback that ends requests, so that the rest of the callback was skipped.

--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -236,7 +236,7 @@
             case None | StreamClosedError():
                 pass
             case UnsatisfiableReadError():
-                if not (request.is_answered or self.stream.closed()):
+                if request_stream.can_be_passed_on and not request.is_answered:
                     status = BAD_REQUEST if request_stream.has_begun else HEAD_TOO_LARGE
                     request_stream.write(NO_CONTENT_HEAD % status)
                 self.stop_reading(CloseReason.BAD_REQUEST)
