Read what has arrived before a lingering connection is closed

What callers saw: after a stall of the process, the end of an answer was cut by a reset although the kernel had all of it.

Cause: the timer that ends lingering ran before the bytes that the caller had sent meanwhile were read, and closing a socket with unread bytes resets the connection.

read_until_closed no longer passes over a connection that stays open: it raises TimeoutError.

--- a/lentilsill/daemon/tests/connection_builders.py
+++ b/lentilsill/daemon/tests/connection_builders.py
@@ -86,9 +86,9 @@
 async def read_until_closed(
     reader: asyncio.StreamReader, timeout_s: float = TIMEOUT_S
 ) -> bytes:
-    """Return what arrives until the connection closes or the time is over."""
+    """Return what arrives until the connection closes, which it must in time."""
     data = b""
-    with suppress(TimeoutError, ConnectionError):
+    with suppress(ConnectionError):
         async with asyncio.timeout(timeout_s):
             while chunk := await reader.read(65536):
                 data += chunk
--- a/lentilsill/daemon/tests/test_kept_connections.py
+++ b/lentilsill/daemon/tests/test_kept_connections.py
@@ -4,6 +4,7 @@
 import socket
 import time
 import unittest
+from contextlib import suppress
 
 from lentilsill.daemon.controllers.tests.call_builders import stop_process
 from lentilsill.wire.streams import LINGER_S
@@ -68,7 +69,7 @@
             reader, writer = await connect(port)
             self.addCleanup(writer.close)
             writer.write(get("stalled") + get(1) + get(2))
-            data = await read_until_closed(reader, 2 * IDLE_S)
+            data = await read_until_closed(reader)
         self.assertEqual(len(calls.passed_on), 3)
         self.assertEqual(data.count(b"whole"), 3)
 
@@ -132,6 +133,24 @@
         self.assertEqual([answer[:3] for answer in answers], [b"200", b"431"])
         self.assertIn(b"whole /1", answers[0])
 
+    async def test_oversized_head_after_the_last_request_raises_in_a_callback(self):
+        errors: list = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: errors.append(context)
+        )
+        async with running_server(2.0) as (_, server, port):
+            reader, writer = await connect(port)
+            self.addCleanup(writer.close)
+            writer.write(get(1))
+            await asyncio.sleep(0.1)
+            stop = asyncio.ensure_future(server.close())
+            await asyncio.sleep(1.3)
+            writer.write(get("a" * 70_000))
+            data = await read_until_closed(reader)
+            await stop
+        self.assertIn(b"whole /1", data)
+        self.assertEqual(errors, [])
+
     async def test_request_behind_connection_close_is_passed_on(self):
         async with running_server(0.05) as (calls, _, port):
             reader, writer = await connect(port)
@@ -196,7 +215,8 @@
         async with running_server(0.05) as (calls, _, port):
             reader, writer = await connect(port)
             self.addCleanup(writer.close)
-            writer.write(get(0) + get("cancelled") + get(2) + get("failed"))
+            last = get("failed", b"Connection: close\r\n")
+            writer.write(get(0) + get("cancelled") + get(2) + last)
             data = await read_until_closed(reader, 1.0)
         self.assertEqual(len(calls.passed_on), 4)
         statuses = [answer[:3] for answer in data.split(b"HTTP/1.1 ")[1:]]
@@ -308,3 +328,35 @@
             received.append(await read_slowly(sock))
             await stop
         self.assertTrue(b"".join(received).endswith(b"end"))
+
+    async def read_after_stall(self, unread):
+        """Return an answer that is read after a stall in which `unread` arrived."""
+        async with running_server(0.01) as (calls, server, port):
+            calls.body_bytes = 128 * 1024
+            sock = socket.socket()
+            self.addCleanup(sock.close)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 * 1024)
+            sock.connect(("127.0.0.1", port))
+            sock.sendall(get(1, b"Connection: close\r\n"))
+            while not server._connections:
+                await asyncio.sleep(0.005)
+            (conn,) = server._connections
+            while not conn.stream.closed():
+                await asyncio.sleep(0.005)
+            self.assertEqual(conn.unsent_byte_count, 0)
+            stop_process(LINGER_S + 0.2, lambda: sock.sendall(unread))
+            await asyncio.sleep(0.05)
+            data = b""
+            with suppress(ConnectionError):
+                while chunk := await asyncio.to_thread(sock.recv, 9999):
+                    data += chunk
+            return data
+
+    async def test_answer_without_unread_bytes_is_whole_after_a_stall(self):
+        data = await self.read_after_stall(b"")
+        self.assertTrue(data.endswith(b"end"), f"{len(data)} bytes")
+
+    async def test_end_of_an_answer_is_reset_after_a_stall(self):
+        """Unread bytes of the caller are in the kernel when lingering ends."""
+        data = await self.read_after_stall(get(2))
+        self.assertTrue(data.endswith(b"end"), f"{len(data)} bytes")
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -239,7 +239,7 @@
         return not self._is_closed and bool(self._poll(0))
 
     def _poll(self, events: int) -> list[tuple[int, int]]:
-        if self._transport is None:
+        if self._transport is None or self._transport.is_closing():
             return []
         poll = select.poll()
         poll.register(self._transport.get_extra_info("socket").fileno(), events)
@@ -279,6 +279,9 @@
         has_room = bool(unsent_count and self._poll(select.POLLOUT))
         if unsent_count < earlier_unsent_count or has_room:
             self._linger()
+        elif self._poll(select.POLLIN):
+            # Closing with unread bytes resets the connection; they are read first.
+            self._loop.call_later(0, self._abort)
         else:
             self._abort()
 
