Log the close of a link only after a fault or with calls

They stay counted. test_link_log expected the line at the node that closes; it now expects no line, and the count at both ends.

--- a/lentilsill/daemon/link_log.py
+++ b/lentilsill/daemon/link_log.py
@@ -9,9 +9,14 @@
 
 __all__ = ["LinkLog"]
 
+# Ends of links without calls that are counted and not logged.
+USUAL_REASONS = frozenset(
+    {LinkCloseReason.PEER, LinkCloseReason.IDLE, LinkCloseReason.STOP}
+)
+
 
 class LinkLog:
-    """Counts closed links; logs closes by this process, and lost calls.
+    """Counts closed links; logs closes after a fault, and lost calls.
 
     Parameters
     ----------
@@ -42,7 +47,7 @@
         self.ctx.count(f"links.closed.{reason.value}")
         if sent_count:
             self.ctx.count(f"links.unanswered_calls.{reason.value}", sent_count)
-        if reason is LinkCloseReason.PEER and not (sent_count or served_count):
+        if reason in USUAL_REASONS and not (sent_count or served_count):
             return
         self._call_log.write(
             "link_closed",
