--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -31,9 +31,10 @@
 # Time that a closing connection waits for the remainder of a request whose first bytes
 # have arrived.
 ARRIVAL_TIMEOUT_S = 0.2
-# Requests of a caller that has closed its connection end within a few of these
-# intervals.
-HALF_CLOSE_CHECK_INTERVAL_S = 0.05
+# The first check of a caller that has ended its stream sends an interim response; the
+# intervals of further checks double.
+FIRST_CHECK_DELAY_S = 0.01
+MAX_CHECK_DELAY_S = 0.1
 INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 BAD_REQUEST = b"400 Bad Request"
 HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
@@ -274,11 +275,14 @@
         """
         is_unanswered = self.has_unsent_answers or self.stream.has_unread_input()
         if is_unanswered:
-            loop = asyncio.get_running_loop()
-            loop.call_later(HALF_CLOSE_CHECK_INTERVAL_S, self._check_caller, True)
+            self._schedule_check(FIRST_CHECK_DELAY_S, True)
         return is_unanswered
 
-    def _check_caller(self, sends_probe: bool) -> None:
+    def _schedule_check(self, delay_s: float, sends_probe: bool) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._check_caller, delay_s, sends_probe)
+
+    def _check_caller(self, delay_s: float, sends_probe: bool) -> None:
         """Close if a caller that ended its stream doesn't read any more.
 
         Its host answers an interim response with a reset, of which the transport
@@ -291,8 +295,7 @@
             return
         if sends_probe:
             sends_probe = not self._send_interim_response()
-        loop = asyncio.get_running_loop()
-        loop.call_later(HALF_CLOSE_CHECK_INTERVAL_S, self._check_caller, sends_probe)
+        self._schedule_check(min(2 * delay_s, MAX_CHECK_DELAY_S), sends_probe)
 
     def _send_interim_response(self) -> bool:
         """Send ``100 Continue`` if the next answer is due to an HTTP/1.1 request."""
