Keep a second attempt when a late answer is a failure

Callers got status 500 although a second attempt was about to succeed: the late answer of an attempt whose link was lost cancelled the second attempt whatever its status was.

A late answer that counts as a failure of the upstream is now kept, and is the result only if no attempt and no other late reply brings an answer. The first test failed before (status 500 instead of 200, both upstreams had the request once) and passes now. The second one, which passed before as well, guards the case without a better answer.

--- a/lentilsill/daemon/controllers/late_replies.py
+++ b/lentilsill/daemon/controllers/late_replies.py
@@ -6,6 +6,7 @@
 
 from lentilsill.outcomes import Answer, CallResult
 
+from .call_results import is_upstream_failure
 from .peer_attempts import Reply
 
 __all__ = ["LateReplies"]
@@ -24,6 +25,7 @@
     def __init__(self) -> None:
         self.has_answered = False
         self._pending: set[asyncio.Future[Reply]] = set()
+        self._failure: Answer | None = None
 
     def add(self, late: asyncio.Future[Reply]) -> None:
         """Add the late result of an attempt."""
@@ -46,7 +48,8 @@
     ) -> Answer | None:
         """Wait for a late answer; None once there can be none or `task` has ended.
 
-        Without a task, the wait takes up to half of the time until the deadline.
+        Without a task, the wait takes up to half of the time until the deadline, and
+        a failure of an upstream is returned if there is no better answer.
         """
         loop = asyncio.get_running_loop()
         timeout_at_s = loop.time() + WAIT_SHARE * (deadline_s - loop.time())
@@ -58,7 +61,8 @@
             else:
                 timeout_s = timeout_at_s - loop.time()
             if not waited or (timeout_s is not None and timeout_s <= 0):
-                return None
+                self.has_answered = self._failure is not None
+                return self._failure
             await asyncio.wait(
                 waited, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
             )
@@ -66,7 +70,11 @@
             self._pending -= arrived
             for late in arrived:
                 result = late.result().result
-                if isinstance(result, Answer):
+                if not isinstance(result, Answer):
+                    continue
+                if is_upstream_failure(result):
+                    self._failure = result
+                else:
                     self.has_answered = True
                     return result
         return None
--- a/lentilsill/daemon/controllers/tests/test_link_faults.py
+++ b/lentilsill/daemon/controllers/tests/test_link_faults.py
@@ -23,6 +23,7 @@
 # Longer than the silence and the wait after which a link is closed.
 STALL_S = 0.8
 METHODS = ("GET", "POST")
+FAILED = b"HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\nfail"
 
 
 class StalledPeerTests(unittest.IsolatedAsyncioTestCase):
@@ -44,6 +45,14 @@
         self.addCleanup(node.close)
         return node
 
+    def start_other(self):
+        """Start the node `other`, whose upstream has the service as well."""
+        upstream = FakeUpstream()
+        self.addCleanup(upstream.stop)
+        other = self.start_node("other")
+        other.add_upstream("w2", upstream.port)
+        return other, upstream
+
     async def start_calls(self, count):
         gate = self.upstream.gates["/p"] = asyncio.Event()
         self.addCleanup(gate.set)
@@ -125,6 +134,35 @@
         self.assertEqual(result.body, b"/p")
         await wait_for(lambda: not other.destination.in_flight_total)
 
+    async def test_late_status_500_stops_a_second_attempt_that_would_succeed(self):
+        other, other_upstream = self.start_other()
+        slow = other_upstream.gates["/p"] = asyncio.Event()
+        self.addCleanup(slow.set)
+        self.upstream.raw_answers["/p"] = FAILED
+        gate, (call,) = await self.start_calls(1)
+        self.near.set_members(self.far_record, other.record())
+        self.relay.freeze()
+        gate.set()
+        await wait_for(lambda: other_upstream.seen)
+        self.relay.resume()
+        await asyncio.sleep(0.4)
+        slow.set()
+        result = await call
+        seen = [self.upstream.seen, other_upstream.seen]
+        self.assertEqual(
+            (getattr(result, "status", result), seen), (200, [["/p"], ["/p"]])
+        )
+
+    async def test_late_status_500_is_lost_when_nothing_better_comes(self):
+        """The only node with the service stalls."""
+        self.upstream.raw_answers["/p"] = FAILED
+        gate, (call,) = await self.start_calls(1)
+        self.relay.freeze()
+        gate.set()
+        await asyncio.sleep(STALL_S)
+        self.relay.resume()
+        self.assertEqual(getattr(await call, "status", None), 500)
+
     async def test_call_at_a_node_that_stays_silent_waits_until_its_deadline(self):
         self.assertIsInstance(await self.near.entry.handle(make_request()), Answer)
         self.relay.freeze()
