Send no request that was aborted when its connect ended

Callers saw a call without an answer long after its deadline, and the upstream ran a request that nobody waited for. When the deadline passed in a turn in which the connection was already open, but the waiting request had not continued, the abort found neither a connect to cancel nor a stream to close. The request was sent then, and had no deadline any more.

After a connect, the abort is checked before the connection is handed out; from there to the sending nothing else runs.

--- a/lentilsill/daemon/controllers/tests/test_stalled_node.py
+++ b/lentilsill/daemon/controllers/tests/test_stalled_node.py
@@ -8,7 +8,11 @@
 from contextlib import suppress
 
 from lentilsill.daemon.controllers import upstream_connections
-from lentilsill.daemon.controllers.tests.call_builders import FakeNode, make_request
+from lentilsill.daemon.controllers.tests.call_builders import (
+    FakeNode,
+    make_request,
+    stop_process,
+)
 from lentilsill.daemon.controllers.upstream_client import Exchange, UpstreamClient
 from lentilsill.outcomes import Answer, Outcome, Refused
 
@@ -209,3 +213,34 @@
             with self.subTest(turns=turns):
                 _, _, dropped = await self.call(turns)
                 self.assertEqual(dropped, [])
+
+
+class StopTests(unittest.IsolatedAsyncioTestCase):
+    """The process is stopped across the deadline of a call to its own upstream."""
+
+    def start_call(self, delay_s, body=b"ok"):
+        """Start a call with 300 ms; the upstream answers `delay_s` after it."""
+
+        def serve(conn, number):
+            if read_request(conn):
+                threading.Event().wait(delay_s)
+                conn.sendall(answer(body))
+                conn.recv(1)
+
+        node = FakeNode("near")
+        self.addCleanup(node.close)
+        node.add_upstream("w1", self.enterContext(running_upstream(serve)))
+        node.set_members(node.record())
+        req = dataclasses.replace(make_request("POST"), deadline_ms=300)
+        return asyncio.ensure_future(node.entry.handle(req))
+
+    async def test_request_is_sent_after_its_deadline_and_has_none(self):
+        """The process is stopped while it connects, at different turns."""
+        for turns in range(10):
+            with self.subTest(turns=turns):
+                call = self.start_call(1.5)
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                stop_process(0.5, lambda: None)
+                async with asyncio.timeout(1.2):
+                    await call
--- a/lentilsill/daemon/controllers/upstream_connections.py
+++ b/lentilsill/daemon/controllers/upstream_connections.py
@@ -239,6 +239,10 @@
         if connecting.cancelled():
             raise TimeoutError("no connection in time")
         stream = connecting.result()
+        if exchange.abort_reason:
+            # The abort came too late to cancel the connect.
+            stream.close()
+            raise TimeoutError("request was aborted")
         if not stream.is_open_without_input():
             stream.close()
             raise ConnectionResetError("connection was closed before the request")
