Read the answers of upstreams that have arrived before the deadline ends them

Callers saw unknown ("deadline passed") for calls that their upstream had answered in time. After SIGSTOP, epoll reports no events and timers run before bytes that have arrived are read, so the deadline closed a connection whose answer was in the kernel.

The test stops the process for 0.6 s across the deadline; before, the answers of 0, 2 and 600,000 bytes were all given up, now all 3 are passed on. The deadline waits while input is unread, for at most 128 turns of the event loop, with the function that calls to peers use now too (64 turns before). An upstream that sends an endless header line ends in time; with no bound on the turns that test has no result after 5 s.

--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -226,7 +226,7 @@
         local.running[execution] = None
         headers = self._headers(call, remaining_s)
         timer = self.ctx.deadlines.add(
-            remaining_s, lambda: execution.exchange.abort("deadline passed")
+            remaining_s, execution.exchange.abort_at_deadline
         )
         result: CallResult | None = None
         try:
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from lentilsill.daemon.context import Context
-from lentilsill.daemon.deadlines import Entry as DeadlineEntry
+from lentilsill.daemon.deadlines import Entry as DeadlineEntry, run_after_reading
 from lentilsill.outcomes import Answer, CallState, Outcome, Refused
 from lentilsill.wire import CALLS, Link
 from lentilsill.wire.links import LinkError
@@ -28,8 +28,6 @@
 # The destination node enforces the deadline. The timeout here leaves time to receive
 # its refusal, which is more precise.
 DEADLINE_GRACE_S = 0.02
-# Turns of the event loop that read at most 256 KB each: two of the largest messages.
-MAX_READ_TURNS = 64
 # The peer node answers a `Ping` itself. The wait covers a short stall of its event
 # loop: to close the link for such a stall would only fail calls.
 MAX_PING_WAIT_S = 0.25
@@ -155,20 +153,16 @@
         if attempt.has_lost_link and fut.cancelled():
             self._cancel(attempt)
 
-    def _end_overdue(
-        self, attempt: PeerAttempt, max_read_turns: int = MAX_READ_TURNS
-    ) -> None:
+    def _end_overdue(self, attempt: PeerAttempt) -> None:
         """Settle an attempt at its deadline, after bytes that have arrived are read."""
-        if attempt.fut.done():
-            return
-        if max_read_turns and attempt.link.has_unread_input():
-            # The event loop reads before it runs timers that are due.
-            loop = asyncio.get_running_loop()
-            loop.call_later(0, self._end_overdue, attempt, max_read_turns - 1)
-        else:
-            self._settle_overdue(attempt)
+        run_after_reading(
+            lambda: not attempt.fut.done() and attempt.link.has_unread_input(),
+            lambda: self._settle_overdue(attempt),
+        )
 
     def _settle_overdue(self, attempt: PeerAttempt) -> None:
+        if attempt.fut.done():
+            return
         self._cancel(attempt)
         attempt.settle(Refused(Outcome.UNKNOWN, "deadline passed", arrived=True))
 
--- a/lentilsill/daemon/controllers/tests/test_stalled_node.py
+++ b/lentilsill/daemon/controllers/tests/test_stalled_node.py
@@ -28,6 +28,7 @@
 )
 
 STALL_S = upstream_connections.CONNECT_TIMEOUT_S + 0.2
+LARGE_BODY_BYTES = 600_000
 
 
 def serve_answers(conn, number):
@@ -234,6 +235,14 @@
         req = dataclasses.replace(make_request("POST"), deadline_ms=300)
         return asyncio.ensure_future(node.entry.handle(req))
 
+    async def test_answer_of_an_upstream_that_waits_unread_is_dropped(self):
+        for body in (b"", b"ok", b"x" * LARGE_BODY_BYTES):
+            with self.subTest(size=len(body)):
+                call = self.start_call(0.15, body)
+                await asyncio.sleep(0.1)
+                stop_process(0.6, lambda: None)
+                self.assertIsInstance(await call, Answer)
+
     async def test_request_is_sent_after_its_deadline_and_has_none(self):
         """The process is stopped while it connects, at different turns."""
         for turns in range(10):
@@ -244,3 +253,21 @@
                 stop_process(0.5, lambda: None)
                 async with asyncio.timeout(1.2):
                     await call
+
+    async def test_upstream_that_sends_without_end_outlives_the_deadline(self):
+        def serve(conn, number):
+            read_request(conn)
+            while True:
+                # A header line that never ends.
+                conn.sendall(b"x")
+                threading.Event().wait(0.001)
+
+        node = FakeNode("near")
+        self.addCleanup(node.close)
+        node.add_upstream("w1", self.enterContext(running_upstream(serve)))
+        node.set_members(node.record())
+        req = dataclasses.replace(make_request("POST"), deadline_ms=300)
+        async with asyncio.timeout(TIMEOUT_S):
+            result = await node.entry.handle(req)
+        assert isinstance(result, Refused)
+        self.assertEqual(result.reason, "deadline passed")
--- a/lentilsill/daemon/controllers/upstream_connections.py
+++ b/lentilsill/daemon/controllers/upstream_connections.py
@@ -11,6 +11,7 @@
 
 from tornado.iostream import StreamClosedError
 
+from lentilsill.daemon.deadlines import run_after_reading
 from lentilsill.wire.links import split_address
 from lentilsill.wire.streams import ProtocolStream
 
@@ -113,6 +114,13 @@
         if self.stream is not None:
             self.stream.close()
 
+    def abort_at_deadline(self) -> None:
+        """Abort, after bytes that have arrived are read."""
+        run_after_reading(
+            lambda: self.stream is not None and self.stream.has_unread_input(),
+            lambda: self.abort("deadline passed"),
+        )
+
 
 @dataclass(slots=True)
 class _IdleConnection:
--- a/lentilsill/daemon/deadlines.py
+++ b/lentilsill/daemon/deadlines.py
@@ -3,12 +3,15 @@
 import asyncio
 from collections.abc import Callable
 
-__all__ = ["Deadlines"]
+__all__ = ["Deadlines", "run_after_reading"]
 
 # A callback runs at most this much late, which is short compared with the deadlines of
 # routes.
 TICK_S = 0.005
 
+# Turns of the event loop that take in at least 64 KB each: the largest message of 8 MB.
+MAX_READ_TURNS = 128
+
 Entry = tuple[int, Callable[[], object]]
 
 
@@ -67,3 +70,21 @@
         self._timer = None
         if self._buckets:
             self._schedule(loop, min(self._buckets))
+
+
+def run_after_reading(
+    has_unread_input: Callable[[], bool],
+    callback: Callable[[], object],
+    max_read_turns: int = MAX_READ_TURNS,
+) -> None:
+    """Run `callback` once bytes that have arrived are read, or after some turns.
+
+    After a stall, timers can run before the bytes that have arrived are read.
+    """
+    if max_read_turns and has_unread_input():
+        # The event loop reads before it runs timers that are due.
+        asyncio.get_running_loop().call_later(
+            0, run_after_reading, has_unread_input, callback, max_read_turns - 1
+        )
+    else:
+        callback()
