Cancel a call that ended while its link was lost

What was seen: when another node had answered, the attempt at a stalled node ran on after the stall, since the Cancel went to the lost link and the outcome of an ended call is not queried (found by the review).

Change: the Cancel is sent again over the new link.

--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -250,6 +250,9 @@
         )
         ids = []
         for attempt in attempts:
+            if attempt.fut.cancelled() and is_same_instance and link is not None:
+                # The lost link could not carry the message when the call ended.
+                link.send(Cancel(attempt.call_id))
             if attempt.fut.done():
                 continue
             if not is_same_instance or link is None:
--- a/lentilsill/daemon/controllers/tests/test_link_faults.py
+++ b/lentilsill/daemon/controllers/tests/test_link_faults.py
@@ -12,12 +12,15 @@
     FakeUpstream,
     FreezableRelay,
     RawPeer,
+    make_document,
     make_request,
     send_unread,
     stop_process,
     wait_for,
 )
+from lentilsill.documents import HedgePolicy
 from lentilsill.outcomes import Answer, Refused
+from lentilsill.versioning import Snapshot
 from lentilsill.wire.messages import Answer as AnswerMessage, Ping, Pong
 
 # Longer than the silence and the wait after which a link is closed.
@@ -171,6 +174,34 @@
         result = await asyncio.wait_for(self.near.entry.handle(req), 1.6)
         self.assertIsInstance(result, Refused)
 
+    async def test_attempt_runs_on_when_its_call_ends_before_the_link_is_back(self):
+        """Another node answers while the first one, which runs the call, stalls."""
+        other, other_upstream = self.start_other()
+        _, (call,) = await self.start_calls(1)
+        self.near.set_members(self.far_record, other.record())
+        self.relay.freeze()
+        self.assertIsInstance(await call, Answer)
+        self.assertEqual(other_upstream.seen, ["/p"])
+        self.relay.resume()
+        await wait_for(lambda: self.far.destination.in_flight_total == 0, 1.0)
+
+    async def test_late_answer_waits_for_a_slow_hedge(self):
+        """The link of the first attempt is lost while its hedge runs."""
+        document = make_document(hedge=HedgePolicy(100, 10.0))
+        self.near.ctx.board.snapshot = Snapshot({"slots": document}, 1)
+        other, other_upstream = self.start_other()
+        slow = other_upstream.gates["/p"] = asyncio.Event()
+        self.addCleanup(slow.set)
+        gate, (call,) = await self.start_calls(1)
+        self.near.set_members(self.far_record, other.record())
+        self.relay.freeze()
+        gate.set()
+        await wait_for(lambda: other_upstream.seen == ["/p"])
+        await asyncio.sleep(STALL_S)
+        self.relay.resume()
+        result = await asyncio.wait_for(call, 1.0)
+        self.assertEqual(getattr(result, "body", result), b"/p")
+
     async def test_call_on_a_lost_link_runs_on_when_its_caller_leaves(self):
         """Its caller leaves while the answer is due over the new link."""
         _, (call,) = await self.start_calls(1)
