Count a connection that is being closed as not open

A connection whose reset was read in the same turn counted as open since, so that a request could be put on it: nothing was sent, and the outcome of one that must not be repeated was unknown. Found while reading the diff.

Evidence: test_connection_that_is_being_closed_counts_as_open failed before and passes.

--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -223,6 +223,7 @@
         return not (
             self._is_closed
             or self._transport is None
+            or self._transport.is_closing()
             or self.has_received_eof
             or self.has_unread_input()
         )
--- a/lentilsill/wire/tests/test_streams.py
+++ b/lentilsill/wire/tests/test_streams.py
@@ -61,6 +61,11 @@
             unread -= len(await asyncio.wait_for(part, TIMEOUT_S))
         self.assertEqual(unread, 0)
 
+    async def test_connection_that_is_being_closed_counts_as_open(self):
+        """Guards against a request on a connection whose reset was read this turn."""
+        self.stream._transport.abort()
+        self.assertFalse(self.stream.is_open_without_input())
+
     async def send_until_blocked(self):
         sent = 0
         data = b"x" * 65536
