--- a/lentilsill/wire/tests/test_streams.py
+++ b/lentilsill/wire/tests/test_streams.py
@@ -63,7 +63,9 @@
 
     async def test_connection_that_is_being_closed_counts_as_open(self):
         """Guards against a request on a connection whose reset was read this turn."""
-        self.stream._transport.abort()
+        transport = self.stream._transport
+        assert transport is not None
+        transport.abort()
         self.assertFalse(self.stream.is_open_without_input())
 
     async def send_until_blocked(self):
