--- a/lentilsill/daemon/request_stream.py
+++ b/lentilsill/daemon/request_stream.py
@@ -48,7 +48,10 @@
     """View of the connection's stream for one request.
 
     Reads pass through; writes are held until the earlier responses are written.
-    `is_excluded` is set when the connection reads no further request before the
+
+    A request has begun when its head has arrived, is passed on when its call starts,
+    is answered when its answer is written or held, and is done when its answer has
+    ended. `is_excluded` is set when the connection reads no further request before the
     head of this one has arrived.
     """
 
