Record and log how old the confirmation of a node's configuration is

A node that went on with an old version logged nothing, so that a domain for which nobody reads the platform looked like a version that had arrived and was not put in force, and a task that ended by an error left no line.

Each node now knows when its documents were last the platform's newest: by its own read, or by a digest of a peer that says how old its confirmation is. Nodes that read push their confirmation down the tree of the domain. documents_unconfirmed and documents_confirmed log when it is missing for longer than a change may take, task_failed a task that ended by an error. What a node reads, and when, is unchanged.

--- a/lentilsill/daemon/context.py
+++ b/lentilsill/daemon/context.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import statsd
+import structlog
 
 from lentilsill.settings import NodeSettings
 from lentilsill.wire import PeerLinks
@@ -20,6 +21,8 @@
 
 __all__ = ["Context"]
 
+log = structlog.get_logger()
+
 
 @dataclass
 class Context:
@@ -61,9 +64,15 @@
         """Run `coro` as a task that is cancelled when the node stops."""
         task = asyncio.ensure_future(coro)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        name = getattr(coro, "__qualname__", "")
+        task.add_done_callback(lambda ended: self._end_task(ended, name))
         return task
 
+    def _end_task(self, task: asyncio.Task[Any], name: str) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (exc := task.exception()) is not None:
+            log.error("task_failed", task=name, error=repr(exc))
+
     def count(self, name: str, value: int = 1) -> None:
         """Add to a counter metric."""
         self.metrics.count(name, value)
--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -25,10 +25,12 @@
 from lentilsill.wire import CONTROL, Link
 from lentilsill.wire.messages import Busy, Delta, DeltaRequest, Digest
 
+from .confirmations import ConfirmationController
+from .deltas import coalesce, delta_to_forward, has_content, row_versions
 from .membership import MembershipController
 from .probe_relays import DigestTuple
 
-__all__ = ["DistributionController", "coalesce"]
+__all__ = ["DistributionController"]
 
 # A request without a reply after this time no longer blocks the next request.
 REQUEST_TIMEOUT_S = 2.0
@@ -62,6 +64,7 @@
         self._ctx = ctx
         self._documents = documents
         self._membership = membership
+        self.confirmations = ConfirmationController(ctx, documents, membership)
         cfg = ctx.cfg.distribution
         self._policy = policy_for(cfg.optimise_for)
         self._admission = SyncAdmission(cfg.max_full_syncs, ctx.rng, MAX_SYNC_S)
@@ -101,15 +104,16 @@
         links.on(Busy, self._on_busy)
         self._membership.subscribe_to_digests(self._on_probe_digest)
         self._ctx.board.dump_parts["distribution"] = self._dump
+        self.confirmations.start()
         self._ctx.spawn(self._remote_digest_loop())
         self._ctx.spawn(self._unready_digest_loop())
 
     def add_platform_changes(self, delta: Delta) -> None:
         """Merge changes read from the platform, and push those that are new."""
         new = self._documents.merge(delta)
-        if new is None or not _has_content(new):
+        if new is None or not has_content(new):
             return
-        forwarded = _delta_to_forward(delta, new)
+        forwarded = delta_to_forward(delta, new)
         if self._membership.is_among_first_ranked(1):
             self._push_or_batch(forwarded)
             return
@@ -124,7 +128,7 @@
     def _push_backup(self, delta: Delta) -> None:
         """Push `delta` unless peers have pushed all of it in the meantime."""
         pushed = self._pushed_by_peers
-        if any(version > pushed.get(name, 0) for name, version in _versions(delta)):
+        if any(version > pushed.get(name, 0) for name, version in row_versions(delta)):
             self._ctx.count("distribution.backup_pushes")
             self._push(delta, self._ctx.cfg.node)
         self._pending_backup_pushes -= 1
@@ -151,13 +155,14 @@
 
     def _on_delta(self, link: Link, message: Delta) -> None:
         new = self._documents.merge(message)
+        self.confirmations.apply_claims()
         if message.root:
             if self._pending_backup_pushes:
-                for name, version in _versions(message):
+                for name, version in row_versions(message):
                     highest = max(version, self._pushed_by_peers.get(name, 0))
                     self._pushed_by_peers[name] = highest
-            if new is not None and _has_content(new):
-                self._push(_delta_to_forward(message, new), message.root)
+            if new is not None and has_content(new):
+                self._push(delta_to_forward(message, new), message.root)
             elif self._documents.lacks_patch_base(message):
                 self._ctx.count("distribution.patches_unfit")
                 self._failed_patch_root = message.root
@@ -171,12 +176,12 @@
             self._record_effect()
         self._record_source(link, message.complete_as_of)
         failed_patch_root, self._failed_patch_root = self._failed_patch_root, ""
-        if new is None or not _has_content(new):
+        if new is None or not has_content(new):
             return
         if link.hello.domain != self._ctx.cfg.domain:
-            self._push_or_batch(_delta_to_forward(message, new))
+            self._push_or_batch(delta_to_forward(message, new))
         elif failed_patch_root:
-            self._push(_delta_to_forward(message, new), failed_patch_root)
+            self._push(delta_to_forward(message, new), failed_patch_root)
 
     # Digests
 
@@ -184,10 +189,6 @@
         docs = self._documents
         return DigestValue(docs.complete_as_of, docs.content_hash)
 
-    def _digest_message(self) -> Digest:
-        mine = self._local_digest()
-        return Digest(mine.complete_as_of, mine.documents_hash, 0)
-
     def _on_probe_digest(self, link: Link, digest: DigestTuple) -> None:
         # A peer that is behind requests the changes itself, as it gets this node's
         # digest as well.
@@ -196,8 +197,10 @@
     def _on_digest_message(self, link: Link, message: Digest) -> None:
         self._membership.summaries.record_address(link.hello)
         theirs = DigestValue(message.complete_as_of, message.documents_hash)
-        if self._handle_digest(link, theirs) or self._is_waiting_for_source(link):
-            link.send(self._digest_message())
+        is_behind = self._handle_digest(link, theirs)
+        self.confirmations.record_digest(link, message)
+        if is_behind or (not message.root and self._is_waiting_for_source(link)):
+            link.send(self.confirmations.digest())
 
     def _is_waiting_for_source(self, link: Link) -> bool:
         """Return whether the peer is not ready and can count this node as a source."""
@@ -267,7 +270,7 @@
             is_connected = self._ctx.links.find(address, CONTROL) is not None
             if not is_connected or self._ctx.rng.random() < PEER_CHANGE_PROBABILITY:
                 address = self._remote_peers[domain] = self._ctx.rng.choice(addresses)
-            self._ctx.links.send(address, CONTROL, self._digest_message())
+            self._ctx.links.send(address, CONTROL, self.confirmations.digest())
 
     async def _unready_digest_loop(self) -> None:
         while not self._ctx.board.ready:
@@ -280,7 +283,7 @@
             for address in peers or self._membership.random_peer_addresses(
                 UNREADY_DIGEST_PEERS
             ):
-                self._ctx.links.send(address, CONTROL, self._digest_message())
+                self._ctx.links.send(address, CONTROL, self.confirmations.digest())
             if self._membership.is_gateway():
                 self._send_remote_digests()
 
@@ -338,58 +341,3 @@
             "full_syncs_at_once": self._peak_syncs,
             "batched": len(self._batch),
         }
-
-
-def _has_content(delta: Delta) -> bool:
-    return bool(delta.rows or delta.patches)
-
-
-def _versions(delta: Delta) -> list[tuple[str, int]]:
-    """Return (name, version) of each row and patch of a delta."""
-    rows = [(name, version) for name, version, *_ in delta.rows]
-    return rows + [(name, version) for name, version, *_ in delta.patches]
-
-
-def _delta_to_forward(delta: Delta, new: Delta) -> Delta:
-    """Return the delta to forward when only `new` of `delta` was new to this node.
-
-    A row that this node already had may be missing at nodes below it in the tree. A
-    delta without that row must therefore not advance a receiver's `complete_as_of`,
-    so its `base` equals its own `complete_as_of`.
-    """
-    if new.patches:
-        return new
-    if set(new.rows) == set(delta.rows):
-        return delta
-    revision = delta.complete_as_of
-    return Delta(revision, revision, False, new.rows)
-
-
-def coalesce(batch: list[Delta]) -> list[Delta]:
-    """Merge consecutive deltas that have no gap between them.
-
-    Examples
-    --------
-    >>> a, b = Delta(1, 3, False, (("x", 3, False, "{}"),)), Delta(3, 4, False, ())
-    >>> coalesce([a, b]) == [Delta(1, 4, False, a.rows)]
-    True
-    """
-    joined: list[Delta] = []
-    for delta in batch:
-        last = joined[-1] if joined else None
-        # A patch applies only to its base, so it can't be merged with other changes.
-        has_patch = last is not None and (delta.patches or last.patches)
-        if last is None or has_patch or delta.full or delta.base > last.complete_as_of:
-            joined.append(delta)
-            continue
-        rows = {row[0]: row for row in last.rows}
-        for row in delta.rows:
-            if row[0] not in rows or row[1] > rows[row[0]][1]:
-                rows[row[0]] = row
-        joined[-1] = Delta(
-            min(last.base, delta.base),
-            max(last.complete_as_of, delta.complete_as_of),
-            last.full,
-            tuple(rows.values()),
-        )
-    return joined
--- a/lentilsill/daemon/controllers/membership.py
+++ b/lentilsill/daemon/controllers/membership.py
@@ -30,7 +30,6 @@
     SendProbe,
     UpstreamState,
     record_from_row,
-    record_to_row,
 )
 from lentilsill.wire import CONTROL, Link, Message
 from lentilsill.wire.messages import IndirectProbe, NodeRow, Probe, ProbeAck, Records
@@ -38,7 +37,7 @@
 from .probe_relays import NO_DIGEST, DigestTuple, ProbeRelays
 from .seeds import SeedContacts
 from .summaries import SummaryExchange
-from .table_repair import TableRepair, to_rows
+from .table_repair import TableRepair, to_row, to_rows
 from .tree_push import TreePush
 
 __all__ = ["MembershipController"]
@@ -157,7 +156,11 @@
 
     def is_among_first_ranked(self, count: int) -> bool:
         """Return whether this node is among the first `count` in the ranking."""
-        return self._ctx.cfg.node in self.ranked()[:count]
+        return self.rank() < count
+
+    def rank(self) -> int:
+        """Return the position of this node in the ranking; a leaving node is last."""
+        return (*self.ranked(), self._ctx.cfg.node).index(self._ctx.cfg.node)
 
     def is_gateway(self) -> bool:
         """Return whether this node is one of the two gateways to other domains."""
@@ -207,7 +210,7 @@
 
     def _push_own_record(self, liveness: Liveness = Liveness.ALIVE) -> None:
         own_name = self._ctx.cfg.node
-        message = Records((_to_row(self.table.own, liveness),), push=True)
+        message = Records((to_row(self.table.own, liveness),), push=True)
         self._ctx.count("membership.own_pushed")
         self._tree.push(own_name, message)
         for address in self.random_peer_addresses(EXTRA_PUSHES):
@@ -277,7 +280,7 @@
             return
         entry = self.table.get(link.hello.node)
         if entry is None:
-            link.send(Records((_to_row(self.table.own),), want_reply=True))
+            link.send(Records((to_row(self.table.own),), want_reply=True))
         elif entry.liveness != Liveness.ALIVE:
             # Only the sender can refute the verdict on its own record.
             link.send(Records(to_rows([entry])))
@@ -333,7 +336,7 @@
         if self.table.own is not own_before:
             self._ctx.count("membership.refuted")
             self._push_own_record()
-            link.send(Records((_to_row(self.table.own),)))
+            link.send(Records((to_row(self.table.own),)))
         return changed, records
 
     def _forward_changes(self, changed: list[Entry]) -> None:
@@ -341,7 +344,7 @@
         for entry in changed:
             root = entry.record.node
             if root != self._ctx.cfg.node:
-                row = _to_row(entry.record, entry.liveness)
+                row = to_row(entry.record, entry.liveness)
                 self._tree.push(root, Records((row,), push=True))
 
     # Blackboard
@@ -391,7 +394,3 @@
     def _send(self, address: str, message: Any) -> None:
         if address:
             self._ctx.links.send(address, CONTROL, message)
-
-
-def _to_row(record: NodeRecord, liveness: Liveness = Liveness.ALIVE) -> NodeRow:
-    return record_to_row(record, liveness)  # type: ignore[return-value]
--- a/lentilsill/daemon/controllers/platform_watch.py
+++ b/lentilsill/daemon/controllers/platform_watch.py
@@ -105,6 +105,7 @@
 
     async def _read_platform(self) -> None:
         since = self._documents.complete_as_of
+        started_at = self._ctx.now()
         # Before the first write to the platform, a list has revision 0 too.
         if self._read_planner.must_list or (since == 0 and not self.has_listed):
             list_result = await self._api.list(self._kind)
@@ -113,11 +114,11 @@
                     has_changes = any(obj.version > since for obj in listing.objects)
                     self._read_planner.record_list(has_changes, listing.transfer_s)
                     self._apply(0, listing.revision, True, listing.objects)
+                    self._distribution.confirmations.record_read(started_at)
                 case Err(exc):
                     await self._handle_error(exc)
             return
         timeout_s = self._ctx.cfg.platform.watch_timeout_s
-        started_at = self._ctx.now()
         if started_at - self._watching_since < INITIAL_PERIOD_S:
             timeout_s = min(timeout_s, MAX_INITIAL_WATCH_S)
         watch_result = await self._api.watch(self._kind, since, timeout_s)
@@ -126,6 +127,11 @@
                 self._backoff.reset()
                 self._read_planner.record_watch(len(batch.changes), batch.transfer_s)
                 self._apply(since, batch.revision, False, batch.changes)
+                # A process that was stopped reads the answer late.
+                answered_at = min(self._ctx.now(), started_at + timeout_s)
+                self._distribution.confirmations.record_read(
+                    max(started_at, answered_at - batch.transfer_s)
+                )
                 if not batch.changes and self._ctx.now() - started_at < WATCH_PAUSE_S:
                     await asyncio.sleep(WATCH_PAUSE_S)
             case Err(Compacted()):
--- a/lentilsill/daemon/controllers/table_repair.py
+++ b/lentilsill/daemon/controllers/table_repair.py
@@ -15,7 +15,7 @@
 
 from .summaries import SummaryExchange
 
-__all__ = ["TableRepair", "to_rows"]
+__all__ = ["TableRepair", "to_row", "to_rows"]
 
 # With 511 members a bucket holds 16 records, so one exchange transfers at most about
 # 128 records (20 KB). Further buckets are repaired after further probes.
@@ -90,6 +90,11 @@
                 link.send(Records(to_rows(found.values())))
 
 
+def to_row(record: NodeRecord, liveness: Liveness = Liveness.ALIVE) -> NodeRow:
+    """Convert a record to its wire form."""
+    return record_to_row(record, liveness)  # type: ignore[return-value]
+
+
 def to_rows(entries: Iterable[Entry]) -> tuple[NodeRow, ...]:
     """Return the entries as rows of a message."""
     return tuple(record_to_row(e.record, e.liveness) for e in entries)  # type: ignore[misc]
--- a/lentilsill/distribution/__init__.py
+++ b/lentilsill/distribution/__init__.py
@@ -8,6 +8,7 @@
 
 from .admission import Admitted, RetryAfter, SyncAdmission
 from .backoff import Backoff
+from .confirmation import Confirmation, read_due_age_s, watch_wait_s
 from .patch import PatchError, TextPatch, apply_patch, make_patch
 from .policy import ControlBytes, Convergence, Policy, batch_window_s, policy_for
 from .ranking import choose_peers, fanout_children, rank_by_link, rank_members
@@ -20,6 +21,7 @@
     "AdoptRevision",
     "Ask",
     "Backoff",
+    "Confirmation",
     "ControlBytes",
     "Convergence",
     "DigestValue",
@@ -42,4 +44,6 @@
     "policy_for",
     "rank_by_link",
     "rank_members",
+    "read_due_age_s",
+    "watch_wait_s",
 ]
--- a/lentilsill/platform/settings_file.py
+++ b/lentilsill/platform/settings_file.py
@@ -112,6 +112,9 @@
         "link_mbps": _link_mbps(fields),
         "documents": "bundle",
         "directory": True,
+        "distribution": {
+            "in_force_s": float(fields["bounds.config_apply_ms"]) / 1000,
+        },
         "platform": {
             "url": f"http://{fields['platform.address']}",
             "request_timeout_s": PLATFORM_TIMEOUT_S,
--- a/lentilsill/platform/tests/builders.py
+++ b/lentilsill/platform/tests/builders.py
@@ -17,6 +17,7 @@
     "internal_ports": "7620,7635",
     "seeds": "",
     "bounds.stable_window_ms": "3000",
+    "bounds.config_apply_ms": "2000",
     "bounds.grace_s": "6",
     "bounds.retry_budget_ratio": "0.2",
     "bounds.budget_window_s": "10",
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -68,6 +68,12 @@
     max_full_syncs: int = Field(
         default=8, ge=1, description="Maximum full syncs that a node serves at once"
     )
+    in_force_s: float = Field(
+        default=13.0,
+        gt=0,
+        description="Time within which a change must be in force on every node; nodes "
+        "read the platform themselves when watchers confirm nothing for most of it",
+    )
     ready_bound_s: float = Field(
         default=5.0,
         gt=0,
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -128,12 +128,17 @@
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Constant-size summary of the sender's documents and node records.
 
-    The sender has every change up to the revision `complete_as_of`.
+    The sender has every change up to the revision `complete_as_of`. `age_ms` is the
+    age of the last confirmation that its documents are the platform's newest, and is
+    negative when it is not known. A push is forwarded along a tree of nodes, and
+    `root` names the node at its root; it is empty in other digests.
     """
 
     complete_as_of: int
     documents_hash: int
     records_hash: int
+    age_ms: int = -1
+    root: str = ""
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag=2):
