--- a/lentilsill/daemon/controllers/tests/spread_builders.py
+++ b/lentilsill/daemon/controllers/tests/spread_builders.py
@@ -28,7 +28,14 @@
 )
 from lentilsill.wire.messages import Delta
 
-__all__ = ["FakeDocuments", "FakePlatform", "Node", "start_node", "wait_until"]
+__all__ = [
+    "FakeDocuments",
+    "FakePlatform",
+    "Node",
+    "PlatformPath",
+    "start_node",
+    "wait_until",
+]
 
 
 class FakeDocuments:
@@ -111,6 +118,37 @@
         return Ok(WatchBatch(self.revision, changes))
 
 
+class PlatformPath:
+    """Path of one node to a platform; the platform's answers can get lost on it.
+
+    After `cut`, requests in progress get no answer. While `is_silent` is true, new
+    ones get none either.
+    """
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.is_silent = False
+        self.cuts = 0
+        self.request_count = 0
+
+    def cut(self):
+        self.cuts += 1
+
+    async def list(self, kind, stale=False):
+        return await self._answer(self.platform.list(kind, stale))
+
+    async def watch(self, kind, since, timeout_s):
+        return await self._answer(self.platform.watch(kind, since, timeout_s))
+
+    async def _answer(self, answer):
+        cuts = self.cuts
+        self.request_count += 1
+        result = await answer
+        if self.is_silent or cuts != self.cuts:
+            await asyncio.Event().wait()
+        return result
+
+
 @dataclass
 class Node:
     """A started node that does not serve calls."""
