Let other nodes read the platform when nothing confirms the configuration

Cause: who reads the platform followed from rank alone. The first two nodes of a domain keep their rank as long as their peers hear them, or have not suspected them yet. If both got no answers, nobody read for the domain; no node knew that its configuration had not been confirmed for seconds. A watch on a silent connection was given up after its wait of 1.5 s and a grace of 1 s or more, and the next read could take another silent connection.

Change: that a version is the newest is a fact with a source and an age, held by each node. Connections idle for over 1 s are not used again.

--- a/lentilsill/daemon/controllers/platform_watch.py
+++ b/lentilsill/daemon/controllers/platform_watch.py
@@ -6,11 +6,17 @@
 from typing import Any
 
 import structlog
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import Documents
-from lentilsill.distribution import Backoff, ReadPlanner, first_delay_s
+from lentilsill.distribution import (
+    Backoff,
+    ReadPlanner,
+    first_delay_s,
+    read_due_age_s,
+    watch_wait_s,
+)
 from lentilsill.documents import bundle_text
 from lentilsill.platform import (
     Compacted,
@@ -18,6 +24,8 @@
     PlatformError,
     RateLimited,
     StoredObject,
+    Unavailable,
+    WatchBatch,
 )
 from lentilsill.wire.messages import Delta, DocumentRow
 
@@ -27,6 +35,10 @@
 __all__ = ["PlatformWatchController"]
 
 RANK_CHECK_INTERVAL_S = 0.5
+MIN_CHECK_INTERVAL_S = 0.02
+# A watch without an answer is given up this long after its wait, as a share of the time
+# in which a change must be in force; its connection may carry nothing any more.
+WATCH_GRACE_SHARE = 0.3
 # This pause limits the request rate when the platform returns empty watches at once.
 WATCH_PAUSE_S = 0.2
 # Watches are short in the initial period after a node has become a watcher. A node
@@ -45,6 +57,9 @@
 class PlatformWatchController:
     """Watches documents while this node is among the first-ranked of its domain.
 
+    Nodes of the next ranks read the platform as well while nothing confirms that the
+    documents are the newest: the watchers may get no answers and still be alive.
+
     `has_listed` is true once this node has received a list from the platform, or
     the result of a watch that continues from the documents it holds.
     """
@@ -92,17 +107,29 @@
     async def _watch_loop(self) -> None:
         await asyncio.sleep(first_delay_s(self._ctx.cfg.link_mbps, self._ctx.rng))
         while True:
-            count = self._ctx.cfg.distribution.watchers_per_domain
-            # A node that knows no peers ranks first.
-            is_watcher = self._membership.is_among_first_ranked(count)
-            if is_watcher and not self._is_watching:
-                self._watching_since = self._ctx.now()
-            self._is_watching = is_watcher
-            if not self._is_watching:
-                await asyncio.sleep(RANK_CHECK_INTERVAL_S)
+            age_s = self._distribution.confirmations.age_s()
+            due_age_s = self._read_due_age_s()
+            if due_age_s is None or age_s < due_age_s:
+                self._is_watching = False
+                wait_s = RANK_CHECK_INTERVAL_S
+                if due_age_s is not None:
+                    wait_s = min(wait_s, due_age_s - age_s)
+                await asyncio.sleep(max(MIN_CHECK_INTERVAL_S, wait_s))
                 continue
+            if due_age_s > 0:
+                self._ctx.count("platform_watch.backup_reads")
+            elif not self._is_watching:
+                self._watching_since = self._ctx.now()
+            self._is_watching = due_age_s == 0
             await self._read_platform()
 
+    def _read_due_age_s(self) -> float | None:
+        """Return the age of the documents from which on this node reads, or None."""
+        cfg = self._ctx.cfg.distribution
+        # A node that knows no peers ranks first.
+        rank = self._membership.rank()
+        return read_due_age_s(rank, cfg.watchers_per_domain, cfg.in_force_s)
+
     async def _read_platform(self) -> None:
         since = self._documents.complete_as_of
         started_at = self._ctx.now()
@@ -118,10 +145,20 @@
                 case Err(exc):
                     await self._handle_error(exc)
             return
-        timeout_s = self._ctx.cfg.platform.watch_timeout_s
+        in_force_s = self._ctx.cfg.distribution.in_force_s
+        timeout_s = watch_wait_s(in_force_s, self._ctx.cfg.platform.watch_timeout_s)
         if started_at - self._watching_since < INITIAL_PERIOD_S:
             timeout_s = min(timeout_s, MAX_INITIAL_WATCH_S)
-        watch_result = await self._api.watch(self._kind, since, timeout_s)
+        watch_result: Result[WatchBatch, PlatformError]
+        try:
+            limit_s = timeout_s + WATCH_GRACE_SHARE * in_force_s
+            async with asyncio.timeout(limit_s) as limit:
+                # An answer that has begun may take long on a slow link.
+                watch_result = await self._api.watch(
+                    self._kind, since, timeout_s, lambda: limit.reschedule(None)
+                )
+        except TimeoutError:
+            watch_result = Err(Unavailable("the watch got no answer in time"))
         match watch_result:
             case Ok(batch):
                 self._backoff.reset()
--- a/lentilsill/daemon/controllers/tests/spread_builders.py
+++ b/lentilsill/daemon/controllers/tests/spread_builders.py
@@ -99,7 +99,7 @@
         self.list_count += 1
         return Ok(Listing(self.revision, tuple(self.objects.values())))
 
-    async def watch(self, kind, since, timeout_s):
+    async def watch(self, kind, since, timeout_s, on_start=None):
         if not self.is_up:
             return Err(Unavailable("outage"))
         if since < self.oldest_revision:
@@ -137,7 +137,7 @@
     async def list(self, kind, stale=False):
         return await self._answer(self.platform.list(kind, stale))
 
-    async def watch(self, kind, since, timeout_s):
+    async def watch(self, kind, since, timeout_s, on_start=None):
         return await self._answer(self.platform.watch(kind, since, timeout_s))
 
     async def _answer(self, answer):
--- a/lentilsill/daemon/controllers/tests/test_silent_platform.py
+++ b/lentilsill/daemon/controllers/tests/test_silent_platform.py
@@ -11,7 +11,7 @@
     async def start_domain(self, platform, names):
         """Start nodes with a path each; return them by rank, with their paths."""
         paths = {name: PlatformPath(platform) for name in names}
-        nodes = []
+        nodes: list = []
         for name in names:
             seeds = tuple(node.address for node in nodes[:1])
             node = start_node(name, paths[name], seeds, in_force_s=IN_FORCE_S)
--- a/lentilsill/platform/client.py
+++ b/lentilsill/platform/client.py
@@ -1,6 +1,7 @@
 """HTTP client for the platform's object API."""
 
 import json
+import math
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
@@ -44,6 +45,8 @@
 MAX_TRANSFER_S = 8.0
 # Pages of a listing and answers to a watch have about 1 MB each.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# An idle connection may have become silent, so it is reused only for a short time.
+MAX_IDLE_CONNECTION_S = 1
 # A connection with a lower rate counts as silent.
 MIN_BYTES_PER_S = 1000
 # Errors that prove that the request did not reach the platform.
@@ -205,14 +208,21 @@
         return await self._write("DELETE", path, None, None)
 
     async def watch(
-        self, kind: str, since: int, timeout_s: float
+        self,
+        kind: str,
+        since: int,
+        timeout_s: float,
+        on_start: Callable[[], None] | None = None,
     ) -> Result[WatchBatch, PlatformError]:
-        """Wait up to `timeout_s` for changes after revision `since`."""
+        """Wait up to `timeout_s` for changes after revision `since`.
+
+        `on_start` is called when the answer begins to arrive.
+        """
         wait_ms = str(int(min(timeout_s, MAX_WATCH_S) * 1000))
         path = _kind_path(kind) + _query_string(
             {"watch": str(since), "wait_ms": wait_ms}
         )
-        answer = await self._read(path, timeout_s + WATCH_GRACE_S)
+        answer = await self._read(path, timeout_s + WATCH_GRACE_S, on_start)
         parsed = answer.and_then(lambda resp: _parse_read(_WatchBody, resp))
         transfer_s = answer.map_or(0.0, _transfer_s)
         return parsed.map(lambda body: self._to_batch(kind, body, transfer_s))
@@ -246,9 +256,14 @@
         return StoredObject(kind, name, revision, value)
 
     async def _read(
-        self, path: str, timeout_s: float
+        self,
+        path: str,
+        timeout_s: float,
+        on_start: Callable[[], None] | None = None,
     ) -> Result[HTTPResponse, PlatformError]:
         req = self._make_request("GET", path, timeout_s)
+        if on_start is not None:
+            req.header_callback = lambda line: on_start()
         try:
             resp = await self._client.fetch(req, raise_error=False)
         except (HTTPError, OSError) as exc:
@@ -299,7 +314,8 @@
             # A large answer may take long on a slow network link while data still
             # arrives; a silent connection is aborted after the timeout.
             curl.setopt(pycurl.LOW_SPEED_LIMIT, MIN_BYTES_PER_S)
-            curl.setopt(pycurl.LOW_SPEED_TIME, max(1, int(timeout_s)))
+            curl.setopt(pycurl.LOW_SPEED_TIME, math.ceil(timeout_s))
+            curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_CONNECTION_S)
             curl.setopt(pycurl.MAXFILESIZE_LARGE, MAX_ANSWER_BYTES)
 
         return HTTPRequest(
--- a/lentilsill/platform/model.py
+++ b/lentilsill/platform/model.py
@@ -1,5 +1,6 @@
 """Objects, events and errors of the platform's object API."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -138,7 +139,14 @@
         ...
 
     async def watch(
-        self, kind: str, since: int, timeout_s: float
+        self,
+        kind: str,
+        since: int,
+        timeout_s: float,
+        on_start: Callable[[], None] | None = None,
     ) -> Result[WatchBatch, PlatformError]:
-        """Wait up to `timeout_s` for changes after revision `since`."""
+        """Wait up to `timeout_s` for changes after revision `since`.
+
+        `on_start` is called when the answer begins to arrive.
+        """
         ...
