--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -50,6 +50,9 @@
 KEEP_ALIVE_SHARE = 0.5
 # Answers to earlier requests that are skipped before a connection is closed.
 MAX_STRAY_ANSWERS = 4
+# Names of headers in answers that are logged when a process first sees them.
+MAX_LOGGED_HEADERS = 64
+MAX_LOGGED_VALUE_CHARS = 64
 # Statuses that callers take as a promise that the request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED_STATUS = 421
@@ -71,6 +74,22 @@
 )
 
 
+_logged_headers: set[str] = set()
+
+
+def _log_new_headers(address: str, headers: HTTPHeaders) -> None:
+    """Log the headers whose names this process sees for the first time."""
+    for name, value in headers.get_all():
+        if name not in _logged_headers and len(_logged_headers) < MAX_LOGGED_HEADERS:
+            _logged_headers.add(name)
+            log.info(
+                "answer_header_seen",
+                upstream=address,
+                name=name,
+                value=value[:MAX_LOGGED_VALUE_CHARS],
+            )
+
+
 class _AnswerReader(HTTPMessageDelegate):
     """Collects one answer to a request."""
 
@@ -80,7 +99,9 @@
         stream: ProtocolStream,
         integration: Integration,
         sent_attempt_id: str,
+        address: str,
     ) -> None:
+        self.address = address
         self.method = method
         self.stream = stream
         self.integration = integration
@@ -100,6 +121,7 @@
             return
         self.status = start_line.code
         self.headers = headers
+        _log_new_headers(self.address, headers)
         options = headers.get("Connection", "").lower().split(",")
         self.can_reuse_connection = start_line.version == "HTTP/1.1" and not any(
             option.strip() == "close" for option in options
@@ -276,7 +298,9 @@
         # `ProtocolStream` has.
         conn = HTTP1Connection(stream, True, self._params)  # type: ignore[arg-type]
         sent_attempt_id = attempt_id if self.integration.headers.attempt_id else ""
-        reader = _AnswerReader(method, stream, self.integration, sent_attempt_id)
+        reader = _AnswerReader(
+            method, stream, self.integration, sent_attempt_id, self.address
+        )
         length = len(body) if body or method in ("POST", "PUT", "PATCH") else None
         if not self.integration.routes_by_host:
             headers = (("Host", self.address), *headers)
@@ -298,7 +322,7 @@
                     break
                 log.info("stray_answer", upstream=self.address, attempt=sent_attempt_id)
                 reader = _AnswerReader(
-                    method, stream, self.integration, sent_attempt_id
+                    method, stream, self.integration, sent_attempt_id, self.address
                 )
                 conn = HTTP1Connection(stream, True, self._params)  # type: ignore[arg-type]
                 conn.finish()
