--- a/lentilsill/daemon/controllers/tests/call_builders.py
+++ b/lentilsill/daemon/controllers/tests/call_builders.py
@@ -77,11 +77,15 @@
 
     `gates` maps paths to events that are awaited before the answer. `raw_answers` maps
     paths to bytes that are written instead, before the connection is closed.
+    `extra_head` has further header lines of all other answers. `seen_at` has the time
+    of each request, in seconds of the loop's clock.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.seen: list[str] = []
+        self.seen_at: list[float] = []
+        self.extra_head = b""
         self.cancelled: list[str] = []
         self.streams: set = set()
         self.raw_answers: dict[str, bytes] = {}
@@ -104,6 +108,7 @@
                     if line.startswith(b"content-length:"):
                         await stream.read_bytes(int(line.split(b":")[1]))
                 self.seen.append(path)
+                self.seen_at.append(asyncio.get_running_loop().time())
                 if path in self.gates:
                     stream.set_close_callback(partial(self.cancelled.append, path))
                     await self.gates[path].wait()
@@ -114,7 +119,8 @@
                     return
                 body = path.encode()
                 await stream.write(
-                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n%s"
+                    % (len(body), self.extra_head, body)
                 )
         except StreamClosedError:
             pass
