Keep the calls of an upstream within the limit that it names

Cause: nothing read the limit that an upstream names in its answers.

Change: the node beside an upstream sends all of its calls, so it keeps the limit alone, with a token bucket of half a second's burst; no share of the limit is lost by dividing it between nodes. What is over the limit is refused at once as not run, with the time until a call may be sent; the entry node tries another upstream and doesn't count the refusal as overload or as a failure. A fifth of the burst is kept for more urgent calls.

The limit is a fact with a source, an age and the start of the process that named it. It holds until an answer of that process without it, or until another process; the time of the answer's head orders answers. An unreadable value changes nothing and is logged. At a limit of 0, one call in 10 s asks whether it still holds. Entry nodes keep the notice that came with their results and send it along with their calls, so that a restarted node has the limit before it sends its first call.

The name of the header, with or without the prefix, is still open; both are read.

--- a/lentilsill/admission/__init__.py
+++ b/lentilsill/admission/__init__.py
@@ -6,15 +6,21 @@
 """
 
 from .ages import CallAges
+from .notice import Notice, newer_notice
 from .queue import AdmissionQueue, Refuse, Start
+from .rate_limit import RateLimiter, parse_limit
 from .usage import KindUsage, SlotUsage, UsageReport
 
 __all__ = [
     "AdmissionQueue",
     "CallAges",
     "KindUsage",
+    "Notice",
+    "RateLimiter",
     "Refuse",
     "SlotUsage",
     "Start",
     "UsageReport",
+    "newer_notice",
+    "parse_limit",
 ]
--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -207,6 +207,12 @@
             self.usage.set_running(now, len(self._running))
         return self.advance(now)
 
+    def release(self, call: Hashable, now: float) -> list[Action]:
+        """Free the slot of a call that started and was not sent after all."""
+        self._running.pop(call, None)
+        self.usage.set_running(now, len(self._running))
+        return self.advance(now)
+
     def cancel(self, call: Hashable) -> bool:
         """Remove a waiting call; return False if it doesn't wait."""
         return self._waiting.pop(call, None) is not None
--- a/lentilsill/daemon/announcements.py
+++ b/lentilsill/daemon/announcements.py
@@ -169,7 +169,7 @@
             self.drop(rec.upstream, "replaced")
             old = None
         self._announced_at_s[rec.upstream] = self.ctx.now()
-        new = self._with_ready_time(rec, old)
+        new = self._with_ready_time(rec, old, announcement.started_ms or 0)
         if new != old:
             upstreams[rec.upstream] = new
             log.info("upstream_announced", upstream=rec.upstream, state=rec.state.name)
@@ -242,7 +242,7 @@
             self.drop(upstream, "silent")
 
     def _with_ready_time(
-        self, rec: UpstreamRecord, old: UpstreamRecord | None
+        self, rec: UpstreamRecord, old: UpstreamRecord | None, started_ms: int
     ) -> UpstreamRecord:
         ready_at_ms = old.ready_at_ms if old is not None else 0
         became_ready = rec.state is UpstreamState.READY and (
@@ -258,4 +258,5 @@
             rec.labels,
             rec.state,
             ready_at_ms,
+            started_ms,
         )
--- a/lentilsill/daemon/controllers/call_results.py
+++ b/lentilsill/daemon/controllers/call_results.py
@@ -2,9 +2,9 @@
 
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 
-from .reasons import UNREACHABLE
+from .reasons import RATE_LIMITED, UNREACHABLE
 
-__all__ = ["is_upstream_failure", "worse_refusal"]
+__all__ = ["is_overload", "is_upstream_failure", "worse_refusal"]
 
 
 def is_upstream_failure(result: CallResult) -> bool:
@@ -17,6 +17,14 @@
     return True
 
 
+def is_overload(refusal: Refused) -> bool:
+    """Return whether the refusal shows that upstreams have no room.
+
+    An upstream at its own limit shows nothing about the others.
+    """
+    return refusal.is_overload and refusal.reason != RATE_LIMITED
+
+
 def worse_refusal(worst: Refused | None, result: Refused) -> Refused:
     """Return the refusal that is stronger evidence of an execution, or the newer one.
 
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -14,7 +14,7 @@
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.routing import is_leaving
 from lentilsill.wire import CALLS
-from lentilsill.wire.messages import Call, GoAway
+from lentilsill.wire.messages import Call, GoAway, NoticeRow
 
 from .local_upstream import (
     Execution,
@@ -28,6 +28,7 @@
     CRASHED,
     LEAVING,
     MISDIRECTED,
+    RATE_LIMITED,
     RESET_BEFORE_REQUEST,
     UNREACHABLE,
     not_run_refusal,
@@ -105,6 +106,11 @@
         )
         return round(expected_s * 1000)
 
+    def notice_row(self, call: Call) -> NoticeRow | None:
+        """Return what the upstream of a call last said, if it ever restricted calls."""
+        local = self._upstreams.get(call.upstream)
+        return None if local is None else local.notices.row(self.ctx.now())
+
     def has_lost_connections(self, upstream: str) -> bool:
         """Return whether a crash check of lost connections is pending."""
         local = self._upstreams.get(upstream)
@@ -150,6 +156,7 @@
             )
             self._upstreams[upstream] = local
             local.record = record
+            local.notices.set_started(record.started_ms, now)
             document = board.snapshot.documents.get(record.service)
             limits = document.limits if document else DEFAULT_LIMITS
             slots = min(record.slots or limits.slots_per_upstream, 10_000)
@@ -172,6 +179,8 @@
         local = self._upstreams.get(call.upstream)
         if local is None or self._is_closed_to_calls(local.record):
             return not_run_refusal(LEAVING)
+        now = self.ctx.now()
+        local.notices.record_peer(call.notice, now)
         if self.guard is not None:
             execution.fingerprint = execution.fingerprint or request_fingerprint(
                 call.request_key, call.service, call.method, call.path, call.body
@@ -180,9 +189,12 @@
                 return not_run_refusal("request is quarantined")
             if call.is_suspect:
                 self.guard.record_suspect(execution.fingerprint)
+        limiter = local.notices.limiter
+        wait_s = limiter.wait_s(now, call.priority, local.queue.waiting)
+        if wait_s > 0:
+            return self._refuse_rate(wait_s)
         if call.only_if_free and not local.queue.has_room:
             return not_run_refusal(BUSY)
-        now = self.ctx.now()
         actions = local.queue.offer(
             execution,
             now,
@@ -195,11 +207,19 @@
             refused = await self._wait(local, execution, actions, now)
             if refused is not None:
                 return refused
+        now = self.ctx.now()
+        if not limiter.take(now):
+            self._apply(local.queue.release(execution, now))
+            return self._refuse_rate(limiter.wait_s(now, call.priority))
         if call.idempotent:
             return await self._run(local, execution)
         # A caller that disconnects must not abort a call that isn't idempotent.
         return await asyncio.shield(self.ctx.spawn(self._run(local, execution)))
 
+    def _refuse_rate(self, wait_s: float) -> Refused:
+        self.ctx.count("calls.rate_limited")
+        return not_run_refusal(RATE_LIMITED, wait_s)
+
     async def _wait(
         self, local: LocalUpstream, execution: Execution, actions: list, now: float
     ) -> Refused | None:
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -23,7 +23,7 @@
 
 from .call_budgets import CallBudgets
 from .call_progress import Attempt, CallProgress, report_call
-from .call_results import is_upstream_failure, worse_refusal
+from .call_results import is_overload, is_upstream_failure, worse_refusal
 from .destination import DestinationController
 from .local_upstream import Execution, request_fingerprint
 from .peer_attempts import Reply
@@ -254,7 +254,7 @@
             else:
                 refusal = worse_refusal(refusal, result)
                 progress.arrival_count += result.arrived
-                progress.overload_count += result.is_overload
+                progress.overload_count += is_overload(result)
                 lost_upstreams += result.reason in (CONNECTION_LOST, CRASHED)
                 progress.is_suspect |= result.reason == CRASHED
             if lost_upstreams >= MAX_LOST_UPSTREAMS or not decide_retry(
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -15,6 +15,7 @@
 
 from .upstream_client import Exchange, UpstreamClient
 from .upstream_connections import OnUpstreamClosed, ignore_upstream_close
+from .upstream_notices import UpstreamNotices
 
 __all__ = [
     "Execution",
@@ -80,6 +81,8 @@
         self.client = UpstreamClient(
             record.address, post_reuse_s, integration, on_closed
         )
+        self.notices = UpstreamNotices(record.upstream, integration.headers)
+        self.client.on_answer_head = self.notices.record_answer
         can_start = None if guard is None else self._can_start
         self.queue = AdmissionQueue(max(1, record.slots), 0, can_start)
 
--- a/lentilsill/daemon/controllers/peer_attempts.py
+++ b/lentilsill/daemon/controllers/peer_attempts.py
@@ -45,6 +45,7 @@
     idempotent: bool
     sent_at: float
     fut: asyncio.Future[Reply]
+    upstream: str
     has_lost_link: bool = False
 
     def settle(self, result: CallResult, load: int = -1) -> None:
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -22,6 +22,7 @@
 
 from .peer_attempts import Peer, PeerAttempt, Reply
 from .reasons import UNREACHABLE, not_run_refusal
+from .upstream_notices import HeardNotices
 
 __all__ = ["PeerCalls"]
 
@@ -50,6 +51,7 @@
         self.silent_link_s = ctx.cfg.calls.silent_link_s
         self._ids = itertools.count(1)
         self._peers: dict[str, Peer] = {}
+        self._notices = HeardNotices()
         # Addresses with outstanding calls; the others need no check for silence.
         self._active_addresses: set[str] = set()
         self._active_event = asyncio.Event()
@@ -93,7 +95,9 @@
             peer = self._peers[address] = Peer()
         call_id = next(self._ids)
         oldest = next(iter(peer.outstanding), call_id)
-        attempt = PeerAttempt(call_id, link, call.idempotent, now, loop.create_future())
+        attempt = PeerAttempt(
+            call_id, link, call.idempotent, now, loop.create_future(), call.upstream
+        )
         message = Call(
             call_id,
             call.upstream,
@@ -114,6 +118,7 @@
             call.objective_ms,
             call.is_suspect,
             call.only_if_free,
+            self._notices.row(call.upstream, now),
         )
         if not link.send(message):
             return Reply(not_run_refusal(f"{UNREACHABLE}link to {address} is closed"))
@@ -190,8 +195,17 @@
         peer = self._peers.get(link.address)
         return peer.outstanding.get(call_id) if peer else None
 
-    def _on_answer(self, link: Link, message) -> None:
+    def _find_ended(
+        self, link: Link, message: AnswerMessage | Refusal
+    ) -> PeerAttempt | None:
+        """Return the attempt that a message ends; record the notice in it."""
         attempt = self._find(link, message.call_id)
+        if attempt is not None:
+            self._notices.record(attempt.upstream, message.notice, self.ctx.now())
+        return attempt
+
+    def _on_answer(self, link: Link, message) -> None:
+        attempt = self._find_ended(link, message)
         if attempt is None:
             return
         if len(message.body) != message.body_length:
@@ -203,7 +217,7 @@
         )
 
     def _on_refusal(self, link: Link, message) -> None:
-        attempt = self._find(link, message.call_id)
+        attempt = self._find_ended(link, message)
         if attempt is not None:
             try:
                 outcome = Outcome(message.outcome)
--- a/lentilsill/daemon/controllers/reasons.py
+++ b/lentilsill/daemon/controllers/reasons.py
@@ -13,6 +13,7 @@
     "NO_ROUTE",
     "NO_UPSTREAM",
     "OVERLOADED",
+    "RATE_LIMITED",
     "REFUSED_BY_UPSTREAM",
     "RESET_BEFORE_REQUEST",
     "STARTUP_RETRY_S",
@@ -35,6 +36,7 @@
 NOT_READY = "node is not ready"
 NO_UPSTREAM = "no upstream is ready"
 OVERLOADED = "too many calls"
+RATE_LIMITED = "upstream takes no more calls a second"
 REFUSED_BY_UPSTREAM = "upstream refused the call"
 # Prefix of reasons that count as a failure of the upstream or its host.
 UNREACHABLE = "unreachable: "
--- a/lentilsill/daemon/controllers/served_calls.py
+++ b/lentilsill/daemon/controllers/served_calls.py
@@ -18,6 +18,7 @@
     Answer as AnswerMessage,
     Call,
     Cancel,
+    NoticeRow,
     OutcomeQuery,
     OutcomeReply,
     Ping,
@@ -43,6 +44,8 @@
 
     def expected_time_ms(self, call: Call) -> int: ...
 
+    def notice_row(self, call: Call) -> NoticeRow | None: ...
+
     def drop_waiting(self, execution: Execution, reason: str) -> bool: ...
 
 
@@ -109,16 +112,29 @@
                 self._send_result(execution.link, call, result)
 
     def _send_result(self, link: Link, call: Call, result: CallResult) -> None:
-        self._send(link, call.call_id, self._executor.expected_time_ms(call), result)
+        expected_ms = self._executor.expected_time_ms(call)
+        notice = self._executor.notice_row(call)
+        self._send(link, call.call_id, expected_ms, result, notice)
 
     def _send(
-        self, link: Link, call_id: int, expected_ms: int, result: CallResult
+        self,
+        link: Link,
+        call_id: int,
+        expected_ms: int,
+        result: CallResult,
+        notice: NoticeRow | None = None,
     ) -> None:
         match result:
             case Answer(status, headers, body):
                 link.send(
                     AnswerMessage(
-                        call_id, status, headers, body, len(body), expected_ms
+                        call_id,
+                        status,
+                        headers,
+                        body,
+                        len(body),
+                        expected_ms,
+                        notice,
                     )
                 )
             case Refused(outcome, reason, retry_after_s, arrived):
@@ -130,6 +146,7 @@
                         expected_ms,
                         retry_after_s,
                         arrived,
+                        notice,
                     )
                 )
 
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import structlog
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -109,6 +109,7 @@
         self.sent_attempt_id = sent_attempt_id
         self.status = 0
         self.headers: HTTPHeaders | None = None
+        self.headed_at = 0.0
         self.chunks: list[bytes] = []
         self.is_complete = False
         self.can_reuse_connection = False
@@ -121,6 +122,7 @@
             return
         self.status = start_line.code
         self.headers = headers
+        self.headed_at = asyncio.get_running_loop().time()
         _log_new_headers(self.address, headers)
         options = headers.get("Connection", "").lower().split(",")
         self.can_reuse_connection = start_line.version == "HTTP/1.1" and not any(
@@ -216,6 +218,9 @@
         self.post_reuse_s = post_reuse_s
         self.integration = integration
         self._connections = UpstreamConnections(address, on_closed)
+        # Called with the head of each complete answer to a request, the time when the
+        # head arrived and the time now, in seconds of the loop's clock.
+        self.on_answer_head: Callable[[HTTPHeaders, float, float], None] | None = None
         self._params = HTTP1ConnectionParameters(
             max_body_size=MAX_ANSWER_BYTES, decompress=False
         )
@@ -350,8 +355,20 @@
             return _answer_lost(exchange.abort_reason or "answer is incomplete")
         if not stream.closed():
             self._connections.keep(stream, reader.idle_limit_s())
+        self._report_head(reader)
         return reader.result()
 
+    def _report_head(self, reader: _AnswerReader) -> None:
+        """Pass on the head of an answer unless another upstream may have sent it."""
+        assert reader.headers is not None
+        is_named = not reader.sent_attempt_id or (
+            self.integration.headers.attempt_id in reader.headers
+        )
+        is_own = is_named and reader.status != MISDIRECTED_STATUS
+        if self.on_answer_head is not None and is_own:
+            now = asyncio.get_running_loop().time()
+            self.on_answer_head(reader.headers, reader.headed_at, now)
+
 
 def _close_reason(
     stream: ProtocolStream, is_answered: bool, can_reuse: bool
--- a/lentilsill/daemon/integration.py
+++ b/lentilsill/daemon/integration.py
@@ -38,6 +38,9 @@
         Running and waiting calls of the upstream, and its slots.
     upstream : str
         Id of the upstream, in its answer to a health check.
+    limit : tuple of str
+        Calls a second that the upstream takes from all nodes together, in its answers;
+        the first of these names that an answer has counts.
     """
 
     deadline_ms: str = "Lentilsill-Deadline-Ms"
@@ -49,6 +52,7 @@
     answer_digest: str = ""
     load: str = ""
     upstream: str = ""
+    limit: tuple[str, ...] = ("Lentilsill-Limit",)
 
 
 def _no_start_time(body: bytes) -> None:
--- a/lentilsill/membership/records.py
+++ b/lentilsill/membership/records.py
@@ -55,6 +55,9 @@
     ready_at_ms : int
         When the upstream became ready, in ms since the epoch by its node's
         clock; its slow start begins then.
+    started_ms : int
+        Start of its process, in ms since the epoch by its own clock, 0 if unknown;
+        only the node beside it knows it.
     """
 
     upstream: str
@@ -64,6 +67,7 @@
     labels: tuple[tuple[str, str], ...]
     state: UpstreamState
     ready_at_ms: int = 0
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilsill/platform/integration.py
+++ b/lentilsill/platform/integration.py
@@ -19,6 +19,7 @@
         answer_digest="X-Lentilsill-Response-Seal",
         load="X-Lentilsill-Server-Load",
         upstream="X-Lentilsill-Instance-Id",
+        limit=("Server-Limit", "X-Lentilsill-Server-Limit"),
     ),
     routes_by_host=True,
     accepts_unframed_answers=True,
--- a/lentilsill/wire/call_messages.py
+++ b/lentilsill/wire/call_messages.py
@@ -13,6 +13,7 @@
     "ClaimReply",
     "GoAway",
     "HeaderRow",
+    "NoticeRow",
     "OutcomeQuery",
     "OutcomeReply",
     "Ping",
@@ -25,6 +26,19 @@
 HeaderRow = tuple[str, str]
 
 
+class NoticeRow(msgspec.Struct, frozen=True, array_like=True):
+    """What an upstream last said about itself, as the sender knows it.
+
+    `limit_per_s` is the number of calls a second that it takes from all nodes
+    together, negative if it names none. `age_ms` is the time since it said so, and
+    `started_ms` the start of its process in ms since the epoch, 0 if unknown.
+    """
+
+    limit_per_s: float = -1.0
+    age_ms: int = 0
+    started_ms: int = 0
+
+
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=20):
     """A call for one upstream of the receiver.
 
@@ -37,7 +51,8 @@
     its attempt. `priority` and `objective_ms` rank the call in the queue; the
     objective counts from the call's arrival, and 0 stands for the deadline.
     `is_suspect` states that an upstream died while it ran this call. With
-    `only_if_free`, the receiver refuses the call if it would have to wait.
+    `only_if_free`, the receiver refuses the call if it would have to wait. `notice` is
+    what the sender has heard from the upstream before, if that restricts its calls.
     """
 
     call_id: int
@@ -59,12 +74,14 @@
     objective_ms: int = 0
     is_suspect: bool = False
     only_if_free: bool = False
+    notice: NoticeRow | None = None
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag=21):
     """The upstream's answer; `body_length` is checked against `body`.
 
     `load` is the time in ms that a new call is expected to take at that upstream.
+    `notice` is what the upstream last said, if it ever restricted its calls.
     """
 
     call_id: int
@@ -73,13 +90,15 @@
     body: bytes
     body_length: int
     load: int
+    notice: NoticeRow | None = None
 
 
 class Refusal(msgspec.Struct, frozen=True, array_like=True, tag=22):
     """End of a call without an answer; `outcome` is a value of `outcomes.Outcome`.
 
     `retry_after_s` is the time after which the call may succeed, or 0 when it is not
-    known. `arrived` states that the call was sent to the upstream.
+    known. `arrived` states that the call was sent to the upstream. `notice` is as in
+    `Answer`.
     """
 
     call_id: int
@@ -88,6 +107,7 @@
     load: int
     retry_after_s: float = 0.0
     arrived: bool = False
+    notice: NoticeRow | None = None
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=23):
