Send no calls to an upstream whose answers say that it leaves

Change: the notice of an upstream also says whether its process leaves, which is final for that process. The node beside it closes the upstream at once, marks its record as leaving, and keeps it so against later reports of the same process that it is ready. Entry nodes send the notice along with their calls, so that a restarted node, which knows nothing of the leaving, refuses them as not run. Another start of the upstream is ready again.

--- a/lentilsill/admission/notice.py
+++ b/lentilsill/admission/notice.py
@@ -1,6 +1,6 @@
 """What an upstream says about itself in its answers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 __all__ = ["Notice", "newer_notice"]
 
@@ -18,23 +18,26 @@
         node that holds the notice.
     started_ms : int
         Start of the process, in ms since the epoch by its own clock; 0 if unknown.
+    is_leaving : bool
+        Whether the process leaves, which is final for it.
     """
 
     limit_per_s: float | None
     heard_at: float
     started_ms: int = 0
+    is_leaving: bool = False
 
     @property
     def is_plain(self) -> bool:
         """Whether the upstream said nothing that restricts its calls."""
-        return self.limit_per_s is None
+        return self.limit_per_s is None and not self.is_leaving
 
 
 def newer_notice(known: Notice | None, new: Notice) -> Notice:
     """Return which of two notices on an upstream holds.
 
     A later process of the upstream supersedes an earlier one, and of one process the
-    answer that arrived later counts.
+    answer that arrived later counts. A process that leaves does not come back.
 
     Examples
     --------
@@ -48,4 +51,7 @@
         return new
     if known.started_ms and new.started_ms and known.started_ms != new.started_ms:
         return new if new.started_ms > known.started_ms else known
-    return new if new.heard_at > known.heard_at else known
+    newest = new if new.heard_at > known.heard_at else known
+    if newest.is_leaving or not (new.is_leaving or known.is_leaving):
+        return newest
+    return replace(newest, is_leaving=True)
--- a/lentilsill/daemon/announcements.py
+++ b/lentilsill/daemon/announcements.py
@@ -104,6 +104,8 @@
         # them again.
         self._deleted: dict[str, _Deletion] = {}
         self._is_first_ready_distrusted = False
+        # Start of the leaving process by upstream, 0 while it is unknown.
+        self._leaving: dict[str, int] = {}
 
     @property
     def has_announcements(self) -> bool:
@@ -162,6 +164,8 @@
         for other, known in list(upstreams.items()):
             if known.address == rec.address and other != rec.upstream:
                 self.drop(other, "replaced")
+        if self._is_leaving(announcement):
+            rec = replace(rec, state=UpstreamState.LEAVING)
         old = upstreams.get(rec.upstream)
         if old is None and len(upstreams) >= MAX_UPSTREAMS:
             return False
@@ -199,6 +203,37 @@
                 started_ms=deleted_started_ms,
             )
 
+    def mark_leaving(self, upstream: str, started_ms: int) -> None:
+        """Record that a process of an upstream said in an answer that it leaves.
+
+        Announcements of the same process don't make it ready again; `started_ms` is
+        its start, 0 if unknown.
+        """
+        rec = self.ctx.board.upstreams.get(upstream)
+        if not started_ms and rec is not None:
+            started_ms = rec.started_ms
+        self._leaving[upstream] = started_ms
+        while len(self._leaving) > MAX_UPSTREAMS:
+            del self._leaving[next(iter(self._leaving))]
+        if rec is not None and rec.state is not UpstreamState.LEAVING:
+            self.ctx.board.upstreams[upstream] = replace(
+                rec, state=UpstreamState.LEAVING
+            )
+            self.ctx.board.notify(Topic.UPSTREAMS)
+
+    def _is_leaving(self, announcement: Announcement) -> bool:
+        upstream, started_ms = announcement.record.upstream, announcement.started_ms
+        left_ms = self._leaving.get(upstream)
+        if left_ms is None:
+            return False
+        if not left_ms and started_ms:
+            # The process that left was still running when this node started.
+            left_ms = self._leaving[upstream] = started_ms
+        if not started_ms or started_ms <= left_ms:
+            return True
+        del self._leaving[upstream]
+        return False
+
     def _is_deleted(self, announcement: Announcement) -> bool:
         upstream = announcement.record.upstream
         started_ms = announcement.started_ms
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -10,7 +10,7 @@
 from lentilsill.daemon.integration import DEFAULT_INTEGRATION, Integration
 from lentilsill.daemon.interfaces import CrashGuard
 from lentilsill.documents import Limits
-from lentilsill.membership import UpstreamRecord, UpstreamState
+from lentilsill.membership import UpstreamState
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.routing import is_leaving
 from lentilsill.wire import CALLS
@@ -70,6 +70,9 @@
         self._removed: dict[str, LocalUpstream] = {}
         # Callback that removes an upstream (id, reason); set after construction.
         self.drop_upstream: Callable[[str, str], bool] | None = None
+        # Callback that records that an upstream's process leaves (id, start of the
+        # process in ms); set after construction.
+        self.mark_leaving: Callable[[str, int], None] | None = None
         for topic in (Topic.UPSTREAMS, Topic.IN_FORCE, Topic.DRAIN):
             ctx.board.subscribe(topic, self.refresh)
         ctx.board.subscribe(Topic.DRAIN, self._announce_drain)
@@ -153,6 +156,7 @@
                 self.ctx.cfg.calls.post_reuse_s,
                 self.integration,
                 self._connection_log.record,
+                self._on_leaving,
             )
             self._upstreams[upstream] = local
             local.record = record
@@ -162,7 +166,7 @@
             slots = min(record.slots or limits.slots_per_upstream, 10_000)
             slots = max(1, min(slots, limits.slots_per_upstream))
             self._apply(local.queue.set_limits(slots, limits.queue_per_upstream, now))
-            if self._is_closed_to_calls(record):
+            if self._is_closed_to_calls(local):
                 self._apply(local.queue.drain())
             else:
                 local.queue.resume()
@@ -177,10 +181,11 @@
         """Admit and run a call of this node or of a peer."""
         call = execution.call
         local = self._upstreams.get(call.upstream)
-        if local is None or self._is_closed_to_calls(local.record):
-            return not_run_refusal(LEAVING)
         now = self.ctx.now()
-        local.notices.record_peer(call.notice, now)
+        if local is not None:
+            local.notices.record_peer(call.notice, now)
+        if local is None or self._is_closed_to_calls(local):
+            return not_run_refusal(LEAVING)
         if self.guard is not None:
             execution.fingerprint = execution.fingerprint or request_fingerprint(
                 call.request_key, call.service, call.method, call.path, call.body
@@ -337,10 +342,16 @@
         if self.guard is not None and suspects:
             self.guard.record_crash(suspects)
 
-    def _is_closed_to_calls(self, record: UpstreamRecord) -> bool:
-        board = self.ctx.board
+    def _on_leaving(self, upstream: str, started_ms: int) -> None:
+        if self.mark_leaving is not None:
+            self.mark_leaving(upstream, started_ms)
+
+    def _is_closed_to_calls(self, local: LocalUpstream) -> bool:
+        board, record = self.ctx.board, local.record
         if board.draining or record.state is not UpstreamState.READY:
             return True
+        if local.notices.is_leaving:
+            return True
         document = board.snapshot.documents.get(record.service)
         return document is not None and is_leaving(document, record)
 
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -1,6 +1,7 @@
 """An upstream of this node, and the calls that it runs."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import xxhash
@@ -71,6 +72,7 @@
         post_reuse_s: float,
         integration: Integration,
         on_closed: OnUpstreamClosed = ignore_upstream_close,
+        on_leaving: Callable[[str, int], None] = lambda upstream, started_ms: None,
     ) -> None:
         self.record = record
         self.guard = guard
@@ -81,7 +83,7 @@
         self.client = UpstreamClient(
             record.address, post_reuse_s, integration, on_closed
         )
-        self.notices = UpstreamNotices(record.upstream, integration.headers)
+        self.notices = UpstreamNotices(record.upstream, integration.headers, on_leaving)
         self.client.on_answer_head = self.notices.record_answer
         can_start = None if guard is None else self._can_start
         self.queue = AdmissionQueue(max(1, record.slots), 0, can_start)
--- a/lentilsill/daemon/controllers/upstream_notices.py
+++ b/lentilsill/daemon/controllers/upstream_notices.py
@@ -5,6 +5,8 @@
 node beside the upstream may have been restarted since.
 """
 
+from collections.abc import Callable
+
 import structlog
 from tornado.httputil import HTTPHeaders
 
@@ -17,6 +19,8 @@
 # Notices on this many upstreams are held; the oldest is dropped first.
 MAX_NOTICES = 5000
 
+LEAVING_VALUE = "1"
+
 log = structlog.get_logger()
 
 
@@ -24,13 +28,14 @@
     """Return the wire form of a notice, with its age instead of a time."""
     limit_per_s = -1.0 if notice.limit_per_s is None else notice.limit_per_s
     age_ms = max(0, round((now - notice.heard_at) * 1000))
-    return NoticeRow(limit_per_s, age_ms, notice.started_ms)
+    return NoticeRow(limit_per_s, age_ms, notice.started_ms, notice.is_leaving)
 
 
 def notice_from_row(row: NoticeRow, now: float) -> Notice:
     """Return the notice of a row that was received at `now`."""
     limit_per_s = row.limit_per_s if row.limit_per_s >= 0 else None
-    return Notice(limit_per_s, now - max(0, row.age_ms) / 1000, row.started_ms)
+    heard_at = now - max(0, row.age_ms) / 1000
+    return Notice(limit_per_s, heard_at, row.started_ms, row.is_leaving)
 
 
 class HeardNotices:
@@ -58,16 +63,31 @@
 
 
 class UpstreamNotices:
-    """Notice of one upstream at the node beside it, and the limit that follows."""
-
-    def __init__(self, upstream: str, names: HeaderNames) -> None:
+    """Notice of one upstream at the node beside it, and the limit that follows.
+
+    `on_leaving` is called with the upstream and the start of its process when that
+    says that it leaves.
+    """
+
+    def __init__(
+        self,
+        upstream: str,
+        names: HeaderNames,
+        on_leaving: Callable[[str, int], None],
+    ) -> None:
         self._upstream = upstream
         self._names = names
+        self._on_leaving = on_leaving
         self._has_bad_value = False
         self.notice: Notice | None = None
         self.limiter = RateLimiter()
         self.started_ms = 0
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the upstream's process has said that it leaves."""
+        return self.notice is not None and self.notice.is_leaving
+
     def set_started(self, started_ms: int, now: float) -> None:
         """Set when the upstream's process started; a new one has said nothing yet."""
         if not started_ms or started_ms == self.started_ms:
@@ -92,7 +112,8 @@
                         "notice_unreadable", upstream=self._upstream, error=str(exc)
                     )
                 self._has_bad_value = True
-        notice = Notice(limit_per_s, heard_at, self.started_ms)
+        is_leaving = any(headers.get(n) == LEAVING_VALUE for n in self._names.leaving)
+        notice = Notice(limit_per_s, heard_at, self.started_ms, is_leaving)
         if known is not None or not notice.is_plain:
             self._apply(notice, "answer", now)
 
@@ -110,9 +131,18 @@
 
     def _apply(self, notice: Notice, source: str, now: float) -> None:
         known = self.notice
-        if newer_notice(known, notice) is not notice:
+        notice = newer_notice(known, notice)
+        if notice == known:
             return
         self.notice = notice
+        if notice.is_leaving and not (known is not None and known.is_leaving):
+            log.info(
+                "upstream_leaving",
+                upstream=self._upstream,
+                source=source,
+                started_ms=notice.started_ms,
+            )
+            self._on_leaving(self._upstream, notice.started_ms)
         old_limit = known.limit_per_s if known is not None else None
         if notice.limit_per_s == old_limit:
             return
--- a/lentilsill/daemon/integration.py
+++ b/lentilsill/daemon/integration.py
@@ -41,6 +41,8 @@
     limit : tuple of str
         Calls a second that the upstream takes from all nodes together, in its answers;
         the first of these names that an answer has counts.
+    leaving : tuple of str
+        Names of the header with the value 1 in the answers of an upstream that leaves.
     """
 
     deadline_ms: str = "Lentilsill-Deadline-Ms"
@@ -53,6 +55,7 @@
     load: str = ""
     upstream: str = ""
     limit: tuple[str, ...] = ("Lentilsill-Limit",)
+    leaving: tuple[str, ...] = ("Lentilsill-Leaving",)
 
 
 def _no_start_time(body: bytes) -> None:
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -87,6 +87,7 @@
         ctx, destination.on_upstream_crash, destination.in_flight, integration
     )
     destination.drop_upstream = admin_server.announcements.drop
+    destination.mark_leaving = admin_server.announcements.mark_leaving
     UpstreamDiscovery(ctx, admin_server.announcements, integration).start()
     ctx.links.listen(cfg.peer_address)
     caller_server.listen(cfg.caller_address)
--- a/lentilsill/daemon/tests/test_announcements.py
+++ b/lentilsill/daemon/tests/test_announcements.py
@@ -52,6 +52,17 @@
         self.announcements.apply(announcement(sequence=4))
         self.assertEqual(self.states(), {"w1": "LEAVING"})
 
+    def test_late_ready_does_not_undo_a_leaving_that_an_answer_told(self):
+        """Guards against calls to an upstream whose answers say that it leaves."""
+        for known_ms in (1000, 0):
+            self.announcements.apply(announcement(sequence=4))
+            self.announcements.mark_leaving("w1", known_ms)
+            self.assertEqual(self.states(), {"w1": "LEAVING"})
+            self.announcements.apply(announcement(sequence=5))
+            self.assertEqual(self.states(), {"w1": "LEAVING"})
+        self.announcements.apply(announcement(started_ms=2000, sequence=1))
+        self.assertEqual(self.states(), {"w1": "READY"})
+
     def test_upstream_that_stays_ready_is_used(self):
         """Guards against a host without its upstream after a wrong health check."""
         self.announcements.distrust_first_ready()
--- a/lentilsill/platform/integration.py
+++ b/lentilsill/platform/integration.py
@@ -20,6 +20,7 @@
         load="X-Lentilsill-Server-Load",
         upstream="X-Lentilsill-Instance-Id",
         limit=("Server-Limit", "X-Lentilsill-Server-Limit"),
+        leaving=("Server-Leaving", "X-Lentilsill-Server-Leaving"),
     ),
     routes_by_host=True,
     accepts_unframed_answers=True,
--- a/lentilsill/wire/call_messages.py
+++ b/lentilsill/wire/call_messages.py
@@ -32,11 +32,13 @@
     `limit_per_s` is the number of calls a second that it takes from all nodes
     together, negative if it names none. `age_ms` is the time since it said so, and
     `started_ms` the start of its process in ms since the epoch, 0 if unknown.
+    `is_leaving` states that it leaves.
     """
 
     limit_per_s: float = -1.0
     age_ms: int = 0
     started_ms: int = 0
+    is_leaving: bool = False
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=20):
