Refuse addresses and numbers of other writers that nothing can use

A port over 65535, or one that is no number, raised OverflowError or ValueError where callers expect OSError. In a directory entry it ended the task that contacts seeds, which nothing starts again and nothing logged, so that the node found no peers any more; in a report it was taken, and each call to the upstream raised. The time 1e999 raised OverflowError in the handler of reports.

Change: split_address raises AddressError, an OSError, and is called where the connection is opened. Reports, announcements and directory entries with an address that no host can have, or with numbers beyond 2**53, are refused with a finding or a log line that names them.

--- a/lentilsill/daemon/admin_server.py
+++ b/lentilsill/daemon/admin_server.py
@@ -12,7 +12,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from lentilsill.wire.links import split_address
+from lentilsill.wire.addresses import split_address
 
 from .announcements import Announcements
 from .context import Context
--- a/lentilsill/daemon/announcements.py
+++ b/lentilsill/daemon/announcements.py
@@ -6,7 +6,14 @@
 from typing import Annotated, Literal
 
 import structlog
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    ValidationError,
+)
 from result import Err, Ok, Result
 
 from lentilsill.findings import Findings
@@ -16,6 +23,7 @@
     UpstreamState,
     is_superseded,
 )
+from lentilsill.wire.addresses import check_address
 
 from .blackboard import Topic
 from .context import Context
@@ -29,9 +37,7 @@
 _UPSTREAM_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,62}")
 _Label = Annotated[str, StringConstraints(max_length=63)]
 _Service = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
-_Address = Annotated[
-    str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:[1-9]\d{0,4}$")
-]
+_Address = Annotated[str, AfterValidator(check_address)]
 
 log = structlog.get_logger()
 
--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -15,7 +15,7 @@
 
 from lentilsill.documents import CallerLimits
 from lentilsill.outcomes import Outcome, Refused
-from lentilsill.wire.links import split_address
+from lentilsill.wire.addresses import split_address
 from lentilsill.wire.streams import ProtocolStream
 
 from .caller_request import CallerRequest, call_response, json_response
--- a/lentilsill/daemon/controllers/directory.py
+++ b/lentilsill/daemon/controllers/directory.py
@@ -18,6 +18,7 @@
 from lentilsill.daemon.context import Context
 from lentilsill.distribution import Backoff
 from lentilsill.platform import Conflict, ObjectApi, StoredObject
+from lentilsill.wire.addresses import check_address
 
 from .membership import MembershipController
 
@@ -51,7 +52,10 @@
         domain, address = value.get("domain"), value.get("peer_address")
         if not isinstance(domain, str) or not isinstance(address, str):
             return None
-        return cls(domain, address) if ":" in address else None
+        try:
+            return cls(domain, check_address(address))
+        except ValueError:
+            return None
 
 
 class DirectoryController:
--- a/lentilsill/daemon/controllers/tests/test_claims.py
+++ b/lentilsill/daemon/controllers/tests/test_claims.py
@@ -13,7 +13,7 @@
 from lentilsill.drain import DrainReason
 from lentilsill.outcomes import Answer, Outcome, Refused
 from lentilsill.wire import CALLS, CONTROL
-from lentilsill.wire.links import split_address
+from lentilsill.wire.addresses import split_address
 from lentilsill.wire.messages import Claim
 
 from .call_builders import HOST, BlackholeRelay, stop_process
--- a/lentilsill/daemon/controllers/upstream_connections.py
+++ b/lentilsill/daemon/controllers/upstream_connections.py
@@ -12,7 +12,7 @@
 from tornado.iostream import StreamClosedError
 
 from lentilsill.daemon.deadlines import run_after_reading
-from lentilsill.wire.links import split_address
+from lentilsill.wire.addresses import split_address
 from lentilsill.wire.streams import ProtocolStream
 
 __all__ = [
@@ -136,7 +136,6 @@
 
     def __init__(self, address: str, on_closed: OnUpstreamClosed) -> None:
         self.address = address
-        self._target = split_address(address)
         self._on_closed = on_closed
         self._idle: deque[_IdleConnection] = deque()
         self._learned_limit_s = MAX_IDLE_S
@@ -221,13 +220,14 @@
         ConnectionResetError
             The upstream accepted the connection and closed it, as a full one does.
         OSError
-            The upstream refused the connection.
+            The upstream refused the connection, or its address is invalid.
         """
         if exchange.abort_reason:
             raise StreamClosedError()
+        target = split_address(self.address)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
-        connecting = asyncio.ensure_future(_open(sock, self._target))
+        connecting = asyncio.ensure_future(_open(sock, target))
         # A task that is cancelled before its first step closes nothing.
         connecting.add_done_callback(
             lambda task: sock.close() if task.cancelled() else None
--- a/lentilsill/platform/reports.py
+++ b/lentilsill/platform/reports.py
@@ -1,38 +1,41 @@
 """Translation of the liveness reports that the platform's upstreams send."""
 
-from typing import Literal
+from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
 from lentilsill.findings import Findings
 from lentilsill.membership import Announcement, UpstreamRecord, UpstreamState
+from lentilsill.wire.addresses import check_address
 
 __all__ = ["parse_report", "parse_start_ms"]
 
 UPSTREAM_STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.LEAVING}
+# Largest integer that messages, JSON and floats represent exactly.
+MAX_COUNT = 2**53
 
 
 class _Report(BaseModel):
     model_config = ConfigDict(strict=True)
 
     service: str = Field(min_length=1, max_length=255)
-    address: str = Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:[1-9]\d{0,4}$")
+    address: Annotated[str, AfterValidator(check_address)]
     slots: int = Field(ge=1, le=100_000)
     state: Literal["ready", "draining"]
     # Remaining time in which the upstream is slow after its start.
-    cold_left_ms: float = Field(default=0, ge=0)
+    cold_left_ms: float = Field(default=0, ge=0, le=MAX_COUNT)
     # Number of the report since the start of the upstream.
-    sequence: int = Field(ge=0)
+    sequence: int = Field(ge=0, le=MAX_COUNT)
     # Start of the upstream, in ms since the epoch.
-    born: int | None = Field(default=None, ge=0)
+    born: int | None = Field(default=None, ge=0, le=MAX_COUNT)
 
 
 class _Deletion(BaseModel):
     model_config = ConfigDict(strict=True)
 
     # Start of the upstream, in ms since the epoch; a deletion without a body has none.
-    born: int | None = Field(default=None, ge=0)
+    born: int | None = Field(default=None, ge=0, le=MAX_COUNT)
 
 
 def parse_report(upstream: str, text: bytes) -> Result[Announcement, Findings]:
--- a/lentilsill/platform/tests/test_translation.py
+++ b/lentilsill/platform/tests/test_translation.py
@@ -58,6 +58,13 @@
             report(service=7),
             report(slots="6"),
             report(born=1.5),
+            report(address="127.0.0.1:70000"),
+            report(address="999.1.1.1:80"),
+            report(cold_left_ms=10**400),
+            report(sequence=10**400),
+            report(born=10**30),
+            report().replace(b'"cold_left_ms": 0', b'"cold_left_ms": 1e999'),
+            report(service="deep").replace(b'"deep"', b"[" * 9999 + b"]" * 9999),
             b"\xff\xfe",
             b"[]",
         ):
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -12,6 +12,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import add_accept_handler, bind_sockets
 
+from .addresses import split_address
 from .compression import (
     COMPRESSION,
     Compressor,
@@ -260,10 +261,10 @@
         )
 
     async def _dial(self, address: str, purpose: str) -> Link:
-        host, port = split_address(address)
         self.traffic[purpose].dials += 1
         self._close_idle(purpose)
         try:
+            host, port = split_address(address)
             _, stream = await asyncio.wait_for(
                 asyncio.get_running_loop().create_connection(
                     _make_stream,
@@ -382,17 +383,5 @@
     return LinkStream(MAX_WRITE_BUFFER_BYTES)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port``.
-
-    Examples
-    --------
-    >>> split_address("127.0.0.1:7100")
-    ('127.0.0.1', 7100)
-    """
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def _is_open(fut: "asyncio.Future[Link]") -> bool:
     return not fut.cancelled() and fut.exception() is None and fut.result().is_open
