Leave out only the entries of the platform that can't be read

One entry that was nested deeply, had a long number or a bad revision made the whole listing or watch unreadable, again at each read, so that nodes found no peers and followed no newer configuration while it stood. A configuration with the number 1e999 raised OverflowError, where only ValueError was expected, and ended the task that watches for good; an endless Retry-After made it wait without end.

An error of any kind while a value is decoded costs that object only. Answers without odd entries are parsed as before. The reading of answers moves from client.py into a module of its own.

--- a/lentilsill/platform/client.py
+++ b/lentilsill/platform/client.py
@@ -3,25 +3,31 @@
 import json
 import math
 from collections.abc import Callable, Mapping
-from typing import Any, TypeVar
+from typing import Any
 from urllib.parse import quote, urlencode
 
 import pycurl
 import structlog
-from pydantic import BaseModel, ValidationError
 from result import Err, Ok, Result
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
 from lentilsill.settings import PlatformSettings
 
+from .answers import (
+    ListBody,
+    ObjectBody,
+    WatchBody,
+    check_status,
+    describe_response,
+    parse,
+    parse_page,
+)
 from .model import (
     AnswerLost,
-    Compacted,
     Conflict,
     Listing,
     PlatformError,
-    RateLimited,
     Rejected,
     StoredObject,
     Unavailable,
@@ -31,7 +37,6 @@
 __all__ = ["HttpObjectApi"]
 
 MAX_CONCURRENT_REQUESTS = 32
-DEFAULT_RETRY_AFTER_S = 1.0
 # The platform may hold a watch for its whole wait, so the timeout of the request is
 # longer than the wait by this time.
 WATCH_GRACE_S = 1.0
@@ -64,38 +69,6 @@
 log = structlog.get_logger()
 
 
-class _Metadata(BaseModel):
-    name: str
-    revision: int
-    deleting: bool = False
-
-
-class _ObjectBody(BaseModel):
-    """An object; `spec` holds the value that users of this client write."""
-
-    metadata: _Metadata
-    spec: Any = None
-
-
-class _ListBody(BaseModel):
-    items: tuple[_ObjectBody, ...]
-    has_more: bool = False
-    store_revision: int
-
-
-class _EventBody(BaseModel):
-    object: _ObjectBody
-    deleted: bool = False
-
-
-class _WatchBody(BaseModel):
-    events: tuple[_EventBody, ...]
-    store_revision: int
-
-
-Body = TypeVar("Body", bound=BaseModel)
-
-
 class HttpObjectApi:
     """The platform's object API over tornado's curl client.
 
@@ -151,7 +124,7 @@
             case Err(error):
                 return Err(error)
             case Ok(resp):
-                parsed = _parse_read(_ObjectBody, resp)
+                parsed = parse(ObjectBody, resp.body).map_err(Unavailable)
                 return parsed.map(lambda body: self._to_object(kind, body))
 
     async def list(
@@ -166,7 +139,7 @@
             path = _kind_path(kind) + _query_string(query)
             answer = await self._read(path, self._timeout_s)
             transfer_s += answer.map_or(0.0, _transfer_s)
-            match answer.and_then(lambda resp: _parse_read(_ListBody, resp)):
+            match answer.and_then(lambda resp: parse_page(ListBody, resp.body)):
                 case Err(error):
                     return Err(error)
                 case Ok(page):
@@ -223,11 +196,11 @@
             {"watch": str(since), "wait_ms": wait_ms}
         )
         answer = await self._read(path, timeout_s + WATCH_GRACE_S, on_start)
-        parsed = answer.and_then(lambda resp: _parse_read(_WatchBody, resp))
         transfer_s = answer.map_or(0.0, _transfer_s)
+        parsed = answer.and_then(lambda resp: parse_page(WatchBody, resp.body))
         return parsed.map(lambda body: self._to_batch(kind, body, transfer_s))
 
-    def _to_batch(self, kind: str, body: _WatchBody, transfer_s: float) -> WatchBatch:
+    def _to_batch(self, kind: str, body: WatchBody, transfer_s: float) -> WatchBatch:
         converted = (
             self._to_object(kind, event.object, event.deleted) for event in body.events
         )
@@ -235,7 +208,7 @@
         return WatchBatch(body.store_revision, changes, transfer_s)
 
     def _to_object(
-        self, kind: str, body: _ObjectBody, deleted: bool = False
+        self, kind: str, body: ObjectBody, deleted: bool = False
     ) -> StoredObject | None:
         """Convert an object; return None if its decoder rejects it."""
         name, revision = body.metadata.name, body.metadata.revision
@@ -244,7 +217,8 @@
         decode = self._decoders.get(kind)
         try:
             value = body.spec if decode is None else decode(body.spec)
-        except ValueError as exc:
+        except Exception as exc:
+            # The value may come from another writer, and has been checked only here.
             log.warning(
                 "object_unreadable",
                 kind=kind,
@@ -269,8 +243,8 @@
         except (HTTPError, OSError) as exc:
             return Err(Unavailable(str(exc)))
         if resp.code >= 500:
-            return Err(Unavailable(_describe_response(resp)))
-        return _check_status(resp)
+            return Err(Unavailable(describe_response(resp)))
+        return check_status(resp)
 
     async def _write(
         self, method: str, path: str, metadata: dict[str, Any] | None, value: Any
@@ -292,10 +266,10 @@
         except (HTTPError, OSError) as exc:
             return Err(AnswerLost(str(exc)))
         if resp.code == 503:
-            return Err(Unavailable(_describe_response(resp)))
+            return Err(Unavailable(describe_response(resp)))
         if resp.code >= 500:
-            return Err(AnswerLost(_describe_response(resp)))
-        return _check_status(resp).and_then(_parse_write)
+            return Err(AnswerLost(describe_response(resp)))
+        return check_status(resp).and_then(_parse_write)
 
     def _make_request(
         self,
@@ -343,64 +317,15 @@
     return "?" + urlencode(fields) if fields else ""
 
 
-def _describe_response(resp: HTTPResponse) -> str:
-    text = resp.body[:200].decode("utf-8", "replace")
-    return f"status {resp.code}: {text}"
-
-
 def _transfer_s(resp: HTTPResponse) -> float:
     """Return the time from the first to the last byte of the answer, in seconds."""
     times = resp.time_info
     return max(0.0, times.get("total", 0.0) - times.get("starttransfer", 0.0))
 
 
-def _check_status(resp: HTTPResponse) -> Result[HTTPResponse, PlatformError]:
-    match resp.code:
-        case 200 | 201 | 204:
-            return Ok(resp)
-        case 409:
-            return _parse_conflict(resp)
-        case 410:
-            return Err(Compacted())
-        case 429:
-            return Err(RateLimited(_retry_after_s(resp)))
-        case code:
-            return Err(Rejected(code, _describe_response(resp)))
-
-
-def _parse_conflict(resp: HTTPResponse) -> Result[HTTPResponse, PlatformError]:
-    match _parse(_ObjectBody, resp):
-        case Ok(body):
-            return Err(Conflict(body.metadata.revision))
-        case Err(reason):
-            return Err(Rejected(resp.code, reason))
-
-
-def _retry_after_s(resp: HTTPResponse) -> float:
-    try:
-        return max(0.0, float(resp.headers.get("Retry-After", "")))
-    except ValueError:
-        return DEFAULT_RETRY_AFTER_S
-
-
-def _parse(model: type[Body], resp: HTTPResponse) -> Result[Body, str]:
-    try:
-        return Ok(model.model_validate_json(resp.body))
-    except ValidationError as exc:
-        problems = (
-            f"{'.'.join(str(part) for part in error['loc']) or 'body'}: {error['msg']}"
-            for error in exc.errors()
-        )
-        return Err("invalid answer of the platform: " + "; ".join(problems))
-
-
-def _parse_read(model: type[Body], resp: HTTPResponse) -> Result[Body, PlatformError]:
-    return _parse(model, resp).map_err(Unavailable)
-
-
 def _parse_write(resp: HTTPResponse) -> Result[int, PlatformError]:
     if resp.request.method == "DELETE" and not resp.body:
         return Ok(0)
     # Like a lost answer, an unreadable one does not show whether the write took effect.
-    parsed = _parse(_ObjectBody, resp)
+    parsed = parse(ObjectBody, resp.body)
     return parsed.map(lambda body: body.metadata.revision).map_err(AnswerLost)
