--- a/lentilsill/daemon/controllers/tests/test_upstream_answers.py
+++ b/lentilsill/daemon/controllers/tests/test_upstream_answers.py
@@ -133,3 +133,14 @@
                 self.assertEqual(result.body, b"mine", repeat)
             else:
                 self.assertNotEqual(result.outcome, Outcome.NOT_RUN, repeat)
+
+    async def test_head_that_breaks_off_is_no_answer(self):
+        """Guards against an empty or short success when an upstream stops writing."""
+        whole = answer(body=b"0123456789")
+        old = whole.replace(b"HTTP/1.1", b"HTTP/1.0")
+        interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+        for data in (whole, old, interim + whole):
+            for cut in range(len(data)):
+                result = await self.send((data[:cut], "end"))
+                self.assertNotIsInstance(result, Answer, data[:cut])
+                self.assertNotEqual(result.outcome, Outcome.NOT_RUN, data[:cut])
