--- a/lentilsill/daemon/announcements.py
+++ b/lentilsill/daemon/announcements.py
@@ -28,7 +28,7 @@
 from .blackboard import Topic
 from .context import Context
 
-__all__ = ["Announcements", "parse_announcement"]
+__all__ = ["MAX_SLOTS", "Announcements", "parse_announcement"]
 
 MAX_UPSTREAMS = 64
 MAX_LABELS = 16
--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -20,6 +20,7 @@
 from .connection_close import CloseReason
 from .controllers.reasons import NO_ROUTE
 from .controllers.upstream_client import HOP_BY_HOP
+from .header_numbers import parse_count
 from .integration import Integration
 from .interfaces import CallRequest
 from .outgoing_headers import OutgoingHeaders
@@ -92,16 +93,16 @@
             self.conn.stop_reading(CloseReason.REQUESTED)
         self.method, self.path, self.version = start_line
         self.headers = headers
-        length = headers.get("Content-Length", "0")
-        if length.isdigit() and int(length) > self.server.max_body_bytes:
+        length = parse_count(headers.get("Content-Length", "0")) or 0
+        if length > self.server.max_body_bytes:
             self._refuse(413, "body is over the limit")
             return None
         name = self.server.integration.headers.deadline_ms
-        deadline = headers.get(name, "0")
-        if not (deadline.isascii() and deadline.isdigit()):
+        deadline_ms = parse_count(headers.get(name, "0"))
+        if deadline_ms is None:
             self._refuse(400, f"{name} is not a number")
         else:
-            self.deadline_ms = int(deadline)
+            self.deadline_ms = deadline_ms
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
--- a/lentilsill/daemon/controllers/answer_reader.py
+++ b/lentilsill/daemon/controllers/answer_reader.py
@@ -10,6 +10,7 @@
     ResponseStartLine,
 )
 
+from lentilsill.daemon.header_numbers import parse_count
 from lentilsill.daemon.integration import Integration
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.wire.streams import ProtocolStream
@@ -154,10 +155,10 @@
         """Return how long the connection may be idle before its next request."""
         assert self.headers is not None
         _, _, text = self.headers.get("Keep-Alive", "").partition("timeout=")
-        seconds = text.partition(",")[0].strip()
-        if not seconds.isdigit():
+        seconds = parse_count(text.partition(",")[0].strip())
+        if seconds is None:
             return MAX_IDLE_S
-        return min(MAX_IDLE_S, KEEP_ALIVE_SHARE * int(seconds))
+        return min(MAX_IDLE_S, KEEP_ALIVE_SHARE * seconds)
 
     def result(self) -> CallResult:
         """Return what a complete answer proves about the execution."""
--- a/lentilsill/daemon/controllers/discovery.py
+++ b/lentilsill/daemon/controllers/discovery.py
@@ -11,8 +11,9 @@
 import structlog
 from tornado.httputil import HTTPHeaders
 
-from lentilsill.daemon.announcements import Announcements
+from lentilsill.daemon.announcements import MAX_SLOTS, Announcements
 from lentilsill.daemon.context import Context
+from lentilsill.daemon.header_numbers import parse_count
 from lentilsill.daemon.integration import Integration
 from lentilsill.membership import Announcement, UpstreamRecord, UpstreamState
 from lentilsill.outcomes import Answer, Refused
@@ -100,7 +101,7 @@
         header_names = self._integration.headers
         upstream = headers.get(header_names.upstream, "")
         load_fields = headers.get(header_names.load, "").split(",")
-        slots = int(load_fields[-1]) if load_fields[-1].isdigit() else 1
+        slots = min(parse_count(load_fields[-1]) or 1, MAX_SLOTS)
         if not upstream:
             return None
         service = self._ctx.cfg.host_service
--- a/lentilsill/daemon/controllers/tests/test_upstream_answers.py
+++ b/lentilsill/daemon/controllers/tests/test_upstream_answers.py
@@ -144,3 +144,12 @@
                 result = await self.send((data[:cut], "end"))
                 self.assertNotIsInstance(result, Answer, data[:cut])
                 self.assertNotEqual(result.outcome, Outcome.NOT_RUN, data[:cut])
+
+    async def test_answer_is_lost_by_an_odd_time_to_keep_its_connection(self):
+        """Guards against an error in a header that costs the whole answer (G4)."""
+        for seconds in ("9" * 5000, "\u00b2", "-1", "x", ""):
+            extra = f"Keep-Alive: timeout={seconds}\r\n"
+            head, _, body = answer().partition(b"\r\n")
+            data = head + b"\r\n" + extra.encode("latin-1") + body
+            result = await self.send((data, ""))
+            self.assertIsInstance(result, Answer, seconds[:10])
