Confirm nothing for peers before the first read of the platform

A node counts the age of its confirmation from its start, so that it doesn't read at once. It also sent that age to peers, which took it for a confirmation of the platform: each restarted node that could not read reset the age of its domain, and a version could be late again.

Evidence: test_restarted_node_does_not_confirm_what_it_has_not_read failed before (age 2 ms sent) and passes now.

--- a/lentilsill/daemon/controllers/confirmations.py
+++ b/lentilsill/daemon/controllers/confirmations.py
@@ -57,7 +57,8 @@
     def digest(self, root: str = "") -> Digest:
         """Return the digest of this node's documents with their age."""
         docs = self._documents
-        age_ms = round(self.age_s() * 1000)
+        # A node that has just started knows nothing of the platform.
+        age_ms = round(self.age_s() * 1000) if self._confirmation.is_known else -1
         return Digest(docs.complete_as_of, docs.content_hash, 0, age_ms, root)
 
     def record_read(self, at: float) -> None:
--- a/lentilsill/daemon/controllers/tests/test_silent_platform.py
+++ b/lentilsill/daemon/controllers/tests/test_silent_platform.py
@@ -52,6 +52,21 @@
         paths[0].cut()
         await self.check_version_reaches_all(platform, nodes)
 
+    async def test_restarted_node_does_not_confirm_what_it_has_not_read(self):
+        """Guards against an age that counts from the start of a node without reads."""
+        platform = FakePlatform()
+        nodes, paths = await self.start_domain(platform, "ab")
+        for path in paths:
+            path.is_silent = True
+        blind = PlatformPath(platform)
+        blind.is_silent = True
+        ages = [node.distribution.confirmations for node in nodes]
+        await wait_until(lambda: all(c.age_s() > IN_FORCE_S / 4 for c in ages))
+        started = start_node("c", blind, (nodes[0].address,), in_force_s=IN_FORCE_S)
+        self.addCleanup(started.stop)
+        self.assertLess(started.distribution.confirmations.digest().age_ms, 0)
+        await wait_until(lambda: all(c.age_s() > IN_FORCE_S for c in ages), 3.0)
+
     async def test_platform_that_gives_no_answers_gets_bounded_requests(self):
         """Guards against a whole domain that reads during an outage."""
         platform = FakePlatform()
--- a/lentilsill/distribution/confirmation.py
+++ b/lentilsill/distribution/confirmation.py
@@ -10,6 +10,9 @@
 # requests of a domain during an outage of the platform.
 MAX_BACKUP_READERS = 5
 
+# Source of a confirmation before the first read.
+START = "start"
+
 
 class Confirmation:
     """Latest time at which a node's documents were the newest of the platform.
@@ -29,9 +32,14 @@
 
     def __init__(self, now: float) -> None:
         self.confirmed_at = now
-        self.source = "start"
+        self.source = START
         self._claims: dict[int, tuple[float, str]] = {}
 
+    @property
+    def is_known(self) -> bool:
+        """Whether a read of the platform stands behind it, and not only the start."""
+        return self.source != START
+
     def age_s(self, now: float) -> float:
         """Return the age of the confirmation in seconds, at least 0."""
         return max(0.0, now - self.confirmed_at)
