Apply no notice of unknown start to a process whose start is known

A notice that was heard while the node beside the upstream did not know the start of its process, after a restart, was applied to a later process under the same id, which stayed closed. When two notices were joined, the known start could be lost.

Evidence: test_notice_without_a_start_closes_a_later_process failed before (refused as leaving) and passes now.

--- a/lentilsill/admission/notice.py
+++ b/lentilsill/admission/notice.py
@@ -44,7 +44,7 @@
     >>> old, restarted = Notice(5.0, 20.0, 1000), Notice(None, 10.0, 2000)
     >>> newer_notice(old, restarted) is newer_notice(restarted, old) is restarted
     True
-    >>> newer_notice(old, Notice(None, 19.0)) is old
+    >>> newer_notice(old, Notice(None, 19.0)) == old
     True
     """
     if known is None:
@@ -52,6 +52,8 @@
     if known.started_ms and new.started_ms and known.started_ms != new.started_ms:
         return new if new.started_ms > known.started_ms else known
     newest = new if new.heard_at > known.heard_at else known
-    if newest.is_leaving or not (new.is_leaving or known.is_leaving):
-        return newest
-    return replace(newest, is_leaving=True)
+    return replace(
+        newest,
+        started_ms=max(known.started_ms, new.started_ms),
+        is_leaving=known.is_leaving or new.is_leaving,
+    )
--- a/lentilsill/admission/tests/limit_simulation.py
+++ b/lentilsill/admission/tests/limit_simulation.py
@@ -149,7 +149,7 @@
             entry.notice = newer_notice(entry.notice, notice)
 
     def _apply(self, notice, now):
-        if newer_notice(self.notice, notice) is notice:
+        if newer_notice(self.notice, notice) == notice:
             if self.notice is None or notice.limit_per_s != self.notice.limit_per_s:
                 self.limiter.set_limit(notice.limit_per_s, now)
             self.notice = notice
--- a/lentilsill/daemon/controllers/tests/test_leaving_notices.py
+++ b/lentilsill/daemon/controllers/tests/test_leaving_notices.py
@@ -79,6 +79,19 @@
         self.assertIsInstance(await slow, Answer)
         await self.check_not_called()
 
+    async def test_notice_without_a_start_closes_a_later_process(self):
+        """Guards against a leaving that is taken for that of another process."""
+        self.upstream.extra_head = LEAVING
+        await self.call()
+        self.host.close()
+        await asyncio.sleep(0.05)
+        self.host = self.start_node("host", self.host.port)
+        self.host.add_upstream("w1", self.upstream.port)
+        self.share_members()
+        self.set_started(2000)
+        self.upstream.extra_head = b""
+        self.assertIsInstance(await self.call(), Answer)
+
     async def test_new_process_is_not_called_because_an_earlier_one_left(self):
         """Guards against a leaving that outlives the process that said it."""
         self.set_started(1000)
--- a/lentilsill/daemon/controllers/upstream_notices.py
+++ b/lentilsill/daemon/controllers/upstream_notices.py
@@ -121,8 +121,8 @@
         """Record the notice that an entry node sent along with its call."""
         if row is None:
             return
-        is_of_other_process = 0 < row.started_ms != self.started_ms > 0
-        if not is_of_other_process:
+        # A notice without a start may come from an earlier process.
+        if self.started_ms in (0, row.started_ms):
             self._apply(notice_from_row(row, now), "peer", now)
 
     def row(self, now: float) -> NoticeRow | None:
