--- a/lentilsill/distribution/confirmation.py
+++ b/lentilsill/distribution/confirmation.py
@@ -90,8 +90,8 @@
 
     Examples
     --------
-    >>> [read_due_age_s(rank, 2, 2.0) for rank in (1, 2, 3, 7)]
-    [0.0, 1.3, 1.4, None]
+    >>> [read_due_age_s(rank, 2, 20.0) for rank in (1, 2, 4, 7)]
+    [0.0, 13.0, 15.0, None]
     """
     position = rank - watchers
     if position < 0:
