--- a/lentilsill/admission/rate_limit.py
+++ b/lentilsill/admission/rate_limit.py
@@ -86,7 +86,7 @@
             return 0.0
         self._refill(now)
         needed = 1.0 + ahead
-        if self._has_more_urgent(priority, now):
+        if self._yields_to_urgent(priority, now):
             needed = max(
                 needed, min(self._capacity, needed + RESERVE_SHARE * self._capacity)
             )
@@ -115,7 +115,7 @@
         self._tokens = min(self._capacity, self._tokens + elapsed_s * self._rate)
         self._refilled_at = max(now, self._refilled_at)
 
-    def _has_more_urgent(self, priority: int, now: float) -> bool:
+    def _yields_to_urgent(self, priority: int, now: float) -> bool:
         self._seen_at[priority] = now
         if len(self._seen_at) == 1:
             return False
