--- a/lentilsill/daemon/controllers/confirmations.py
+++ b/lentilsill/daemon/controllers/confirmations.py
@@ -21,7 +21,6 @@
 # Each rank waits this long for the push of a node that ranks before it.
 PUSH_DELAY_PER_RANK_S = 0.1
 MAX_PUSH_DELAY_S = 0.5
-# A node logs a missing confirmation only after a change could have been missed.
 CHECK_INTERVAL_S = 0.5
 
 log = structlog.get_logger()
--- a/lentilsill/daemon/controllers/tests/test_silent_platform.py
+++ b/lentilsill/daemon/controllers/tests/test_silent_platform.py
@@ -37,7 +37,7 @@
         await self.check_version_reaches_all(platform, nodes)
 
     async def test_version_is_missed_while_most_of_a_domain_gets_no_answers(self):
-        """Guards against a single substitute that is as blind as the watchers."""
+        """Guards against a single substitute that gets no answers either."""
         platform = FakePlatform()
         nodes, paths = await self.start_domain(platform, "abcdef")
         for path in paths[:4]:
@@ -58,11 +58,13 @@
         nodes, paths = await self.start_domain(platform, "ab")
         for path in paths:
             path.is_silent = True
-        blind = PlatformPath(platform)
-        blind.is_silent = True
+        silent_path = PlatformPath(platform)
+        silent_path.is_silent = True
         ages = [node.distribution.confirmations for node in nodes]
         await wait_until(lambda: all(c.age_s() > IN_FORCE_S / 4 for c in ages))
-        started = start_node("c", blind, (nodes[0].address,), in_force_s=IN_FORCE_S)
+        started = start_node(
+            "c", silent_path, (nodes[0].address,), in_force_s=IN_FORCE_S
+        )
         self.addCleanup(started.stop)
         self.assertLess(started.distribution.confirmations.digest().age_ms, 0)
         await wait_until(lambda: all(c.age_s() > IN_FORCE_S for c in ages), 3.0)
