--- a/lentilsill/distribution/confirmation.py
+++ b/lentilsill/distribution/confirmation.py
@@ -2,9 +2,9 @@
 
 __all__ = ["Confirmation", "read_due_age_s", "watch_wait_s"]
 
-# These are shares of the time within which a change must be in force everywhere. Watches
-# end often enough that their answers keep the age below `FIRST_BACKUP_SHARE`, and the
-# last rank that reads still has time to pass a change on.
+# Shares of the time within which a change must be in force everywhere. Watches end so
+# often that their answers keep the age below `FIRST_BACKUP_SHARE`, and the last rank
+# that reads still has time to pass a change on.
 WATCH_WAIT_SHARE = 0.45
 FIRST_BACKUP_SHARE = 0.65
 BACKUP_STEP_SHARE = 0.05
