End attempts and calls at their deadline while a sender never stops

Cause: run_after_reading put an abort off for up to 128 turns of the event loop as long as anything was unread, and a turn took about 5 ms for each such connection, as up to 256 chunks were parsed in it. Attempts at a peer were ended by the same function. Ruled out: a timer that is set late or not at all.

Why this works: the time for reading what had arrived is bounded by a clock, not by the sender. The entry node also ends each call on its own clock.

--- a/lentilsill/daemon/controllers/call_results.py
+++ b/lentilsill/daemon/controllers/call_results.py
@@ -2,9 +2,9 @@
 
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 
-from .reasons import RATE_LIMITED, UNREACHABLE
+from .reasons import BUSY, RATE_LIMITED, UNREACHABLE
 
-__all__ = ["is_overload", "is_upstream_failure", "worse_refusal"]
+__all__ = ["is_busy", "is_overload", "is_upstream_failure", "worse_refusal"]
 
 
 def is_upstream_failure(result: CallResult) -> bool:
@@ -17,6 +17,11 @@
     return True
 
 
+def is_busy(result: CallResult) -> bool:
+    """Return whether the upstream refused a slot probe because it had no free slot."""
+    return isinstance(result, Refused) and result.reason == BUSY
+
+
 def is_overload(refusal: Refused) -> bool:
     """Return whether the refusal shows that upstreams have no room.
 
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -23,14 +23,13 @@
 
 from .call_budgets import CallBudgets
 from .call_progress import Attempt, CallProgress, report_call
-from .call_results import is_overload, is_upstream_failure, worse_refusal
+from .call_results import is_busy, is_overload, is_upstream_failure, worse_refusal
 from .destination import DestinationController
 from .local_upstream import Execution, request_fingerprint
 from .peer_attempts import Reply
 from .peer_calls import PeerCalls
 from .placement import AttemptPlacer
 from .reasons import (
-    BUSY,
     CONNECTION_LOST,
     CRASHED,
     NO_ROUTE,
@@ -47,6 +46,9 @@
 # A call whose attempts lost this many upstreams may be what crashes them. The
 # quarantine of one domain does not stop attempts in another.
 MAX_LOST_UPSTREAMS = 2
+# An attempt ends by itself within this time after its deadline, with a reason that is
+# more precise.
+ATTEMPT_END_GRACE_S = 0.15
 
 
 class EntryController:
@@ -162,12 +164,17 @@
     ) -> CallResult:
         self.in_flight += 1
         result: CallResult | None = None
+        limit_s = progress.deadline - self.ctx.now()
         try:
-            result = await run
-            return result
+            async with self.ctx.deadlines.timeout(limit_s, ATTEMPT_END_GRACE_S):
+                result = await run
+        except TimeoutError:
+            self.ctx.count("calls.overdue")
+            result = Refused(Outcome.UNKNOWN, "deadline passed", arrived=True)
         finally:
             self.in_flight -= 1
             report_call(self.ctx, progress, result)
+        return result
 
     async def _run_claimed(self, progress: CallProgress) -> CallResult:
         if self.claims is None:
@@ -176,7 +183,7 @@
         attempt = f"{self.ctx.links.identity.instance}:{next(self._attempt_ids)}"
         remaining_s = progress.deadline - self.ctx.now()
         claim = await self.claims.claim(
-            key, attempt, _content_fingerprint(progress), remaining_s
+            key, attempt, _content_fingerprint(progress.req), remaining_s
         )
         if not isinstance(claim, KeyGranted):
             return claim
@@ -238,8 +245,8 @@
             )
             result = await progress.late_replies.run(attempt)
             if placement.only_if_free:
-                self._placer.record_slot_probe(progress, not _is_busy(result))
-            if _is_busy(result):
+                self._placer.record_slot_probe(progress, not is_busy(result))
+            if is_busy(result):
                 progress.busy_upstreams.add(candidate.upstream)
                 continue
             progress.tried_upstreams.add(candidate.upstream)
@@ -284,7 +291,7 @@
             failed = is_upstream_failure(reply.result)
         finally:
             now = self.ctx.now()
-            if reply is not None and not _is_busy(reply.result):
+            if reply is not None and not is_busy(reply.result):
                 progress.ended_attempts.append(
                     Attempt(candidate, reply.result, reply.load, now - started_at)
                 )
@@ -293,7 +300,7 @@
             progress.late_replies.add(reply.late)
         if reply.load >= 0:
             selector.record_report(upstream, reply.load, self.ctx.now(), progress.kind)
-        if isinstance(reply.result, Refused) and not (failed or _is_busy(reply.result)):
+        if isinstance(reply.result, Refused) and not (failed or is_busy(reply.result)):
             hold_s = reply.result.retry_after_s
             selector.record_refusal(upstream, self.ctx.now(), hold_s)
         return reply.result
@@ -387,12 +394,6 @@
     return Refused(outcome, reason, STARTUP_RETRY_S)
 
 
-def _is_busy(result: CallResult) -> bool:
-    """Return whether the upstream refused a slot probe because it had no free slot."""
-    return isinstance(result, Refused) and result.reason == BUSY
-
-
-def _content_fingerprint(progress: CallProgress) -> str:
+def _content_fingerprint(req: CallRequest) -> str:
     """Return a fingerprint of the content, to detect a key used for another request."""
-    req = progress.req
     return request_fingerprint("", req.service, req.method, req.path, req.body)
--- a/lentilsill/daemon/controllers/tests/call_builders.py
+++ b/lentilsill/daemon/controllers/tests/call_builders.py
@@ -62,8 +62,10 @@
     )
 
 
-def make_request(method: str = "GET", path: str = "/a", body: bytes = b""):
-    return CallRequest("slots", method, path, (), body, "", 0)
+def make_request(
+    method: str = "GET", path: str = "/a", body: bytes = b"", deadline_ms: int = 0
+):
+    return CallRequest("slots", method, path, (), body, "", deadline_ms)
 
 
 def free_port() -> int:
--- a/lentilsill/daemon/deadlines.py
+++ b/lentilsill/daemon/deadlines.py
@@ -1,7 +1,8 @@
 """Deadlines of calls that share one timer of the event loop."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import asynccontextmanager
 
 __all__ = ["Deadlines", "run_after_reading"]
 
@@ -9,8 +10,14 @@
 # routes.
 TICK_S = 0.005
 
-# Turns of the event loop that take in at least 64 KB each: the largest message of 8 MB.
-MAX_READ_TURNS = 128
+# Time for which bytes that had arrived at a deadline are still read. It is not extended
+# for a sender that never stops.
+MAX_READ_S = 0.1
+# A timer that runs this late shows that the process has stalled.
+MIN_STALL_S = 0.05
+# Turns of the event loop that follow when this time is over: after a stall, the first
+# one can run timers before it reads.
+MAX_LATE_READ_TURNS = 2
 
 Entry = tuple[int, Callable[[], object]]
 
@@ -52,6 +59,40 @@
             if not bucket:
                 del self._buckets[entry[0]]
 
+    @asynccontextmanager
+    async def timeout(
+        self, delay_s: float, grace_s: float
+    ) -> AsyncGenerator[None, None]:
+        """Cancel the body `grace_s` after `delay_s`; raise `TimeoutError` instead.
+
+        After a stall of this process, the grace begins anew, so that bytes that have
+        arrived meanwhile are read first.
+        """
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(None) as timeout:
+            is_running = True
+            entry: Entry
+
+            def start_grace(stalls_left: int) -> None:
+                nonlocal entry
+                # The callback can be due already when its entry is removed.
+                if is_running:
+                    end_at_s = loop.time() + grace_s
+                    entry = self.add(grace_s, lambda: expire(end_at_s, stalls_left))
+
+            def expire(end_at_s: float, stalls_left: int) -> None:
+                if stalls_left and loop.time() - end_at_s > MIN_STALL_S:
+                    start_grace(stalls_left - 1)
+                elif is_running:
+                    timeout.reschedule(loop.time())
+
+            entry = self.add(delay_s, lambda: start_grace(1))
+            try:
+                yield
+            finally:
+                is_running = False
+                self.remove(entry)
+
     def _schedule(self, loop: asyncio.AbstractEventLoop, tick: int) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -73,18 +114,21 @@
 
 
 def run_after_reading(
-    has_unread_input: Callable[[], bool],
-    callback: Callable[[], object],
-    max_read_turns: int = MAX_READ_TURNS,
+    has_unread_input: Callable[[], bool], callback: Callable[[], object]
 ) -> None:
-    """Run `callback` once bytes that have arrived are read, or after some turns.
+    """Run `callback` once bytes that have arrived are read, or after `MAX_READ_S`.
 
     After a stall, timers can run before the bytes that have arrived are read.
     """
-    if max_read_turns and has_unread_input():
-        # The event loop reads before it runs timers that are due.
-        asyncio.get_running_loop().call_later(
-            0, run_after_reading, has_unread_input, callback, max_read_turns - 1
-        )
-    else:
-        callback()
+    loop = asyncio.get_running_loop()
+    end_at_s = loop.time() + MAX_READ_S
+
+    def check(late_turns_left: int) -> None:
+        if late_turns_left and has_unread_input():
+            # The event loop reads before it runs timers that are due.
+            is_late = loop.time() >= end_at_s
+            loop.call_later(0, check, late_turns_left - is_late)
+        else:
+            callback()
+
+    check(MAX_LATE_READ_TURNS)
--- a/lentilsill/daemon/tests/test_deadlines.py
+++ b/lentilsill/daemon/tests/test_deadlines.py
@@ -1,9 +1,10 @@
 """Deadlines that share one timer."""
 
 import asyncio
+import time
 import unittest
 
-from lentilsill.daemon.deadlines import Deadlines
+from lentilsill.daemon.deadlines import Deadlines, run_after_reading
 
 
 class DeadlineTests(unittest.IsolatedAsyncioTestCase):
@@ -28,3 +29,60 @@
         self.assertGreaterEqual(loop.time() - start, 0.06)
         self.assertEqual(calls, ["past", "a", "b", "c"])
         self.assertEqual(len(deadlines), 0)
+
+    async def test_timeout_that_is_due_when_its_body_ends_cancels_later_work(self):
+        """The callback of an expired entry still runs after its removal."""
+        deadlines = Deadlines()
+        async with deadlines.timeout(0.01, 0.0):
+            time.sleep(0.03)
+        await asyncio.sleep(0.03)
+        with self.assertRaises(TimeoutError):
+            async with deadlines.timeout(0.01, 0.01):
+                await asyncio.sleep(5)
+        self.assertEqual(len(deadlines), 0)
+
+    async def test_timeout_counts_a_stall_of_the_process(self):
+        """The stall begins in the grace; the body ends in the turns after it."""
+        deadlines = Deadlines()
+        async with deadlines.timeout(0.01, 0.1):
+            await asyncio.sleep(0.05)
+            time.sleep(0.3)
+            await asyncio.sleep(0.02)
+
+
+class RunAfterReadingTests(unittest.IsolatedAsyncioTestCase):
+    TURN_S = 0.02
+    # Callers are answered at most this long after a limit.
+    MAX_LATENESS_S = 0.5
+
+    async def test_sender_without_a_pause_puts_a_deadline_off(self):
+        """Input is always unread, and each turn of the event loop takes long."""
+        loop = asyncio.get_running_loop()
+        ended = loop.create_future()
+
+        def has_unread_input():
+            time.sleep(self.TURN_S)
+            return True
+
+        started_at = loop.time()
+        run_after_reading(has_unread_input, lambda: ended.set_result(loop.time()))
+        async with asyncio.timeout(10):
+            ended_at = await ended
+        self.assertLess(ended_at - started_at, self.MAX_LATENESS_S)
+
+    async def test_answer_that_arrived_in_a_stall_is_given_up_unread(self):
+        """The loop reads only in the second turn after a stall."""
+        turns_until_read = 2
+        unread = []
+
+        def has_unread_input():
+            nonlocal turns_until_read
+            turns_until_read -= 1
+            return turns_until_read >= 0
+
+        run_after_reading(
+            has_unread_input, lambda: unread.append(turns_until_read >= 0)
+        )
+        time.sleep(1.0)
+        await asyncio.sleep(0.05)
+        self.assertEqual(unread, [False])
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -18,6 +18,8 @@
     UnsatisfiableReadError,
 )
 
+from .buffered_reads import BufferedReads, FindEnd
+
 __all__ = ["ProtocolStream"]
 
 # With more unread bytes than this, the transport stops reading from the socket.
@@ -30,8 +32,6 @@
 MAX_READ_PAUSES = 5
 DEFAULT_MAX_BUFFER_BYTES = 100 * 1024 * 1024
 
-FindEnd = Callable[[bytearray], int]
-
 
 class ProtocolStream(asyncio.Protocol):
     """Byte stream of one connection; at most one read may be pending at a time.
@@ -55,11 +55,12 @@
         self._on_connect = on_connect
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._buffer = bytearray()
+        self._reads = BufferedReads(
+            lambda: self._is_closed or self.has_received_eof, self._resume_reading
+        )
         self._is_closed = False
         self._is_reading_paused = False
         self._is_writing_paused = False
-        self._pending_read: tuple[asyncio.Future[bytes], FindEnd] | None = None
         self._pending_writes: list[asyncio.Future[None]] = []
         self._completed_write: asyncio.Future[None] = self._loop.create_future()
         self._completed_write.set_result(None)
@@ -118,50 +119,23 @@
         closed when `consumer` raises.
         """
         self._consumer = consumer
+        data = bytes(self._reads.buffer)
+        self._reads.drop()
         self._resume_reading()
-        data = bytes(self._buffer)
-        self._buffer.clear()
         if data:
             consumer(data)
 
     def _start_read(self, find_end: FindEnd) -> asyncio.Future[bytes]:
-        if self._pending_read is not None:
+        if self._reads.is_pending:
             raise (
                 StreamClosedError() if self._is_closed else RuntimeError("read pending")
             )
-        fut: asyncio.Future[bytes] = self._loop.create_future()
-        self._pending_read = (fut, find_end)
-        if self._buffer:
-            self._try_complete_read()
-        if self._pending_read is not None:
-            if self._is_closed or self.has_received_eof:
-                self._pending_read = None
-                raise StreamClosedError()
-            self._resume_reading()
-        return fut
-
-    def _try_complete_read(self) -> None:
-        assert self._pending_read is not None
-        fut, find_end = self._pending_read
-        try:
-            size = find_end(self._buffer)
-        except UnsatisfiableReadError as exc:
-            self._pending_read = None
-            if not fut.done():
-                fut.set_exception(exc)
-            return
-        if not size:
-            return
-        self._pending_read = None
-        data = bytes(self._buffer[:size])
-        del self._buffer[:size]
-        if len(self._buffer) <= MAX_UNREAD_BYTES:
-            self._resume_reading()
-        if not fut.done():
-            fut.set_result(data)
+        return self._reads.start(find_end)
 
     def _resume_reading(self) -> None:
-        if self._is_reading_paused and not self._is_closed:
+        if not self._is_reading_paused or self._is_closed:
+            return
+        if self._reads.is_waiting or len(self._reads.buffer) <= MAX_UNREAD_BYTES:
             self._is_reading_paused = False
             assert self._transport is not None
             self._transport.resume_reading()
@@ -230,7 +204,7 @@
 
     def has_unread_input(self) -> bool:
         """Return whether bytes are unread, here or in the kernel."""
-        return bool(self._buffer) or self.has_input_in_kernel()
+        return bool(self._reads.buffer) or self.has_input_in_kernel()
 
     def has_input_in_kernel(self) -> bool:
         """Return whether the kernel holds bytes or a close that was not read."""
@@ -250,8 +224,9 @@
         return poll.poll(0)
 
     def close(self) -> None:
-        """Close immediately; bytes that are buffered for the peer are dropped."""
+        """Close immediately; bytes buffered in either direction are dropped."""
         self._abort()
+        self._reads.drop()
         self._set_closed()
 
     def close_gracefully(self) -> None:
@@ -263,9 +238,9 @@
         transport = self._transport
         if self._is_closed or transport is None:
             return
+        self._reads.drop()
         self._resume_reading()
         self._set_closed()
-        self._buffer.clear()
         if transport.can_write_eof():
             transport.write_eof()
         self._linger()
@@ -314,19 +289,11 @@
         """
         self._eof_callback = callback
 
-    def _fail_pending_read(self) -> None:
-        if self._pending_read is not None:
-            fut, _ = self._pending_read
-            self._pending_read = None
-            if not fut.done():
-                fut.set_exception(StreamClosedError())
-                fut.exception()
-
     def _set_closed(self) -> None:
         if self._is_closed:
             return
         self._is_closed = True
-        self._fail_pending_read()
+        self._reads.fail_pending()
         for write in self._pending_writes:
             if not write.done():
                 write.set_exception(StreamClosedError())
@@ -348,12 +315,10 @@
         if self._consumer is not None:
             self._consumer(data)
             return
-        if not self._buffer:
+        if not self._reads.buffer:
             self.input_since_s = self._loop.time()
-        self._buffer += data
-        if self._pending_read is not None:
-            self._try_complete_read()
-        if len(self._buffer) > MAX_UNREAD_BYTES and self._pending_read is None:
+        self._reads.feed(data)
+        if len(self._reads.buffer) > MAX_UNREAD_BYTES and not self._reads.is_waiting:
             self._pause_reading()
 
     def eof_received(self) -> bool:
@@ -361,7 +326,7 @@
         self.has_received_eof = True
         if self._is_closed or self._eof_callback is None or not self._eof_callback():
             return False
-        self._fail_pending_read()
+        self._reads.fail_pending()
         return True
 
     def _pause_reading(self) -> None:
--- a/lentilsill/wire/tests/test_streams.py
+++ b/lentilsill/wire/tests/test_streams.py
@@ -1,6 +1,7 @@
 """`ProtocolStream` limits its buffers and ends pending operations on close."""
 
 import asyncio
+import contextlib
 import socket
 import unittest
 
@@ -10,6 +11,7 @@
     UnsatisfiableReadError,
 )
 
+from lentilsill.wire.buffered_reads import MAX_READS_PER_TURN
 from lentilsill.wire.streams import MAX_UNREAD_BYTES, ProtocolStream
 
 TIMEOUT_S = 5
@@ -40,6 +42,59 @@
         with self.assertRaises(StreamClosedError):
             await self.stream.read_bytes(1)
 
+    async def test_tiny_reads_of_one_connection_delay_all_others(self):
+        """A peer's tiny pieces are read in one turn of the event loop."""
+        self.peer.send(b"x" * 20_000)
+        await self.stream.read_bytes(1)
+        turn = reads = 0
+        reads_by_turn: dict[int, int] = {}
+
+        async def count_turns():
+            nonlocal turn
+            while True:
+                await asyncio.sleep(0)
+                turn += 1
+
+        counting = asyncio.ensure_future(count_turns())
+        while reads < 10_000:
+            await self.stream.read_bytes(1)
+            reads += 1
+            reads_by_turn[turn] = reads_by_turn.get(turn, 0) + 1
+        counting.cancel()
+        self.assertLessEqual(max(reads_by_turn.values()), 2 * MAX_READS_PER_TURN)
+
+    async def test_deferred_read_loses_bytes_before_a_close(self):
+        """The connection closes while a read waits for the next turn."""
+        closed = asyncio.Event()
+        self.stream.set_close_callback(closed.set)
+        self.peer.send(b"x" * (2 * MAX_READS_PER_TURN))
+        await self.stream.read_bytes(1)
+        for _ in range(MAX_READS_PER_TURN):
+            await self.stream.read_bytes(1)
+        read = self.stream.read_bytes(1)
+        self.assertFalse(read.done())
+        self.peer.close()
+        self.stream.connection_lost(None)
+        self.assertEqual(await read, b"x")
+
+    async def test_bytes_that_arrived_are_read_after_an_abort(self):
+        """A request was given up, and the rest of its answer is still parsed."""
+        self.peer.send(b"x" * 1000)
+        await self.stream.read_bytes(1)
+        self.stream.close()
+        with self.assertRaises(StreamClosedError):
+            await self.stream.read_bytes(1)
+
+    async def test_reads_in_small_pieces_stop_the_limit_of_unread_bytes(self):
+        """Bytes arrive faster than tiny reads take them."""
+        await self.send_until_blocked()
+        await self.stream.read_bytes(1)
+        for _ in range(20 * MAX_READS_PER_TURN):
+            await self.stream.read_bytes(1)
+            with contextlib.suppress(BlockingIOError):
+                self.peer.send(b"x" * 65536)
+        self.assertLess(len(self.stream._reads.buffer), 3 * MAX_UNREAD_BYTES)
+
     async def test_head_over_the_limit_fails_its_read_and_is_not_buffered(self):
         """Guards against buffering headers without a limit."""
         read = self.stream.read_until_regex(b"\r\n\r\n", 10)
