Let the server choose the ports of the tests of idle links

test_idle_control_links_are_bounded failed once with "Address already in use": it picked seven ports, released them, and listened on them later, so that another socket could have taken one, or the same one came twice. The server now listens on a port that the kernel chooses; the checks are the same.

--- a/lentilsill/wire/tests/test_links.py
+++ b/lentilsill/wire/tests/test_links.py
@@ -43,6 +43,11 @@
     def make_links(self, node: str) -> PeerLinks:
         return PeerLinks(Identity(node, node * 2, "lahore", free_address()))
 
+    def listen_again(self) -> str:
+        """Let the server listen on one more free port, and return the address."""
+        self.server.listen(f"{HOST}:0")
+        return f"{HOST}:{self.server.port}"
+
     async def raw_exchange(self, data: bytes) -> bytes:
         """Send bytes to the server; return everything it sends until it closes."""
         host, port = self.address.split(":")
@@ -127,9 +132,7 @@
         client = PeerLinks(self.client.identity, max_control_links=3, min_idle_s=0.0)
         client.on(Pong, lambda link, msg: self.received.put_nowait(msg.token))
         self.addCleanup(client.close)
-        addresses = [self.address, *(free_address() for _ in range(7))]
-        for address in addresses[1:]:
-            self.server.listen(address)
+        addresses = [self.address, *(self.listen_again() for _ in range(7))]
         await client.connect(self.address, CALLS)
         for token, address in enumerate(addresses):
             client.send(address, CONTROL, Ping(token))
@@ -148,9 +151,7 @@
         identity = replace(self.client.identity, domain="multan")
         client = PeerLinks(identity, min_idle_s=0.0, max_compressed_call_links=3)
         self.addCleanup(client.close)
-        addresses = [self.address, *(free_address() for _ in range(7))]
-        for address in addresses[1:]:
-            self.server.listen(address)
+        addresses = [self.address, *(self.listen_again() for _ in range(7))]
         used = await client.connect(self.address, CALLS)
         client.is_awaiting_answer = lambda link: link is used
         for address in addresses[1:]:
