Blame a request for a crash only after it crashed an upstream alone

Cause: to be in flight at a crash was taken for having caused it.

Why this works: only the loss of a trial, a run that began alone as a suspect, is evidence, and losses of others at the same time excuse one trial. Reports carry losses with ids that nodes unite. All nodes choose the same upstream for the trials of a request, so copies at many nodes crash one.

--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Collection, Hashable
 from dataclasses import dataclass
+from typing import Any
 
 from .offered_load import OfferedLoad
 from .plan import LATE_ANSWER_VALUE, WaitingCall, plan_starts
@@ -106,6 +107,11 @@
         """Number of calls that wait."""
         return len(self._waiting)
 
+    @property
+    def waiting_calls(self) -> tuple[Any, ...]:
+        """The calls that wait, in the order of their arrival."""
+        return tuple(self._waiting)
+
     @property
     def has_room(self) -> bool:
         """Whether a new call would start at once."""
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -19,21 +19,24 @@
 from .local_upstream import (
     Execution,
     LocalUpstream,
+    call_fingerprint,
     call_kind,
     objective_at,
-    request_fingerprint,
 )
 from .reasons import (
     BUSY,
     CRASHED,
+    CRASHED_IN_TRIAL,
     LEAVING,
     MISDIRECTED,
     RATE_LIMITED,
     RESET_BEFORE_REQUEST,
+    SUSPECTED,
     UNREACHABLE,
     not_run_refusal,
 )
 from .served_calls import ServedCalls
+from .suspects import refuse_suspect
 from .unacknowledged_results import StoreOrphanedResult
 from .upstream_connection_log import UpstreamConnectionLog
 
@@ -117,7 +120,7 @@
     def has_lost_connections(self, upstream: str) -> bool:
         """Return whether a crash check of lost connections is pending."""
         local = self._upstreams.get(upstream)
-        return bool(local and local.lost_fingerprints)
+        return bool(local and local.lost_runs)
 
     def _remove_crashed(self, local: LocalUpstream) -> bool:
         """Report a dead upstream and remove it; False without `drop_upstream`."""
@@ -187,13 +190,14 @@
         if local is None or self._is_closed_to_calls(local):
             return not_run_refusal(LEAVING)
         if self.guard is not None:
-            execution.fingerprint = execution.fingerprint or request_fingerprint(
-                call.request_key, call.service, call.method, call.path, call.body
+            execution.fingerprint = execution.fingerprint or call_fingerprint(
+                call, self.integration.headers.caller_service
             )
-            if self.guard.is_quarantined(execution.fingerprint):
-                return not_run_refusal("request is quarantined")
             if call.is_suspect:
                 self.guard.record_suspect(execution.fingerprint)
+            refused = refuse_suspect(self.guard, execution.fingerprint)
+            if refused is not None:
+                return refused
         limiter = local.notices.limiter
         wait_s = limiter.wait_s(now, call.priority, local.queue.waiting)
         if wait_s > 0:
@@ -248,7 +252,7 @@
     async def _run(self, local: LocalUpstream, execution: Execution) -> CallResult:
         call = execution.call
         remaining_s = execution.deadline - self.ctx.now()
-        local.running[execution] = None
+        local.record_start(execution)
         headers = self._headers(call, remaining_s)
         timer = self.ctx.deadlines.add(
             remaining_s, execution.exchange.abort_at_deadline
@@ -299,7 +303,8 @@
                 check = local.crash_check
                 await asyncio.wait([check], timeout=CRASH_CHECK_TIMEOUT_S)
                 if check.done() and not check.cancelled() and check.result():
-                    return Refused(outcome, CRASHED, arrived=True)
+                    reason = CRASHED_IN_TRIAL if execution.is_trial else CRASHED
+                    return Refused(outcome, reason, arrived=True)
         return result
 
     def _headers(self, call: Call, remaining_s: float) -> list[tuple[str, str]]:
@@ -318,29 +323,31 @@
         assert self.guard is not None
         match result:
             case Answer():
-                self.guard.record_end(execution.fingerprint)
+                self.guard.record_end(execution.run)
             case Refused(outcome=outcome) if (
                 outcome is not Outcome.NOT_RUN and not execution.exchange.abort_reason
             ):
-                if not local.lost_fingerprints:
+                if not local.lost_runs:
                     local.crash_check = self.ctx.spawn(self._check_crash(local))
-                local.lost_fingerprints.append(execution.fingerprint)
+                local.lost_runs.append(execution.run)
 
     async def _check_crash(self, local: LocalUpstream) -> bool:
         """Check whether the upstream whose connections were lost has died."""
         await asyncio.sleep(CRASH_CHECK_DELAY_S)
         if await local.client.is_accepting():
-            local.lost_fingerprints.clear()
+            local.lost_runs.clear()
             self._apply(local.queue.advance(self.ctx.now()))
             return False
         self._remove_crashed(local)
         return True
 
     def _report_death(self, local: LocalUpstream) -> None:
-        suspects = (*local.lost_fingerprints, *local.running_fingerprints())
-        local.lost_fingerprints.clear()
-        if self.guard is not None and suspects:
-            self.guard.record_crash(suspects)
+        runs = local.take_runs_in_flight()
+        if self.guard is None:
+            return
+        self.guard.record_loss(local.record.upstream, runs)
+        for execution in local.waiting_suspects():
+            self.drop_waiting(execution, SUSPECTED)
 
     def _on_leaving(self, upstream: str, started_ms: int) -> None:
         if self.mark_leaving is not None:
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Coroutine
+from dataclasses import replace
 from typing import Any
 
 from lentilsill.admission import CallAges
@@ -25,21 +26,25 @@
 from .call_progress import Attempt, CallProgress, report_call
 from .call_results import is_busy, is_overload, is_upstream_failure, worse_refusal
 from .destination import DestinationController
-from .local_upstream import Execution, request_fingerprint
+from .hedging import run_hedged
+from .local_upstream import Execution, call_fingerprint, request_fingerprint
 from .peer_attempts import Reply
 from .peer_calls import PeerCalls
 from .placement import AttemptPlacer
 from .reasons import (
     CONNECTION_LOST,
     CRASHED,
+    CRASHED_IN_TRIAL,
     NO_ROUTE,
     NO_UPSTREAM,
     NODE_LEAVING,
     NOT_READY,
     OVERLOADED,
     STARTUP_RETRY_S,
+    SUSPECTED,
     not_run_refusal,
 )
+from .suspects import refuse_suspect
 
 __all__ = ["EntryController"]
 
@@ -127,13 +132,13 @@
         needs_claim = bool(req.request_key) and not route.idempotent
         fingerprint = ""
         if needs_claim or self.guard is not None:
-            fingerprint = request_fingerprint(
-                req.request_key, req.service, req.method, req.path, req.body
-            )
-        if self.guard is not None and self.guard.is_quarantined(fingerprint):
+            names = self.destination.integration.headers
+            fingerprint = call_fingerprint(req, names.caller_service)
+        refused = refuse_suspect(self.guard, fingerprint)
+        if refused is not None:
             # The quarantine shows that a request with this key has run before.
             outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
-            return Refused(outcome, "request is quarantined")
+            return replace(refused, outcome=outcome)
         deadline_s = route.deadline_ms / 1000
         if req.deadline_ms > 0:
             deadline_s = min(deadline_s, req.deadline_ms / 1000)
@@ -179,12 +184,13 @@
     async def _run_claimed(self, progress: CallProgress) -> CallResult:
         if self.claims is None:
             return Refused(Outcome.UNKNOWN, "request keys are not supported")
-        key = progress.req.request_key
+        req = progress.req
+        key = req.request_key
+        # It detects that a key is used for another request.
+        content = request_fingerprint("", req.service, req.method, req.path, req.body)
         attempt = f"{self.ctx.links.identity.instance}:{next(self._attempt_ids)}"
         remaining_s = progress.deadline - self.ctx.now()
-        claim = await self.claims.claim(
-            key, attempt, _content_fingerprint(progress.req), remaining_s
-        )
+        claim = await self.claims.claim(key, attempt, content, remaining_s)
         if not isinstance(claim, KeyGranted):
             return claim
         progress.claim_attempt = claim.attempt
@@ -216,7 +222,12 @@
         lost_upstreams = 0
         while True:
             now = self.ctx.now()
-            placement = self._placer.choose(progress, now)
+            if progress.tried_upstreams:
+                refused = refuse_suspect(self.guard, progress.fingerprint)
+                if refused is not None:
+                    return failure or worse_refusal(refusal, refused)
+            is_suspect = progress.is_suspect or self._is_suspect(progress)
+            placement = self._placer.choose(progress, now, is_suspect)
             if placement is None:
                 return (
                     failure or refusal or not_run_refusal(NO_UPSTREAM, STARTUP_RETRY_S)
@@ -240,7 +251,7 @@
             )
             attempt = (
                 self._make_attempt(progress, candidate, placement.only_if_free)
-                if hedge_delay_s is None
+                if hedge_delay_s is None or is_suspect
                 else self._attempt_with_hedge(progress, candidate, hedge_delay_s)
             )
             result = await progress.late_replies.run(attempt)
@@ -252,6 +263,8 @@
             progress.tried_upstreams.add(candidate.upstream)
             if isinstance(result, Answer):
                 progress.arrival_count += 1
+                if self.guard is not None:
+                    self.guard.record_answer(progress.fingerprint)
                 if route.objective_ms:
                     is_late = progress.objective_ms(self.ctx.now()) <= 1
                     self.selector.record_lateness(progress.kind, is_late)
@@ -264,6 +277,8 @@
                 progress.overload_count += is_overload(result)
                 lost_upstreams += result.reason in (CONNECTION_LOST, CRASHED)
                 progress.is_suspect |= result.reason == CRASHED
+                if result.reason in (CRASHED_IN_TRIAL, SUSPECTED):
+                    return refusal
             if lost_upstreams >= MAX_LOST_UPSTREAMS or not decide_retry(
                 result,
                 route.idempotent,
@@ -277,6 +292,9 @@
                     failure or refusal or not_run_refusal(NO_UPSTREAM, STARTUP_RETRY_S)
                 )
 
+    def _is_suspect(self, progress: CallProgress) -> bool:
+        return self.guard is not None and self.guard.is_suspect(progress.fingerprint)
+
     async def _make_attempt(
         self, progress: CallProgress, candidate: Candidate, only_if_free: bool = False
     ) -> CallResult:
@@ -337,39 +355,23 @@
         result = await self.destination.execute(execution)
         return Reply(result, self.destination.expected_time_ms(call))
 
-    async def _attempt_with_hedge(
+    def _attempt_with_hedge(
         self, progress: CallProgress, candidate: Candidate, delay_s: float
-    ) -> CallResult:
-        """Add a second attempt when the first is slow, and cancel the slower one."""
+    ) -> Coroutine[Any, Any, CallResult]:
         budget = self._budgets.for_hedges(progress)
         budget.add_call(self.ctx.now())
-        first = asyncio.ensure_future(self._make_attempt(progress, candidate))
-        running = {first}
-        try:
-            done, _ = await asyncio.wait(running, timeout=delay_s)
-            if done:
-                return first.result()
+
+        def make_second() -> Coroutine[Any, Any, CallResult] | None:
             progress.tried_upstreams.add(candidate.upstream)
             placement = self._placer.choose(progress, self.ctx.now())
-            if placement is not None and budget.take_attempt(self.ctx.now()):
-                other = placement.candidate
-                progress.tried_upstreams.add(other.upstream)
-                self.ctx.count("calls.hedge")
-                running.add(asyncio.ensure_future(self._make_attempt(progress, other)))
-            refusal: Refused | None = None
-            while running:
-                done, running = await asyncio.wait(
-                    running, return_when=asyncio.FIRST_COMPLETED
-                )
-                for task in done:
-                    result = task.result()
-                    if isinstance(result, Answer):
-                        return result
-                    refusal = worse_refusal(refusal, result)
-            return refusal or not_run_refusal(NO_UPSTREAM, STARTUP_RETRY_S)
-        finally:
-            for task in running:
-                task.cancel()
+            if placement is None or not budget.take_attempt(self.ctx.now()):
+                return None
+            progress.tried_upstreams.add(placement.candidate.upstream)
+            self.ctx.count("calls.hedge")
+            return self._make_attempt(progress, placement.candidate)
+
+        attempt = self._make_attempt(progress, candidate)
+        return run_hedged(attempt, delay_s, make_second)
 
     def _on_go_away(self, link: Link, message) -> None:
         if link.hello.purpose == CALLS:
@@ -392,8 +394,3 @@
     """
     outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
     return Refused(outcome, reason, STARTUP_RETRY_S)
-
-
-def _content_fingerprint(req: CallRequest) -> str:
-    """Return a fingerprint of the content, to detect a key used for another request."""
-    return request_fingerprint("", req.service, req.method, req.path, req.body)
--- /dev/null
+++ b/lentilsill/daemon/controllers/hedging.py
@@ -0,0 +1,43 @@
+"""A second attempt beside a slow one."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from lentilsill.outcomes import Answer, CallResult, Refused
+
+from .call_results import worse_refusal
+from .reasons import NO_UPSTREAM, STARTUP_RETRY_S, not_run_refusal
+
+__all__ = ["run_hedged"]
+
+AttemptRun = Coroutine[Any, Any, CallResult]
+
+
+async def run_hedged(
+    attempt: AttemptRun, delay_s: float, make_second: Callable[[], AttemptRun | None]
+) -> CallResult:
+    """Add a second attempt when the first is slow, and cancel the slower one."""
+    first = asyncio.ensure_future(attempt)
+    running = {first}
+    try:
+        done, _ = await asyncio.wait(running, timeout=delay_s)
+        if done:
+            return first.result()
+        second = make_second()
+        if second is not None:
+            running.add(asyncio.ensure_future(second))
+        refusal: Refused | None = None
+        while running:
+            done, running = await asyncio.wait(
+                running, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                result = task.result()
+                if isinstance(result, Answer):
+                    return result
+                refusal = worse_refusal(refusal, result)
+        return refusal or not_run_refusal(NO_UPSTREAM, STARTUP_RETRY_S)
+    finally:
+        for task in running:
+            task.cancel()
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -8,9 +8,10 @@
 
 from lentilsill.admission import AdmissionQueue
 from lentilsill.daemon.integration import Integration
-from lentilsill.daemon.interfaces import CrashGuard
+from lentilsill.daemon.interfaces import CallRequest, CrashGuard
 from lentilsill.membership import UpstreamRecord
 from lentilsill.outcomes import Refused
+from lentilsill.quarantine import Run
 from lentilsill.wire import Link
 from lentilsill.wire.messages import Call
 
@@ -21,6 +22,7 @@
 __all__ = [
     "Execution",
     "LocalUpstream",
+    "call_fingerprint",
     "call_kind",
     "objective_at",
     "request_fingerprint",
@@ -28,7 +30,12 @@
 
 
 def request_fingerprint(
-    request_key: str, service: str, method: str, path: str, body: bytes
+    request_key: str,
+    service: str,
+    method: str,
+    path: str,
+    body: bytes,
+    caller: str = "",
 ) -> str:
     """Return the id under which the quarantine counts crashes of a request.
 
@@ -36,10 +43,20 @@
     """
     if request_key:
         return request_key
-    head = f"{service}\0{method}\0{path}\0".encode()
+    head = f"{service}\0{method}\0{path}\0{caller}\0".encode()
     return xxhash.xxh3_128_hexdigest(head + body)
 
 
+def call_fingerprint(req: CallRequest | Call, caller_header: str) -> str:
+    """Return the fingerprint of a call; `caller_header` names its caller's service."""
+    caller = ""
+    if caller_header:
+        caller = next((v for name, v in req.headers if name == caller_header), "")
+    return request_fingerprint(
+        req.request_key, req.service, req.method, req.path, req.body, caller
+    )
+
+
 @dataclass(eq=False, slots=True)
 class Execution:
     """A call at its destination node.
@@ -47,6 +64,7 @@
     `deadline` is in seconds of one monotonic clock. `link` leads to the entry
     node and is None when that is this node. `admission` is set while the call waits
     for a slot: it resolves to None when the call may start, or to its refusal.
+    `is_trial` is set when the call starts as a suspect, alone on the upstream.
     """
 
     call: Call
@@ -55,13 +73,19 @@
     fingerprint: str = ""
     admission: asyncio.Future[Refused | None] | None = None
     exchange: Exchange = field(default_factory=Exchange)
+    is_trial: bool = False
+
+    @property
+    def run(self) -> Run:
+        """The call as the quarantine counts it."""
+        return Run(self.fingerprint, self.is_trial)
 
 
 class LocalUpstream:
     """An upstream of this node with its queue and connections.
 
-    `lost_fingerprints` names the requests whose connections the upstream lost and
-    which `crash_check` has not resolved. `is_dropped` is set when the upstream is
+    `lost_runs` are the requests whose connections the upstream lost and which
+    `crash_check` has not resolved. `is_dropped` is set when the upstream is
     removed because it crashed.
     """
 
@@ -77,7 +101,7 @@
         self.record = record
         self.guard = guard
         self.running: dict[Execution, None] = {}
-        self.lost_fingerprints: list[str] = []
+        self.lost_runs: list[Run] = []
         self.crash_check: asyncio.Task[bool] | None = None
         self.is_dropped = False
         self.client = UpstreamClient(
@@ -88,14 +112,36 @@
         can_start = None if guard is None else self._can_start
         self.queue = AdmissionQueue(max(1, record.slots), 0, can_start)
 
-    def running_fingerprints(self) -> tuple[str, ...]:
-        return tuple(execution.fingerprint for execution in self.running)
+    def record_start(self, execution: Execution) -> None:
+        """Count a call as running, and determine whether it is a trial."""
+        is_alone = not (self.running or self.lost_runs)
+        execution.is_trial = (
+            self.guard is not None
+            and is_alone
+            and self.guard.is_suspect(execution.fingerprint)
+        )
+        self.running[execution] = None
+
+    def waiting_suspects(self) -> list[Execution]:
+        """Return the calls that wait to run as trials."""
+        guard = self.guard
+        if guard is None:
+            return []
+        return [e for e in self.queue.waiting_calls if guard.is_suspect(e.fingerprint)]
+
+    def take_runs_in_flight(self) -> tuple[Run, ...]:
+        """Return the runs that the death of the upstream has ended."""
+        lost, self.lost_runs = self.lost_runs, []
+        return (*lost, *(execution.run for execution in self.running))
 
     def _can_start(self, execution, running) -> bool:
         assert self.guard is not None
         # A call that starts while a crash check is pending would be in flight at the
         # same crash as the suspect, and the crash would not show which one caused it.
-        others = (*(other.fingerprint for other in running), *self.lost_fingerprints)
+        others = (
+            *(other.fingerprint for other in running),
+            *(run.fingerprint for run in self.lost_runs),
+        )
         return self.guard.can_start(execution.fingerprint, others)
 
 
--- a/lentilsill/daemon/controllers/placement.py
+++ b/lentilsill/daemon/controllers/placement.py
@@ -47,20 +47,23 @@
         """Record whether the probed upstream had a free slot."""
         self._slot_probes.add_result(progress.kind, had_free_slot)
 
-    def choose(self, progress: CallProgress, now: float) -> Placement | None:
+    def choose(
+        self, progress: CallProgress, now: float, is_suspect: bool = False
+    ) -> Placement | None:
         """Choose a target by weight and an upstream of it, or return None.
 
         A target without a usable upstream is replaced by another one. A target
-        whose upstreams are all busy still keeps its share of the calls.
+        whose upstreams are all busy still keeps its share of the calls. All nodes
+        choose the same upstream for a request that is a suspect.
         """
         if progress.target is not None:
-            return self._choose_for(progress, progress.target, now)
+            return self._choose_for(progress, progress.target, now, is_suspect)
         targets = progress.route.targets
         while targets:
             target = choose_target(targets, self._ctx.rng)
             if target is None:
                 break
-            placement = self._choose_for(progress, target, now)
+            placement = self._choose_for(progress, target, now, is_suspect)
             if placement is not None:
                 progress.target = target
                 return placement
@@ -68,9 +71,22 @@
         return None
 
     def _choose_for(
-        self, progress: CallProgress, target: RouteTarget, now: float
+        self,
+        progress: CallProgress,
+        target: RouteTarget,
+        now: float,
+        is_suspect: bool,
     ) -> Placement | None:
         selector = self._selector
+        if is_suspect:
+            candidate = selector.pick_for_trial(
+                target.service,
+                target.upstream_set,
+                now,
+                progress.fingerprint,
+                progress.tried_upstreams,
+            )
+            return None if candidate is None else Placement(target, candidate, False)
         local_upstreams = selector.local_upstreams(
             target.service, target.upstream_set, now
         )
--- a/lentilsill/daemon/controllers/quarantine.py
+++ b/lentilsill/daemon/controllers/quarantine.py
@@ -1,13 +1,14 @@
 """Quarantine of requests that crash their upstreams."""
 
 import asyncio
+import itertools
 from collections import defaultdict
 from collections.abc import Callable
 
 import structlog
 
 from lentilsill.daemon.context import Context
-from lentilsill.quarantine import CrashTracker
+from lentilsill.quarantine import ClearedRow, CrashTracker, LossRow, Run
 from lentilsill.wire import CONTROL, Link, Message
 from lentilsill.wire.messages import CrashReport
 
@@ -19,7 +20,11 @@
 # the receiver may have cleared a request that is only a suspect.
 REPAIR_INTERVAL_S = 10.0
 MAX_REPAIR_ROWS = 64
+# A started node asks several peers, as one of them may have just started as well. It
+# counts as informed after some requests without a reply, as when all nodes start.
 INITIAL_REQUEST_INTERVAL_S = 0.2
+INITIAL_PEERS = 3
+MAX_INITIAL_REQUESTS = 15
 # Nodes of each other domain that get a crash report; one of them may be dead.
 REMOTE_NODES_PER_DOMAIN = 2
 
@@ -44,7 +49,8 @@
         self.push_to_children = push_to_children or self._push_to_all
         self.random_peer_addresses = random_peer_addresses or self._random_members
         self.tracker = CrashTracker()
-        self.has_received_rows = False
+        self.is_informed = False
+        self._loss_numbers = itertools.count(1)
 
     def start(self) -> None:
         """Register the message handler and start the exchange with peers."""
@@ -56,6 +62,14 @@
         """Return whether the request must be refused."""
         return self.tracker.is_quarantined(fingerprint, self.ctx.now())
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a run of the request that begins now is a trial."""
+        return self.tracker.is_suspect(fingerprint, self.ctx.now())
+
+    def hold_s(self, fingerprint: str) -> float:
+        """Return for how many seconds the request must not run."""
+        return self.tracker.hold_s(fingerprint, self.ctx.now())
+
     def can_start(self, fingerprint: str, in_flight: tuple[str, ...]) -> bool:
         """Return whether the request may run beside those in flight on an upstream."""
         return self.tracker.can_start(fingerprint, in_flight, self.ctx.now())
@@ -67,51 +81,113 @@
         """
         self.tracker.suspect(fingerprint, self.ctx.now())
 
-    def record_crash(self, in_flight: tuple[str, ...]) -> None:
-        """Record that an upstream of this node died with these requests in flight."""
-        rows = self.tracker.upstream_died(in_flight, self.ctx.now())
-        if not rows:
-            return
-        log.warning("crash_suspects", suspects=[(row[0], row[1]) for row in rows])
+    def record_loss(self, upstream: str, runs: tuple[Run, ...]) -> None:
+        """Record that an upstream of this node died during these runs.
+
+        A loss without runs is reported too, as it can be the cause of others.
+        """
+        instance = self.ctx.links.identity.instance
+        loss_id = f"{instance}/{next(self._loss_numbers)}"
+        now = self.ctx.now()
+        losses = self.tracker.record_loss(loss_id, runs, now)
+        names = {run.fingerprint for run in runs}
+        suspects = [
+            (name, count)
+            for name, count, _ in self.tracker.report(now)
+            if name in names
+        ]
+        log.warning(
+            "crash_suspects",
+            upstream=upstream,
+            suspects=suspects,
+            trials=sum(run.is_trial for run in runs),
+        )
         self.ctx.count("crashes")
+        self._report_to_all(losses, ())
+
+    def record_end(self, run: Run) -> None:
+        """Record that a run at an upstream of this node finished without a crash.
+
+        Peers are told if it shows that there are copies of the request.
+        """
+        if not len(self.tracker):
+            return
+        name, now = run.fingerprint, self.ctx.now()
+        has_copies = not run.is_trial or self.tracker.loss_count(name, now) > 1
+        if self.tracker.finished(name, now):
+            log.info("crash_suspect_cleared", suspect=name, has_copies=has_copies)
+            if has_copies:
+                self._report_to_all((), ((name, 0),))
+
+    def record_answer(self, fingerprint: str) -> None:
+        """Record that a call of this node was answered."""
+        self.tracker.finished(fingerprint, self.ctx.now())
+
+    def _report_to_all(
+        self, losses: tuple[LossRow, ...], cleared: tuple[ClearedRow, ...]
+    ) -> None:
         root = self.ctx.cfg.node
-        self.push_to_children(root, CrashReport(rows, root))
+        self.push_to_children(root, self._make_report(losses, cleared, root))
+        report = self._make_report(losses, cleared)
         for address in self._other_domains():
-            self.ctx.links.send(address, CONTROL, CrashReport(rows))
+            self.ctx.links.send(address, CONTROL, report)
 
-    def record_end(self, fingerprint: str) -> None:
-        """Record that the request finished without a crash."""
-        self.tracker.finished(fingerprint, self.ctx.now())
+    def _make_report(
+        self,
+        losses: tuple[LossRow, ...],
+        cleared: tuple[ClearedRow, ...] = (),
+        root: str = "",
+    ) -> CrashReport:
+        """Return a report, with the rows for nodes that know no losses."""
+        names = {name for _, _, runs in losses for name, _ in runs}
+        rows = self.tracker.report(self.ctx.now()) if names else ()
+        rows = tuple(row for row in rows if row[0] in names)
+        return CrashReport(rows, root, losses=losses, cleared=cleared)
 
     def _on_report(self, link: Link, message: Message) -> None:
         assert isinstance(message, CrashReport)
         now = self.ctx.now()
-        new_rows = self.tracker.merge(message.rows[:MAX_REPORT_ROWS], now)
+        losses, cleared = self.tracker.merge(
+            message.rows[:MAX_REPORT_ROWS],
+            message.losses[:MAX_REPORT_ROWS],
+            message.cleared[:MAX_REPORT_ROWS],
+            now,
+        )
+        is_new = bool(losses or cleared)
         if link.hello.domain != self.ctx.cfg.domain:
             # The first receiver in a domain is the root of the fan-out tree there.
-            if new_rows:
-                local_node = self.ctx.cfg.node
-                self.push_to_children(local_node, CrashReport(new_rows, local_node))
+            if is_new:
+                root = self.ctx.cfg.node
+                self.push_to_children(root, self._make_report(losses, cleared, root))
         elif message.want_reply:
-            link.send(CrashReport(self.tracker.report(now)[:MAX_REPORT_ROWS]))
+            if self.is_informed or len(self.tracker):
+                rows = self.tracker.report(now)[:MAX_REPORT_ROWS]
+                known = self.tracker.losses_of(rows, now)[:MAX_REPORT_ROWS]
+                link.send(CrashReport(rows, losses=known))
         elif message.root:
-            if new_rows:
-                self.push_to_children(message.root, CrashReport(new_rows, message.root))
+            if is_new:
+                report = self._make_report(losses, cleared, message.root)
+                self.push_to_children(message.root, report)
         else:
-            self.has_received_rows = True
+            self.is_informed = True
 
     async def _exchange(self) -> None:
-        """Request the rows of a peer once, then send reports to repair lost ones."""
+        """Request the reports of peers, then send reports to repair lost ones."""
         rng = self.ctx.rng
-        while not self.has_received_rows:
+        for _ in range(MAX_INITIAL_REQUESTS):
             await asyncio.sleep(INITIAL_REQUEST_INTERVAL_S * rng.uniform(0.5, 1.5))
-            for address in self.random_peer_addresses(1):
+            if self.is_informed:
+                break
+            for address in self.random_peer_addresses(INITIAL_PEERS):
                 self.ctx.links.send(address, CONTROL, CrashReport((), want_reply=True))
+        self.is_informed = True
         while True:
             await asyncio.sleep(REPAIR_INTERVAL_S * rng.uniform(0.5, 1.5))
-            rows = self.tracker.quarantined(self.ctx.now())[:MAX_REPAIR_ROWS]
+            now = self.ctx.now()
+            rows = self.tracker.quarantined(now)[:MAX_REPAIR_ROWS]
+            losses = self.tracker.losses_of(rows, now)[:MAX_REPORT_ROWS]
             for address in self.random_peer_addresses(1) if rows else ():
-                self.ctx.links.send(address, CONTROL, CrashReport(rows))
+                self.ctx.links.send(address, CONTROL, CrashReport(rows, losses=losses))
 
     def _members(self) -> list[str]:
         return [
--- a/lentilsill/daemon/controllers/reasons.py
+++ b/lentilsill/daemon/controllers/reasons.py
@@ -6,6 +6,7 @@
     "BUSY",
     "CONNECTION_LOST",
     "CRASHED",
+    "CRASHED_IN_TRIAL",
     "LEAVING",
     "MISDIRECTED",
     "NODE_LEAVING",
@@ -13,10 +14,12 @@
     "NO_ROUTE",
     "NO_UPSTREAM",
     "OVERLOADED",
+    "QUARANTINED",
     "RATE_LIMITED",
     "REFUSED_BY_UPSTREAM",
     "RESET_BEFORE_REQUEST",
     "STARTUP_RETRY_S",
+    "SUSPECTED",
     "UNREACHABLE",
     "not_run_refusal",
 ]
@@ -28,6 +31,11 @@
 # The upstream failed during the call and no longer accepts connections. The request may
 # have been executed.
 CRASHED = "upstream died during the call"
+# The upstream died as well when it ran only this call.
+CRASHED_IN_TRIAL = "upstream died during the call, which ran alone"
+# Another upstream would be at risk before the reports of the crash have arrived.
+SUSPECTED = "request may have caused a crash"
+QUARANTINED = "request is quarantined"
 LEAVING = "upstream is leaving"
 # Another process now listens on the address of the upstream.
 MISDIRECTED = "address belongs to another upstream"
--- a/lentilsill/daemon/controllers/tests/test_calls.py
+++ b/lentilsill/daemon/controllers/tests/test_calls.py
@@ -49,11 +49,20 @@
     def can_start(self, fingerprint, in_flight):
         return True
 
-    def record_crash(self, in_flight):
-        self.crash_reports.append(in_flight)
+    def is_suspect(self, fingerprint):
+        return False
+
+    def hold_s(self, fingerprint):
+        return 0.0
+
+    def record_loss(self, upstream, runs):
+        self.crash_reports.append(runs)
+
+    def record_end(self, run):
+        self.finished_fingerprints.append(run.fingerprint)
 
-    def record_end(self, fingerprint):
-        self.finished_fingerprints.append(fingerprint)
+    def record_answer(self, fingerprint):
+        pass
 
 
 class CallTests(unittest.IsolatedAsyncioTestCase):
--- a/lentilsill/daemon/controllers/tests/test_claims.py
+++ b/lentilsill/daemon/controllers/tests/test_claims.py
@@ -12,6 +12,7 @@
 from lentilsill.daemon.interfaces import KeyGranted
 from lentilsill.drain import DrainReason
 from lentilsill.outcomes import Answer, Outcome, Refused
+from lentilsill.quarantine import Run
 from lentilsill.wire import CALLS, CONTROL
 from lentilsill.wire.addresses import split_address
 from lentilsill.wire.messages import Claim
@@ -310,9 +311,9 @@
         controllers = [QuarantineController(ctx) for ctx in (a, b)]
         for controller in controllers:
             controller.start()
-        controllers[0].record_crash(("f",))
+        controllers[0].record_loss("w1", (Run("f"),))
         await wait_for(lambda: len(controllers[1].tracker) == 1)
-        controllers[1].record_crash(("f",))
+        controllers[1].record_loss("w2", (Run("f", is_trial=True),))
         await wait_for(lambda: controllers[0].is_quarantined("f"))
 
     async def test_started_node_learns_quarantines(self):
@@ -320,8 +321,8 @@
         a, b = self.make_nodes(2)
         running = QuarantineController(a, lambda root, message: 0, lambda count: [])
         running.start()
-        for _ in range(2):
-            running.record_crash(("f",))
+        for is_trial in (False, True):
+            running.record_loss("w1", (Run("f", is_trial),))
         started = QuarantineController(b)
         started.start()
         await wait_for(lambda: started.is_quarantined("f"))
@@ -341,7 +342,7 @@
         controllers = list(map(make_controller, nodes, following))
         for controller in controllers:
             controller.start()
-        controllers[0].record_crash(("f",))
+        controllers[0].record_loss("w1", (Run("f"),))
         await wait_for(
             lambda: all(len(controller.tracker) for controller in controllers)
         )
--- a/lentilsill/daemon/interfaces.py
+++ b/lentilsill/daemon/interfaces.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from lentilsill.outcomes import CallResult
+from lentilsill.quarantine import Run
 from lentilsill.wire.messages import Delta
 
 __all__ = [
@@ -126,10 +127,22 @@
         """Record another node's report that an upstream died running the request."""
         ...
 
-    def record_crash(self, in_flight: tuple[str, ...]) -> None:
-        """Record that an upstream of this node died with these requests in flight."""
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a run of the request that begins now is a trial."""
         ...
 
-    def record_end(self, fingerprint: str) -> None:
-        """Record that the request finished without a crash."""
+    def hold_s(self, fingerprint: str) -> float:
+        """Return for how many seconds the request must not run."""
+        ...
+
+    def record_loss(self, upstream: str, runs: tuple[Run, ...]) -> None:
+        """Record that an upstream of this node died during these runs."""
+        ...
+
+    def record_end(self, run: Run) -> None:
+        """Record that a run at an upstream of this node finished without a crash."""
+        ...
+
+    def record_answer(self, fingerprint: str) -> None:
+        """Record that a call of this node was answered."""
         ...
--- a/lentilsill/routing/selector.py
+++ b/lentilsill/routing/selector.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from lentilsill.membership import NodeRecord
+from lentilsill.quarantine import choose_trial_place
 from lentilsill.versioning import Snapshot
 
 from .candidates import Candidate, build_candidates
@@ -171,6 +172,24 @@
             )
         return None
 
+    def pick_for_trial(
+        self,
+        service: str,
+        upstream_set: str,
+        now: float,
+        fingerprint: str,
+        tried: Collection[str] = (),
+    ) -> Candidate | None:
+        """Choose the upstream on which a suspected request runs, in any domain."""
+        pool = self._fresh_pool(service, upstream_set, now)
+        usable = {
+            candidate.upstream: candidate
+            for candidate in (*pool.local, *pool.remote)
+            if candidate.upstream not in tried
+        }
+        chosen = choose_trial_place(fingerprint, usable)
+        return None if chosen is None else usable[chosen]
+
     def record_lateness(self, kind: str, is_late: bool) -> None:
         """Record whether a call of the kind was answered after its objective."""
         share = self._late_share.get(kind)
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -261,15 +261,20 @@
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag=11):
-    """Number of crashes for each request fingerprint, with an expiry.
+    """Losses of upstreams, and requests that have been cleared since.
 
-    Rows are (fingerprint, crashes, remaining lifetime in ms). `root` is as in
-    `Delta`; `want_reply` asks for the receiver's rows.
+    `rows` are (fingerprint, count, remaining lifetime in ms), with a count of 2 for a
+    quarantined request, for nodes that know no losses. Rows in `losses` are (id, age
+    in ms, runs), with runs of (fingerprint, is trial), and those in `cleared` are
+    (fingerprint, age in ms). `root` is as in `Delta`; `want_reply` asks for the
+    receiver's report.
     """
 
     rows: tuple[tuple[str, int, int], ...]
     root: str = ""
     want_reply: bool = False
+    losses: tuple[tuple[str, int, tuple[tuple[str, bool], ...]], ...] = ()
+    cleared: tuple[tuple[str, int], ...] = ()
 
 
 Message = Union[  # noqa: UP007 - msgspec needs one union object at run time
