Represent every configuration that the store accepts

Cause: hosts and services were documents of one name space, and a bundle with a name twice was rejected whole. The same price was paid for what is beyond limits made for other documents: names such as *.example and [::1], hosts that differ in letter case, a time limit of 0.4 or 1,000,000 ms, a weight of 90,000, 1,000,000 connections. Ruled out: the distribution; each node logged document_rejected with "appears twice".

Why this works: a bundle keeps hosts and services of one name apart, calls look up hosts and targets look up services. Names are any text, figures become the nearest value of the same effect, weights keep their proportions. An entry that can't be read costs only itself and is logged; a route keeps its place and refuses, so that no shorter prefix takes its requests.

--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -162,8 +162,7 @@
 
     def _service_and_path(self, integration: Integration) -> tuple[str, str]:
         if integration.routes_by_host:
-            host, _, _ = self.headers.get("Host", "").partition(":")
-            return host.lower(), self.path
+            return _host_name(self.headers.get("Host", "")), self.path
         service, slash, remainder = self.path[1:].partition("/")
         if not slash:
             service, question_mark, query = service.partition("?")
@@ -226,6 +225,20 @@
             self.respond(*call_response(Refused(Outcome.RUN_ANSWER_LOST, reason)))
 
 
+def _host_name(host: str) -> str:
+    """Return a host without its port; an IPv6 address is in brackets.
+
+    Examples
+    --------
+    >>> _host_name("Slots.example:80"), _host_name("[::1]:80"), _host_name("[::1]")
+    ('slots.example', '[::1]', '[::1]')
+    """
+    address, bracket, _ = host.partition("]")
+    if host.startswith("[") and bracket:
+        return address.lower() + bracket
+    return host.partition(":")[0].lower()
+
+
 def _says_close(start_line: RequestStartLine, headers: HTTPHeaders) -> bool:
     """Return whether the caller sends no further request on the connection."""
     options = headers.get("Connection", "").lower().split(",")
--- a/lentilsill/daemon/controllers/bundle.py
+++ b/lentilsill/daemon/controllers/bundle.py
@@ -156,7 +156,10 @@
                 self.in_force = bundle
                 self._in_force_since = self.ctx.now()
                 board.snapshot = Snapshot(
-                    bundle.documents, self.complete_as_of, bundle.caller_limits
+                    bundle.documents,
+                    self.complete_as_of,
+                    bundle.caller_limits,
+                    bundle.hosts,
                 )
                 self.ctx.count("documents.in_force_changed")
                 log.info(
@@ -164,7 +167,7 @@
                     version=bundle.version,
                     replaces=replaced,
                     revision=revision,
-                    documents=len(bundle.documents),
+                    documents=len(bundle.documents) + len(bundle.hosts),
                     instance=self.ctx.links.identity.instance,
                     monotonic_s=self.ctx.now(),
                 )
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -101,7 +101,7 @@
         self._indexes = {
             name: index
             for name, index in self._indexes.items()
-            if name in board.snapshot.documents
+            if board.snapshot.find_routes(name) is index.document
         }
         nodes = [*board.members.values(), *board.remote_nodes.values()]
         instances = {node.node: node.instance for node in nodes}
@@ -121,7 +121,7 @@
             return _refused(req, NOT_READY)
         if board.is_refusing_callers:
             return _refused(req, NODE_LEAVING)
-        document = board.snapshot.documents.get(req.service)
+        document = board.snapshot.find_routes(req.service)
         if document is None:
             return _refused(req, NO_ROUTE)
         route = self._route_index(document).match(req.method, req.path)
--- a/lentilsill/documents/bundle.py
+++ b/lentilsill/documents/bundle.py
@@ -1,7 +1,7 @@
 """Bundles: documents that are put in force together as one version."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from types import MappingProxyType
 
 from pydantic import ValidationError
@@ -10,29 +10,106 @@
 from lentilsill.findings import Findings
 
 from .input_models import BundleModel
-from .model import CallerLimits, ServiceDocument
+from .model import CallerLimits, Route, RouteTarget, ServiceDocument
 from .parse import convert_document, format_place
 
-__all__ = ["MAX_BUNDLE_BYTES", "Bundle", "check_targets", "parse_bundle"]
+__all__ = ["MAX_BUNDLE_BYTES", "Bundle", "DocumentNames", "parse_bundle"]
 
 # The limit is above the platform's own limit of 1 MB for a value.
 MAX_BUNDLE_BYTES = 4 * 1024 * 1024
 MAX_FINDINGS = 50
 
 
+def _no_documents() -> Mapping[str, ServiceDocument]:
+    return MappingProxyType({})
+
+
 @dataclass(frozen=True, slots=True)
 class Bundle:
     """All documents of one version of the configuration.
 
     `version` is the number that the operator gave, and `revision` the platform's
     revision at the write. A version is put in force as a whole, so that documents
-    never refer to documents of another version.
+    never refer to documents of another version. `hosts` holds the documents of
+    virtual hosts that have the name of a service; the others are in `documents`.
     """
 
     version: int
     revision: int
     documents: Mapping[str, ServiceDocument]
     caller_limits: CallerLimits
+    hosts: Mapping[str, ServiceDocument] = field(default_factory=_no_documents)
+
+
+class DocumentNames:
+    """Documents by name, of which a virtual host and a service can share one."""
+
+    def __init__(self) -> None:
+        self.documents: dict[str, ServiceDocument] = {}
+        self.hosts: dict[str, ServiceDocument] = {}
+
+    def add(self, document: ServiceDocument) -> bool:
+        """Add a document; False if there is one of its name and kind.
+
+        Examples
+        --------
+        >>> from lentilsill.documents import parse_document
+        >>> names = DocumentNames()
+        >>> host = parse_document({"service": "a"}, "a", 1).unwrap()
+        >>> value = {"service": "a", "upstream_sets": {"all": {}}}
+        >>> service = parse_document(value, "a", 1).unwrap()
+        >>> names.add(host), names.add(host), names.add(service)
+        (True, False, True)
+        >>> names.hosts["a"] is host
+        True
+        """
+        name = document.service
+        other = self.documents.get(name)
+        if other is None:
+            self.documents[name] = document
+            return True
+        if name in self.hosts or _is_host(document) == _is_host(other):
+            return False
+        if _is_host(document):
+            self.hosts[name] = document
+        else:
+            self.hosts[name], self.documents[name] = other, document
+        return True
+
+    def check_targets(self, findings: Findings) -> None:
+        """Add a finding for each target whose upstream set is not in the bundle."""
+        for document in (*self.documents.values(), *self.hosts.values()):
+            for route in document.routes:
+                for target in route.targets:
+                    self._check_target(document, route, target, findings)
+
+    def _check_target(
+        self,
+        document: ServiceDocument,
+        route: Route,
+        target: RouteTarget,
+        findings: Findings,
+    ) -> None:
+        found = self.documents.get(target.service)
+        if found is None or target.upstream_set not in found.upstream_sets:
+            findings.add(
+                f"{document.service}.{route.name}",
+                f"no upstream set {target.upstream_set!r} of {target.service!r}",
+            )
+
+    def make_bundle(self, model: BundleModel, revision: int) -> Bundle:
+        """Return the bundle of these documents."""
+        return Bundle(
+            model.version,
+            revision,
+            MappingProxyType(self.documents),
+            CallerLimits(**model.caller_limits.model_dump()),
+            MappingProxyType(self.hosts),
+        )
+
+
+def _is_host(document: ServiceDocument) -> bool:
+    return not document.upstream_sets
 
 
 def parse_bundle(text: str, revision: int) -> Result[Bundle, Findings]:
@@ -58,30 +135,11 @@
         for error in errors[:MAX_FINDINGS]:
             findings.add(format_place(error["loc"]), error["msg"])
         return Err(findings)
-    documents: dict[str, ServiceDocument] = {}
+    names = DocumentNames()
     for index, document in enumerate(model.documents):
-        if document.service in documents:
+        if not names.add(convert_document(document, revision)):
             findings.add(f"documents[{index}].service", "appears twice")
-        documents[document.service] = convert_document(document, revision)
-    check_targets(documents, findings)
+    names.check_targets(findings)
     if findings:
         return Err(findings)
-    limits = CallerLimits(**model.caller_limits.model_dump())
-    return Ok(Bundle(model.version, revision, MappingProxyType(documents), limits))
-
-
-def check_targets(documents: Mapping[str, ServiceDocument], findings: Findings) -> None:
-    """Add a finding for each target whose upstream set is not in the bundle."""
-    for document in documents.values():
-        for route in document.routes:
-            for target in route.targets:
-                target_document = documents.get(target.service)
-                if (
-                    target_document is None
-                    or target.upstream_set not in target_document.upstream_sets
-                ):
-                    findings.add(
-                        f"{document.service}.{route.name}",
-                        f"no upstream set {target.upstream_set!r} of "
-                        f"{target.service!r}",
-                    )
+    return Ok(names.make_bundle(model, revision))
--- a/lentilsill/documents/bundle_text.py
+++ b/lentilsill/documents/bundle_text.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterator
-from types import MappingProxyType
 from typing import Any
 
 from pydantic import ValidationError
@@ -15,9 +14,9 @@
 
 from lentilsill.findings import Findings
 
-from .bundle import MAX_BUNDLE_BYTES, Bundle, check_targets, parse_bundle
-from .input_models import MAX_BUNDLE_DOCUMENT_ROUTES, BundleModel, BundleRouteModel
-from .model import CallerLimits, Route, ServiceDocument
+from .bundle import MAX_BUNDLE_BYTES, Bundle, DocumentNames, parse_bundle
+from .input_models import BundleModel, BundleRouteModel
+from .model import Route
 from .parse import convert_document, convert_route
 
 __all__ = ["BundleReader", "bundle_text"]
@@ -89,30 +88,23 @@
             return None
         text_without_routes, route_lines = split
         routes: dict[str, Route] = {}
-        documents: dict[str, ServiceDocument] = {}
+        names = DocumentNames()
         try:
             model = BundleModel.model_validate_json(text_without_routes)
             if len(model.documents) != len(route_lines):
                 return None
             for document, lines in zip(model.documents, route_lines, strict=True):
-                if (
-                    document.service in documents
-                    or len(lines) > MAX_BUNDLE_DOCUMENT_ROUTES
-                ):
-                    return None
                 converted = tuple(self._read_route(line, routes) for line in lines)
-                documents[document.service] = convert_document(
-                    document, revision, converted
-                )
+                if not names.add(convert_document(document, revision, converted)):
+                    return None
         except ValidationError:
             return None
         findings = Findings()
-        check_targets(documents, findings)
+        names.check_targets(findings)
         if findings:
             return None
         self._routes = routes
-        limits = CallerLimits(**model.caller_limits.model_dump())
-        return Bundle(model.version, revision, MappingProxyType(documents), limits)
+        return names.make_bundle(model, revision)
 
     def _read_route(self, line: str, routes: dict[str, Route]) -> Route:
         route = self._routes.get(line)
--- a/lentilsill/platform/configuration.py
+++ b/lentilsill/platform/configuration.py
@@ -2,12 +2,19 @@
 
 A virtual host becomes the document of a service that has the host's name. Each
 service of the platform becomes a document with the upstream set ``all``.
+
+The platform accepts only valid configurations. What is beyond the limits of documents
+is adjusted to the nearest value that has the same effect; an entry that can't be read
+is left out or answers nothing, and is logged. Documents that were valid before keep
+their text, since nodes of two releases send each other patches of it.
 """
 
-from typing import Any
+from collections.abc import Iterable, Iterator
+from typing import Annotated, Any
 
 import msgspec
-from pydantic import BaseModel, Field, ValidationError
+import structlog
+from pydantic import BaseModel, BeforeValidator, Field, ValidationError
 
 __all__ = [
     "CONFIGURATION_KIND",
@@ -22,11 +29,40 @@
 VERSION_BASE = 16
 # Weights in documents are integers; those of the platform may be fractions.
 WEIGHT_SCALE = 100
+MAX_WEIGHT = 1_000_000
+# Largest error of a weight that is rounded to an integer, as a share of the weight.
+MAX_WEIGHT_ERROR = 0.01
+# Figures beyond the limits of documents, of which the nearest has the same effect: a
+# time limit of 24 days, and more connections than descriptors.
+MAX_TIME_MS = 2**31 - 1
+MAX_PRIORITY = 2**31 - 1
+MAX_ATTEMPTS = 10
+MAX_SLOTS = 100_000
+# Limits on what callers send, with the smallest values of documents.
+MIN_LIMITS = {
+    "max_header_bytes": 1024,
+    "max_body_bytes": 0,
+    "header_timeout_ms": 1,
+    "idle_timeout_ms": 1,
+}
+MAX_LOGGED_ENTRIES = 20
+
+log = structlog.get_logger()
+
+
+def _round_text(value: Any) -> Any:
+    """Read a number that is written with a fraction as an integer."""
+    is_fraction = isinstance(value, float) and abs(value) < MAX_TIME_MS
+    return round(value) if is_fraction else value
+
+
+Number = Annotated[float, Field(allow_inf_nan=False)]
+Integer = Annotated[int, BeforeValidator(_round_text)]
 
 
 class _Share(BaseModel):
     service: str
-    weight: float = Field(ge=0)
+    weight: float = Field(ge=0, allow_inf_nan=False)
 
 
 class _Route(BaseModel):
@@ -34,41 +70,48 @@
     path_prefix: str
     # ``safe`` if a request may run more than once; not a type of route.
     kind: str
-    timeout_ms: float = Field(gt=0)
-    target_latency_ms: float = 0
+    timeout_ms: Number
+    target_latency_ms: Number = 0
     # 0 is the most urgent priority.
-    priority: int = Field(default=0, ge=0)
+    priority: Integer = 0
     # Number of upstreams that a request may be sent to, including the first.
-    max_attempts: int = Field(default=1, ge=1)
+    max_attempts: Integer = 1
     service: str | None = None
     weighted_split: list[_Share] | None = None
 
 
+class _RoutePlace(BaseModel):
+    """The part of a route that says which requests it takes."""
+
+    path_prefix: str
+
+
 class _Host(BaseModel):
     host: str
     # Routes are validated one by one, as most are the same as in the last version.
-    path_routes: list[dict[str, Any]]
+    path_routes: list[Any]
 
 
 class _Service(BaseModel):
     name: str
     health_path: str = "/health"
     # Number of connections from all callers together; not a number of requests.
-    max_connections: int = Field(default=100, ge=1)
+    max_connections: Integer = 100
+
+
+class _ServiceName(BaseModel):
+    name: str
 
 
-class _Limits(BaseModel):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: int
-    idle_timeout_ms: int
+class _Limit(BaseModel):
+    value: Integer
 
 
 class _Configuration(BaseModel):
     version: str
-    services: list[_Service]
-    virtual_hosts: list[_Host]
-    limits: _Limits
+    services: list[Any]
+    virtual_hosts: list[Any]
+    limits: dict[str, Any]
 
 
 def decode_version(text: str) -> int:
@@ -86,12 +129,14 @@
     """Decodes successive configuration objects.
 
     The translated routes of the last object are kept, so that only new routes are
-    validated and translated.
+    validated and translated. `findings` names the entries of the last object that
+    could not be read.
     """
 
     def __init__(self) -> None:
         # Translated routes by the JSON text of the platform's route.
         self._routes: dict[bytes, dict[str, Any]] = {}
+        self.findings: list[str] = []
 
     def __call__(self, spec: Any) -> dict[str, Any]:
         """Return the bundle for a configuration object as a JSON value.
@@ -99,38 +144,57 @@
         Raises
         ------
         ValueError
-            The object is not a valid configuration; the text names each bad field.
+            The object is not a configuration; the text names each bad field.
         """
-        problems: list[str] = []
+        findings: list[str] = []
         try:
             cfg = _Configuration.model_validate(spec)
         except ValidationError as exc:
             raise ValueError("; ".join(_describe_errors(exc))) from exc
+        version = decode_version(cfg.version)
+        services = {
+            service["service"]: service
+            for service in _translate_services(cfg.services, findings)
+        }
+        # The names of hosts don't depend on the case of letters.
+        hosts: dict[str, list[dict[str, Any]]] = {}
         routes: dict[bytes, dict[str, Any]] = {}
-        documents = [_translate_service(service) for service in cfg.services]
-        for host_index, host in enumerate(cfg.virtual_hosts):
-            translated = []
+        for index, raw_host in enumerate(cfg.virtual_hosts):
+            place = f"virtual_hosts.{index}."
+            try:
+                host = _Host.model_validate(raw_host)
+            except ValidationError as exc:
+                findings += _describe_errors(exc, place)
+                continue
+            translated = hosts.setdefault(host.host.lower(), [])
             for route_index, raw_route in enumerate(host.path_routes):
                 key = msgspec.json.encode(raw_route)
-                try:
-                    route = self._routes.get(key) or _translate_route(
-                        _Route.model_validate(raw_route)
-                    )
-                except ValidationError as exc:
-                    prefix = f"virtual_hosts.{host_index}.path_routes.{route_index}."
-                    problems += _describe_errors(exc, prefix)
-                    continue
+                route = self._routes.get(key)
+                if route is None:
+                    route_place = f"{place}path_routes.{route_index}."
+                    route = _read_route(raw_route, route_place, services, findings)
+                    if route is None:
+                        continue
                 routes[key] = route
                 translated.append(route)
-            documents.append({"service": host.host.lower(), "routes": translated})
-        if problems:
-            raise ValueError("; ".join(problems))
+        limits = _translate_limits(cfg.limits, findings)
         self._routes = routes
-        return {
-            "version": decode_version(cfg.version),
-            "documents": documents,
-            "caller_limits": cfg.limits.model_dump(),
-        }
+        self._log(version, findings)
+        documents = [
+            *services.values(),
+            *({"service": name, "routes": items} for name, items in hosts.items()),
+        ]
+        return {"version": version, "documents": documents, "caller_limits": limits}
+
+    def _log(self, version: int, findings: list[str]) -> None:
+        if findings and findings != self.findings:
+            log.warning(
+                "configuration_entries_unreadable",
+                version=version,
+                findings=findings[:MAX_LOGGED_ENTRIES],
+                findings_count=len(findings),
+            )
+        self.findings = findings
 
 
 def decode_configuration(spec: Any) -> dict[str, Any]:
@@ -145,18 +209,82 @@
     ]
 
 
-def _translate_service(service: _Service) -> dict[str, Any]:
-    return {
-        "service": service.name,
-        "upstream_sets": {ALL_UPSTREAMS: {}},
-        "limits": {"slots_per_upstream": service.max_connections},
-    }
+def _translate_services(
+    raw_services: Iterable[Any], findings: list[str]
+) -> Iterator[dict[str, Any]]:
+    for index, raw_service in enumerate(raw_services):
+        place = f"services.{index}."
+        try:
+            service = _Service.model_validate(raw_service)
+        except ValidationError as exc:
+            findings += _describe_errors(exc, place)
+            try:
+                service = _Service(name=_ServiceName.model_validate(raw_service).name)
+            except ValidationError:
+                continue
+        yield {
+            "service": service.name,
+            "upstream_sets": {ALL_UPSTREAMS: {}},
+            "limits": {
+                "slots_per_upstream": _clamp(service.max_connections, MAX_SLOTS)
+            },
+        }
+
+
+def _translate_limits(
+    raw_limits: dict[str, Any], findings: list[str]
+) -> dict[str, Any]:
+    """Return the limits; one that can't be read has the default of documents."""
+    limits: dict[str, Any] = {}
+    for name, smallest in MIN_LIMITS.items():
+        try:
+            limit = _Limit.model_validate({"value": raw_limits.get(name)})
+        except ValidationError as exc:
+            findings += _describe_errors(exc, f"limits.{name}.")
+        else:
+            limits[name] = max(smallest, limit.value)
+    return limits
+
+
+def _read_route(
+    raw_route: Any, place: str, services: dict[str, Any], findings: list[str]
+) -> dict[str, Any] | None:
+    """Return a translated route.
+
+    One that can't be read still takes its requests, and refuses them: a shorter prefix
+    might lead to another service. It is None if even its prefix can't be read.
+    """
+    try:
+        route = _Route.model_validate(raw_route)
+        if route.service is not None or route.weighted_split:
+            return _translate_route(route)
+        findings.append(f"{place}service: missing")
+    except ValidationError as exc:
+        findings += _describe_errors(exc, place)
+    try:
+        prefix = _RoutePlace.model_validate(raw_route).path_prefix
+    except ValidationError:
+        return None
+    service = next(iter(services), None)
+    if service is None:
+        return None
+    share = _Share(service=service, weight=0)
+    return _translate_route(
+        _Route(
+            name="unreadable",
+            path_prefix=prefix,
+            kind="",
+            timeout_ms=1,
+            weighted_split=[share],
+        )
+    )
 
 
 def _translate_route(route: _Route) -> dict[str, Any]:
     shares = route.weighted_split or []
     if route.service is not None and not shares:
         shares = [_Share(service=route.service, weight=1)]
+    weights = _scale_weights([share.weight for share in shares])
     return {
         "name": route.name,
         "match": {"path_prefix": route.path_prefix},
@@ -164,14 +292,37 @@
             {
                 "service": share.service,
                 "upstream_set": ALL_UPSTREAMS,
-                "weight": round(share.weight * WEIGHT_SCALE),
+                "weight": weight,
             }
-            for share in shares
+            for share, weight in zip(shares, weights, strict=True)
         ],
         "idempotent": route.kind == IDEMPOTENT_KIND,
-        "deadline_ms": round(route.timeout_ms),
-        "objective_ms": round(route.target_latency_ms),
-        "priority": route.priority,
-        # Documents allow at most 10 attempts.
-        "retry": {"max_attempts": min(route.max_attempts, 10)},
+        "deadline_ms": _clamp(round(route.timeout_ms), MAX_TIME_MS),
+        "objective_ms": _clamp(round(route.target_latency_ms), MAX_TIME_MS, 0),
+        "priority": _clamp(route.priority, MAX_PRIORITY, 0),
+        "retry": {"max_attempts": _clamp(route.max_attempts, MAX_ATTEMPTS)},
     }
+
+
+def _scale_weights(weights: list[float]) -> list[int]:
+    """Return integers in the proportions of the weights.
+
+    Examples
+    --------
+    >>> _scale_weights([90, 10]), _scale_weights([90_000, 10_000])
+    ([9000, 1000], [1000000, 111111])
+    >>> _scale_weights([0.001, 0.003, 0])
+    [333333, 1000000, 0]
+    """
+    scaled = [weight * WEIGHT_SCALE for weight in weights]
+    is_exact = all(
+        abs(round(weight) - weight) <= MAX_WEIGHT_ERROR * weight for weight in scaled
+    )
+    largest = max(weights, default=0)
+    if not is_exact or largest * WEIGHT_SCALE > MAX_WEIGHT:
+        scaled = [weight / largest * MAX_WEIGHT for weight in weights]
+    return [round(weight) for weight in scaled]
+
+
+def _clamp(value: int, largest: int, smallest: int = 1) -> int:
+    return max(smallest, min(value, largest))
