Bound the memory of all answers and bodies that are arriving

Another operator reported: a worker sent bytes without end, the machine kept them all, ran out of memory, and the requests of other clients ended with it.

Bodies of callers had the same gap.

Bodies have 16 MB while arriving and 16 MB in calls; beyond that a request gets 503, has not run, and is told when to come back.

--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -21,6 +21,7 @@
 from .controllers.reasons import NO_ROUTE
 from .controllers.upstream_client import HOP_BY_HOP
 from .header_numbers import parse_count
+from .held_bytes import HeldBytes
 from .integration import Integration
 from .interfaces import CallRequest
 from .outgoing_headers import OutgoingHeaders
@@ -29,6 +30,8 @@
 __all__ = ["CallerRequest", "RequestServer", "call_response", "json_response"]
 
 OUTCOME_HEADER = "Lentilsill-Outcome"
+# About the time of a call, after which its body is freed.
+BODY_RETRY_AFTER_S = 0.1
 OUTCOME_STATUS = {
     Outcome.NOT_RUN: 503,
     Outcome.RUN_ANSWER_LOST: 502,
@@ -51,6 +54,11 @@
         """Size of the largest body that is accepted, in bytes."""
         ...
 
+    @property
+    def held_bytes(self) -> HeldBytes:
+        """Bound on the bodies of requests that are still arriving."""
+        ...
+
     def start_call(self, request: "CallerRequest") -> None:
         """Start the call of a request that has arrived completely."""
         ...
@@ -75,8 +83,7 @@
         self.path = ""
         self.headers = HTTPHeaders()
         self.deadline_ms = 0
-        self.chunks: list[bytes] = []
-        self.body_size = 0
+        self.body = bytearray()
         self.task: asyncio.Task[None] | None = None
         self.is_answered = False
         self.is_passed_on = False
@@ -106,14 +113,39 @@
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        self.body_size += len(chunk)
-        if self.body_size > self.server.max_body_bytes:
+        if self.is_answered:
+            return None
+        if len(self.body) + len(chunk) > self.server.max_body_bytes:
             self._refuse(413, "body is over the limit")
-        elif not self.is_answered:
-            self.chunks.append(chunk)
+        else:
+            self.body += chunk
+            self.server.held_bytes.add(self, len(chunk))
         return None
 
+    def drop_held_bytes(self) -> None:
+        """Refuse the request, since all arriving bodies take too much memory."""
+        self.refuse_overload()
+        self.conn.stop_reading(CloseReason.BAD_REQUEST)
+        self.conn.close_if_answered()
+
+    def refuse_overload(self) -> None:
+        """Refuse the request for the memory that bodies take."""
+        body = {"outcome": Outcome.NOT_RUN.value, "reason": "too many bytes in bodies"}
+        log.warning(
+            "request_body_refused",
+            attempt=self.attempt_id,
+            size=len(self.body),
+            arriving_bytes=self.server.held_bytes.total_bytes,
+        )
+        self._free_body()
+        self.respond(*json_response(503, body, Outcome.NOT_RUN, BODY_RETRY_AFTER_S))
+
+    def _free_body(self) -> None:
+        self.server.held_bytes.remove(self)
+        self.body.clear()
+
     def finish(self) -> None:
+        self.server.held_bytes.remove(self)
         if self.is_answered:
             return
         if not self.stream.can_be_passed_on:
@@ -129,7 +161,7 @@
         if not self.is_answered:
             self.record_lost()
         self.is_answered = True
-        self.chunks.clear()
+        self._free_body()
         if self.task is not None:
             self.task.cancel()
 
@@ -144,15 +176,17 @@
             self.conn.record_lost(self.attempt_id)
 
     def call_request(self) -> CallRequest:
-        """Build the call that the request describes."""
+        """Build the call that the request describes; its body is moved to the call."""
         integration = self.server.integration
+        body = bytes(self.body)
+        self.body.clear()
         service, path = self._service_and_path(integration)
         return CallRequest(
             service,
             self.method,
             path,
             self.forwarded_headers(),
-            b"".join(self.chunks),
+            body,
             self.headers.get(integration.headers.request_key, "")
             if integration.headers.request_key
             else "",
@@ -192,6 +226,7 @@
     def _refuse(self, status: int, reason: str) -> None:
         """Refuse the request and close, since the rest of its body is not read."""
         body = {"outcome": Outcome.NOT_RUN.value, "reason": reason}
+        self._free_body()
         self.conn.stop_reading(CloseReason.BAD_REQUEST)
         self.respond(*json_response(status, body, Outcome.NOT_RUN))
         self.conn.close_if_answered()
--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -20,6 +20,7 @@
 
 from .caller_request import CallerRequest, call_response, json_response
 from .connection_close import CloseReason, OnClosed, ignore_close
+from .held_bytes import HeldBytes
 from .integration import DEFAULT_INTEGRATION, Integration
 from .interfaces import CallService, IssuedKeys
 from .pipelining import PipelinedConnection
@@ -46,6 +47,10 @@
 # takes bytes only when about a third of its buffer is free. Polls are counted, since a
 # stall of this process leaves callers no time.
 MAX_IDLE_POLLS = 400
+# Bodies of all requests that are arriving, and of all calls in progress. Together with
+# the answers that are being read, they are within the 128 MB that a node may take.
+MAX_ARRIVING_BODY_BYTES = 16 * 1024 * 1024
+MAX_CALL_BODY_BYTES = 16 * 1024 * 1024
 # Connections that wait to be accepted. A full queue delays callers by seconds.
 ACCEPT_BACKLOG = 1024
 
@@ -101,6 +106,8 @@
         self._sockets: list[socket.socket] = []
         self._idle_timer: asyncio.TimerHandle | None = None
         self._request_tasks: set[asyncio.Task[None]] = set()
+        self.held_bytes = HeldBytes(MAX_ARRIVING_BODY_BYTES)
+        self._call_body_bytes = 0
         self._opening: set[asyncio.Task] = set()
 
     @property
@@ -219,11 +226,21 @@
 
     def start_call(self, request: CallerRequest) -> None:
         """Start the call of a request that has arrived completely."""
+        size = len(request.body)
+        if size and self._call_body_bytes + size > MAX_CALL_BODY_BYTES:
+            request.refuse_overload()
+            return
         task = asyncio.ensure_future(self._answer(request))
+        if size:
+            self._call_body_bytes += size
+            task.add_done_callback(lambda _: self._free_call_body(size))
         request.task = task
         self._request_tasks.add(task)
         task.add_done_callback(self._request_tasks.discard)
 
+    def _free_call_body(self, size: int) -> None:
+        self._call_body_bytes -= size
+
     async def _answer(self, request: CallerRequest) -> None:
         path = request.path
         if path.startswith(NODE_PATH_PREFIX) and not self.integration.routes_by_host:
--- a/lentilsill/daemon/controllers/answer_reader.py
+++ b/lentilsill/daemon/controllers/answer_reader.py
@@ -1,6 +1,7 @@
 """Reading of one answer of an upstream, and what it proves."""
 
 import asyncio
+from collections.abc import Callable
 
 import structlog
 from tornado.httputil import (
@@ -75,8 +76,11 @@
         sent_attempt_id: str,
         address: str,
         is_reused: bool,
+        on_bytes: Callable[[int], None],
     ) -> None:
         self.address = address
+        # Called with the number of bytes of each piece of the body.
+        self._on_bytes = on_bytes
         self.method = method
         self.stream = stream
         self.integration = integration
@@ -87,7 +91,8 @@
         self.status = 0
         self.headers: HTTPHeaders | None = None
         self.headed_at = 0.0
-        self.chunks: list[bytes] = []
+        # Many small pieces take far more memory in a list than their bytes.
+        self.body = bytearray()
         self.is_complete = False
         self.can_reuse_connection = False
 
@@ -107,7 +112,8 @@
         )
 
     def data_received(self, chunk: bytes) -> None:
-        self.chunks.append(chunk)
+        self.body += chunk
+        self._on_bytes(len(chunk))
 
     def finish(self) -> None:
         self.is_complete = self.status > 0 and self._is_delimited()
@@ -195,7 +201,7 @@
             for name, value in self.headers.get_all()
             if name.lower() not in HOP_BY_HOP
         )
-        return Answer(self.status, headers, b"".join(self.chunks))
+        return Answer(self.status, headers, bytes(self.body))
 
 
 def unknown_outcome(reason: str) -> Refused:
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from lentilsill.admission import AdmissionQueue
+from lentilsill.daemon.held_bytes import HeldBytes
 from lentilsill.daemon.integration import Integration
 from lentilsill.daemon.interfaces import CallRequest, CrashGuard
 from lentilsill.membership import UpstreamRecord
@@ -97,6 +98,7 @@
         integration: Integration,
         on_closed: OnUpstreamClosed = ignore_upstream_close,
         on_leaving: Callable[[str, int], None] = lambda upstream, started_ms: None,
+        held_bytes: HeldBytes | None = None,
     ) -> None:
         self.record = record
         self.guard = guard
@@ -105,7 +107,7 @@
         self.crash_check: asyncio.Task[bool] | None = None
         self.is_dropped = False
         self.client = UpstreamClient(
-            record.address, post_reuse_s, integration, on_closed
+            record.address, post_reuse_s, integration, on_closed, held_bytes
         )
         self.notices = UpstreamNotices(record.upstream, integration.headers, on_leaving)
         self.client.on_answer_head = self.notices.record_answer
--- a/lentilsill/daemon/controllers/tests/test_endless_answers.py
+++ b/lentilsill/daemon/controllers/tests/test_endless_answers.py
@@ -5,9 +5,11 @@
 
 from lentilsill.daemon.controllers.upstream_client import (
     MAX_ANSWER_BYTES,
+    MAX_HELD_ANSWER_BYTES,
     Exchange,
     UpstreamClient,
 )
+from lentilsill.daemon.held_bytes import HeldBytes
 from lentilsill.daemon.integration import HeaderNames, Integration
 from lentilsill.outcomes import Outcome
 from lentilsill.tests.endless_server import EndlessServer
@@ -66,6 +68,43 @@
                     result.outcome, (Outcome.UNKNOWN, Outcome.RUN_ANSWER_LOST)
                 )
 
+    async def test_sum_of_endless_answers_exhausts_the_memory(self):
+        """Each answer is within its own limit; a small one beside them is whole."""
+        held = HeldBytes(MAX_HELD_ANSWER_BYTES)
+        small = EndlessServer()
+        await small.start()
+        self.addCleanup(small.stop)
+        small.answer = HEAD + b"Content-Length: 4\r\n\r\nsm"
+        small.filler, small.pause_s = b"al", 0.5
+        clients = [UpstreamClient(small.address, 10.0, INTEGRATION, held_bytes=held)]
+        clients += [
+            UpstreamClient(self.server.address, 10.0, INTEGRATION, held_bytes=held)
+            for _ in range(20)
+        ]
+        largest = 0
+
+        async def watch():
+            nonlocal largest
+            while True:
+                await asyncio.sleep(0)
+                largest = max(largest, held.total_bytes)
+
+        self.server.answer, self.server.filler = ENDLESS_ANSWERS["chunked body"]
+        watching = asyncio.ensure_future(watch())
+        async with asyncio.timeout(2 * TIMEOUT_S):
+            results = await asyncio.gather(
+                *(
+                    client.send(Exchange(), "GET", "/", (), b"", False, "a1")
+                    for client in clients
+                )
+            )
+        watching.cancel()
+        self.assertEqual(getattr(results[0], "body", None), b"smal")
+        outcomes = {getattr(result, "outcome", None) for result in results[1:]}
+        self.assertLessEqual(outcomes, {Outcome.UNKNOWN, Outcome.RUN_ANSWER_LOST})
+        self.assertLessEqual(largest, MAX_HELD_ANSWER_BYTES)
+        self.assertEqual(held.total_bytes, 0)
+
     async def test_slow_endless_answers_end_at_the_deadline(self):
         """Guards against a slot that stays busy for as long as bytes arrive."""
         self.server.pause_s = 0.01
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -16,6 +16,7 @@
 )
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
+from lentilsill.daemon.held_bytes import HeldBytes
 from lentilsill.daemon.integration import DEFAULT_INTEGRATION, Integration
 from lentilsill.daemon.outgoing_headers import OutgoingHeaders
 from lentilsill.outcomes import CallResult, Outcome, Refused
@@ -37,12 +38,15 @@
     ignore_upstream_close,
 )
 
-__all__ = ["HOP_BY_HOP", "Exchange", "UpstreamClient"]
+__all__ = ["HOP_BY_HOP", "MAX_HELD_ANSWER_BYTES", "Exchange", "UpstreamClient"]
 
 log = structlog.get_logger()
 
 # An answer and its headers must fit in a message of 8 MB.
 MAX_ANSWER_BYTES = 7 * 1024 * 1024
+# All answers that a process is reading. With the program and the unread bytes of its
+# connections, this is within the 128 MB that a node may take.
+MAX_HELD_ANSWER_BYTES = 24 * 1024 * 1024
 # Answers to earlier requests that are skipped before a connection is closed.
 MAX_STRAY_ANSWERS = 4
 MAX_REFUSED_ATTEMPTS = 256
@@ -61,11 +65,13 @@
         post_reuse_s: float = 0.0,
         integration: Integration = DEFAULT_INTEGRATION,
         on_closed: OnUpstreamClosed = ignore_upstream_close,
+        held_bytes: HeldBytes | None = None,
     ) -> None:
         self.address = address
         self.post_reuse_s = post_reuse_s
         self.integration = integration
         self._connections = UpstreamConnections(address, on_closed)
+        self._held_bytes = held_bytes or HeldBytes(MAX_HELD_ANSWER_BYTES)
         # Called with the head of each complete answer to a request, the time when the
         # head arrived and the time now, in seconds of the loop's clock.
         self.on_answer_head: Callable[[HTTPHeaders, float, float], None] | None = None
@@ -162,6 +168,7 @@
             sent_attempt_id,
             self.address,
             is_reused,
+            partial(self._held_bytes.add, exchange),
         )
         reader = reader_of()
         length = len(body) if body or method in ("POST", "PUT", "PATCH") else None
@@ -196,6 +203,7 @@
         finally:
             # The connection may carry another request from now on.
             exchange.stream = None
+            self._held_bytes.remove(exchange)
             is_answered = done and reader.is_complete and not reader.is_stray
             can_reuse = is_answered and reader.can_reuse_connection
             # Unsent bytes of this request must not precede the next request.
--- a/lentilsill/daemon/controllers/upstream_connections.py
+++ b/lentilsill/daemon/controllers/upstream_connections.py
@@ -114,6 +114,10 @@
         if self.stream is not None:
             self.stream.close()
 
+    def drop_held_bytes(self) -> None:
+        """Abort, since the answers that are being read take too much memory."""
+        self.abort("answers that are being read exceed their limit")
+
     def abort_at_deadline(self) -> None:
         """Abort, after bytes that have arrived are read."""
         run_after_reading(
