Answer calls before a stopping process is killed

Another operator reported: in a planned stop, requests that came late in the grace were taken and passed on, and were cut with no answer at its end.

Here a call in progress, or one accepted in the drain, kept the whole limit of its route, and the process waited for it until SIGKILL.

The node now ends such calls 0.5 s before it is killed, as unknown, and gives a call that it accepts in the drain no more time than that.

--- a/lentilsill/daemon/blackboard.py
+++ b/lentilsill/daemon/blackboard.py
@@ -1,5 +1,6 @@
 """State shared by the controllers of a node."""
 
+import math
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -46,6 +47,9 @@
         Whether the node accepts calls; whether it is shutting down.
     is_refusing_callers : bool
         Whether a node that is draining has begun to refuse callers.
+    calls_end_at_s : float
+        Time of the monotonic clock at which a node that is draining ends the calls
+        that are still in progress, as its process ends soon after.
     dump_parts : dict
         Functions that return the controllers' parts of the state dump, by part name.
     """
@@ -58,6 +62,7 @@
     ready: bool = False
     draining: bool = False
     is_refusing_callers: bool = False
+    calls_end_at_s: float = math.inf
     dump_parts: dict[str, Callable[[], Any]] = field(default_factory=dict)
     _subscribers: dict[Topic, list[Callable[[], None]]] = field(
         default_factory=lambda: defaultdict(list)
--- a/lentilsill/daemon/controllers/drain.py
+++ b/lentilsill/daemon/controllers/drain.py
@@ -13,6 +13,10 @@
 
 POLL_INTERVAL_S = 0.05
 
+# After the bound, calls in progress have this time left: the process is killed about a
+# second after the bound, and a caller must get an answer before.
+LAST_CALLS_S = 0.5
+
 log = structlog.get_logger()
 
 
@@ -44,6 +48,8 @@
         self.state = self.state.begin(self.ctx.now())
         log.info("drain_started", in_flight=self.in_flight())
         self.ctx.board.draining = True
+        bound_s = self.ctx.cfg.calls.drain_bound_s
+        self.ctx.board.calls_end_at_s = self.state.began_s + bound_s + LAST_CALLS_S
         self.ctx.board.notify(Topic.DRAIN)
 
     async def run(self) -> DrainReason:
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -23,6 +23,7 @@
 from lentilsill.wire.messages import Call, GoAway
 
 from .call_budgets import CallBudgets
+from .call_limits import CallLimits
 from .call_progress import Attempt, CallProgress, report_call
 from .call_results import is_busy, is_overload, is_upstream_failure, worse_refusal
 from .destination import DestinationController
@@ -51,9 +52,6 @@
 # A call whose attempts lost this many upstreams may be what crashes them. The
 # quarantine of one domain does not stop attempts in another.
 MAX_LOST_UPSTREAMS = 2
-# An attempt ends by itself within this time after its deadline, with a reason that is
-# more precise.
-ATTEMPT_END_GRACE_S = 0.15
 
 
 class EntryController:
@@ -83,6 +81,7 @@
         self._attempt_ids = itertools.count(1)
         self._placer = AttemptPlacer(ctx, self.selector)
         self._budgets = CallBudgets(ctx)
+        self._limits = CallLimits(ctx)
         self._leaving_nodes: dict[str, str] = {}
         self._indexes: dict[str, RouteIndex] = {}
         ctx.links.on(GoAway, self._on_go_away)
@@ -143,9 +142,8 @@
         if req.deadline_ms > 0:
             deadline_s = min(deadline_s, req.deadline_ms / 1000)
         now = self.ctx.now()
-        progress = CallProgress(
-            req, document, route, now, now + deadline_s, fingerprint
-        )
+        deadline = min(now + deadline_s, board.calls_end_at_s)
+        progress = CallProgress(req, document, route, now, deadline, fingerprint)
         if req.deadline_ms > 0:
             progress.age_s = (
                 self.call_ages.age_ms(progress.kind, req.deadline_ms) / 1000
@@ -169,17 +167,12 @@
     ) -> CallResult:
         self.in_flight += 1
         result: CallResult | None = None
-        limit_s = progress.deadline - self.ctx.now()
         try:
-            async with self.ctx.deadlines.timeout(limit_s, ATTEMPT_END_GRACE_S):
-                result = await run
-        except TimeoutError:
-            self.ctx.count("calls.overdue")
-            result = Refused(Outcome.UNKNOWN, "deadline passed", arrived=True)
+            result = await self._limits.run(run, progress.deadline)
+            return result
         finally:
             self.in_flight -= 1
             report_call(self.ctx, progress, result)
-        return result
 
     async def _run_claimed(self, progress: CallProgress) -> CallResult:
         if self.claims is None:
--- a/lentilsill/daemon/controllers/tests/test_drain.py
+++ b/lentilsill/daemon/controllers/tests/test_drain.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from typing import Any
 
-from lentilsill.daemon.controllers.drain import DrainController
+from lentilsill.daemon.controllers.drain import LAST_CALLS_S, DrainController
 from lentilsill.drain import DrainReason
 from lentilsill.outcomes import Answer, Outcome
 
@@ -64,3 +65,35 @@
         self.upstream.gates["/slow"].set()
         self.assertIsInstance(await call, Answer)
         self.assertEqual(await drain, DrainReason.IDLE)
+
+    async def test_call_in_progress_is_cut_when_the_process_is_killed(self):
+        """Its limit is beyond the grace period, so that nothing else ends it."""
+        self.upstream.gates["/slow"] = asyncio.Event()
+        self.addCleanup(self.upstream.gates["/slow"].set)
+        calls = [
+            asyncio.ensure_future(self.near.entry.handle(make_request(method, "/slow")))
+            for method in ("GET", "POST")
+        ]
+        await wait_for(lambda: len(self.upstream.seen) == 2)
+        self.drain.state = replace(self.drain.state, bound_s=0.5)
+        limits = self.near.ctx.cfg.calls.model_copy(update={"drain_bound_s": 0.5})
+        self.near.ctx.cfg = self.near.ctx.cfg.model_copy(update={"calls": limits})
+        self.assertEqual(await self.drain.run(), DrainReason.BOUND)
+        async with asyncio.timeout(LAST_CALLS_S + 0.3):
+            results = await asyncio.gather(*calls)
+        outcomes = {getattr(result, "outcome", None) for result in results}
+        self.assertEqual(outcomes, {Outcome.UNKNOWN})
+
+    async def test_late_call_may_run_beyond_the_end_of_the_process(self):
+        """It is accepted in the drain with more time than the process has left."""
+        limits: list[int] = []
+        execute = self.far.destination.execute
+
+        async def record(execution):
+            limits.append(execution.call.deadline_ms)
+            return await execute(execution)
+
+        self.far.destination.execute = record  # type: ignore[method-assign]
+        self.drain.begin()
+        await self.near.entry.handle(make_request("POST"))
+        self.assertLessEqual(limits[0], 1000 * (2.0 + LAST_CALLS_S))
--- a/lentilsill/daemon/deadlines.py
+++ b/lentilsill/daemon/deadlines.py
@@ -62,11 +62,11 @@
     @asynccontextmanager
     async def timeout(
         self, delay_s: float, grace_s: float
-    ) -> AsyncGenerator[None, None]:
+    ) -> AsyncGenerator[Callable[[], None], None]:
         """Cancel the body `grace_s` after `delay_s`; raise `TimeoutError` instead.
 
         After a stall of this process, the grace begins anew, so that bytes that have
-        arrived meanwhile are read first.
+        arrived meanwhile are read first. Yields a function that cancels the body now.
         """
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(None) as timeout:
@@ -83,12 +83,16 @@
             def expire(end_at_s: float, stalls_left: int) -> None:
                 if stalls_left and loop.time() - end_at_s > MIN_STALL_S:
                     start_grace(stalls_left - 1)
-                elif is_running:
+                else:
+                    end_now()
+
+            def end_now() -> None:
+                if is_running:
                     timeout.reschedule(loop.time())
 
             entry = self.add(delay_s, lambda: start_grace(1))
             try:
-                yield
+                yield end_now
             finally:
                 is_running = False
                 self.remove(entry)
