Return an upstream's failure rather than "not run" for a suspect

A call whose first attempt was answered with a failure, and whose second one waited as a trial at an upstream that died, was refused as not run, though it had run. The new test got no status before; it gets the failure now. A run that ends no longer counts all suspects, only its own entry is looked up.

--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -271,7 +271,7 @@
                 lost_upstreams += result.reason in (CONNECTION_LOST, CRASHED)
                 progress.is_suspect |= result.reason == CRASHED
                 if result.reason in (CRASHED_IN_TRIAL, SUSPECTED):
-                    return refusal
+                    return failure or refusal
             if lost_upstreams >= MAX_LOST_UPSTREAMS or not decide_retry(
                 result,
                 route.idempotent,
--- a/lentilsill/daemon/controllers/quarantine.py
+++ b/lentilsill/daemon/controllers/quarantine.py
@@ -110,9 +110,9 @@
 
         Peers are told if it shows that there are copies of the request.
         """
-        if not len(self.tracker):
-            return
         name, now = run.fingerprint, self.ctx.now()
+        if not self.tracker.is_suspect(name, now):
+            return
         has_copies = not run.is_trial or self.tracker.loss_count(name, now) > 1
         if self.tracker.finished(name, now):
             log.info("crash_suspect_cleared", suspect=name, has_copies=has_copies)
--- a/lentilsill/daemon/controllers/tests/test_suspects.py
+++ b/lentilsill/daemon/controllers/tests/test_suspects.py
@@ -134,3 +134,24 @@
         ]
         self.assertEqual(names[0], names[2])
         self.assertNotEqual(names[0], names[1])
+
+    async def test_request_that_ran_is_refused_as_not_run_when_it_is_a_suspect(self):
+        """Its first attempt got a failure; the second one waits for a trial."""
+        failed = b"HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\nfail"
+        self.upstreams[0].raw_answers["/top"] = failed
+        gate = self.upstreams[0].gates["/top"] = asyncio.Event()
+        call = await self.start_at(0)
+        self.set_members(self.nodes[1])
+        req = make_request("GET", "/top")
+        self.guards[1].record_suspect(call_fingerprint(req, ""))
+        busy = self.upstreams[1].gates["/busy"] = asyncio.Event()
+        self.addCleanup(busy.set)
+        other = await self.start_at(1, "/busy")
+        self.set_members(self.nodes[1])
+        gate.set()
+        await wait_for(lambda: self.nodes[1].destination.in_flight_total == 2)
+        self.nodes[1].destination.on_upstream_crash("w1")
+        result = await call
+        self.assertEqual(getattr(result, "status", None), 500)
+        busy.set()
+        await other
