Keep a report with more losses than fit from raising

A loss of a report could be evicted by a later one of the same report, and the list of new losses then raised KeyError (test_report_with_more_losses_than_fit_raises did before).

--- a/lentilsill/quarantine/tests/test_tracker.py
+++ b/lentilsill/quarantine/tests/test_tracker.py
@@ -148,3 +148,11 @@
             self.lose(5.0, *(f"{number}-{i}" for i in range(20)))
         self.assertLess(self.tracker._run_count, 20_000)
         self.assertTrue(self.tracker.is_quarantined("bad", 6.0))
+
+    def test_report_with_more_losses_than_fit_raises(self):
+        """Losses of a report are evicted by later ones of the same report."""
+        names = tuple((f"r{i}", False) for i in range(200))
+        rows = [(f"loss {number}", 0, names) for number in range(200)]
+        new_losses, _ = self.merge(rows, 1.0)
+        self.assertLess(len(new_losses), len(rows))
+        self.assertTrue(self.tracker.is_suspect("r0", 1.0))
--- a/lentilsill/quarantine/tracker.py
+++ b/lentilsill/quarantine/tracker.py
@@ -264,7 +264,7 @@
                 int((now_s - loss.at_s) * 1000),
                 tuple((run.fingerprint, run.is_trial) for run in loss.runs),
             )
-            for loss in map(self._losses.__getitem__, loss_ids)
+            for loss in (self._losses[i] for i in loss_ids if i in self._losses)
         )
 
     def _find(self, fingerprint: str, now_s: float) -> _Entry | None:
