--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -47,8 +47,8 @@
 # takes bytes only when about a third of its buffer is free. Polls are counted, since a
 # stall of this process leaves callers no time.
 MAX_IDLE_POLLS = 400
-# Bodies of all requests that are arriving, and of all calls in progress; a node may take
-# 128 MB, and has other messages to hold.
+# Bodies of all requests that are arriving, and of all calls in progress; a node may
+# take 128 MB, and has other messages to hold.
 MAX_ARRIVING_BODY_BYTES = 8 * 1024 * 1024
 MAX_CALL_BODY_BYTES = 8 * 1024 * 1024
 # Connections that wait to be accepted. A full queue delays callers by seconds.
