Translate an unreadable route anew in each version

What stands for an unreadable route names a service of its version. It was kept with the other translated routes, so a later version without that service was rejected whole, and the route was no longer named in the log. The new test failed before.

--- a/lentilsill/platform/configuration.py
+++ b/lentilsill/platform/configuration.py
@@ -50,14 +50,14 @@
 log = structlog.get_logger()
 
 
-def _round_text(value: Any) -> Any:
+def _round_fraction(value: Any) -> Any:
     """Read a number that is written with a fraction as an integer."""
     is_fraction = isinstance(value, float) and abs(value) < MAX_TIME_MS
     return round(value) if is_fraction else value
 
 
 Number = Annotated[float, Field(allow_inf_nan=False)]
-Integer = Annotated[int, BeforeValidator(_round_text)]
+Integer = Annotated[int, BeforeValidator(_round_fraction)]
 
 
 class _Share(BaseModel):
@@ -172,9 +172,14 @@
                 route = self._routes.get(key)
                 if route is None:
                     route_place = f"{place}path_routes.{route_index}."
+                    known_count = len(findings)
                     route = _read_route(raw_route, route_place, services, findings)
                     if route is None:
                         continue
+                    if len(findings) > known_count:
+                        # What stands for it depends on the services of this version.
+                        translated.append(route)
+                        continue
                 routes[key] = route
                 translated.append(route)
         limits = _translate_limits(cfg.limits, findings)
--- a/lentilsill/platform/tests/test_odd_configurations.py
+++ b/lentilsill/platform/tests/test_odd_configurations.py
@@ -150,6 +150,17 @@
                         rng = random.Random(1)
                         self.assertIsNone(choose_target(route.targets, rng))
 
+    def test_unreadable_route_rejects_a_later_version_without_its_service(self):
+        """What stood for the route referred to a service that is gone."""
+        decoder = ConfigurationDecoder()
+        spec = with_route(timeout_ms=None)
+        parse_bundle(json.dumps(decoder(spec)), 31).unwrap()
+        for route in spec["virtual_hosts"][0]["path_routes"][1:]:
+            route["service"] = "b"
+        spec["services"] = spec["services"][1:]
+        parse_bundle(json.dumps(decoder(spec)), 32).unwrap()
+        self.assertEqual(len(decoder.findings), 1)
+
     def test_unreadable_entry_rejects_the_version(self):
         """The log names the entry, and the others are in force."""
         for place in ("services", "virtual_hosts"):
