Say that the connection closes when an arriving body is refused

The 503 was written before reading stopped, so it had no Connection: close (the extended test failed before), and the caller could have sent further requests on it.

--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -124,8 +124,8 @@
 
     def drop_held_bytes(self) -> None:
         """Refuse the request, since all arriving bodies take too much memory."""
-        self.refuse_overload()
         self.conn.stop_reading(CloseReason.BAD_REQUEST)
+        self.refuse_overload()
         self.conn.close_if_answered()
 
     def refuse_overload(self) -> None:
--- a/lentilsill/daemon/tests/test_body_memory.py
+++ b/lentilsill/daemon/tests/test_body_memory.py
@@ -71,6 +71,7 @@
             status, head = await self.read_status(reader)
             self.assertEqual(status, 503)
             self.assertIn(b"Retry-After", head)
+            self.assertIn(b"Connection: close", head)
         self.assertEqual(self.calls.paths, [f"/{count}"])
 
     async def test_bodies_of_calls_in_progress_exhaust_the_memory(self):
