--- a/lentilsill/daemon/controllers/call_limits.py
+++ b/lentilsill/daemon/controllers/call_limits.py
@@ -1,11 +1,13 @@
 """Ends of calls on the clock of the node that has taken them from a caller."""
 
+import asyncio
 import math
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
+from lentilsill.daemon.deadlines import Deadlines
 from lentilsill.outcomes import CallResult, Outcome, Refused
 
 __all__ = ["CallLimits"]
@@ -13,6 +15,8 @@
 # An attempt ends by itself within this time after its deadline, with a reason that is
 # more precise.
 ATTEMPT_END_GRACE_S = 0.15
+# A timer that runs this late shows that the process has stalled.
+MIN_STALL_S = 0.05
 
 
 class CallLimits:
@@ -23,7 +27,7 @@
 
     def __init__(self, ctx: Context) -> None:
         self.ctx = ctx
-        self._running: set[Callable[[], None]] = set()
+        self._running: set[_Limit] = set()
         self._has_stopped = False
         ctx.board.subscribe(Topic.DRAIN, self._schedule_stop)
 
@@ -31,19 +35,22 @@
         self, call: Coroutine[Any, Any, CallResult], deadline: float
     ) -> CallResult:
         """Run a call, and end it as `unknown` after its deadline."""
-        limit_s = deadline - self.ctx.now()
-        timeout = self.ctx.deadlines.timeout(limit_s, ATTEMPT_END_GRACE_S)
+        task = asyncio.current_task()
+        assert task is not None
+        limit = _Limit(self.ctx.deadlines, task, deadline - self.ctx.now())
+        self._running.add(limit)
         try:
-            async with timeout as end_now:
-                self._running.add(end_now)
-                try:
-                    return await call
-                finally:
-                    self._running.discard(end_now)
-        except TimeoutError:
-            self.ctx.count("calls.overdue")
-            reason = "node is stopping" if self._has_stopped else "deadline passed"
-            return Refused(Outcome.UNKNOWN, reason, arrived=True)
+            return await call
+        except asyncio.CancelledError:
+            # The caller may have left at the same moment.
+            if not limit.has_expired or task.uncancel() > 0:
+                raise
+        finally:
+            self._running.discard(limit)
+            limit.remove()
+        self.ctx.count("calls.overdue")
+        reason = "node is stopping" if self._has_stopped else "deadline passed"
+        return Refused(Outcome.UNKNOWN, reason, arrived=True)
 
     def _schedule_stop(self) -> None:
         end_at_s = self.ctx.board.calls_end_at_s
@@ -52,5 +59,57 @@
 
     def _end_all(self) -> None:
         self._has_stopped = True
-        for end_now in list(self._running):
-            end_now()
+        for limit in list(self._running):
+            limit.expire()
+
+
+class _Limit:
+    """Cancels a task some time after its deadline, unless it is removed before.
+
+    The grace begins when the deadline's callback runs: after a stall of this process,
+    bytes that have arrived meanwhile are read first. After a stall in the grace, it
+    begins anew.
+    """
+
+    __slots__ = (
+        "_deadlines",
+        "_end_at_s",
+        "_entry",
+        "_has_stalled",
+        "_task",
+        "has_expired",
+    )
+
+    def __init__(
+        self, deadlines: Deadlines, task: asyncio.Task[Any], delay_s: float
+    ) -> None:
+        self.has_expired = False
+        self._deadlines = deadlines
+        self._task: asyncio.Task[Any] | None = task
+        self._end_at_s = 0.0
+        self._has_stalled = False
+        self._entry = deadlines.add(delay_s, self._start_grace)
+
+    def remove(self) -> None:
+        """Cancel nothing any more; a callback that is due already does nothing."""
+        self._task = None
+        self._deadlines.remove(self._entry)
+
+    def expire(self) -> None:
+        """Cancel the task now."""
+        if self._task is not None and not self.has_expired:
+            self.has_expired = True
+            self._task.cancel()
+
+    def _start_grace(self) -> None:
+        if self._task is not None:
+            self._end_at_s = asyncio.get_running_loop().time() + ATTEMPT_END_GRACE_S
+            self._entry = self._deadlines.add(ATTEMPT_END_GRACE_S, self._end_grace)
+
+    def _end_grace(self) -> None:
+        is_late = asyncio.get_running_loop().time() - self._end_at_s > MIN_STALL_S
+        if is_late and not self._has_stalled:
+            self._has_stalled = True
+            self._start_grace()
+        else:
+            self.expire()
--- a/lentilsill/daemon/deadlines.py
+++ b/lentilsill/daemon/deadlines.py
@@ -1,8 +1,7 @@
 """Deadlines of calls that share one timer of the event loop."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 
 __all__ = ["Deadlines", "run_after_reading"]
 
@@ -13,8 +12,6 @@
 # Time for which bytes that had arrived at a deadline are still read. It is not extended
 # for a sender that never stops.
 MAX_READ_S = 0.1
-# A timer that runs this late shows that the process has stalled.
-MIN_STALL_S = 0.05
 # Turns of the event loop that follow when this time is over: after a stall, the first
 # one can run timers before it reads.
 MAX_LATE_READ_TURNS = 2
@@ -59,44 +56,6 @@
             if not bucket:
                 del self._buckets[entry[0]]
 
-    @asynccontextmanager
-    async def timeout(
-        self, delay_s: float, grace_s: float
-    ) -> AsyncGenerator[Callable[[], None], None]:
-        """Cancel the body `grace_s` after `delay_s`; raise `TimeoutError` instead.
-
-        After a stall of this process, the grace begins anew, so that bytes that have
-        arrived meanwhile are read first. Yields a function that cancels the body now.
-        """
-        loop = asyncio.get_running_loop()
-        async with asyncio.timeout(None) as timeout:
-            is_running = True
-            entry: Entry
-
-            def start_grace(stalls_left: int) -> None:
-                nonlocal entry
-                # The callback can be due already when its entry is removed.
-                if is_running:
-                    end_at_s = loop.time() + grace_s
-                    entry = self.add(grace_s, lambda: expire(end_at_s, stalls_left))
-
-            def expire(end_at_s: float, stalls_left: int) -> None:
-                if stalls_left and loop.time() - end_at_s > MIN_STALL_S:
-                    start_grace(stalls_left - 1)
-                else:
-                    end_now()
-
-            def end_now() -> None:
-                if is_running:
-                    timeout.reschedule(loop.time())
-
-            entry = self.add(delay_s, lambda: start_grace(1))
-            try:
-                yield end_now
-            finally:
-                is_running = False
-                self.remove(entry)
-
     def _schedule(self, loop: asyncio.AbstractEventLoop, tick: int) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/lentilsill/daemon/tests/test_deadlines.py
+++ b/lentilsill/daemon/tests/test_deadlines.py
@@ -30,25 +30,6 @@
         self.assertEqual(calls, ["past", "a", "b", "c"])
         self.assertEqual(len(deadlines), 0)
 
-    async def test_timeout_that_is_due_when_its_body_ends_cancels_later_work(self):
-        """The callback of an expired entry still runs after its removal."""
-        deadlines = Deadlines()
-        async with deadlines.timeout(0.01, 0.0):
-            time.sleep(0.03)
-        await asyncio.sleep(0.03)
-        with self.assertRaises(TimeoutError):
-            async with deadlines.timeout(0.01, 0.01):
-                await asyncio.sleep(5)
-        self.assertEqual(len(deadlines), 0)
-
-    async def test_timeout_counts_a_stall_of_the_process(self):
-        """The stall begins in the grace; the body ends in the turns after it."""
-        deadlines = Deadlines()
-        async with deadlines.timeout(0.01, 0.1):
-            await asyncio.sleep(0.05)
-            time.sleep(0.3)
-            await asyncio.sleep(0.02)
-
 
 class RunAfterReadingTests(unittest.IsolatedAsyncioTestCase):
     TURN_S = 0.02
