Dispatch the messages of a link in portions over several turns

What callers saw: behind a link on which a peer sends many small messages, a call had its answer 0.46 to 0.52 s after its deadline; 0.5 s are allowed.

Cause: a link passed all messages of a received buffer of 256 KB to their handlers in one turn of the event loop. With messages of 3 bytes a turn took 0.14 s, and `run_after_reading` waits for 0.1 s and two turns more. Timers and other connections waited as long.

The stream is not read in between, and the messages count as unread input, so that an answer among them is not given up at its deadline; a close dispatches those that are left.

--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -4,9 +4,8 @@
 import socket
 from collections import defaultdict
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import TypeVar
 
-import msgpack
 import msgspec
 import structlog
 from tornado.iostream import StreamClosedError
@@ -19,6 +18,7 @@
     Decompressor,
     uses_compression,
 )
+from .dispatch import Handler, LinkDispatch
 from .handshake import read_hello
 from .idle_links import select_idle
 from .link import Identity, Link, LinkCloseReason, LinkError, Traffic
@@ -30,9 +30,7 @@
     Hello,
     Message,
     WireError,
-    decode,
     encode,
-    make_unpacker,
 )
 from .streams import ProtocolStream
 
@@ -55,7 +53,6 @@
 
 
 M = TypeVar("M", bound=msgspec.Struct)
-Handler = Callable[[Link, Any], object]
 
 
 class PeerLinks:
@@ -317,61 +314,19 @@
     ) -> None:
         """Dispatch messages that came with `Hello`, and then those that follow."""
         stream = link.stream
-        unpacker = make_unpacker()
-        stream.set_close_callback(lambda: self._handle_close(link))
-        self._receive(link, unpacker, decompressor, remainder)
-        stream.consume(lambda chunk: self._receive(link, unpacker, decompressor, chunk))
+        dispatch = LinkDispatch(link, self.handlers, decompressor)
+        stream.set_close_callback(lambda: self._handle_close(link, dispatch))
+        dispatch.receive(remainder)
+        stream.consume(dispatch.receive)
         if stream.closed():
             # The connection was lost before its close callback was set.
-            self._handle_close(link)
+            self._handle_close(link, dispatch)
 
-    def _receive(
-        self,
-        link: Link,
-        unpacker: msgpack.Unpacker,
-        decompressor: Decompressor | None,
-        chunk: bytes,
-    ) -> None:
-        link.last_received_s = asyncio.get_running_loop().time()
-        link.traffic.received_bytes += len(chunk)
-        try:
-            pieces = decompressor.decompress(chunk) if decompressor else (chunk,)
-            for piece in pieces:
-                unpacker.feed(piece)
-                for obj in unpacker:
-                    self._dispatch(link, decode(obj))
-        except (WireError, msgpack.UnpackException, ValueError) as exc:
-            self._close_invalid(link, exc)
-        except Exception as exc:
-            # A handler failed. The link is closed, since messages after this one can't
-            # be distinguished from those already processed.
-            log.error(
-                "peer_message_failed",
-                peer=link.hello.node,
-                error=repr(exc),
-                exc_info=True,
-            )
-            link.close(LinkCloseReason.FAILED)
-
-    def _close_invalid(self, link: Link, exc: Exception) -> None:
-        log.warning(
-            "peer_protocol_error",
-            peer=link.hello.node,
-            address=link.address,
-            error=str(exc),
-        )
-        link.close(LinkCloseReason.PROTOCOL)
-
-    def _dispatch(self, link: Link, message: Message) -> None:
-        handler = self.handlers.get(type(message))
-        if handler is None:
-            raise WireError(f"unexpected message {type(message).__name__}")
-        link.traffic.received_messages += 1
-        handler(link, message)
-
-    def _handle_close(self, link: Link) -> None:
+    def _handle_close(self, link: Link, dispatch: LinkDispatch) -> None:
         if link.is_closed:
             return
+        # Results that arrived before the close are still delivered.
+        dispatch.finish()
         link.is_closed = True
         link.set_close_reason(LinkCloseReason.PEER)
         self.accepted.discard(link)
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -69,6 +69,7 @@
         # True when the peer has ended the stream, rather than reset it.
         self.has_received_eof = False
         self._consumer: Callable[[bytes], None] | None = None
+        self.is_input_held = False
         # Written bytes that this process dropped when it closed the connection.
         self.dropped_byte_count = 0
         # Time of the event loop's clock when the unread bytes began to arrive.
@@ -125,6 +126,19 @@
         if data:
             consumer(data)
 
+    def hold_input(self) -> None:
+        """Read nothing from the socket until `release_input`.
+
+        The consumer has received bytes that it processes later; they count as unread.
+        """
+        self.is_input_held = True
+        self._pause_reading()
+
+    def release_input(self) -> None:
+        """End `hold_input`."""
+        self.is_input_held = False
+        self._resume_reading()
+
     def _start_read(self, find_end: FindEnd) -> asyncio.Future[bytes]:
         if self._reads.is_pending:
             raise (
@@ -133,7 +147,7 @@
         return self._reads.start(find_end)
 
     def _resume_reading(self) -> None:
-        if not self._is_reading_paused or self._is_closed:
+        if not self._is_reading_paused or self._is_closed or self.is_input_held:
             return
         if self._reads.is_waiting or len(self._reads.buffer) <= MAX_UNREAD_BYTES:
             self._is_reading_paused = False
@@ -204,7 +218,9 @@
 
     def has_unread_input(self) -> bool:
         """Return whether bytes are unread, here or in the kernel."""
-        return bool(self._reads.buffer) or self.has_input_in_kernel()
+        return (
+            bool(self._reads.buffer) or self.is_input_held or self.has_input_in_kernel()
+        )
 
     def has_input_in_kernel(self) -> bool:
         """Return whether the kernel holds bytes or a close that was not read."""
--- a/lentilsill/wire/tests/test_links.py
+++ b/lentilsill/wire/tests/test_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import unittest
+from collections import Counter
 from dataclasses import replace
 from unittest import mock
 
@@ -10,6 +11,7 @@
 from tornado.tcpclient import TCPClient
 
 from lentilsill.wire import CALLS, CONTROL, Hello, Link, PeerLinks, encode
+from lentilsill.wire.dispatch import MAX_MESSAGES_PER_TURN
 from lentilsill.wire.links import Identity, LinkError
 from lentilsill.wire.messages import MAX_MESSAGE_BYTES, Ping, Pong
 
@@ -65,6 +67,48 @@
         ]
         self.assertEqual(tokens, list(range(100)))
 
+    async def test_many_small_messages_of_one_link_delay_all_others(self):
+        """All messages of a received buffer are dispatched in one turn."""
+        link = await self.client.connect(self.address, CALLS)
+        turn = 0
+        turns = []
+        self.server.on(Pong, lambda link, msg: turns.append(turn))
+        link.stream.write(encode(Pong(1)) * 5_000)
+        async with asyncio.timeout(5):
+            while len(turns) < 5_000:
+                await asyncio.sleep(0)
+                turn += 1
+        most = max(Counter(turns).values())
+        self.assertLessEqual(most, 2 * MAX_MESSAGES_PER_TURN)
+
+    async def test_messages_that_wait_for_a_turn_are_lost_with_their_link(self):
+        """The sender closes its link right after an answer."""
+        tokens = []
+        closed = asyncio.Event()
+        self.server.on(Pong, lambda link, msg: tokens.append(msg.token))
+        self.server.close_handlers.append(lambda link: closed.set())
+        link = await self.client.connect(self.address, CALLS)
+        for token in range(1_000):
+            link.send(Pong(token))
+        self.client.close()
+        await asyncio.wait_for(closed.wait(), 5)
+        self.assertEqual(tokens, list(range(1_000)))
+
+    async def test_messages_that_wait_for_a_turn_do_not_count_as_unread(self):
+        """An answer among them would be given up at its deadline."""
+        link = await self.client.connect(self.address, CALLS)
+        has_unread_input = []
+
+        def check(link, msg):
+            has_unread_input.append(link.has_unread_input())
+
+        self.server.on(Pong, check)
+        link.stream.write(encode(Pong(1)) * (MAX_MESSAGES_PER_TURN + 2))
+        async with asyncio.timeout(5):
+            while len(has_unread_input) < MAX_MESSAGES_PER_TURN + 2:
+                await asyncio.sleep(0)
+        self.assertTrue(has_unread_input[-2])
+
     async def test_simultaneous_connects_share_one_link(self):
         """Guards against many connections at once from one node to another."""
         links = await asyncio.gather(
