Free ended calls without the garbage collector

What callers saw: nothing but time.

Cause: the limit of a call kept the entry of its timer, which holds a bound method of the limit: a reference cycle for each call, which the garbage collector had to find. The entry is dropped with the limit now.

--- a/lentilsill/daemon/controllers/call_limits.py
+++ b/lentilsill/daemon/controllers/call_limits.py
@@ -7,7 +7,7 @@
 
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
-from lentilsill.daemon.deadlines import Deadlines
+from lentilsill.daemon.deadlines import Deadlines, Entry
 from lentilsill.outcomes import CallResult, Outcome, Refused
 
 __all__ = ["CallLimits"]
@@ -88,12 +88,16 @@
         self._task: asyncio.Task[Any] | None = task
         self._end_at_s = 0.0
         self._has_stalled = False
-        self._entry = deadlines.add(delay_s, self._start_grace)
+        # The entry refers to this limit. It is dropped with the limit, so that no
+        # reference cycle is left for the garbage collector.
+        self._entry: Entry | None = deadlines.add(delay_s, self._start_grace)
 
     def remove(self) -> None:
         """Cancel nothing any more; a callback that is due already does nothing."""
         self._task = None
-        self._deadlines.remove(self._entry)
+        if self._entry is not None:
+            self._deadlines.remove(self._entry)
+            self._entry = None
 
     def expire(self) -> None:
         """Cancel the task now."""
--- a/lentilsill/daemon/controllers/tests/test_call_limits.py
+++ b/lentilsill/daemon/controllers/tests/test_call_limits.py
@@ -1,6 +1,7 @@
 """Calls end on the clock of the node that has taken them."""
 
 import asyncio
+import gc
 import time
 import unittest
 
@@ -32,6 +33,14 @@
         await asyncio.sleep(0.3)
         self.assertEqual(len(self.node.ctx.deadlines), 0)
 
+    async def test_ended_call_leaves_a_reference_cycle(self):
+        """The garbage collector has to free each call."""
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        await self.run_call(asyncio.sleep(0, ANSWER), 5.0)
+        self.assertEqual(gc.collect(), 0)
+
     async def test_stall_of_the_process_counts_against_a_call(self):
         """The stall begins in the grace; the call ends in the turns after it."""
 
