Bound what callers fill, and free answers that were given up at once

What callers saw: nothing yet; with many strangers at once a node could run out of memory, and all its callers' requests would end with it.

Cause: heads and pipelined requests that are not read, requests of calls in progress and answers that callers don't read were limited by connection, not for the process. A connection took up to 0.5 MB from the kernel at a time. The exception that ends the read of an answer refers to the answer, in a cycle, so that bodies that were given up stayed until the garbage collector ran.

Connections count their unread bytes with the bodies that arrive, and their unsent answers with the answers that arrive; beyond the bound the largest is refused or closed. Each pool has one bound for the process. An answer that has just been written is closed last, as its caller had no time to read. test_body_memory follows the new names of the bounds; its checks are the same.

--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -56,7 +56,7 @@
 
     @property
     def held_bytes(self) -> HeldBytes:
-        """Bound on the bodies of requests that are still arriving."""
+        """Bound on requests that are still arriving."""
         ...
 
     def start_call(self, request: "CallerRequest") -> None:
@@ -123,18 +123,19 @@
         return None
 
     def drop_held_bytes(self) -> None:
-        """Refuse the request, since all arriving bodies take too much memory."""
+        """Refuse the request, since all arriving ones take too much memory."""
         self.conn.stop_reading(CloseReason.BAD_REQUEST)
         self.refuse_overload()
         self.conn.close_if_answered()
 
     def refuse_overload(self) -> None:
-        """Refuse the request for the memory that bodies take."""
-        body = {"outcome": Outcome.NOT_RUN.value, "reason": "too many bytes in bodies"}
+        """Refuse the request for the memory that all requests take."""
+        reason = "too many bytes in requests"
+        body = {"outcome": Outcome.NOT_RUN.value, "reason": reason}
         log.warning(
             "request_body_refused",
             attempt=self.attempt_id,
-            size=len(self.body),
+            size=self.size,
             arriving_bytes=self.server.held_bytes.total_bytes,
         )
         self._free_body()
@@ -165,6 +166,11 @@
         if self.task is not None:
             self.task.cancel()
 
+    @property
+    def size(self) -> int:
+        """Number of bytes of the head and of the body that has arrived."""
+        return self.stream.head_size + len(self.body)
+
     @property
     def attempt_id(self) -> str:
         """Id of the caller's attempt; empty without one."""
--- a/lentilsill/daemon/caller_server.py
+++ b/lentilsill/daemon/caller_server.py
@@ -20,7 +20,12 @@
 
 from .caller_request import CallerRequest, call_response, json_response
 from .connection_close import CloseReason, OnClosed, ignore_close
-from .held_bytes import HeldBytes
+from .held_bytes import (
+    MAX_HELD_ANSWER_BYTES,
+    MAX_HELD_CALL_BYTES,
+    MAX_HELD_INPUT_BYTES,
+    HeldBytes,
+)
 from .integration import DEFAULT_INTEGRATION, Integration
 from .interfaces import CallService, IssuedKeys
 from .pipelining import PipelinedConnection
@@ -47,10 +52,6 @@
 # takes bytes only when about a third of its buffer is free. Polls are counted, since a
 # stall of this process leaves callers no time.
 MAX_IDLE_POLLS = 400
-# Bodies of all requests that are arriving, and of all calls in progress; a node may
-# take 128 MB, and has other messages to hold.
-MAX_ARRIVING_BODY_BYTES = 8 * 1024 * 1024
-MAX_CALL_BODY_BYTES = 8 * 1024 * 1024
 # Connections that wait to be accepted. A full queue delays callers by seconds.
 ACCEPT_BACKLOG = 1024
 
@@ -76,6 +77,8 @@
         on its connection were written.
     on_closed : callable, optional
         Receives each connection that has closed.
+    answer_bytes : HeldBytes, optional
+        Bound on answers that are arriving, and on those that callers don't read.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         limits: Callable[[], CallerLimits | None] = lambda: None,
         on_answer_held: OnAnswerHeld = ignore_held_answer,
         on_closed: OnClosed = ignore_close,
+        answer_bytes: HeldBytes | None = None,
     ) -> None:
         self.calls = calls
         self.issue_keys = issue_keys
@@ -106,8 +110,9 @@
         self._sockets: list[socket.socket] = []
         self._idle_timer: asyncio.TimerHandle | None = None
         self._request_tasks: set[asyncio.Task[None]] = set()
-        self.held_bytes = HeldBytes(MAX_ARRIVING_BODY_BYTES)
-        self._call_body_bytes = 0
+        self.held_bytes = HeldBytes(MAX_HELD_INPUT_BYTES)
+        self._answer_bytes = answer_bytes or HeldBytes(MAX_HELD_ANSWER_BYTES)
+        self._call_bytes = 0
         self._opening: set[asyncio.Task] = set()
 
     @property
@@ -200,7 +205,13 @@
 
     def _serve(self, stream: ProtocolStream) -> None:
         conn = PipelinedConnection(
-            stream, self._params, self._make_request, self._forget, self._on_answer_held
+            stream,
+            self._params,
+            self._make_request,
+            self._forget,
+            self._on_answer_held,
+            self.held_bytes,
+            self._answer_bytes,
         )
         self._connections[conn] = asyncio.ensure_future(conn.run())
 
@@ -226,20 +237,19 @@
 
     def start_call(self, request: CallerRequest) -> None:
         """Start the call of a request that has arrived completely."""
-        size = len(request.body)
-        if size and self._call_body_bytes + size > MAX_CALL_BODY_BYTES:
+        size = request.size
+        if self._call_bytes + size > MAX_HELD_CALL_BYTES:
             request.refuse_overload()
             return
         task = asyncio.ensure_future(self._answer(request))
-        if size:
-            self._call_body_bytes += size
-            task.add_done_callback(lambda _: self._free_call_body(size))
+        self._call_bytes += size
         request.task = task
         self._request_tasks.add(task)
-        task.add_done_callback(self._request_tasks.discard)
+        task.add_done_callback(lambda ended: self._end_call(ended, size))
 
-    def _free_call_body(self, size: int) -> None:
-        self._call_body_bytes -= size
+    def _end_call(self, task: asyncio.Task[None], size: int) -> None:
+        self._request_tasks.discard(task)
+        self._call_bytes -= size
 
     async def _answer(self, request: CallerRequest) -> None:
         path = request.path
--- a/lentilsill/daemon/connection_close.py
+++ b/lentilsill/daemon/connection_close.py
@@ -16,6 +16,7 @@
     REQUESTED = "requested"
     BAD_REQUEST = "bad_request"
     FAILED = "failed"
+    UNREAD_ANSWERS = "unread_answers"
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilsill/daemon/context.py
+++ b/lentilsill/daemon/context.py
@@ -16,6 +16,7 @@
 from .blackboard import Blackboard
 from .call_log import CallLog
 from .deadlines import Deadlines
+from .held_bytes import MAX_HELD_ANSWER_BYTES, HeldBytes
 from .load_summary import LoadSummary
 from .metrics import Metrics
 
@@ -32,7 +33,8 @@
     from `wall_ms`. `wall_ms` reads the wall clock once, at the start of the
     process, and adds the monotonic time since then, so that it never steps.
     `in_flight` counts the calls that a drain waits for; `running_node` sets it.
-    `deadlines` runs the callbacks of calls that reach their deadline. Metrics go
+    `deadlines` runs the callbacks of calls that reach their deadline. `answer_bytes`
+    bounds the answers that upstreams send and those that callers don't read. Metrics go
     to `metrics`, which the admin address serves, and to the statsd client
     `statsd_client`, if there is one.
     """
@@ -47,6 +49,9 @@
     deadlines: Deadlines = field(default_factory=Deadlines)
     now: Callable[[], float] = time.monotonic
     metrics: Metrics = field(default_factory=Metrics)
+    answer_bytes: HeldBytes = field(
+        default_factory=lambda: HeldBytes(MAX_HELD_ANSWER_BYTES)
+    )
     call_log: CallLog = field(init=False)
     load_summary: LoadSummary = field(default_factory=LoadSummary)
     _wall_offset_ms: float = field(
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -7,7 +7,6 @@
 from lentilsill.admission import AdmissionQueue, Refuse, Start
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
-from lentilsill.daemon.held_bytes import HeldBytes
 from lentilsill.daemon.integration import DEFAULT_INTEGRATION, Integration
 from lentilsill.daemon.interfaces import CrashGuard
 from lentilsill.documents import Limits
@@ -39,7 +38,6 @@
 from .served_calls import ServedCalls
 from .suspects import refuse_suspect
 from .unacknowledged_results import StoreOrphanedResult
-from .upstream_client import MAX_HELD_ANSWER_BYTES
 from .upstream_connection_log import UpstreamConnectionLog
 
 __all__ = ["DestinationController"]
@@ -70,7 +68,6 @@
         self.guard = guard
         self._connection_log = UpstreamConnectionLog(ctx)
         self.served_calls = ServedCalls(ctx, self, store_orphaned_result)
-        self._held_bytes = HeldBytes(MAX_HELD_ANSWER_BYTES)
         self._upstreams: dict[str, LocalUpstream] = {}
         # Removed upstreams that still run calls.
         self._removed: dict[str, LocalUpstream] = {}
@@ -163,7 +160,7 @@
                 self.integration,
                 self._connection_log.record,
                 self._on_leaving,
-                self._held_bytes,
+                self.ctx.answer_bytes,
             )
             self._upstreams[upstream] = local
             local.record = record
--- a/lentilsill/daemon/controllers/tests/test_endless_answers.py
+++ b/lentilsill/daemon/controllers/tests/test_endless_answers.py
@@ -5,11 +5,10 @@
 
 from lentilsill.daemon.controllers.upstream_client import (
     MAX_ANSWER_BYTES,
-    MAX_HELD_ANSWER_BYTES,
     Exchange,
     UpstreamClient,
 )
-from lentilsill.daemon.held_bytes import HeldBytes
+from lentilsill.daemon.held_bytes import MAX_HELD_ANSWER_BYTES, HeldBytes
 from lentilsill.daemon.integration import HeaderNames, Integration
 from lentilsill.outcomes import Outcome
 from lentilsill.tests.endless_server import EndlessServer
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -16,7 +16,7 @@
 )
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
-from lentilsill.daemon.held_bytes import HeldBytes
+from lentilsill.daemon.held_bytes import MAX_HELD_ANSWER_BYTES, HeldBytes
 from lentilsill.daemon.integration import DEFAULT_INTEGRATION, Integration
 from lentilsill.daemon.outgoing_headers import OutgoingHeaders
 from lentilsill.outcomes import CallResult, Outcome, Refused
@@ -38,15 +38,12 @@
     ignore_upstream_close,
 )
 
-__all__ = ["HOP_BY_HOP", "MAX_HELD_ANSWER_BYTES", "Exchange", "UpstreamClient"]
+__all__ = ["HOP_BY_HOP", "Exchange", "UpstreamClient"]
 
 log = structlog.get_logger()
 
 # An answer and its headers must fit in a message of 8 MB.
 MAX_ANSWER_BYTES = 7 * 1024 * 1024
-# All answers that a process is reading. With the program and the unread bytes of its
-# connections, this is within the 128 MB that a node may take.
-MAX_HELD_ANSWER_BYTES = 24 * 1024 * 1024
 # Answers to earlier requests that are skipped before a connection is closed.
 MAX_STRAY_ANSWERS = 4
 MAX_REFUSED_ATTEMPTS = 256
@@ -205,6 +202,9 @@
             exchange.stream = None
             self._held_bytes.remove(exchange)
             is_answered = done and reader.is_complete and not reader.is_stray
+            if not is_answered:
+                # The exception that ended the read refers to the reader.
+                reader.body.clear()
             can_reuse = is_answered and reader.can_reuse_connection
             # Unsent bytes of this request must not precede the next request.
             if not can_reuse or stream.writing() or stream.closed():
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -82,6 +82,7 @@
         lambda: ctx.board.snapshot.caller_limits,
         load_report.record_held_answer,
         ConnectionLog(ctx).record,
+        ctx.answer_bytes,
     )
     admin_server = AdminServer(
         ctx, destination.on_upstream_crash, destination.in_flight, integration
--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -17,6 +17,8 @@
 from lentilsill.wire.streams import ProtocolStream
 
 from .connection_close import CloseReason, ConnectionClose
+from .connection_memory import ConnectionMemory
+from .held_bytes import MAX_HELD_ANSWER_BYTES, MAX_HELD_INPUT_BYTES, HeldBytes
 from .request_stream import (
     OnAnswerHeld,
     PipelinedDelegate,
@@ -54,6 +56,8 @@
     on_closed : callable
         Called once when the connection has closed.
     on_answer_held : OnAnswerHeld
+    input_bytes, answer_bytes : HeldBytes, optional
+        Bounds on unread bytes and on answers, which all connections share.
     """
 
     def __init__(
@@ -63,8 +67,16 @@
         make_delegate: Callable[[HTTP1Connection, RequestStream], PipelinedDelegate],
         on_closed: Callable[["PipelinedConnection"], None],
         on_answer_held: OnAnswerHeld = ignore_held_answer,
+        input_bytes: HeldBytes | None = None,
+        answer_bytes: HeldBytes | None = None,
     ) -> None:
         self.stream = stream
+        self._memory = ConnectionMemory(
+            self,
+            input_bytes or HeldBytes(MAX_HELD_INPUT_BYTES),
+            answer_bytes or HeldBytes(MAX_HELD_ANSWER_BYTES),
+        )
+        stream.set_unread_callback(self._memory.set_unread_size)
         self.on_answer_held = on_answer_held
         self.last_used_s = asyncio.get_running_loop().time()
         self.is_closing = False
@@ -191,6 +203,29 @@
         elif not self.has_unsent_answers:
             self.close(CloseReason.STOP)
 
+    @property
+    def unsent_answer_bytes(self) -> int:
+        """Number of bytes of answers that this process holds."""
+        held = sum(stream.held_byte_count for stream in self._streams)
+        return held + self.unsent_byte_count
+
+    def measure_unsent(self) -> None:
+        """Count answers that have not left this process."""
+        self._memory.measure_unsent()
+
+    def refuse_unread(self) -> None:
+        """Drop the unread bytes, and close once the requests before are answered."""
+        if not self.stream.drop_unread():
+            self.stop_reading(CloseReason.BAD_REQUEST)
+            self.close_if_answered()
+
+    def abort(self, reason: CloseReason) -> None:
+        """Close immediately; answers that the caller has not read are dropped."""
+        self._set_close_reason(reason)
+        self.stream.close()
+        for request_stream in list(self._streams):
+            request_stream.abort()
+
     def close(self, reason: CloseReason) -> None:
         """Close after the written bytes have been sent."""
         self._set_close_reason(reason)
@@ -310,4 +345,5 @@
             request_stream.abort()
         if self._room_waiter is not None and not self._room_waiter.done():
             self._room_waiter.set_result(None)
+        self._memory.release()
         self._on_closed(self)
--- a/lentilsill/daemon/request_stream.py
+++ b/lentilsill/daemon/request_stream.py
@@ -123,14 +123,28 @@
         if self.is_excluded:
             raise StreamClosedError()
         if self.conn.can_write(self):
-            return self._stream.write(data)
+            fut = self._stream.write(data)
+            if self._stream.writing():
+                self.conn.measure_unsent()
+            return fut
         loop = asyncio.get_running_loop()
-        fut: asyncio.Future[None] = loop.create_future()
+        fut = loop.create_future()
         if not self._pending_writes:
             self._held_since_s = loop.time()
         self._pending_writes.append((data, fut))
+        self.conn.measure_unsent()
         return fut
 
+    @property
+    def held_byte_count(self) -> int:
+        """Number of bytes that are held until earlier answers are written."""
+        return sum(len(data) for data, _ in self._pending_writes)
+
+    @property
+    def head_size(self) -> int:
+        """Size of the head of the request in bytes; 0 until it has arrived."""
+        return len(self._head.result()) if self._head and self.has_begun else 0
+
     def flush(self) -> None:
         """Write the data that was held until the earlier responses were written."""
         pending_writes, self._pending_writes = self._pending_writes, []
--- a/lentilsill/daemon/tests/connection_builders.py
+++ b/lentilsill/daemon/tests/connection_builders.py
@@ -99,8 +99,9 @@
     """Connect so that the kernel holds only a small part of a large answer."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    known = set(server._connections)
     sock.connect(("127.0.0.1", port))
-    while not server._connections:
+    while not server._connections.keys() - known:
         await asyncio.sleep(0.005)
     for conn in server._connections:
         transport = conn.stream._transport
--- a/lentilsill/daemon/tests/test_body_memory.py
+++ b/lentilsill/daemon/tests/test_body_memory.py
@@ -3,11 +3,8 @@
 import asyncio
 import unittest
 
-from lentilsill.daemon.caller_server import (
-    MAX_ARRIVING_BODY_BYTES,
-    MAX_CALL_BODY_BYTES,
-    CallerServer,
-)
+from lentilsill.daemon.caller_server import CallerServer
+from lentilsill.daemon.held_bytes import MAX_HELD_CALL_BYTES, MAX_HELD_INPUT_BYTES
 from lentilsill.outcomes import Answer
 
 MAX_BODY_BYTES = 1024 * 1024
@@ -54,16 +51,14 @@
 
     async def test_bodies_that_never_end_exhaust_the_memory(self):
         """A small request beside them is answered; those dropped have not run."""
-        count = 3 * MAX_ARRIVING_BODY_BYTES // MAX_BODY_BYTES // 2
+        count = 3 * MAX_HELD_INPUT_BYTES // MAX_BODY_BYTES // 2
         readers = [
             await self.send(number, MAX_BODY_BYTES, MAX_BODY_BYTES - 1)
             for number in range(count)
         ]
         small = await self.send(count, 2, 2)
         self.assertEqual((await self.read_status(small))[0], 200)
-        self.assertLessEqual(
-            self.server.held_bytes.total_bytes, MAX_ARRIVING_BODY_BYTES
-        )
+        self.assertLessEqual(self.server.held_bytes.total_bytes, MAX_HELD_INPUT_BYTES)
         await asyncio.sleep(0.2)
         ended = [reader for reader in readers if reader._buffer]
         self.assertGreaterEqual(len(ended), count // 3)
@@ -75,15 +70,15 @@
         self.assertEqual(self.calls.paths, [f"/{count}"])
 
     async def test_bodies_of_calls_in_progress_exhaust_the_memory(self):
-        count = 3 * MAX_CALL_BODY_BYTES // MAX_BODY_BYTES // 2
+        count = 3 * MAX_HELD_CALL_BYTES // MAX_BODY_BYTES // 2
         readers = [
             await self.send(number, MAX_BODY_BYTES, MAX_BODY_BYTES)
             for number in range(count)
         ]
         await asyncio.sleep(0.2)
-        self.assertLessEqual(self.calls.body_bytes, MAX_CALL_BODY_BYTES)
+        self.assertLessEqual(self.calls.body_bytes, MAX_HELD_CALL_BYTES)
         self.calls.release.set()
         statuses = [(await self.read_status(reader))[0] for reader in readers]
         self.assertEqual(statuses.count(503), count - len(self.calls.paths))
         self.assertEqual(statuses.count(200), len(self.calls.paths))
-        self.assertEqual(self.server._call_body_bytes, 0)
+        self.assertEqual(self.server._call_bytes, 0)
--- a/lentilsill/wire/buffered_reads.py
+++ b/lentilsill/wire/buffered_reads.py
@@ -30,6 +30,9 @@
         self, has_ended: Callable[[], bool], on_room: Callable[[], None]
     ) -> None:
         self.buffer = bytearray()
+        # Receives the number of unread bytes when it has changed.
+        self.on_size: Callable[[int], None] | None = None
+        self._reported_size = 0
         self._loop = asyncio.get_running_loop()
         self._has_ended = has_ended
         self._on_room = on_room
@@ -78,10 +81,12 @@
             self._reads_left_in_turn = MAX_READS_PER_TURN
             if self._pending is not None:
                 self._try_complete()
+        self._report_size()
 
     def drop(self) -> None:
         """Drop the received bytes; a pending read can't be completed any more."""
         self.buffer.clear()
+        self._report_size()
         if self._deferral is not None:
             self._deferral.cancel()
             self._deferral = None
@@ -95,6 +100,22 @@
                 fut.set_exception(StreamClosedError())
                 fut.exception()
 
+    def refuse_pending(self) -> bool:
+        """Fail the pending read as one that can't be completed; False without one."""
+        if self._pending is None:
+            return False
+        fut, _ = self._pending
+        self._pending = None
+        if not fut.done():
+            fut.set_exception(UnsatisfiableReadError("too many unread bytes"))
+        return True
+
+    def _report_size(self) -> None:
+        size = len(self.buffer)
+        if size != self._reported_size and self.on_size is not None:
+            self._reported_size = size
+            self.on_size(size)
+
     def _run_deferred(self) -> None:
         self._deferral = None
         self._reads_left_in_turn = MAX_READS_PER_TURN
@@ -124,3 +145,4 @@
         self._on_room()
         if not fut.done():
             fut.set_result(data)
+        self._report_size()
--- a/lentilsill/wire/link_stream.py
+++ b/lentilsill/wire/link_stream.py
@@ -6,7 +6,7 @@
 
 __all__ = ["LinkStream"]
 
-READ_BYTES = 256 * 1024
+READ_BYTES = 64 * 1024
 
 
 class LinkStream(ProtocolStream):
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -10,6 +10,7 @@
 import re
 import select
 from collections.abc import Callable
+from weakref import WeakKeyDictionary
 
 from tornado.ioloop import IOLoop
 from tornado.iostream import (
@@ -23,7 +24,9 @@
 __all__ = ["ProtocolStream"]
 
 # With more unread bytes than this, the transport stops reading from the socket.
-MAX_UNREAD_BYTES = 256 * 1024
+MAX_UNREAD_BYTES = 64 * 1024
+# Bytes that one connection takes from the kernel in a turn of the event loop.
+MAX_RECEIVED_BYTES = 64 * 1024
 # A peer that has read the end of the stream closes its side well within this time, and
 # one that still reads takes some of the written bytes.
 LINGER_S = 1.0
@@ -33,7 +36,13 @@
 DEFAULT_MAX_BUFFER_BYTES = 100 * 1024 * 1024
 
 
-class ProtocolStream(asyncio.Protocol):
+# All connections of an event loop receive into the same buffer, one after another.
+_receive_buffers: WeakKeyDictionary[asyncio.AbstractEventLoop, memoryview] = (
+    WeakKeyDictionary()
+)
+
+
+class ProtocolStream(asyncio.BufferedProtocol):
     """Byte stream of one connection; at most one read may be pending at a time.
 
     Parameters
@@ -245,6 +254,18 @@
         self._reads.drop()
         self._set_closed()
 
+    def drop_unread(self) -> bool:
+        """Drop the unread bytes; return whether a read was pending.
+
+        The pending read fails with `UnsatisfiableReadError`.
+        """
+        self._reads.drop()
+        return self._reads.refuse_pending()
+
+    def set_unread_callback(self, callback: Callable[[int], None]) -> None:
+        """Set the function that receives the number of unread bytes as it changes."""
+        self._reads.on_size = callback
+
     def close_gracefully(self) -> None:
         """Close once the written bytes are sent, and discard what still arrives.
 
@@ -317,6 +338,18 @@
 
     # Callbacks of the transport
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer into which the transport receives."""
+        buffer = _receive_buffers.get(self._loop)
+        if buffer is None:
+            buffer = memoryview(bytearray(MAX_RECEIVED_BYTES))
+            _receive_buffers[self._loop] = buffer
+        return buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process the bytes that the transport has received."""
+        self.data_received(bytes(_receive_buffers[self._loop][:nbytes]))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         # `pause_writing` is called as soon as the kernel does not accept all bytes.
@@ -326,6 +359,7 @@
             self._on_connect(self)
 
     def data_received(self, data: bytes) -> None:
+        """Process received bytes."""
         if self._is_closed:
             return
         if self._consumer is not None:
