Let an odd entry cost only itself where it still cost the version

What callers saw: a version with one route to a service that isn't listed, or with a service whose name can't be read, is never in force on any node.

Cause: the decoder translated routes without a look at the services, and the bundle reader then rejected the whole bundle. Half of a surrogate pair in any text, two weights of 1.7e308 and limits that are no object raised.

Now a share to an unknown service leaves its requests to the other shares, and a route without another one refuses its requests as not run, as an unreadable route does. Each is named in configuration_entries_unreadable.

--- a/lentilsill/platform/configuration.py
+++ b/lentilsill/platform/configuration.py
@@ -14,7 +14,13 @@
 
 import msgspec
 import structlog
-from pydantic import BaseModel, BeforeValidator, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    BeforeValidator,
+    Field,
+    ValidationError,
+)
 
 __all__ = [
     "CONFIGURATION_KIND",
@@ -56,51 +62,58 @@
     return round(value) if is_fraction else value
 
 
+def _check_encodable(text: str) -> str:
+    """Return a text; one with half of a surrogate pair raises `UnicodeEncodeError`."""
+    text.encode()
+    return text
+
+
+Text = Annotated[str, AfterValidator(_check_encodable)]
 Number = Annotated[float, Field(allow_inf_nan=False)]
 Integer = Annotated[int, BeforeValidator(_round_fraction)]
 
 
 class _Share(BaseModel):
-    service: str
+    service: Text
     weight: float = Field(ge=0, allow_inf_nan=False)
 
 
 class _Route(BaseModel):
-    name: str
-    path_prefix: str
+    name: Text
+    path_prefix: Text
     # ``safe`` if a request may run more than once; not a type of route.
-    kind: str
+    kind: Text
     timeout_ms: Number
     target_latency_ms: Number = 0
     # 0 is the most urgent priority.
     priority: Integer = 0
     # Number of upstreams that a request may be sent to, including the first.
     max_attempts: Integer = 1
-    service: str | None = None
+    service: Text | None = None
     weighted_split: list[_Share] | None = None
 
 
 class _RoutePlace(BaseModel):
     """The part of a route that says which requests it takes."""
 
-    path_prefix: str
+    path_prefix: Text
 
 
 class _Host(BaseModel):
-    host: str
+    host: Text
     # Routes are validated one by one, as most are the same as in the last version.
     path_routes: list[Any]
 
 
 class _Service(BaseModel):
-    name: str
+    name: Text
     health_path: str = "/health"
     # Number of connections from all callers together; not a number of requests.
     max_connections: Integer = 100
 
 
 class _ServiceName(BaseModel):
-    name: str
+    name: Text
 
 
 class _Limit(BaseModel):
@@ -111,7 +124,7 @@
     version: str
     services: list[Any]
     virtual_hosts: list[Any]
-    limits: dict[str, Any]
+    limits: Any = None
 
 
 def decode_version(text: str) -> int:
@@ -168,20 +181,21 @@
                 continue
             translated = hosts.setdefault(host.host.lower(), [])
             for route_index, raw_route in enumerate(host.path_routes):
-                key = msgspec.json.encode(raw_route)
+                route_place = f"{place}path_routes.{route_index}."
+                known_count = len(findings)
+                key = _route_key(raw_route)
                 route = self._routes.get(key)
                 if route is None:
-                    route_place = f"{place}path_routes.{route_index}."
-                    known_count = len(findings)
                     route = _read_route(raw_route, route_place, services, findings)
-                    if route is None:
-                        continue
-                    if len(findings) > known_count:
-                        # What stands for it depends on the services of this version.
-                        translated.append(route)
-                        continue
-                routes[key] = route
-                translated.append(route)
+                if route is None:
+                    continue
+                usable = _keep_known_targets(route, route_place, services, findings)
+                if usable is not None:
+                    translated.append(usable)
+                # What stands for an entry at fault depends on the services of the
+                # version.
+                if key and len(findings) == known_count:
+                    routes[key] = route
         limits = _translate_limits(cfg.limits, findings)
         self._routes = routes
         self._log(version, findings)
@@ -236,11 +250,12 @@
         }
 
 
-def _translate_limits(
-    raw_limits: dict[str, Any], findings: list[str]
-) -> dict[str, Any]:
+def _translate_limits(raw_limits: Any, findings: list[str]) -> dict[str, Any]:
     """Return the limits; one that can't be read has the default of documents."""
     limits: dict[str, Any] = {}
+    if not isinstance(raw_limits, dict):
+        findings.append("limits: not an object")
+        return limits
     for name, smallest in MIN_LIMITS.items():
         try:
             limit = _Limit.model_validate({"value": raw_limits.get(name)})
@@ -251,6 +266,52 @@
     return limits
 
 
+def _route_key(raw_route: Any) -> bytes:
+    """Return a key for equal routes; it is empty for one that can't be encoded."""
+    try:
+        return msgspec.json.encode(raw_route)
+    except ValueError:
+        return b""
+
+
+def _keep_known_targets(
+    route: dict[str, Any], place: str, services: dict[str, Any], findings: list[str]
+) -> dict[str, Any] | None:
+    """Return a route without targets whose service does not exist.
+
+    The other targets take their requests. Without any other, requests are refused.
+    """
+    unknown = [
+        target["service"]
+        for target in route["targets"]
+        if target["service"] not in services
+    ]
+    if not unknown:
+        return route
+    findings.append(f"{place}service: no service {', '.join(map(repr, unknown))}")
+    known = [target for target in route["targets"] if target["service"] in services]
+    if known:
+        return route | {"targets": known}
+    return _refusing_route(route["match"]["path_prefix"], services)
+
+
+def _refusing_route(prefix: str, services: dict[str, Any]) -> dict[str, Any] | None:
+    """Return a route that refuses its requests; None if there are no services."""
+    service = next(iter(services), None)
+    if service is None:
+        return None
+    share = _Share(service=service, weight=0)
+    return _translate_route(
+        _Route(
+            name="unreadable",
+            path_prefix=prefix,
+            kind="",
+            timeout_ms=1,
+            weighted_split=[share],
+        )
+    )
+
+
 def _read_route(
     raw_route: Any, place: str, services: dict[str, Any], findings: list[str]
 ) -> dict[str, Any] | None:
@@ -270,19 +331,7 @@
         prefix = _RoutePlace.model_validate(raw_route).path_prefix
     except ValidationError:
         return None
-    service = next(iter(services), None)
-    if service is None:
-        return None
-    share = _Share(service=service, weight=0)
-    return _translate_route(
-        _Route(
-            name="unreadable",
-            path_prefix=prefix,
-            kind="",
-            timeout_ms=1,
-            weighted_split=[share],
-        )
-    )
+    return _refusing_route(prefix, services)
 
 
 def _translate_route(route: _Route) -> dict[str, Any]:
@@ -319,12 +368,12 @@
     >>> _scale_weights([0.001, 0.003, 0])
     [333333, 1000000, 0]
     """
+    largest = max(weights, default=0)
     scaled = [weight * WEIGHT_SCALE for weight in weights]
-    is_exact = all(
+    is_exact = largest * WEIGHT_SCALE <= MAX_WEIGHT and all(
         abs(round(weight) - weight) <= MAX_WEIGHT_ERROR * weight for weight in scaled
     )
-    largest = max(weights, default=0)
-    if not is_exact or largest * WEIGHT_SCALE > MAX_WEIGHT:
+    if not is_exact:
         scaled = [weight / largest * MAX_WEIGHT for weight in weights]
     return [round(weight) for weight in scaled]
 
