--- a/lentilsill/daemon/controllers/tests/test_drain.py
+++ b/lentilsill/daemon/controllers/tests/test_drain.py
@@ -1,15 +1,18 @@
 """Tests that a draining node answers accepted calls and refuses later ones."""
 
 import asyncio
+import threading
 import unittest
 from dataclasses import replace
 from typing import Any
 
 from lentilsill.daemon.controllers.drain import LAST_CALLS_S, DrainController
 from lentilsill.drain import DrainReason
-from lentilsill.outcomes import Answer, Outcome
+from lentilsill.outcomes import Answer, Outcome, Refused
 
-from .call_builders import FakeNode, FakeUpstream, make_request, wait_for
+from .call_builders import FakeNode, FakeUpstream, RawPeer, make_request, wait_for
+
+TIMEOUT_S = 5.0
 
 
 class DrainTests(unittest.IsolatedAsyncioTestCase):
@@ -84,6 +87,28 @@
         outcomes = {getattr(result, "outcome", None) for result in results}
         self.assertEqual(outcomes, {Outcome.UNKNOWN})
 
+    async def test_calls_at_a_silent_peer_are_cut_when_the_process_is_killed(self):
+        """The peer takes the calls and says nothing more, also on a new link."""
+        peer = RawPeer()
+        self.addCleanup(peer.close)
+        self.near.set_members(peer.record())
+        threading.Thread(target=peer.receive_call, daemon=True).start()
+        calls = [
+            asyncio.ensure_future(self.near.entry.handle(make_request(method, "/slow")))
+            for method in ("GET", "POST")
+        ]
+        await asyncio.sleep(0.2)
+        limits = self.near.ctx.cfg.calls.model_copy(update={"drain_bound_s": 0.5})
+        self.near.ctx.cfg = self.near.ctx.cfg.model_copy(update={"calls": limits})
+        self.drain.state = replace(self.drain.state, bound_s=0.5)
+        started_at = self.near.ctx.now()
+        await self.drain.run()
+        async with asyncio.timeout(TIMEOUT_S):
+            results = await asyncio.gather(*calls)
+        ended_s = self.near.ctx.now() - started_at
+        self.assertLess(ended_s, 0.5 + LAST_CALLS_S + 0.3)
+        self.assertTrue(all(isinstance(result, Refused) for result in results))
+
     async def test_late_call_may_run_beyond_the_end_of_the_process(self):
         """It is accepted in the drain with more time than the process has left."""
         limits: list[int] = []
--- a/lentilsill/daemon/tests/test_planned_stop.py
+++ b/lentilsill/daemon/tests/test_planned_stop.py
@@ -76,6 +76,30 @@
         await self.server.close()
         self.assertEqual((await self.read_all(sock)).count(b"whole"), 2)
 
+    async def test_body_that_arrives_across_the_stop_is_cut(self):
+        """The rest of the body comes in pieces after the process was told to stop."""
+        sock = self.connect()
+        sock.sendall(
+            b"POST /slots/a HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\nab"
+        )
+        await asyncio.sleep(0.05)
+        closing = asyncio.ensure_future(self.server.close())
+        for piece in (b"cd", b"ef", b"gh"):
+            await asyncio.sleep(0.3)
+            sock.sendall(piece)
+        self.assertIn(b"whole", await self.read_all(sock))
+        await closing
+
+    async def test_body_that_never_ends_delays_the_stop(self):
+        """The request has not run; the caller's connection is closed."""
+        sock = self.connect()
+        sock.sendall(
+            b"POST /slots/a HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\nab"
+        )
+        await asyncio.sleep(0.05)
+        await asyncio.wait_for(self.server.close(), TIMEOUT_S)
+        self.assertEqual(await self.read_all(sock), b"")
+
     async def test_answer_that_waits_behind_another_is_sent(self):
         """Guards against the loss of a held answer to a pipelined request.
 
