--- a/lentilsill/daemon/connection_memory.py
+++ b/lentilsill/daemon/connection_memory.py
@@ -58,16 +58,21 @@
         self._answer_bytes = answer_bytes
         self._unread_input = _UnreadInput(conn)
         self._unsent_answers = _UnsentAnswers(conn)
+        # Bytes that arrived before a close can be read after it.
+        self._is_released = False
 
     def set_unread_size(self, size: int) -> None:
         """Count the unread bytes of the connection."""
-        self._input_bytes.set_size(self._unread_input, size)
+        if not self._is_released:
+            self._input_bytes.set_size(self._unread_input, size)
 
     def measure_unsent(self) -> None:
         """Count the answers that the caller has not read."""
-        self._answer_bytes.measure(self._unsent_answers)
+        if not self._is_released:
+            self._answer_bytes.measure(self._unsent_answers)
 
     def release(self) -> None:
         """Count the connection no more, since it has closed."""
+        self._is_released = True
         self._input_bytes.remove(self._unread_input)
         self._answer_bytes.remove(self._unsent_answers)
--- a/lentilsill/daemon/tests/test_connection_memory.py
+++ b/lentilsill/daemon/tests/test_connection_memory.py
@@ -80,6 +80,23 @@
         whole = await self.connect(get("a", b"\r\n"))
         self.assertEqual(await self.read_status(whole), 200)
 
+    async def test_closed_connections_stay_counted(self):
+        """Callers leave while their requests are read, held and answered."""
+        many = get("a", b"\r\n") * 200
+        body = b"POST /s/a HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + b"x" * 500
+        for data in (many, body, many + body, get("held", b"\r\n") + many) * 10:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(data)
+            await asyncio.sleep(0.002)
+            writer.transport.abort()
+        async with asyncio.timeout(TIMEOUT_S):
+            while self.server._connections:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.server.held_bytes.total_bytes, 0)
+        self.assertEqual(self.server._answer_bytes.total_bytes, 0)
+        self.assertEqual(self.server._call_bytes, 0)
+
     async def test_answers_that_callers_do_not_read_exhaust_the_memory(self):
         """The answer to a caller that reads is whole."""
         self.calls.body_bytes = 2_000_000
