Refuse unread requests with 503 when they take too much memory

A caller whose head was dropped for the memory that all requests take got 431, after which requests are not retried. The request has not run and is within its own limits: it gets 503 with Retry-After now.

--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -40,6 +40,8 @@
 INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 BAD_REQUEST = b"400 Bad Request"
 HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
+# The request has not run, and may be repeated.
+OUT_OF_MEMORY = b"503 Service Unavailable\r\nRetry-After: 0.1"
 NO_CONTENT_HEAD = b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -80,6 +82,7 @@
         self.on_answer_held = on_answer_held
         self.last_used_s = asyncio.get_running_loop().time()
         self.is_closing = False
+        self._is_out_of_memory = False
         self._params = params
         self._make_delegate = make_delegate
         self._on_closed = on_closed
@@ -215,6 +218,7 @@
 
     def refuse_unread(self) -> None:
         """Drop the unread bytes, and close once the requests before are answered."""
+        self._is_out_of_memory = True
         if not self.stream.drop_unread():
             self.stop_reading(CloseReason.BAD_REQUEST)
             self.close_if_answered()
@@ -253,6 +257,12 @@
             now_s = asyncio.get_running_loop().time()
             self._idle_at_close_s = now_s - self.last_used_s
 
+    def _status(self, request_stream: RequestStream) -> bytes:
+        """Return the status of a request that can't be read."""
+        if self._is_out_of_memory:
+            return OUT_OF_MEMORY
+        return BAD_REQUEST if request_stream.has_begun else HEAD_TOO_LARGE
+
     async def _wait_for_room(self) -> None:
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[None] = loop.create_future()
@@ -273,8 +283,7 @@
                 pass
             case UnsatisfiableReadError():
                 if request_stream.can_be_passed_on and not request.is_answered:
-                    status = BAD_REQUEST if request_stream.has_begun else HEAD_TOO_LARGE
-                    request_stream.write(NO_CONTENT_HEAD % status)
+                    request_stream.write(NO_CONTENT_HEAD % self._status(request_stream))
                 self.stop_reading(CloseReason.BAD_REQUEST)
             case exc:
                 asyncio.get_running_loop().call_exception_handler(
--- a/lentilsill/daemon/tests/test_connection_memory.py
+++ b/lentilsill/daemon/tests/test_connection_memory.py
@@ -68,7 +68,8 @@
         refused = [reader for reader in readers if reader._buffer]
         self.assertGreater(len(refused), 50)
         for reader in refused:
-            self.assertEqual(await self.read_status(reader), 431)
+            self.assertEqual(await self.read_status(reader), 503)
+            self.assertIn(b"Retry-After", reader._buffer)
 
     async def test_pipelined_requests_that_are_not_read_exhaust_the_memory(self):
         """A connection reads no more than a number of requests at a time."""
