--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -89,8 +89,6 @@
         """The event loop as tornado sees it."""
         return IOLoop.current()
 
-    # Reading
-
     def read_bytes(self, size: int, partial: bool = False) -> asyncio.Future[bytes]:
         """Read `size` bytes, or up to `size` with `partial`."""
 
@@ -136,10 +134,7 @@
             consumer(data)
 
     def hold_input(self) -> None:
-        """Read nothing from the socket until `release_input`.
-
-        The consumer has received bytes that it processes later; they count as unread.
-        """
+        """Read nothing until `release_input`; bytes at the consumer count as unread."""
         self.is_input_held = True
         self._pause_reading()
 
@@ -163,8 +158,6 @@
             assert self._transport is not None
             self._transport.resume_reading()
 
-    # Writing
-
     def write(self, data: bytes) -> asyncio.Future[None]:
         """Send bytes; the future is done when the kernel has accepted them all.
 
@@ -206,8 +199,6 @@
     def set_nodelay(self, value: bool) -> None:
         """Do nothing: asyncio sets TCP_NODELAY on each connection that it opens."""
 
-    # Closing
-
     def closed(self) -> bool:
         """Return whether the stream is closed; received bytes can still be read."""
         return self._is_closed
@@ -336,8 +327,6 @@
                 write.set_exception(StreamClosedError())
         self._pending_writes.clear()
 
-    # Callbacks of the transport
-
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer into which the transport receives."""
         buffer = _receive_buffers.get(self._loop)
