--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -29,6 +29,7 @@
 from .deltas import coalesce, delta_to_forward, has_content, row_versions
 from .membership import MembershipController
 from .probe_relays import DigestTuple
+from .version_arrivals import VersionArrivals
 
 __all__ = ["DistributionController"]
 
@@ -84,6 +85,7 @@
         # resulting request is forwarded in the tree of this root.
         self._failed_patch_root = ""
         self._remote_peers: dict[str, str] = {}
+        self._arrivals = VersionArrivals(ctx, documents)
         self._full_sync_count = 0
         self._peak_syncs = 0
         self.sources: dict[str, str] = {}
@@ -111,6 +113,7 @@
     def add_platform_changes(self, delta: Delta) -> None:
         """Merge changes read from the platform, and push those that are new."""
         new = self._documents.merge(delta)
+        self._arrivals.log_read(delta, new)
         if new is None or not has_content(new):
             return
         forwarded = delta_to_forward(delta, new)
@@ -155,6 +158,7 @@
 
     def _on_delta(self, link: Link, message: Delta) -> None:
         new = self._documents.merge(message)
+        self._arrivals.log_received(link, message, new)
         self.confirmations.apply_claims()
         if message.root:
             if self._pending_backup_pushes:
@@ -165,6 +169,7 @@
                 self._push(delta_to_forward(message, new), message.root)
             elif self._documents.lacks_patch_base(message):
                 self._ctx.count("distribution.patches_unfit")
+                self._arrivals.record_lack()
                 self._failed_patch_root = message.root
                 self._request_changes(link, self._local_digest())
             return
@@ -224,6 +229,7 @@
                 return True
             case Ask():
                 if not self._is_ineffective(theirs):
+                    self._arrivals.record_lack()
                     self._request_changes(link, theirs)
         return False
 
@@ -296,9 +302,11 @@
             and now - self._pending_request[1] < REQUEST_TIMEOUT_S
         )
         if is_waiting or now < self._next_request_at:
+            self._arrivals.record_postponed()
             return
         self._pending_request = (link.hello.instance, now)
         self._requested_digest = theirs
+        self._arrivals.record_request(link.hello.node)
         self._ctx.count("distribution.syncs_asked")
         docs = self._documents
         link.send(DeltaRequest(docs.complete_as_of, docs.bundle_version))
