--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,6 +4,9 @@
 "lose_write_answers"}``. Below 1, `lose_write_answers` is the share of writes
 that get no answer; from 1 on, it is the number of such writes.
 `POST /standin/compact` discards the history of changes.
+`POST /standin/restore` takes ``{"age_s", "away_s"}``: the store is away for `away_s`
+and comes back from a copy that is `age_s` old. The header `Store-Era` of all answers
+rises by one each time.
 `GET /standin/counters` returns the number of calls by type.
 """
 
@@ -31,6 +34,7 @@
 MAX_BODY_BYTES = 16 * MAX_VALUE_BYTES
 MAX_WATCH_S = 30.0
 MAX_PAGE_ITEMS = 500
+ERA_HEADER = "Store-Era"
 
 
 class _MetadataBody(BaseModel):
@@ -53,6 +57,15 @@
     lose_write_answers: float = Field(default=0.0, ge=0)
 
 
+class Restore(BaseModel):
+    """A return of the store from an older copy."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    age_s: float = Field(ge=0)
+    away_s: float = Field(default=0.0, ge=0)
+
+
 @dataclass
 class Platform:
     """State of the stand-in."""
@@ -68,6 +81,7 @@
     counters: Counter[str] = field(default_factory=Counter)
     change_condition: Condition = field(default_factory=Condition)
     waiting_watches: int = 0
+    is_away: bool = False
     rng: random.Random = field(default_factory=random.Random)
 
     def decide_answer_loss(self) -> bool:
@@ -81,6 +95,15 @@
             return True
         return self.rng.random() < loss
 
+    async def restore(self, age_s: float, away_s: float) -> None:
+        """Be away for `away_s`, and come back from a copy that is `age_s` old."""
+        self.is_away = True
+        self.change_condition.notify_all()
+        await asyncio.sleep(away_s)
+        self.store.restore(age_s + away_s)
+        self.is_away = False
+        self.change_condition.notify_all()
+
     def collect_counters(self) -> dict[str, Any]:
         """Return the number of calls by type, and the state of the store."""
         return dict(self.counters) | {
@@ -95,6 +118,8 @@
 
     def answer(self, status: int, /, **body: Any) -> None:
         self.set_status(status)
+        if self.platform.store.era is not None:
+            self.set_header(ERA_HEADER, str(self.platform.store.era))
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(body))
 
@@ -107,6 +132,7 @@
         platform.counters[f"{call}_bytes_in"] += len(self.request.body)
         if platform.faults.mode == "slow":
             await asyncio.sleep(platform.faults.delay_ms / 1000)
+        self.check_presence()
         if platform.faults.mode == "down":
             platform.counters["refused_down"] += 1
             self.answer(503, reason="outage")
@@ -117,6 +143,13 @@
             self.answer(429, reason="rate limit")
             raise Finish
 
+    def check_presence(self) -> None:
+        """Close the connection without an answer while the store is away."""
+        if self.platform.is_away:
+            self.platform.counters["closed_away"] += 1
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            raise Finish
+
     async def admit_read(self, call: str) -> None:
         # Each waiting watch uses one call per second of the read rate.
         await self.admit(call, self.platform.read_bucket, self.platform.waiting_watches)
@@ -227,6 +260,7 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + timeout_s
         while not self.is_disconnected:
+            self.check_presence()
             if platform.faults.mode == "down":
                 self.answer(503, reason="outage")
                 return
@@ -257,6 +291,18 @@
         self.answer(200, oldest_revision=self.platform.store.compacted_to)
 
 
+class _RestoreHandler(_Base):
+    async def post(self) -> None:
+        try:
+            body = Restore.model_validate_json(self.request.body)
+        except ValidationError as exc:
+            self.answer(400, reason=str(exc))
+            return
+        await self.platform.restore(body.age_s, body.away_s)
+        store = self.platform.store
+        self.answer(200, era=store.era, revision=store.revision)
+
+
 class _CountersHandler(_Base):
     def get(self) -> None:
         self.answer(200, **self.platform.collect_counters())
@@ -271,6 +317,7 @@
         (f"/objects/{name_pattern}", _KindHandler, args),
         ("/standin/faults", _FaultsHandler, args),
         ("/standin/compact", _CompactHandler, args),
+        ("/standin/restore", _RestoreHandler, args),
         ("/standin/counters", _CountersHandler, args),
     ]
     return Application(routes, log_function=lambda handler: None)
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,5 +1,6 @@
 """Objects, history and rate limits of the platform stand-in."""
 
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -50,6 +51,16 @@
         self.oldest_revision = oldest_revision
 
 
+@dataclass(frozen=True, slots=True)
+class _UndoEntry:
+    """State of one object before the change that created `revision`."""
+
+    at_s: float
+    revision: int
+    key: tuple[str, str]
+    before: Change | None
+
+
 @dataclass
 class Store:
     """Objects of all kinds, with one revision counter for all of them.
@@ -58,6 +69,10 @@
     ----------
     history_limit : int
         Number of changes kept for watches; older ones are compacted.
+    era : int or None
+        Number that rises with each restore; None for a store that names no era.
+    clock : callable
+        Monotonic clock in seconds.
 
     Examples
     --------
@@ -73,6 +88,9 @@
     compacted_to: int = 0
     objects: dict[tuple[str, str], Change] = field(default_factory=dict)
     history: deque[Change] = field(default_factory=deque)
+    era: int | None = 1
+    clock: Callable[[], float] = time.monotonic
+    _undo: deque[_UndoEntry] = field(default_factory=deque)
 
     def put(self, kind: str, name: str, value: Any, expected: int | None) -> Change:
         """Write an object if its version is `expected` (None accepts any)."""
@@ -90,7 +108,7 @@
 
     def changes(self, kind: str, since: int) -> list[Change]:
         """Return the changes of a kind after a revision, oldest first."""
-        if since < self.compacted_to:
+        if not self.compacted_to <= since <= self.revision:
             raise CompactedError(self.compacted_to)
         # Watches request recent changes, so the search starts at the newest.
         recent = takewhile(lambda c: c.version > since, reversed(self.history))
@@ -101,6 +119,25 @@
         while len(self.history) > keep:
             self.compacted_to = self.history.popleft().version
 
+    def restore(self, age_s: float) -> None:
+        """Return to the state of `age_s` seconds ago, as from a copy.
+
+        Changes since then are lost and their revisions are given out again. The
+        history of the copy is gone.
+        """
+        copied_at_s = self.clock() - age_s
+        while self._undo and self._undo[-1].at_s > copied_at_s:
+            entry = self._undo.pop()
+            self.revision = entry.revision - 1
+            if entry.before is None:
+                self.objects.pop(entry.key, None)
+            else:
+                self.objects[entry.key] = entry.before
+        self.history.clear()
+        self.compacted_to = self.revision
+        if self.era is not None:
+            self.era += 1
+
     def _check_version(self, kind: str, name: str, expected: int | None) -> None:
         obj = self.objects.get((kind, name))
         current = obj.version if obj is not None else 0
@@ -110,6 +147,11 @@
     def _record(self, change: Change) -> Change:
         self.revision = change.version
         key = (change.kind, change.name)
+        self._undo.append(
+            _UndoEntry(self.clock(), change.version, key, self.objects.get(key))
+        )
+        if len(self._undo) > self.history_limit:
+            self._undo.popleft()
         if change.deleted:
             self.objects.pop(key, None)
         else:
