Order versions apart from the history of the store

Callers: after the store had come back from an older copy, a version that the store acknowledged was not in force at any node, for as long as its revision stayed below that of the version in force.

Cause: a revision both ordered versions for callers and named a place in the store's history. The store gives revisions out again after a return.

Now a place is a position, the era of the answer and the revision in one integer. Listings, watches, digests, deltas, patches and confirmations compare positions, an answer of an earlier era is not used, a watch does not continue in another history, and a position of an earlier era conditions no write. What orders versions of different eras is the number that the operator gave: the copy holds older versions at later positions, and lost versions may be written again one after the other. Where there is no number (documents of single services), a text that was known before the return is older, and one that was not is new. A store that names no era has positions equal to its revisions.

A node with a rejected newest version now gives its peers the one in force.

--- a/lentilsill/daemon/blackboard.py
+++ b/lentilsill/daemon/blackboard.py
@@ -22,6 +22,7 @@
     UPSTREAMS = "upstreams"
     DRAIN = "drain"
     READY = "ready"
+    STORE_ERA = "store_era"
 
 
 @dataclass
@@ -50,6 +51,9 @@
     calls_end_at_s : float
         Time of the monotonic clock at which a node that is draining ends the calls
         that are still in progress, as its process ends soon after.
+    store_era : int or None
+        Latest known era of the platform's store; None until it is known. Written by
+        the distribution controller.
     dump_parts : dict
         Functions that return the controllers' parts of the state dump, by part name.
     """
@@ -63,6 +67,7 @@
     draining: bool = False
     is_refusing_callers: bool = False
     calls_end_at_s: float = math.inf
+    store_era: int | None = None
     dump_parts: dict[str, Callable[[], Any]] = field(default_factory=dict)
     _subscribers: dict[Topic, list[Callable[[], None]]] = field(
         default_factory=lambda: defaultdict(list)
--- a/lentilsill/daemon/controllers/bundle.py
+++ b/lentilsill/daemon/controllers/bundle.py
@@ -1,16 +1,28 @@
 """Stores the newest bundle of documents and puts it in force."""
 
+from dataclasses import replace
 from typing import Any
 
 import structlog
 import xxhash
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.distribution import PatchError, TextPatch, TextVersions
 from lentilsill.documents import Bundle, BundleReader
-from lentilsill.versioning import HeldVersion, RejectedVersion, Snapshot
+from lentilsill.findings import Findings
+from lentilsill.versioning import (
+    HeldVersion,
+    RejectedVersion,
+    Snapshot,
+    VersionOrder,
+    era_of,
+    format_position,
+    has_numbers,
+    revision_of,
+    supersedes,
+)
 from lentilsill.wire.messages import Delta, DocumentRow, PatchRow
 
 __all__ = ["BundleController"]
@@ -37,13 +49,24 @@
         self._versions = TextVersions()
         self._reader = BundleReader()
         self._rejected: RejectedVersion | None = None
+        # Number that the author of the newest version gave; None if it is rejected.
+        self._newest_number: int | None = None
+        # Text in force, which differs from the newest one if that is rejected.
+        self._in_force_text = ""
         self._in_force_since = 0.0
         ctx.board.dump_parts["documents"] = self.dump
 
     @property
     def content_hash(self) -> int:
-        """64-bit hash of the newest known revision."""
-        return xxhash.xxh3_64_intdigest(self.bundle_version.to_bytes(8, "big"))
+        """64-bit hash of the newest known revision.
+
+        It includes the one in force if the newest is rejected: peers that have none in
+        force must get it.
+        """
+        revisions = self.bundle_version.to_bytes(8, "big")
+        if self._rejected is not None:
+            revisions += self._in_force_revision.to_bytes(8, "big")
+        return xxhash.xxh3_64_intdigest(revisions)
 
     @property
     def bundle_version(self) -> int:
@@ -53,7 +76,13 @@
     def merge(self, delta: Delta) -> Delta | None:
         """Apply a newer bundle; return the delta to forward, or None if not newer."""
         version_before = self.bundle_version
-        if not self._add_rows(delta.rows):
+        rows = sorted(
+            (row for row in delta.rows if not row[2]), key=lambda row: -row[1]
+        )
+        is_behind = self._is_from_store_behind(delta)
+        for name, version, _, text in rows:
+            self._offer(name, version, text, is_behind)
+        if not rows:
             self._add_patches(delta.patches)
         if delta.full or delta.base <= self.complete_as_of:
             self.complete_as_of = max(self.complete_as_of, delta.complete_as_of)
@@ -61,51 +90,94 @@
             return None
         # There is only one object: no earlier change can be missing.
         self.complete_as_of = max(self.complete_as_of, self.bundle_version)
-        self._apply_newest()
         return self.delta_since(version_before, version_before)
 
     def lacks_patch_base(self, delta: Delta) -> bool:
-        """Return whether the delta has a patch to a version newer than the bundle."""
-        return any(row[1] > self.bundle_version for row in delta.patches)
+        """Return whether the delta has a patch of a bundle that this node lacks."""
+        newest = self.bundle_version
+        return any(row[1] > newest and row[2] != newest for row in delta.patches)
 
     def delta_since(self, base: int, held: int = 0) -> Delta:
         """Return the bundle if it has changed after revision `base`.
 
         A receiver that holds revision `held` gets a patch if this node still has
-        the text of that revision and the patch is much shorter than the bundle.
+        the text of that revision and the patch is much shorter than the bundle. One
+        that holds a revision of another era gets the bundle, and decides itself which
+        of the two is newer.
         """
         complete_up_to = max(base, self.complete_as_of)
-        if self.bundle_version <= base:
-            return Delta(base, complete_up_to, False, ())
+        newest = self.bundle_version
+        is_same_era = not held or era_of(held) == era_of(newest)
+        if newest == held or (is_same_era and newest <= base):
+            return Delta(base, complete_up_to, False, self._in_force_rows())
         patch = self._versions.patch_from(held) if held else None
         if patch is None:
-            return Delta(base, complete_up_to, False, self._newest_rows())
-        row: PatchRow = (
-            self._name,
-            self.bundle_version,
-            held,
-            patch.text_hash,
-            patch.parts,
-        )
+            rows = self._newest_rows() + self._in_force_rows()
+            return Delta(base, complete_up_to, False, rows)
+        row: PatchRow = (self._name, newest, held, patch.text_hash, patch.parts)
         return Delta(base, base, False, (), patches=(row,))
 
-    def _add_rows(self, rows: tuple[DocumentRow, ...]) -> bool:
-        undeleted = (row for row in rows if not row[2])
-        newest = max(undeleted, key=lambda row: row[1], default=None)
-        if newest is None or not self._versions.add(newest[1], newest[3]):
-            return False
-        self._name = newest[0]
-        return True
+    def _is_from_store_behind(self, delta: Delta) -> bool:
+        """Return whether a listing shows a copy that is behind what was read before."""
+        theirs, mine = delta.complete_as_of, self.complete_as_of
+        is_new_era = delta.full and era_of(theirs) > era_of(mine)
+        return is_new_era and revision_of(theirs) <= revision_of(mine)
+
+    def _offer(self, name: str, version: int, text: str, is_behind: bool) -> None:
+        """Take a version as the newest one, or at least put it in force, if it is."""
+        held = self.bundle_version
+        if version == held:
+            return
+        if held and era_of(version) == era_of(held):
+            is_newest = version > held
+        else:
+            is_newest = not held or self._is_newer_across_eras(
+                name, version, text, is_behind
+            )
+        if is_newest:
+            has_same_text = text == self._versions.text
+            self._name = name
+            self._versions.keep(version, text)
+            if has_same_text:
+                self._adopt_revision(version)
+            else:
+                self._apply_newest()
+        elif self._rejected is not None and version != self._in_force_revision:
+            self._apply_valid(version, text)
+
+    def _is_newer_across_eras(
+        self, name: str, version: int, text: str, is_behind: bool
+    ) -> bool:
+        number = _read_number(self._reader.read(text, version))
+        candidate = VersionOrder(version, number)
+        newest = VersionOrder(self.bundle_version, self._newest_number)
+        is_in_doubt = (
+            is_behind and number is not None and not has_numbers(candidate, newest)
+        )
+        is_newer = not is_in_doubt and supersedes(candidate, newest)
+        if not is_newer and version > self.bundle_version:
+            self.ctx.count("documents.older_copies")
+            log.info(
+                "older_copy_ignored",
+                service=name,
+                revision=format_position(version),
+                newest=format_position(self.bundle_version),
+            )
+        return is_newer
 
     def _add_patches(self, rows: tuple[PatchRow, ...]) -> None:
         for name, version, base, text_hash, parts in rows:
+            if base != self.bundle_version:
+                continue
             try:
-                self._versions.add_patch(version, base, TextPatch(parts, text_hash))
+                text = self._versions.patched(TextPatch(parts, text_hash))
             except PatchError as exc:
                 self.ctx.count("documents.bad_patches")
                 log.warning(
                     "patch_rejected", service=name, version=version, error=str(exc)
                 )
+            else:
+                self._offer(name, version, text, is_behind=False)
 
     def newest_versions(self) -> dict[str, tuple[int, bool]]:
         """Return the newest known revision, never a deletion, by object name."""
@@ -131,6 +203,16 @@
             return {}
         return {row[0]: self.in_force.revision for row in self._newest_rows()}
 
+    @property
+    def _in_force_revision(self) -> int:
+        return self.in_force.revision if self.in_force is not None else 0
+
+    def _in_force_rows(self) -> tuple[DocumentRow, ...]:
+        """Return the version in force if it is another one than the newest."""
+        if self._rejected is None or self.in_force is None:
+            return ()
+        return ((self._name, self.in_force.revision, False, self._in_force_text),)
+
     def _newest_rows(self) -> tuple[DocumentRow, ...]:
         if not self.bundle_version:
             return ()
@@ -138,9 +220,9 @@
 
     def _apply_newest(self) -> None:
         name, revision = self._name, self.bundle_version
-        board = self.ctx.board
         match self._reader.read(self._versions.text, revision):
             case Err(findings):
+                self._newest_number = None
                 self._rejected = RejectedVersion(revision, findings)
                 self.ctx.count("documents.rejected")
                 log.warning(
@@ -151,28 +233,53 @@
                     findings_count=len(findings.items),
                 )
             case Ok(bundle):
+                self._newest_number = bundle.version
                 self._rejected = None
-                replaced = self.in_force.version if self.in_force is not None else 0
-                self.in_force = bundle
-                self._in_force_since = self.ctx.now()
-                board.snapshot = Snapshot(
-                    bundle.documents,
-                    self.complete_as_of,
-                    bundle.caller_limits,
-                    bundle.hosts,
-                )
-                self.ctx.count("documents.in_force_changed")
-                log.info(
-                    "bundle_applied",
-                    version=bundle.version,
-                    replaces=replaced,
-                    revision=revision,
-                    documents=len(bundle.documents) + len(bundle.hosts),
-                    instance=self.ctx.links.identity.instance,
-                    monotonic_s=self.ctx.now(),
-                )
-                board.notify(Topic.IN_FORCE)
-        board.notify(Topic.DOCUMENTS)
+                if self._supersedes_in_force(bundle):
+                    self._put_in_force(bundle, self._versions.text)
+        self.ctx.board.notify(Topic.DOCUMENTS)
+
+    def _apply_valid(self, version: int, text: str) -> None:
+        """Put a version in force in place of the newest one, which is rejected."""
+        match self._reader.read(text, version):
+            case Ok(bundle) if self._supersedes_in_force(bundle):
+                self._put_in_force(bundle, text)
+
+    def _adopt_revision(self, revision: int) -> None:
+        """Note that the newest text was written again, at another revision."""
+        if self._rejected is not None:
+            self._rejected = replace(self._rejected, version=revision)
+        elif self.in_force is not None:
+            self.in_force = replace(self.in_force, revision=revision)
+            self.ctx.board.notify(Topic.IN_FORCE)
+        self.ctx.board.notify(Topic.DOCUMENTS)
+
+    def _supersedes_in_force(self, bundle: Bundle) -> bool:
+        return self.in_force is None or supersedes(
+            VersionOrder(bundle.revision, bundle.version),
+            VersionOrder(self.in_force.revision, self.in_force.version),
+        )
+
+    def _put_in_force(self, bundle: Bundle, text: str) -> None:
+        replaced = self.in_force.version if self.in_force is not None else 0
+        self.in_force = bundle
+        self._in_force_text = text
+        self._in_force_since = self.ctx.now()
+        board = self.ctx.board
+        board.snapshot = Snapshot(
+            bundle.documents, self.complete_as_of, bundle.caller_limits, bundle.hosts
+        )
+        self.ctx.count("documents.in_force_changed")
+        log.info(
+            "bundle_applied",
+            version=bundle.version,
+            replaces=replaced,
+            revision=bundle.revision,
+            documents=len(bundle.documents) + len(bundle.hosts),
+            instance=self.ctx.links.identity.instance,
+            monotonic_s=self.ctx.now(),
+        )
+        board.notify(Topic.IN_FORCE)
 
     def dump(self) -> dict[str, Any]:
         """Return this controller's part of the state dump."""
@@ -183,3 +290,10 @@
             "in_force": bundle and {"version": bundle.version, "rev": bundle.revision},
             "in_force_for_s": round(self.ctx.now() - self._in_force_since, 3),
         }
+
+
+def _read_number(result: Result[Bundle, Findings]) -> int | None:
+    match result:
+        case Ok(bundle):
+            return bundle.version
+    return None
--- a/lentilsill/daemon/controllers/confirmations.py
+++ b/lentilsill/daemon/controllers/confirmations.py
@@ -8,6 +8,7 @@
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import Documents
 from lentilsill.distribution import Confirmation
+from lentilsill.versioning import era_of
 from lentilsill.wire import Link
 from lentilsill.wire.messages import Digest
 
@@ -67,11 +68,13 @@
 
     def record_digest(self, link: Link, message: Digest) -> None:
         """Record the confirmation in a peer's digest; forward one that is a push."""
-        if message.age_ms < 0:
+        docs = self._documents
+        is_of_earlier_era = era_of(message.complete_as_of) < era_of(docs.complete_as_of)
+        if message.age_ms < 0 or is_of_earlier_era:
             return
         at = self._ctx.now() - message.age_ms / 1000
         peer = link.hello.node
-        if self._documents.complete_as_of < message.complete_as_of:
+        if docs.complete_as_of < message.complete_as_of:
             self._confirmation.add_claim(message.complete_as_of, at, peer)
             return
         is_new = self._confirmation.record(at, peer)
--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -6,6 +6,7 @@
 import structlog
 from msgspec.structs import replace
 
+from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import Documents
 from lentilsill.distribution import (
@@ -22,6 +23,7 @@
     policy_for,
 )
 from lentilsill.membership import NodeState
+from lentilsill.versioning import era_of
 from lentilsill.wire import CONTROL, Link
 from lentilsill.wire.messages import Busy, Delta, DeltaRequest, Digest
 
@@ -114,6 +116,7 @@
         """Merge changes read from the platform, and push those that are new."""
         new = self._documents.merge(delta)
         self._arrivals.log_read(delta, new)
+        self._record_era()
         if new is None or not has_content(new):
             return
         forwarded = delta_to_forward(delta, new)
@@ -126,6 +129,20 @@
         asyncio.get_running_loop().call_later(delay_s, self._push_backup, forwarded)
         self._pending_backup_pushes += 1
 
+    def _record_era(self) -> None:
+        """Tell the other controllers when the platform's store has a new era.
+
+        What this node wrote there shortly before may be lost.
+        """
+        board = self._ctx.board
+        if not self._documents.complete_as_of:
+            return
+        era = era_of(self._documents.complete_as_of)
+        before, board.store_era = board.store_era, era
+        if before is not None and era > before:
+            self._ctx.count("distribution.store_eras")
+            board.notify(Topic.STORE_ERA)
+
     # Pushes
 
     def _push_backup(self, delta: Delta) -> None:
@@ -159,6 +176,7 @@
     def _on_delta(self, link: Link, message: Delta) -> None:
         new = self._documents.merge(message)
         self._arrivals.log_received(link, message, new)
+        self._record_era()
         self.confirmations.apply_claims()
         if message.root:
             if self._pending_backup_pushes:
@@ -223,6 +241,7 @@
             case AdoptRevision(complete_as_of):
                 base = mine.complete_as_of
                 self._documents.merge(Delta(base, complete_as_of, False, ()))
+                self._record_era()
                 self._record_source(link, complete_as_of)
             case SendDigest():
                 self._record_source(link, theirs.complete_as_of)
--- a/lentilsill/daemon/controllers/documents.py
+++ b/lentilsill/daemon/controllers/documents.py
@@ -11,8 +11,13 @@
     Changes,
     DocumentRecord,
     DocumentStore,
+    KnownTexts,
     MergeResult,
     ParsedRecord,
+    era_of,
+    format_position,
+    parse_record,
+    revision_of,
 )
 from lentilsill.wire.messages import Delta
 
@@ -35,6 +40,9 @@
         self.ctx = ctx
         self.store = store or DocumentStore()
         self._logged_held: dict[str, tuple[int, tuple[str, ...]]] = {}
+        self._known_texts = KnownTexts()
+        # Position from which on this node has seen the versions of the documents.
+        self._followed_since = 0
         ctx.board.snapshot = self.store.snapshot
         ctx.board.dump_parts["documents"] = self.dump
 
@@ -50,10 +58,56 @@
 
     def merge(self, delta: Delta) -> Delta | None:
         """Merge documents; return the new ones to forward, or None."""
+        if self._is_first_of_era(delta):
+            delta = self._without_older_copies(delta)
         merged = self.store.merge(_to_changes(delta))
+        self._record_texts(delta, merged)
         self._publish(merged)
+        self._followed_since = self._followed_since or self.complete_as_of
         return _to_delta(merged.changes) if merged.changes else None
 
+    def _is_first_of_era(self, delta: Delta) -> bool:
+        mine = self.complete_as_of
+        return delta.full and mine > 0 and era_of(delta.complete_as_of) > era_of(mine)
+
+    def _record_texts(self, delta: Delta, merged: MergeResult) -> None:
+        """Record the texts of a delta, also of versions that others have replaced."""
+        new = {(p.record.service, p.record.version): p.record for p in merged.new}
+        for row in delta.rows:
+            name, version = row[0], row[1]
+            newest = self.store.newest_record(name)
+            if (name, version) in new:
+                self._known_texts.add(new[name, version])
+            elif newest is None or version != newest.version:
+                self._known_texts.add(parse_record(DocumentRecord(*row)).record)
+
+    def _without_older_copies(self, delta: Delta) -> Delta:
+        """Return what was written since the store came back from a copy.
+
+        The listing of a copy shows older versions again, and lacks documents that
+        were created later; the operator writes these again. A text that this node
+        has not seen is new, unless it may be older than what this node has seen.
+        """
+        mine = revision_of(self.complete_as_of)
+        is_behind = revision_of(delta.complete_as_of) <= mine
+        rows = []
+        for row in delta.rows:
+            record = parse_record(DocumentRecord(*row)).record
+            name, version = record.service, record.version
+            newest = self.store.newest_record(name)
+            is_followed = revision_of(version) >= revision_of(self._followed_since)
+            is_older = self._known_texts.has(record) or (is_behind and not is_followed)
+            if newest is not None and newest.text != record.text and is_older:
+                log.info(
+                    "older_copy_ignored",
+                    service=name,
+                    revision=format_position(version),
+                    newest=format_position(newest.version),
+                )
+            else:
+                rows.append(row)
+        return Delta(self.complete_as_of, delta.complete_as_of, False, tuple(rows))
+
     @property
     def bundle_version(self) -> int:
         """Always 0: documents of single services are never sent as patches."""
--- a/lentilsill/daemon/controllers/tests/test_bundle.py
+++ b/lentilsill/daemon/controllers/tests/test_bundle.py
@@ -10,6 +10,7 @@
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.controllers.bundle import BundleController
 from lentilsill.daemon.tests.builders import node_settings
+from lentilsill.distribution import make_patch
 from lentilsill.documents import bundle_text
 from lentilsill.versioning import EMPTY_SNAPSHOT
 from lentilsill.wire import PeerLinks
@@ -70,6 +71,21 @@
         self.assertEqual(self.in_force(), ["new"])
         self.assertEqual(self.bundle.complete_as_of, 8)
 
+    def test_outdated_text_and_patch_are_ignored(self):
+        """Guards against an older version that replaces a newer one (G1)."""
+        old, new, other = (routes_text(50, changed=n) for n in range(3))
+        self.bundle.merge(make_delta(11, text=old))
+        self.bundle.merge(make_delta(12, text=new))
+        hash_ = make_patch(new.split("\n"), old.split("\n")).text_hash
+        for version, base in ((11, 12), (12, 12), (14, 13)):
+            rows = (("main", version, base, hash_, (old,)),)
+            delta = Delta(version, version, False, (), patches=rows)
+            self.assertIsNone(self.bundle.merge(delta))
+        for version, text in ((11, other), (12, other)):
+            self.assertIsNone(self.bundle.merge(make_delta(version, text=text)))
+        self.assertEqual(self.bundle.bundle_version, 12)
+        self.assertEqual(self.bundle.delta_since(0).rows[0][3], new)
+
     def test_invalid_bundle_leaves_the_older_one_in_force(self):
         """Guards against an invalid version that takes a node out of service (G3)."""
         self.bundle.merge(make_delta(8, "good"))
--- a/lentilsill/daemon/controllers/version_arrivals.py
+++ b/lentilsill/daemon/controllers/version_arrivals.py
@@ -1,9 +1,12 @@
 """Log lines that tell how each version of documents reached this node."""
 
+from collections.abc import Iterable
+
 import structlog
 
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import Documents
+from lentilsill.versioning import format_position
 from lentilsill.wire import Link
 from lentilsill.wire.messages import Delta
 
@@ -48,7 +51,7 @@
     def log_read(self, delta: Delta, new: Delta | None) -> None:
         """Log the new versions of a read of the platform, or those it ignored."""
         if new is not None and has_content(new):
-            log.info("versions_read", **self._describe(delta, new))
+            self._log_new(delta, new, "")
             return
         ignored = tuple(row_versions(delta))[:MAX_LOGGED_VERSIONS]
         is_older = any(
@@ -58,33 +61,33 @@
             self._ignored = ignored
             log.warning(
                 "versions_ignored",
-                versions=ignored,
-                newest=self._documents.bundle_version,
-                store_revision=delta.complete_as_of,
+                versions=_format(ignored),
+                newest=format_position(self._documents.bundle_version),
+                store_revision=format_position(delta.complete_as_of),
             )
 
     def log_received(self, link: Link, message: Delta, new: Delta | None) -> None:
         """Log the new versions of a push or of the answer to a request."""
         if new is None or not has_content(new):
             return
+        self._log_new(message, new, link.hello.node)
+
+    def _log_new(self, delta: Delta, new: Delta, peer: str) -> None:
+        now = self._ctx.now()
+        lacked_s = now - self._lacking_since if self._lacking_since is not None else 0.0
         log.info(
             "versions_received",
-            peer=link.hello.node,
-            root=message.root,
-            **self._describe(message, new),
+            peer=peer,
+            root=delta.root,
+            versions=_format(row_versions(new)[:MAX_LOGGED_VERSIONS]),
+            complete_as_of=format_position(delta.complete_as_of),
+            lacked_ms=round(lacked_s * 1000),
+            asked=self._asked,
+            postponed=self._postponed,
+            monotonic_s=now,
         )
+        self._lacking_since, self._asked, self._postponed = None, [], 0
 
-    def _describe(self, delta: Delta, new: Delta) -> dict[str, object]:
-        lacking_since, self._lacking_since = self._lacking_since, None
-        asked, self._asked = self._asked, []
-        postponed, self._postponed = self._postponed, 0
-        now = self._ctx.now()
-        lacked_s = now - lacking_since if lacking_since is not None else 0.0
-        return {
-            "versions": row_versions(new)[:MAX_LOGGED_VERSIONS],
-            "complete_as_of": delta.complete_as_of,
-            "lacked_ms": round(lacked_s * 1000),
-            "asked": asked,
-            "postponed": postponed,
-            "monotonic_s": now,
-        }
+
+def _format(versions: Iterable[tuple[str, int]]) -> list[tuple[str, str]]:
+    return [(name, format_position(version)) for name, version in versions]
--- a/lentilsill/distribution/text_versions.py
+++ b/lentilsill/distribution/text_versions.py
@@ -13,15 +13,17 @@
 
 
 class TextVersions:
-    """Texts of an object by version; a higher version is newer.
+    """Texts of an object by version; the caller decides which version is the newest.
 
     Examples
     --------
     >>> local, peer = TextVersions(), TextVersions()
-    >>> local.add(1, "a\\nb\\nc"), peer.add(1, "a\\nb\\nc"), local.add(2, "a\\nb\\nd")
-    (True, True, True)
-    >>> peer.add_patch(2, 1, local.patch_from(1)), peer.text
-    (True, 'a\\nb\\nd')
+    >>> for versions in (local, peer):
+    ...     versions.keep(1, "a\\nb\\nc")
+    >>> local.keep(2, "a\\nb\\nd")
+    >>> peer.keep(2, peer.patched(local.patch_from(1)))
+    >>> peer.text
+    'a\\nb\\nd'
     """
 
     def __init__(self) -> None:
@@ -29,31 +31,24 @@
         self.version = 0
         self.text = ""
 
-    def add(self, version: int, text: str) -> bool:
-        """Store a text; return False when its version is not newer."""
-        if version <= self.version:
-            return False
+    def keep(self, version: int, text: str) -> None:
+        """Store a text as that of the newest version."""
         # Reuse the string objects of equal lines, so that versions share their memory.
         known = {line: line for line in self._lines.get(self.version, ())}
-        lines = [known.get(line, line) for line in text.split("\n")]
-        self._keep(version, text, lines)
-        return True
-
-    def add_patch(self, version: int, base: int, patch: TextPatch) -> bool:
-        """Store the text that results from a patch of the newest version `base`.
+        self._lines[version] = [known.get(line, line) for line in text.split("\n")]
+        self.version, self.text = version, text
+        if len(self._lines) > KEPT_VERSIONS:
+            del self._lines[next(iter(self._lines))]
 
-        Return False when `version` is not newer, or `base` is not the newest here.
+    def patched(self, patch: TextPatch) -> str:
+        """Return the text that results from a patch of the newest version.
 
         Raises
         ------
         PatchError
             The result is not the text that the patch was made for.
         """
-        if version <= self.version or base != self.version:
-            return False
-        lines = apply_patch(self._lines[base], patch)
-        self._keep(version, "\n".join(lines), lines)
-        return True
+        return "\n".join(apply_patch(self._lines[self.version], patch))
 
     def patch_from(self, base: int) -> TextPatch | None:
         """Return the patch from version `base` to the newest one.
@@ -67,9 +62,3 @@
         patch = make_patch(lines, self._lines[self.version])
         size = sum(len(part) for part in patch.parts if isinstance(part, str))
         return patch if size < MAX_PATCH_SHARE * len(self.text) else None
-
-    def _keep(self, version: int, text: str, lines: list[str]) -> None:
-        self._lines[version] = lines
-        self.version, self.text = version, text
-        if len(self._lines) > KEPT_VERSIONS:
-            del self._lines[next(iter(self._lines))]
--- a/lentilsill/platform/answers.py
+++ b/lentilsill/platform/answers.py
@@ -10,6 +10,8 @@
 from result import Err, Ok, Result
 from tornado.httpclient import HTTPResponse
 
+from lentilsill.versioning import MAX_REVISION
+
 from .model import (
     Compacted,
     Conflict,
@@ -23,6 +25,7 @@
     "EventBody",
     "ListBody",
     "ObjectBody",
+    "Page",
     "WatchBody",
     "check_status",
     "describe_response",
@@ -33,8 +36,6 @@
 DEFAULT_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
 MAX_ERROR_CHARS = 500
-# Revisions are sent on to other nodes as 64-bit integers.
-MAX_REVISION = 2**63 - 1
 # Strings and brackets; the structure of a text follows from these alone.
 _TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
 _NAME = re.compile(rb'"name"\s*:\s*"([^"\\]{1,200})"')
--- a/lentilsill/platform/client.py
+++ b/lentilsill/platform/client.py
@@ -13,18 +13,22 @@
 from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
 from lentilsill.settings import PlatformSettings
+from lentilsill.versioning import era_of, make_position, revision_of
 
 from .answers import (
     ListBody,
     ObjectBody,
+    Page,
     WatchBody,
     check_status,
     describe_response,
     parse,
     parse_page,
 )
+from .eras import StoreEras
 from .model import (
     AnswerLost,
+    Compacted,
     Conflict,
     Listing,
     PlatformError,
@@ -72,6 +76,10 @@
 class HttpObjectApi:
     """The platform's object API over tornado's curl client.
 
+    Revisions appear as positions, which include the era of the answer. An answer of
+    an earlier era than the latest known one is not used, and a position of an earlier
+    era conditions no write.
+
     Parameters
     ----------
     url : str
@@ -98,6 +106,7 @@
         self._url = url.rstrip("/")
         self._timeout_s = request_timeout_s
         self._decoders = decoders or {}
+        self._eras = StoreEras()
         self._client = CurlAsyncHTTPClient(
             force_instance=True, max_clients=MAX_CONCURRENT_REQUESTS
         )
@@ -125,7 +134,8 @@
                 return Err(error)
             case Ok(resp):
                 parsed = parse(ObjectBody, resp.body).map_err(Unavailable)
-                return parsed.map(lambda body: self._to_object(kind, body))
+                era = self._eras.read(resp.headers)
+                return parsed.map(lambda body: self._to_object(kind, body, era))
 
     async def list(
         self, kind: str, stale: bool = False
@@ -134,19 +144,25 @@
         objects: list[StoredObject] = []
         query = {"stale_ok": "1"} if stale else {}
         revision = 0
+        eras: set[int] = set()
         transfer_s = 0.0
         for _ in range(MAX_PAGES):
             path = _kind_path(kind) + _query_string(query)
             answer = await self._read(path, self._timeout_s)
             transfer_s += answer.map_or(0.0, _transfer_s)
-            match answer.and_then(lambda resp: parse_page(ListBody, resp.body)):
+            match answer.and_then(lambda resp: self._parse_page(ListBody, resp)):
                 case Err(error):
                     return Err(error)
-                case Ok(page):
+                case Ok((era, page)):
+                    eras.add(era)
+                    if len(eras) > 1:
+                        return Err(Unavailable("the store changed between pages"))
                     # A watch from the revision of the first page also returns
                     # the changes made while later pages were read.
-                    revision = revision or page.store_revision
-                    converted = (self._to_object(kind, item) for item in page.items)
+                    revision = revision or make_position(era, page.store_revision)
+                    converted = (
+                        self._to_object(kind, item, era) for item in page.items
+                    )
                     objects += [obj for obj in converted if obj is not None]
                     if not page.has_more or not page.items:
                         return Ok(Listing(revision, tuple(objects), transfer_s))
@@ -160,10 +176,12 @@
         metadata: dict[str, Any] = {"name": name}
         if expected_version == 0:
             return await self._write("POST", _kind_path(kind), metadata, value)
+        if self._is_of_earlier_era(expected_version):
+            return Err(Conflict(0))
         if expected_version is not None:
-            metadata["revision"] = expected_version
+            metadata["revision"] = revision_of(expected_version)
         path = _object_path(kind, name)
-        result = await self._write("PUT", path, metadata, value)
+        result = await self._write("PUT", path, metadata, value, expected_version)
         match result:
             case Err(Rejected(status=404)) if expected_version is None:
                 return await self._write("POST", _kind_path(kind), metadata, value)
@@ -175,10 +193,12 @@
         self, kind: str, name: str, expected_version: int | None
     ) -> Result[int, PlatformError]:
         """Delete an object and return the revision of the deletion."""
+        if self._is_of_earlier_era(expected_version):
+            return Err(Conflict(0))
         path = _object_path(kind, name)
         if expected_version is not None:
-            path += _query_string({"revision": str(expected_version)})
-        return await self._write("DELETE", path, None, None)
+            path += _query_string({"revision": str(revision_of(expected_version))})
+        return await self._write("DELETE", path, None, None, expected_version)
 
     async def watch(
         self,
@@ -191,27 +211,52 @@
 
         `on_start` is called when the answer begins to arrive.
         """
+        if self._is_of_earlier_era(since):
+            return Err(Compacted())
         wait_ms = str(int(min(timeout_s, MAX_WATCH_S) * 1000))
         path = _kind_path(kind) + _query_string(
-            {"watch": str(since), "wait_ms": wait_ms}
+            {"watch": str(revision_of(since)), "wait_ms": wait_ms}
         )
         answer = await self._read(path, timeout_s + WATCH_GRACE_S, on_start)
         transfer_s = answer.map_or(0.0, _transfer_s)
-        parsed = answer.and_then(lambda resp: parse_page(WatchBody, resp.body))
-        return parsed.map(lambda body: self._to_batch(kind, body, transfer_s))
-
-    def _to_batch(self, kind: str, body: WatchBody, transfer_s: float) -> WatchBatch:
+        match answer.and_then(lambda resp: self._parse_page(WatchBody, resp)):
+            case Err(error):
+                return Err(error)
+            case Ok((era, body)):
+                if era < era_of(since):
+                    return Err(Unavailable("answer of an earlier era"))
+                # The history that leads to `since` is not the one of the answer.
+                if era > era_of(since):
+                    return Err(Compacted())
+                return Ok(self._to_batch(kind, era, body, transfer_s))
+        raise AssertionError("unreachable")
+
+    def _is_of_earlier_era(self, position: int | None) -> bool:
+        return position is not None and era_of(position) < self._eras.latest
+
+    def _parse_page(
+        self, model: type[Page], resp: HTTPResponse
+    ) -> Result[tuple[int, Page], PlatformError]:
+        era = self._eras.read(resp.headers)
+        return parse_page(model, resp.body).map(lambda page: (era, page))
+
+    def _to_batch(
+        self, kind: str, era: int, body: WatchBody, transfer_s: float
+    ) -> WatchBatch:
         converted = (
-            self._to_object(kind, event.object, event.deleted) for event in body.events
+            self._to_object(kind, event.object, era, event.deleted)
+            for event in body.events
         )
         changes = tuple(obj for obj in converted if obj is not None)
-        return WatchBatch(body.store_revision, changes, transfer_s)
+        position = make_position(era, body.store_revision)
+        return WatchBatch(position, changes, transfer_s)
 
     def _to_object(
-        self, kind: str, body: ObjectBody, deleted: bool = False
+        self, kind: str, body: ObjectBody, era: int, deleted: bool = False
     ) -> StoredObject | None:
         """Convert an object; return None if its decoder rejects it."""
-        name, revision = body.metadata.name, body.metadata.revision
+        name = body.metadata.name
+        revision = make_position(era, body.metadata.revision)
         if deleted:
             return StoredObject(kind, name, revision, None, True)
         decode = self._decoders.get(kind)
@@ -242,12 +287,19 @@
             resp = await self._client.fetch(req, raise_error=False)
         except (HTTPError, OSError) as exc:
             return Err(Unavailable(str(exc)))
+        if self._eras.read(resp.headers) < self._eras.latest:
+            return Err(Unavailable("answer of an earlier era"))
         if resp.code >= 500:
             return Err(Unavailable(describe_response(resp)))
         return check_status(resp)
 
     async def _write(
-        self, method: str, path: str, metadata: dict[str, Any] | None, value: Any
+        self,
+        method: str,
+        path: str,
+        metadata: dict[str, Any] | None,
+        value: Any,
+        condition: int | None = None,
     ) -> Result[int, PlatformError]:
         body = None
         if metadata is not None:
@@ -265,11 +317,22 @@
             )
         except (HTTPError, OSError) as exc:
             return Err(AnswerLost(str(exc)))
+        era = self._eras.read(resp.headers)
         if resp.code == 503:
             return Err(Unavailable(describe_response(resp)))
         if resp.code >= 500:
             return Err(AnswerLost(describe_response(resp)))
-        return check_status(resp).and_then(_parse_write)
+        result = check_status(resp).and_then(_parse_write)
+        is_condition_met = condition is None or era == era_of(condition)
+        if result.is_ok() and (era < self._eras.latest or not is_condition_met):
+            # The write is lost, or its condition named a state of another era.
+            return Err(AnswerLost("the store came back from an older copy"))
+        match result:
+            case Ok(revision):
+                return Ok(make_position(era, revision))
+            case Err(Conflict(revision)):
+                return Err(Conflict(make_position(era, revision)))
+        return result
 
     def _make_request(
         self,
--- a/lentilsill/versioning/store.py
+++ b/lentilsill/versioning/store.py
@@ -153,6 +153,11 @@
             tuple(records),
         )
 
+    def newest_record(self, service: str) -> DocumentRecord | None:
+        """Return the newest known version of a service; None if there is none."""
+        entry = self._entries.get(service)
+        return entry.newest.record if entry is not None and entry.newest else None
+
     def newest_versions(self) -> dict[str, tuple[int, bool]]:
         """Return (newest version, whether it is a deletion) by service."""
         return {
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -336,10 +336,11 @@
     writes_per_s: Annotated[float, typer.Option(help="0: no limit")] = 300.0,
     reads_per_s: Annotated[float, typer.Option(help="0: no limit")] = 2000.0,
     history: Annotated[int, typer.Option(help="Changes kept for watches")] = 10_000,
+    era: Annotated[int, typer.Option(help="First era; 0: answers name none")] = 0,
 ) -> None:
     """Run the platform stand-in."""
     platform = Platform(
-        Store(history),
+        Store(history, era=era or None),
         TokenBucket(writes_per_s, time.monotonic),
         TokenBucket(reads_per_s, time.monotonic),
     )
