Write versions with the era of the store on the command line

Versions of a store with eras are written as ERA-REVISION; get, apply, delete, diff and status read and print them. Those of a store that names no era look as before.

--- a/lentilsill/cli/edits.py
+++ b/lentilsill/cli/edits.py
@@ -18,6 +18,7 @@
     Rejected,
     StoredObject,
 )
+from lentilsill.versioning import format_position, parse_position
 
 from .checks import read_document
 from .exits import ExitCode
@@ -33,7 +34,7 @@
 
 SERVICE_KIND = "service"
 # `get` prints this comment, from which `apply` reads the version that was edited.
-_VERSION_COMMENT = re.compile(r"^\s*// version: (\d+)\s*$", re.MULTILINE)
+_VERSION_COMMENT = re.compile(r"^\s*// version: (\d+(?:-\d+)?)\s*$", re.MULTILINE)
 
 Echo = Callable[[str], None]
 
@@ -45,7 +46,7 @@
             echo(f"{service}: no document")
             return ExitCode.NOT_FOUND
         case Ok(StoredObject(version=version, value=value)):
-            echo(f"// version: {version}\n{_format_document(value)}")
+            echo(f"// version: {format_position(version)}\n{_format_document(value)}")
             return ExitCode.OK
         case Err(error):
             return _report_error(service, error, echo)
@@ -93,13 +94,13 @@
         return edit
     service, value, stored = edit.service, edit.value, edit.stored
     if stored is not None and stored.value == value:
-        echo(f"{service}: unchanged at version {stored.version}")
+        echo(f"{service}: unchanged at version {format_position(stored.version)}")
         return ExitCode.OK
     if base_version is None:
         base_version = _find_base_version(text, stored)
     match await api.put(SERVICE_KIND, service, value, base_version):
         case Ok(version):
-            echo(f"{service}: written as version {version}")
+            echo(f"{service}: written as version {format_position(version)}")
             return ExitCode.OK
         case Err(Conflict()):
             return await _show_conflict(api, service, base_version, value, echo)
@@ -118,17 +119,19 @@
         return edit
     service, value, stored = edit.service, edit.value, edit.stored
     if stored is not None and stored.value == value:
-        echo(f"{service}: same as version {stored.version}")
+        echo(f"{service}: same as version {format_position(stored.version)}")
         return ExitCode.OK
-    stored_label = f"version {stored.version}" if stored else "no document"
+    stored_label = (
+        f"version {format_position(stored.version)}" if stored else "no document"
+    )
     _print_diff(
         stored, value, f"{service}, {stored_label}", f"{service}, {source}", echo
     )
     base_version = _find_base_version(text, stored)
     if base_version != (stored.version if stored else 0):
         echo(
-            f"{service}: the file is an edit of version {base_version}: "
-            "apply would conflict"
+            f"{service}: the file is an edit of version "
+            f"{format_position(base_version)}: apply would conflict"
         )
     return ExitCode.DIFFERENT
 
@@ -185,12 +188,12 @@
         case Ok(StoredObject(version=version, value=current_value)) if (
             value is not None and version > base_version and current_value == value
         ):
-            echo(f"{service}: written as version {version}")
+            echo(f"{service}: written as version {format_position(version)}")
             return ExitCode.OK
         case Ok(stored) if (stored.version if stored else 0) == base_version:
             echo(
                 f"{service}: not written; "
-                f"the platform still holds version {base_version}"
+                f"the platform still holds version {format_position(base_version)}"
             )
             echo("what to do: run the command again; a late write shows as a conflict")
             return ExitCode.NOT_WRITTEN
@@ -216,17 +219,12 @@
             ]
     first_change = min(service_changes, key=lambda change: change.version, default=None)
     if first_change is not None and first_change.deleted == (value is None):
+        first_label = format_position(first_change.version)
         if value is None:
-            echo(
-                f"{service}: deleted at revision {first_change.version}, "
-                "and written since"
-            )
+            echo(f"{service}: deleted at revision {first_label}, and written since")
             return ExitCode.OK
         if first_change.value == value:
-            echo(
-                f"{service}: written as version {first_change.version}, "
-                "and edited since"
-            )
+            echo(f"{service}: written as version {first_label}, and edited since")
             return ExitCode.OK
     return await _show_conflict(api, service, base_version, value, echo)
 
@@ -239,12 +237,14 @@
             return _report_error(service, error, echo)
         case Ok(stored):
             pass
-    stored_label = f"version {stored.version}" if stored else "no document"
+    stored_label = (
+        f"version {format_position(stored.version)}" if stored else "no document"
+    )
     echo(
-        f"{service}: conflict: edited version {base_version}, "
+        f"{service}: conflict: edited version {format_position(base_version)}, "
         f"the platform holds {stored_label}"
     )
-    edit_label = f"{service}, your edit of version {base_version}"
+    edit_label = f"{service}, your edit of version {format_position(base_version)}"
     _print_diff(stored, value, f"{service}, {stored_label}", edit_label, echo)
     echo(
         f"what to do: lentilsill get {service} > FILE, make your change in FILE, "
@@ -280,7 +280,8 @@
         case RateLimited(retry_after_s):
             return f"platform: too many calls, try again in {retry_after_s:g} s"
         case Conflict(current_version):
-            return f"platform: conflict, current version {current_version}"
+            current_label = format_position(current_version)
+            return f"platform: conflict, current version {current_label}"
         case Rejected(status, reason):
             return f"platform: refused with status {status}: {reason}"
     return f"platform: {error}"
@@ -289,7 +290,7 @@
 def _find_base_version(text: str, stored: StoredObject | None) -> int:
     match = _VERSION_COMMENT.search(text)
     if match:
-        return int(match.group(1))
+        return parse_position(match.group(1))
     return stored.version if stored is not None else 0
 
 
--- a/lentilsill/cli/main.py
+++ b/lentilsill/cli/main.py
@@ -9,6 +9,7 @@
 import typer
 
 from lentilsill.platform import HttpObjectApi
+from lentilsill.versioning import parse_position
 
 from .checks import check_files, expand_directories
 from .dump import dump_state
@@ -43,7 +44,11 @@
 ]
 BaseVersion = Annotated[
     int | None,
-    typer.Option(help="Version that the edit is based on; 0: must not exist"),
+    typer.Option(
+        parser=parse_position,
+        metavar="VERSION",
+        help="Version that the edit is based on; 0: must not exist",
+    ),
 ]
 
 
--- a/lentilsill/cli/reports.py
+++ b/lentilsill/cli/reports.py
@@ -10,6 +10,7 @@
 
 from lentilsill.platform import Compacted, ObjectApi, StoredObject
 from lentilsill.status import DomainStatus, ServiceStatus, status_from_value
+from lentilsill.versioning import format_position, parse_position
 
 from .edits import describe_error
 from .exits import ExitCode
@@ -44,13 +45,16 @@
     service: str
     version: int
 
+    def __str__(self) -> str:
+        return f"{self.service}: version {format_position(self.version)}"
+
     @classmethod
     def parse(cls, text: str) -> "Target":
         """Parse the form ``SERVICE@VERSION``; raise ValueError for other text."""
         service, separator, version = text.partition("@")
-        if not (service and separator and version.isdigit()):
+        if not (service and separator):
             raise ValueError(f"{text}: must be SERVICE@VERSION")
-        return cls(service, int(version))
+        return cls(service, parse_position(version))
 
 
 async def print_status(
@@ -112,14 +116,12 @@
                 echo(line)
             return ExitCode.REJECTED
         if not _describe_missing(reports, target, domains, clock()):
-            echo(f"{target.service}: version {target.version} is in force everywhere")
+            echo(f"{target} is in force everywhere")
             return ExitCode.OK
     reports = _parse_valid_statuses(objects.values())
     for line in _describe_missing(reports, target, domains, clock()):
         echo(line)
-    echo(
-        f"{target.service}: version {target.version} not everywhere in {timeout_s:g} s"
-    )
+    echo(f"{target} not everywhere in {timeout_s:g} s")
     return ExitCode.TIMEOUT
 
 
@@ -196,7 +198,7 @@
         has_reached = entry.in_force >= target.version
         if not has_reached or entry.nodes < max(entry.nodes_heard, 1):
             lines.append(
-                f"{name}: {target.service} in force: {entry.in_force or '-'} "
+                f"{name}: {target.service} in force: {_format_version(entry.in_force)} "
                 f"on {entry.nodes} of {entry.nodes_heard} nodes"
             )
     return lines
@@ -204,10 +206,11 @@
 
 def _describe_rejections(reports: list[DomainStatus], target: Target) -> list[str]:
     lines = []
+    version = format_position(target.version)
     for report in reports:
         entry = report.services.get(target.service, NO_REPORT)
         if target.version in entry.rejected:
-            prefix = f"{report.domain}: {target.service} version {target.version}"
+            prefix = f"{report.domain}: {target.service} version {version}"
             lines += _format_rejected(prefix, entry.rejected[target.version])
     return lines
 
@@ -261,15 +264,19 @@
     )
 
 
+def _format_version(version: int) -> str:
+    return format_position(version) if version else "-"
+
+
 def _make_rows(report: DomainStatus, now_s: float) -> list[tuple[str, ...]]:
     return [
         (
             report.domain,
             name,
-            str(entry.accepted or "-"),
-            str(entry.in_force or "-"),
+            _format_version(entry.accepted),
+            _format_version(entry.in_force),
             f"{entry.nodes}/{entry.nodes_heard}",
-            str(entry.as_of),
+            format_position(entry.as_of),
             _format_age(report, now_s),
         )
         for name, entry in sorted(report.services.items())
@@ -282,9 +289,11 @@
         notes.append(_format_stale(report, now_s))
     for name, entry in sorted(report.services.items()):
         prefix = f"{report.domain}: {name} version"
-        for version, findings in entry.rejected.items():
-            notes += _format_rejected(f"{prefix} {version}", findings)
+        for rejected, findings in entry.rejected.items():
+            notes += _format_rejected(f"{prefix} {format_position(rejected)}", findings)
         if entry.held is not None:
             reasons = "; ".join(entry.held.reasons)
-            notes.append(f"{prefix} {entry.held.version} held: {reasons}")
+            notes.append(
+                f"{prefix} {format_position(entry.held.version)} held: {reasons}"
+            )
     return notes
