Check links on which a lost message would not be noticed

Callers on a site of 70 machines, whose open connections had gone silent 5 s before: a route that was added got 404, up to 10 s after the acknowledgement (2.5 s allowed).

Cause: a message on a silent link is lost without an error. A push along the tree, a request for changes and a probe were sent once. The nodes below the link waited for a digest of a random peer; probes of them were lost too, so that they counted as suspect and then dead (about 500 false suspicions), and suspect nodes are left out of the tree.

Now a link is pinged when something is sent on it whose loss nothing else shows: pushes, requests for changes, indirect probes. A direct probe without an answer is repeated over a new link before the peer is suspect. A request that is not answered blocks others for 0.4 of the time in which a change must be in force, 2 s at most, and not always 2 s. The confirmations that go down the same tree find silent links before the next version comes.

The detector's test now expects the repeated probe between the direct and the indirect ones; the fakes of TreePushTests have the new method.

--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -35,8 +35,10 @@
 
 __all__ = ["DistributionController"]
 
-# A request without a reply after this time no longer blocks the next request.
-REQUEST_TIMEOUT_S = 2.0
+# A request without a reply after this share of the time in which a change must be in
+# force no longer blocks the next request.
+REQUEST_TIMEOUT_SHARE = 0.4
+MAX_REQUEST_TIMEOUT_S = 2.0
 # A node that is not ready sends digests itself instead of waiting for probes.
 UNREADY_DIGEST_INTERVAL_S = 0.5
 UNREADY_DIGEST_PEERS = 2
@@ -71,6 +73,9 @@
         cfg = ctx.cfg.distribution
         self._policy = policy_for(cfg.optimise_for)
         self._admission = SyncAdmission(cfg.max_full_syncs, ctx.rng, MAX_SYNC_S)
+        self._request_timeout_s = min(
+            MAX_REQUEST_TIMEOUT_S, REQUEST_TIMEOUT_SHARE * cfg.in_force_s
+        )
         self._pending_request: tuple[str, float] | None = None
         self._next_request_at = 0.0
         # Digests of peers whose changes did not change this node's digest, and the
@@ -318,17 +323,30 @@
         now = self._ctx.now()
         is_waiting = (
             self._pending_request is not None
-            and now - self._pending_request[1] < REQUEST_TIMEOUT_S
+            and now - self._pending_request[1] < self._request_timeout_s
         )
         if is_waiting or now < self._next_request_at:
             self._arrivals.record_postponed()
             return
-        self._pending_request = (link.hello.instance, now)
+        request = self._pending_request = (link.hello.instance, now)
         self._requested_digest = theirs
         self._arrivals.record_request(link.hello.node)
         self._ctx.count("distribution.syncs_asked")
+
+        def request_again() -> None:
+            """Request the changes over a new link, unless another peer is asked."""
+            if self._pending_request != request:
+                return
+            self._ctx.count("distribution.requests_repeated")
+            address = link.hello.peer_address
+            self._ctx.links.send(address, CONTROL, self._delta_request())
+
+        self._ctx.links.checks.start(link, request_again)
+        link.send(self._delta_request())
+
+    def _delta_request(self) -> DeltaRequest:
         docs = self._documents
-        link.send(DeltaRequest(docs.complete_as_of, docs.bundle_version))
+        return DeltaRequest(docs.complete_as_of, docs.bundle_version)
 
     def _on_busy(self, link: Link, message: Busy) -> None:
         self._pending_request = None
--- a/lentilsill/daemon/controllers/membership.py
+++ b/lentilsill/daemon/controllers/membership.py
@@ -25,6 +25,7 @@
     MemberTable,
     NodeRecord,
     NodeState,
+    RepeatProbe,
     RowError,
     SendIndirectProbe,
     SendProbe,
@@ -240,11 +241,13 @@
             case SendProbe(node, probe_id):
                 probe = Probe(probe_id, self._digest_if_due(now), self._recent_rows())
                 self._send(self._address(node), probe)
-            case SendIndirectProbe(via, node, probe_id):
+            case RepeatProbe(node, probe_id):
                 # The link may have failed silently; a new one may work.
                 self._ctx.links.disconnect(self._address(node), CONTROL)
+                self._send(self._address(node), Probe(probe_id, self._digest()))
+            case SendIndirectProbe(via, node, probe_id):
                 message = IndirectProbe(probe_id, self._address(node), node)
-                self._send(self._address(via), message)
+                self._send(self._address(via), message, self._ctx.links.send_checked)
             case DeclareSuspect(node, order):
                 self._apply_verdict(node, order, Liveness.SUSPECT, now)
             case DeclareDead(node, order):
@@ -391,6 +394,6 @@
         entry = self.table.get(node)
         return entry.record.peer_address if entry is not None else ""
 
-    def _send(self, address: str, message: Any) -> None:
+    def _send(self, address: str, message: Any, send: Any = None) -> None:
         if address:
-            self._ctx.links.send(address, CONTROL, message)
+            (send or self._ctx.links.send)(address, CONTROL, message)
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -16,7 +16,6 @@
     OutcomeQuery,
     OutcomeReply,
     Ping,
-    Pong,
     Refusal,
 )
 
@@ -58,7 +57,6 @@
         ctx.links.on(AnswerMessage, self._on_answer)
         ctx.links.on(Refusal, self._on_refusal)
         ctx.links.on(OutcomeReply, self._on_outcome_reply)
-        ctx.links.on(Pong, _on_pong)
         ctx.links.close_handlers.append(self._on_link_closed)
         ctx.links.is_awaiting_answer = self._has_calls
 
@@ -349,7 +347,3 @@
                 self.links.disconnect(address, CALLS)
             link.close()
         return peer.probed_at + ping_wait_s
-
-
-def _on_pong(link: Link, message) -> None:
-    """Ignore a `Pong`: its arrival has already updated `last_received_s`."""
--- a/lentilsill/daemon/controllers/probe_relays.py
+++ b/lentilsill/daemon/controllers/probe_relays.py
@@ -50,4 +50,4 @@
         relay = (link, message.probe_id, message.node, self._ctx.now())
         self._relays[self._next_id] = relay
         probe = Probe(self._next_id, NO_DIGEST)
-        self._ctx.links.send(message.address, CONTROL, probe)
+        self._ctx.links.send_checked(message.address, CONTROL, probe)
--- a/lentilsill/daemon/controllers/served_calls.py
+++ b/lentilsill/daemon/controllers/served_calls.py
@@ -21,8 +21,6 @@
     NoticeRow,
     OutcomeQuery,
     OutcomeReply,
-    Ping,
-    Pong,
     Refusal,
 )
 
@@ -72,7 +70,6 @@
         ctx.links.on(Call, self._on_call)
         ctx.links.on(Cancel, self._on_cancel)
         ctx.links.on(OutcomeQuery, self._on_outcome_query)
-        ctx.links.on(Ping, self._on_ping)
         ctx.links.close_handlers.append(self.unacknowledged.on_link_closed)
 
     def start(self) -> None:
@@ -175,9 +172,6 @@
         if execution.call.idempotent:
             execution.exchange.abort("cancelled")
 
-    def _on_ping(self, link: Link, message) -> None:
-        link.send(Pong(message.token))
-
     async def _expire_records(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
--- a/lentilsill/daemon/controllers/tests/test_table_repair.py
+++ b/lentilsill/daemon/controllers/tests/test_table_repair.py
@@ -181,7 +181,7 @@
         reached, dialed = set(), []
 
         def make_tree_push(name):
-            def send_with_callback(address, purpose, message, on_unsent):
+            def send_checked(address, purpose, message, on_unsent):
                 dialed.append(address)
                 if address in dead:
                     on_unsent()
@@ -190,7 +190,7 @@
                     make_tree_push(address).push("n0", message)
 
             ctx: Any = SimpleNamespace(
-                links=SimpleNamespace(send_with_callback=send_with_callback),
+                links=SimpleNamespace(send_checked=send_checked),
                 count=lambda *args: None,
                 cfg=SimpleNamespace(node=name, distribution=SimpleNamespace(fanout=8)),
             )
--- a/lentilsill/daemon/controllers/tree_push.py
+++ b/lentilsill/daemon/controllers/tree_push.py
@@ -16,8 +16,9 @@
 class TreePush:
     """Pushes to this node's children in a tree, bypassing unreachable ones.
 
-    If a child can't be reached, the push goes to the children of that child. The
-    subtree of a child that has just died would otherwise wait for anti-entropy.
+    A push over a silent link is repeated over a new one. If a child can't be reached,
+    the push goes to the children of that child. The subtree of a child that has just
+    died would otherwise wait for anti-entropy.
 
     Parameters
     ----------
@@ -62,6 +63,4 @@
 
         address = self._find_address(node)
         if address:
-            self._ctx.links.send_with_callback(
-                address, CONTROL, message, push_to_children
-            )
+            self._ctx.links.send_checked(address, CONTROL, message, push_to_children)
--- a/lentilsill/membership/__init__.py
+++ b/lentilsill/membership/__init__.py
@@ -10,6 +10,7 @@
     DeclareDead,
     DeclareSuspect,
     FailureDetector,
+    RepeatProbe,
     SendIndirectProbe,
     SendProbe,
 )
@@ -44,6 +45,7 @@
     "MemberTable",
     "NodeRecord",
     "NodeState",
+    "RepeatProbe",
     "RowError",
     "SendIndirectProbe",
     "SendProbe",
--- a/lentilsill/membership/detector.py
+++ b/lentilsill/membership/detector.py
@@ -9,6 +9,7 @@
     "DeclareDead",
     "DeclareSuspect",
     "FailureDetector",
+    "RepeatProbe",
     "SendIndirectProbe",
     "SendProbe",
 ]
@@ -27,6 +28,14 @@
     probe_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatProbe:
+    """Probe `node` directly once more, over a new connection."""
+
+    node: str
+    probe_id: int
+
+
 @dataclass(frozen=True, slots=True)
 class SendIndirectProbe:
     """Request that `via` probes `node`; the answer carries `probe_id`."""
@@ -52,7 +61,7 @@
     order: Order
 
 
-Action = SendProbe | SendIndirectProbe | DeclareSuspect | DeclareDead
+Action = SendProbe | RepeatProbe | SendIndirectProbe | DeclareSuspect | DeclareDead
 
 
 @dataclass(slots=True)
@@ -67,6 +76,9 @@
 class FailureDetector:
     """Probes peers in turn; one that does not answer becomes suspect, then dead.
 
+    A probe without an answer is repeated over a new connection, besides the indirect
+    probes of the method: the open one may have become silent.
+
     The inputs are `tick` and `ack`; `tick` returns the actions to take. The method
     is that of Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent
     Infection-style Process Group Membership Protocol", 2002. Times are in
@@ -154,6 +166,7 @@
             else:
                 probe.is_indirect = True
                 probe.sent_at = now
+                actions.append(RepeatProbe(probe.node, probe_id))
                 others = sorted(p for p in peers if p != probe.node)
                 count = min(INDIRECT_PROBES, len(others))
                 actions += [
--- a/lentilsill/membership/tests/test_detector.py
+++ b/lentilsill/membership/tests/test_detector.py
@@ -7,6 +7,7 @@
     DeclareDead,
     DeclareSuspect,
     FailureDetector,
+    RepeatProbe,
     SendIndirectProbe,
     SendProbe,
 )
@@ -43,7 +44,8 @@
         about_a = [x for x in actions if getattr(x, "node", "") == "a"]
         kinds = list(dict.fromkeys(type(x) for x in about_a))
         self.assertEqual(
-            kinds, [SendProbe, SendIndirectProbe, DeclareSuspect, DeclareDead]
+            kinds,
+            [SendProbe, RepeatProbe, SendIndirectProbe, DeclareSuspect, DeclareDead],
         )
         self.assertFalse(
             [x for x in actions if isinstance(x, DeclareDead) and x.node != "a"]
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -22,6 +22,7 @@
 from .handshake import read_hello
 from .idle_links import select_idle
 from .link import Identity, Link, LinkCloseReason, LinkError, Traffic
+from .link_checks import LinkChecks
 from .link_stream import LinkStream
 from .messages import (
     CONTROL,
@@ -29,6 +30,8 @@
     PROTOCOL_VERSION,
     Hello,
     Message,
+    Ping,
+    Pong,
     WireError,
     encode,
 )
@@ -75,7 +78,12 @@
         self.min_idle_s = min_idle_s
         self.max_compressed_call_links = max_compressed_call_links
         self.bind_ip = bind_ip
-        self.handlers: dict[type, Handler] = {}
+        self.handlers: dict[type, Handler] = {
+            Ping: lambda link, message: link.send(Pong(message.token)),
+            # Its arrival has already updated the time of the link.
+            Pong: lambda link, message: None,
+        }
+        self.checks = LinkChecks()
         self.close_handlers: list[Callable[[Link], None]] = []
         self.accepted: set[Link] = set()
         self.traffic: dict[str, Traffic] = defaultdict(Traffic)
@@ -173,6 +181,28 @@
         elif not link.send(message) and on_unsent is not None:
             on_unsent()
 
+    def send_checked(
+        self,
+        address: str,
+        purpose: str,
+        message: Message,
+        on_unsent: Callable[[], None] | None = None,
+    ) -> None:
+        """Send without waiting, and send again over a new link if this one is silent.
+
+        The message may arrive twice. `on_unsent` is as in `send_with_callback`.
+        """
+
+        def send_again() -> None:
+            if self._is_closed:
+                return
+            self._start_task(self._dial_and_send(address, purpose, message, on_unsent))
+
+        link = self.find(address, purpose)
+        if link is not None:
+            self.checks.start(link, send_again)
+        self.send_with_callback(address, purpose, message, on_unsent)
+
     async def flush(self, timeout_s: float) -> None:
         """Wait until the kernel has accepted all queued messages, or the timeout."""
         links = [*self.accepted, *self._dialed_links()]
