Store claims again that the platform's store has lost

Callers with a key of their own: after the store had come back from an older copy, the claim of a key and its result were gone, so that a repeat ran the request a second time (G6).

Cause: a claim was stored once. Now a node remembers the claims that it stored in the last 60 s, and stores them again when it learns of a new era. Meanwhile, for 5 s, and when the store names an era that the node does not know yet, such keys are refused as unknown. docs/guarantees.md names the limit that remains: the node that held the claim is lost at the same time.

--- a/harness/guarantees_page.py
+++ b/harness/guarantees_page.py
@@ -22,6 +22,11 @@
 replicas with shifted clocks instead. "Red" marks a test that KNOWN-RED.txt
 lists. `python -m harness.guarantees_page` writes this page from the
 `proves` decorators of the tests, and a test compares the two.
+
+G6 has one limit for keys in the caller's own form, whose claims are in the platform.
+When its store comes back from an older copy of itself, nodes store the claims of the
+last 60 s again, and refuse such keys as unknown for 5 s. A key whose node was lost then
+can run a second time. Keys that nodes have issued are not affected.
 """
 
 
--- a/lentilsill/daemon/controllers/platform_claims.py
+++ b/lentilsill/daemon/controllers/platform_claims.py
@@ -14,6 +14,7 @@
 from lentilsill.outcomes import (
     CallResult,
     Outcome,
+    RecentClaims,
     Refused,
     TokenBucket,
     node_claim_rate,
@@ -26,6 +27,7 @@
     RateLimited,
     StoredObject,
 )
+from lentilsill.versioning import era_of
 
 from .claim_messages import result_from_value, value_from_result
 
@@ -41,8 +43,11 @@
 RETRY_DELAY_S = 0.1
 MAX_FINISH_ATTEMPTS = 5
 MAX_SETTLE_ATTEMPTS = 4
+LOSS_DOUBT_S = 5.0
+"""Time after a loss of writes by the store in which nodes store their claims again."""
 SETTLE_TIMEOUT_S = 20.0
 """A claim that the rate limit keeps unsettled for this time stays until it expires."""
+LOST_WRITES = "the platform's store has lost writes"
 NOT_RUN = Refused(Outcome.NOT_RUN, "attempt ended before it was granted")
 
 log = structlog.get_logger()
@@ -65,6 +70,10 @@
     An object is deleted when its claim is older than the retention time plus a
     margin. A key is executed at most once within the retention time of its
     claim, and a refusal ``not_run`` refers to that time.
+
+    When the platform's store has come back from an older copy, each node stores the
+    claims again that it stored lately, and refuses new ones meanwhile. A key whose
+    node was lost in that time can be executed a second time.
     """
 
     def __init__(
@@ -79,12 +88,15 @@
         self.is_alive = is_alive
         self.is_first_ranked = is_first_ranked
         self.bucket = TokenBucket(self.rate_per_s())
+        self._recent = RecentClaims()
+        self._in_doubt_until_s = float("-inf")
         self._granted_objects: dict[str, tuple[int, dict[str, Any]]] = {}
         self.pending_writes: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
         """Adapt the claim rate to the fleet size and start the expiry of claims."""
         self.ctx.board.subscribe(Topic.MEMBERS, self._update_rate)
+        self.ctx.board.subscribe(Topic.STORE_ERA, self._store_again)
         if self.api is not None:
             self.ctx.spawn(self._expire_forever())
 
@@ -94,6 +106,8 @@
         """Claim a key, or return its recorded result or a refusal."""
         if self.api is None:
             return Refused(Outcome.UNKNOWN, "no platform for caller-supplied keys")
+        if self.ctx.now() < self._in_doubt_until_s:
+            return _refuse_as_unknown(LOST_WRITES)
         deadline = self.ctx.now() + timeout_s
         if not await self._take_token(deadline):
             # The object is not read either: the limit protects the platform.
@@ -230,12 +244,18 @@
     def _grant(
         self, request_key: str, value: dict[str, Any], version: int, deadline: float
     ) -> KeyGranted | CallResult:
+        name = claim_object_name(request_key)
         if self.ctx.now() >= deadline:
             # An attempt that starts late could outlive its claim object.
             refused = Refused(Outcome.NOT_RUN, "claimed too late to run")
-            name = claim_object_name(request_key)
             self._start_write(name, version, value, refused)
             return refused
+        era = self.ctx.board.store_era
+        if era is not None and era_of(version) != era:
+            # Another node may have stored a claim that the store has lost.
+            self._start_write(name, version, value, NOT_RUN)
+            return _refuse_as_unknown(LOST_WRITES)
+        self._recent.add(name, value, self.ctx.now())
         self._granted_objects[value["attempt"]] = (version, value)
         return KeyGranted()
 
@@ -305,11 +325,46 @@
             else:
                 answer = await self.api.put(CLAIM_KIND, name, stored, version)
             match answer:
-                case Ok() | Err(Conflict()):
+                case Ok():
+                    if is_released:
+                        self._recent.remove(name)
+                    else:
+                        self._recent.add(name, stored, self.ctx.now())
+                    return
+                case Err(Conflict()):
+                    if not is_released and era_of(version) != self.ctx.board.store_era:
+                        await self._store_one(name, stored)
                     return
             await asyncio.sleep(RETRY_DELAY_S * 2**retry)
         log.warning("claim_outcome_not_stored", claim=name)
 
+    def _store_again(self) -> None:
+        """Store recent claims again, as the store may have lost them."""
+        self._in_doubt_until_s = self.ctx.now() + LOSS_DOUBT_S
+        if self.api is not None:
+            self._track(self._store_recent())
+
+    async def _store_recent(self) -> None:
+        assert self.api is not None
+        deadline = self.ctx.now() + SETTLE_TIMEOUT_S
+        for name, value in self._recent.since(self.ctx.now()):
+            if not await self._take_token(deadline):
+                log.warning("claims_not_stored_again")
+                return
+            await self._store_one(name, value)
+
+    async def _store_one(self, name: str, value: dict[str, Any]) -> None:
+        """Store a claim if there is none, or only the same one without a result."""
+        assert self.api is not None
+        match await self.api.get(CLAIM_KIND, name):
+            case Ok(None):
+                await self.api.put(CLAIM_KIND, name, value, 0)
+                self.ctx.count("claims.stored_again")
+            case Ok(StoredObject(version=version, value=dict(existing))):
+                is_same = existing.get("attempt") == value["attempt"]
+                if is_same and "result" in value and "result" not in existing:
+                    await self.api.put(CLAIM_KIND, name, value, version)
+
     def _is_expired(self, obj: StoredObject) -> bool:
         try:
             claimed_ms = int(obj.value["claimed_ms"])
--- a/lentilsill/outcomes/__init__.py
+++ b/lentilsill/outcomes/__init__.py
@@ -21,6 +21,7 @@
 from .ledger import Begin, CallLedger, CallState
 from .model import Answer, CallResult, Outcome, Refused
 from .rates import TokenBucket, node_claim_rate
+from .recent_claims import RecentClaims
 from .rounds import ClaimRound, Decision, MayRun, Resolved, Waiting
 
 __all__ = [
@@ -40,6 +41,7 @@
     "MayRun",
     "NotGranted",
     "Outcome",
+    "RecentClaims",
     "Refused",
     "RequestKey",
     "Resolved",
