Pass on no answer whose status is outside 200 to 599

Cause: the reader of answers took every status of three digits but 1xx. Now a status outside 200 to 599 ends the connection, is logged, and the outcome of the call is unknown, whatever its headers say, as nothing else proves that it did not run. The same holds for answers of nodes of an earlier release and for stored results of request keys.

The same at the platform: a write that was answered with such a status, or with an unknown 2xx, counted as refused (001, 299) or as not sent (000, which libcurl reports as an unsupported protocol), although it may have taken effect. It now counts as a lost answer, and a read as failed.

--- a/lentilsill/daemon/controllers/answer_reader.py
+++ b/lentilsill/daemon/controllers/answer_reader.py
@@ -6,6 +6,7 @@
 import structlog
 from tornado.httputil import (
     HTTPHeaders,
+    HTTPInputError,
     HTTPMessageDelegate,
     RequestStartLine,
     ResponseStartLine,
@@ -13,7 +14,13 @@
 
 from lentilsill.daemon.header_numbers import parse_count
 from lentilsill.daemon.integration import Integration
-from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
+from lentilsill.outcomes import (
+    Answer,
+    CallResult,
+    Outcome,
+    Refused,
+    is_answer_status,
+)
 from lentilsill.wire.streams import ProtocolStream
 
 from .reasons import MISDIRECTED, REFUSED_BY_UPSTREAM
@@ -89,6 +96,8 @@
         # Empty when the integration's answers don't repeat the attempt id.
         self.sent_attempt_id = sent_attempt_id
         self.status = 0
+        # Status that can't be that of an answer; the connection is closed then.
+        self.odd_status: int | None = None
         self.headers: HTTPHeaders | None = None
         self.headed_at = 0.0
         # Many small pieces take far more memory in a list than their bytes.
@@ -102,6 +111,9 @@
         assert isinstance(start_line, ResponseStartLine)
         if 100 <= start_line.code < 200:
             return
+        if not is_answer_status(start_line.code):
+            self.odd_status = start_line.code
+            raise HTTPInputError(f"status {start_line.code:03} is no answer")
         self.status = start_line.code
         self.headers = headers
         self.headed_at = asyncio.get_running_loop().time()
--- a/lentilsill/daemon/controllers/claim_messages.py
+++ b/lentilsill/daemon/controllers/claim_messages.py
@@ -14,6 +14,7 @@
     NotGranted,
     Outcome,
     Refused,
+    is_answer_status,
 )
 from lentilsill.wire.messages import ClaimReply, StoreOutcome
 
@@ -108,7 +109,8 @@
             return Refused(Outcome(value["outcome"]), str(value["reason"]))
         headers = tuple((str(name), str(text)) for name, text in value["headers"])
         body = base64.b64decode(value["body"], validate=True)
-        return Answer(int(value["status"]), headers, body)
+        status = int(value["status"])
+        return Answer(status, headers, body) if is_answer_status(status) else None
     except (KeyError, TypeError, ValueError, binascii.Error):
         return None
 
@@ -121,7 +123,8 @@
     body: bytes,
 ) -> CallResult | None:
     if not outcome:
-        return Answer(status, tuple(headers), body)
+        is_answer = is_answer_status(status)
+        return Answer(status, tuple(headers), body) if is_answer else None
     try:
         return Refused(Outcome(outcome), reason)
     except ValueError:
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -6,7 +6,13 @@
 
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.deadlines import Entry as DeadlineEntry, run_after_reading
-from lentilsill.outcomes import Answer, CallState, Outcome, Refused
+from lentilsill.outcomes import (
+    Answer,
+    CallState,
+    Outcome,
+    Refused,
+    is_answer_status,
+)
 from lentilsill.wire import CALLS, Link
 from lentilsill.wire.links import LinkError
 from lentilsill.wire.messages import (
@@ -210,6 +216,10 @@
             lost = Refused(Outcome.RUN_ANSWER_LOST, "answer has a wrong length")
             attempt.settle(lost, message.load)
             return
+        if not is_answer_status(message.status):
+            reason = f"status {message.status:03} is no answer"
+            attempt.settle(Refused(Outcome.UNKNOWN, reason), message.load)
+            return
         attempt.settle(
             Answer(message.status, message.headers, message.body), message.load
         )
--- a/lentilsill/daemon/controllers/tests/drill_model.py
+++ b/lentilsill/daemon/controllers/tests/drill_model.py
@@ -170,7 +170,7 @@
 
     def _answer(self, node):
         """Return the era and the delta of a read, which starts now."""
-        era, since = self.store.era, node.bundle.complete_as_of
+        era, since = self.store.era or 0, node.bundle.complete_as_of
         try:
             if era != era_of(since) or not since:
                 raise CompactedError(0)
--- a/lentilsill/daemon/controllers/tests/test_link_faults.py
+++ b/lentilsill/daemon/controllers/tests/test_link_faults.py
@@ -19,7 +19,7 @@
     wait_for,
 )
 from lentilsill.documents import HedgePolicy
-from lentilsill.outcomes import Answer, Refused
+from lentilsill.outcomes import Answer, Outcome, Refused
 from lentilsill.versioning import Snapshot
 from lentilsill.wire.messages import Answer as AnswerMessage, Ping, Pong
 
@@ -351,3 +351,12 @@
         result = await call
         await asyncio.to_thread(sender.join)
         self.assertIsInstance(result, Answer)
+
+    async def test_answer_of_a_peer_with_a_status_that_is_none_is_delivered(self):
+        """A node of an earlier release passes on what its upstream sent (G4)."""
+        call = asyncio.ensure_future(self.near.entry.handle(make_request("POST")))
+        call_id = await asyncio.to_thread(self.peer.receive_call)
+        answer = AnswerMessage(call_id, 999, (), b"ready", 5, 0)
+        await asyncio.to_thread(self.peer.send_and_close, answer)
+        result = await call
+        self.assertEqual(getattr(result, "outcome", result), Outcome.UNKNOWN)
--- a/lentilsill/daemon/controllers/tests/test_upstream_answers.py
+++ b/lentilsill/daemon/controllers/tests/test_upstream_answers.py
@@ -134,6 +134,24 @@
             else:
                 self.assertNotEqual(result.outcome, Outcome.NOT_RUN, repeat)
 
+    async def test_status_that_is_no_answer_is_delivered(self):
+        """Guards against bytes that are no answer of the protocol (G4, G5)."""
+        proof = "Not-Run: 1\r\n"
+        for status in ("000", "001", "042", "099", "600", "999"):
+            for extra in ("", proof):
+                data = answer(status, extra=extra) + answer(body=b"next")
+                result = await self.send((data, ""))
+                self.assertEqual(result.outcome, Outcome.UNKNOWN, status)
+        result = await self.send((answer(body=b"mine"), ""))
+        self.assertEqual(result.body, b"mine")
+
+    async def test_interim_status_is_delivered(self):
+        """Guards against an interim response in place of the answer (G4)."""
+        for status in ("100", "102", "199"):
+            interim = f"HTTP/1.1 {status} x\r\n\r\n".encode()
+            result = await self.send((interim + answer(body=b"mine"), ""))
+            self.assertEqual((result.status, result.body), (200, b"mine"))
+
     async def test_head_that_breaks_off_is_no_answer(self):
         """Guards against an empty or short success when an upstream stops writing."""
         whole = answer(body=b"0123456789")
--- a/lentilsill/daemon/controllers/upstream_client.py
+++ b/lentilsill/daemon/controllers/upstream_client.py
@@ -213,6 +213,14 @@
                 self._connections.record_close(
                     reason, exchange, attempt_id, not is_answered
                 )
+        if reader.odd_status is not None:
+            log.warning(
+                "answer_status_odd",
+                upstream=self.address,
+                attempt=sent_attempt_id,
+                status=reader.odd_status,
+            )
+            return unknown_outcome(f"status {reader.odd_status:03} is no answer")
         if not reader.status:
             return _closed_early(exchange) if exchange.abort_reason else None
         if not reader.is_complete or reader.is_stray:
--- a/lentilsill/outcomes/__init__.py
+++ b/lentilsill/outcomes/__init__.py
@@ -19,7 +19,7 @@
 )
 from .keys import RequestKey, has_issued_key_prefix, issue_key
 from .ledger import Begin, CallLedger, CallState
-from .model import Answer, CallResult, Outcome, Refused
+from .model import Answer, CallResult, Outcome, Refused, is_answer_status
 from .rates import TokenBucket, node_claim_rate
 from .recent_claims import RecentClaims
 from .rounds import ClaimRound, Decision, MayRun, Resolved, Waiting
@@ -48,6 +48,7 @@
     "TokenBucket",
     "Waiting",
     "has_issued_key_prefix",
+    "is_answer_status",
     "issue_key",
     "limit_result_size",
     "node_claim_rate",
--- a/lentilsill/outcomes/model.py
+++ b/lentilsill/outcomes/model.py
@@ -3,7 +3,10 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["Answer", "CallResult", "Outcome", "Refused"]
+__all__ = ["Answer", "CallResult", "Outcome", "Refused", "is_answer_status"]
+
+# Statuses below are those of interim responses, and those above have no meaning.
+MIN_STATUS, MAX_STATUS = 200, 599
 
 
 class Outcome(StrEnum):
@@ -14,6 +17,17 @@
     UNKNOWN = "unknown"
 
 
+def is_answer_status(status: int) -> bool:
+    """Return whether a status can be that of an answer.
+
+    Examples
+    --------
+    >>> [is_answer_status(status) for status in (0, 1, 199, 200, 599, 600)]
+    [False, False, False, True, True, False]
+    """
+    return MIN_STATUS <= status <= MAX_STATUS
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """The complete answer of the upstream."""
--- a/lentilsill/platform/answers.py
+++ b/lentilsill/platform/answers.py
@@ -13,6 +13,7 @@
 from lentilsill.versioning import MAX_REVISION
 
 from .model import (
+    AnswerLost,
     Compacted,
     Conflict,
     PlatformError,
@@ -165,10 +166,15 @@
 
 
 def check_status(resp: HTTPResponse) -> Result[HTTPResponse, PlatformError]:
-    """Return the error that the status of an answer stands for, if any."""
+    """Return the error that the status of an answer stands for, if any.
+
+    A status that says neither what was done nor what is wrong counts as no answer.
+    """
     match resp.code:
         case 200 | 201 | 204:
             return Ok(resp)
+        case code if not 300 <= code <= 499:
+            return Err(AnswerLost(describe_response(resp)))
         case 409:
             return _parse_conflict(resp)
         case 410:
--- a/lentilsill/platform/client.py
+++ b/lentilsill/platform/client.py
@@ -64,7 +64,6 @@
         pycurl.E_COULDNT_CONNECT,
         pycurl.E_COULDNT_RESOLVE_HOST,
         pycurl.E_URL_MALFORMAT,
-        pycurl.E_UNSUPPORTED_PROTOCOL,
     }
 )
 
@@ -289,9 +288,11 @@
             return Err(Unavailable(str(exc)))
         if self._eras.read(resp.headers) < self._eras.latest:
             return Err(Unavailable("answer of an earlier era"))
-        if resp.code >= 500:
-            return Err(Unavailable(describe_response(resp)))
-        return check_status(resp)
+        match check_status(resp):
+            case Err(AnswerLost(reason)):
+                return Err(Unavailable(reason))
+            case result:
+                return result
 
     async def _write(
         self,
@@ -320,8 +321,6 @@
         era = self._eras.read(resp.headers)
         if resp.code == 503:
             return Err(Unavailable(describe_response(resp)))
-        if resp.code >= 500:
-            return Err(AnswerLost(describe_response(resp)))
         result = check_status(resp).and_then(_parse_write)
         is_condition_met = condition is None or era == era_of(condition)
         if result.is_ok() and (era < self._eras.latest or not is_condition_met):
--- a/lentilsill/platform/tests/test_client.py
+++ b/lentilsill/platform/tests/test_client.py
@@ -1,5 +1,6 @@
 """Tests of the object API client against the platform stand-in."""
 
+import asyncio
 import socket
 import unittest
 
@@ -56,6 +57,30 @@
         self.assertEqual(await self.api.get("service", "a"), Ok(None))
         self.assertEqual(await self.api.put("service", "a", {}, 3), Err(Conflict(0)))
 
+    async def test_write_with_an_odd_status_counts_as_refused(self) -> None:
+        """Guards against a write that took effect and is reported as invalid."""
+        for status in ("000", "001", "199", "299", "600", "999"):
+            head = f"HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n"
+
+            async def serve(
+                reader: asyncio.StreamReader,
+                writer: asyncio.StreamWriter,
+                data: bytes = head.encode(),
+            ) -> None:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(data)
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            api = HttpObjectApi(f"http://127.0.0.1:{port}", 0.3)
+            written = await api.put("service", "a", {}, None)
+            self.assertIsInstance(written.unwrap_err(), AnswerLost, status)
+            read = await api.get("service", "a")
+            self.assertIsInstance(read.unwrap_err(), Unavailable, status)
+            api.close()
+            server.close()
+
     async def test_watch_returns_changes_in_order_and_reports_compaction(self) -> None:
         """Guards against a watch that skips compacted changes without an error."""
         await self.api.put("service", "a", 1, 0)
