Play drills of the store with real processes

The scenario drill: 9 nodes in 3 domains behind relays over a store that names its era, three returns from copies of 0.5 to 4 s ago with up to 1 s away, edits throughout, the lost versions written again in order, domains cut off and nodes killed around each return. It checks that no version goes back, that each is in force, the guarantees of calls, and that statuses and directory entries are in the store at the end. drill-at-size is the same with 81 nodes.

The history of a bundle now names versions by the operator's number, as what orders versions is no longer the revision.

--- a/harness/processes.py
+++ b/harness/processes.py
@@ -239,7 +239,7 @@
 
 @contextmanager
 def running_cluster(
-    layout: Layout, log_folder: Path | None = None
+    layout: Layout, log_folder: Path | None = None, store_era: int = 0
 ) -> Iterator[Cluster]:
     """Run the platform stand-in and, if the layout has one, the relay.
 
@@ -250,7 +250,7 @@
     with TemporaryDirectory(prefix="lentilsill-") as folder:
         cluster = Cluster(layout, Path(folder))
         try:
-            cluster.start_platform()
+            cluster.start_platform("--era", str(store_era))
             if layout.with_relay:
                 cluster.start_relay()
             yield cluster
--- a/harness/proofs.py
+++ b/harness/proofs.py
@@ -32,6 +32,7 @@
     "node freeze",
     "kill -9 of node or worker mid-call",
     "clock offset",
+    "store back from an older copy",
     "no fault: retirement under load",
 )
 PROOFS_ATTRIBUTE = "proofs"
--- a/harness/recording.py
+++ b/harness/recording.py
@@ -133,7 +133,7 @@
                 node,
                 event["instance"],
                 event["monotonic_s"],
-                ((BUNDLE, event["revision"]),),
+                ((BUNDLE, event["version"]),),
             )
 
     def ready(self) -> list[NodeReady]:
--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -53,6 +53,8 @@
         Keyword arguments of `make_document` for every document.
     caller_limits : dict
         If given, the documents are written as one bundle with these limits.
+    store_era : int
+        First era of the platform's store; 0 for a store that names none.
     can_lose_answers : bool
         Whether the faults can make callers lose answers. If not, G8 requires an
         answer or `not_run` for every call.
@@ -65,6 +67,7 @@
     services: tuple[str, ...] = ("slots", "ledger")
     seed: int = 1
     with_relay: bool = False
+    store_era: int = 0
     can_lose_answers: bool = True
     sections: dict[str, Any] = field(default_factory=dict)
     caller_limits: dict[str, int] = field(default_factory=dict)
@@ -170,19 +173,16 @@
     ) -> int:
         """Write a document to the platform, record it and return its version.
 
-        If `value` is None, the document or bundle is made from the options.
+        If `value` is None, the document or bundle is made from the options. The
+        version of a bundle is its number.
         """
-        self.edit_count += 1
         if value is None:
-            cfg = self.scenario
-            options = cfg.document_options | options | {"edit": self.edit_count}
-            if service == BUNDLE:
-                value = make_bundle(cfg.services, cfg.caller_limits, **options)
-            else:
-                value = make_document(service, **options)
+            value = self.make_value(service, **options)
         url = self.cluster.layout.platform_url
         requested_s = time.monotonic()
         version = await asyncio.to_thread(write_object, url, "service", service, value)
+        if service == BUNDLE:
+            version = value["version"]
         references = tuple(value.get("requires", ()))
         self.recording.writes.append(
             DocumentWrite(
@@ -191,6 +191,15 @@
         )
         return version
 
+    def make_value(self, service: str, **options: Any) -> dict[str, Any]:
+        """Make the next version of a document or bundle."""
+        self.edit_count += 1
+        cfg = self.scenario
+        options = cfg.document_options | options | {"edit": self.edit_count}
+        if service == BUNDLE:
+            return make_bundle(cfg.services, cfg.caller_limits, **options)
+        return make_document(service, **options)
+
     async def wait_for(
         self, condition: Callable[[], bool], timeout_s: float, what: str
     ) -> float:
@@ -226,7 +235,7 @@
     def fetch_versions_in_force(self, host: Host) -> dict[str, int]:
         """Fetch the versions in force on a node; empty when it does not answer."""
         in_force = self.fetch_state(host).get("documents", {}).get("in_force") or {}
-        return {BUNDLE: in_force["rev"]} if "rev" in in_force else in_force
+        return {BUNDLE: in_force["version"]} if "rev" in in_force else in_force
 
     def fetch_state(self, host: Host) -> dict[str, Any]:
         """Fetch the state dump of a node; empty when it does not answer."""
@@ -323,7 +332,7 @@
             cfg.with_relay,
             cfg.sections,
         )
-        with running_cluster(layout, log_folder) as cluster:
+        with running_cluster(layout, log_folder, scenario.store_era) as cluster:
             return asyncio.run(_run(scenario, seed, cluster, parameters, start_s))
 
 
--- a/harness/scenarios/__init__.py
+++ b/harness/scenarios/__init__.py
@@ -4,6 +4,7 @@
 
 from .crashes import CRASHES
 from .crossing import CROSSING
+from .drills import DRILL, DRILL_AT_SIZE
 from .freeze import FREEZE
 from .herd import HERD
 from .kept_connections import KEPT_CONNECTIONS
@@ -33,5 +34,7 @@
         *OPERATORS,
         *PAIRS,
         POISON_ANYWHERE,
+        DRILL,
+        DRILL_AT_SIZE,
     )
 }
