Exchange revisions with nodes of an earlier release

While a fleet is upgraded, nodes of two releases are side by side. One that knows no eras would take a position for a revision far beyond those that it reads itself, and would ignore all versions that it reads from then on.

A node now says in Hello that its messages hold positions. Messages to a node that doesn't say so hold plain revisions, and its revisions count as of the era that this node knows. After this node has seen the store lose writes, it uses no documents of such peers, as their revisions may be of the time before.

A directory entry is read again only if it was written in an earlier era.

--- a/lentilsill/daemon/controllers/directory.py
+++ b/lentilsill/daemon/controllers/directory.py
@@ -20,6 +20,7 @@
 from lentilsill.daemon.context import Context
 from lentilsill.distribution import Backoff
 from lentilsill.platform import Conflict, ObjectApi, StoredObject
+from lentilsill.versioning import era_of
 from lentilsill.wire.addresses import check_address
 
 from .membership import MembershipController
@@ -77,6 +78,8 @@
         # This node's entry as last read from the platform; None if there was none,
         # {} if the entry exists but its value is not known.
         self._stored_entry: Any = None
+        # Position at which the platform last had this node's entry.
+        self._entry_as_of = 0
 
     def start(self) -> None:
         """Start to read the directory and to write this node's entry."""
@@ -85,7 +88,8 @@
         self._ctx.spawn(self._run())
 
     def _check_soon(self) -> None:
-        self._ctx.spawn(self._check_entry())
+        if era_of(self._entry_as_of) < (self._ctx.board.store_era or 0):
+            self._ctx.spawn(self._check_entry())
 
     async def _check_entry(self) -> None:
         """Write this node's entry again if the store has lost it."""
@@ -142,8 +146,9 @@
         expected = 0 if self._stored_entry is None else None
         node = self._ctx.links.identity.node
         match await self._api.put(DIRECTORY_KIND, node, value, expected):
-            case Ok(_):
+            case Ok(version):
                 self._last_error = ""
+                self._entry_as_of = version
                 return True
             case Err(Conflict()):
                 # The entry was written after the state that the read returned.
@@ -161,8 +166,10 @@
             case Ok(listing):
                 self._last_error = ""
                 node = self._ctx.links.identity.node
-                own_values = (o.value for o in listing.objects if o.name == node)
-                self._stored_entry = next(own_values, self._stored_entry)
+                for obj in listing.objects:
+                    if obj.name == node:
+                        self._stored_entry = obj.value
+                        self._entry_as_of = listing.revision
                 self._contacted = self._choose_seeds(listing.objects)
                 self._membership.add_seeds(self._contacted)
                 log.info(
--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -93,6 +93,7 @@
         self._failed_patch_root = ""
         self._remote_peers: dict[str, str] = {}
         self._arrivals = VersionArrivals(ctx, documents)
+        self._has_lost_history = False
         self._full_sync_count = 0
         self._peak_syncs = 0
         self.sources: dict[str, str] = {}
@@ -107,6 +108,7 @@
     def start(self) -> None:
         """Register handlers and start the digest loops."""
         links = self._ctx.links
+        links.era_of_old_peers = self._era_of_old_peers
         links.on(Digest, self._on_digest_message)
         links.on(DeltaRequest, self._on_delta_request)
         links.on(Delta, self._on_delta)
@@ -145,9 +147,17 @@
         era = era_of(self._documents.complete_as_of)
         before, board.store_era = board.store_era, era
         if before is not None and era > before:
+            self._has_lost_history = self._has_lost_history or before > 0
             self._ctx.count("distribution.store_eras")
             board.notify(Topic.STORE_ERA)
 
+    def _era_of_old_peers(self) -> int | None:
+        """Return the era of revisions of peers of an earlier release.
+
+        After a loss of writes, these can be of the time before or after it.
+        """
+        return None if self._has_lost_history else self._ctx.board.store_era or 0
+
     # Pushes
 
     def _push_backup(self, delta: Delta) -> None:
--- a/lentilsill/wire/dispatch.py
+++ b/lentilsill/wire/dispatch.py
@@ -2,22 +2,35 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 from itertools import islice
 from typing import Any
 
 import msgpack
-import msgspec
 import structlog
 
+from lentilsill.versioning import make_position
+
 from .compression import Decompressor
+from .eras import map_positions
 from .link import Link, LinkCloseReason
-from .messages import WireError, decode
+from .messages import (
+    Applied,
+    Delta,
+    DeltaRequest,
+    Digest,
+    Message,
+    WireError,
+    decode,
+)
 from .received_messages import ReceivedMessages
 
 __all__ = ["Handler", "LinkDispatch"]
 
 # A peer that sends many small messages must not delay timers and other connections.
 MAX_MESSAGES_PER_TURN = 96
+# Messages that say nothing without the positions that they hold.
+DOCUMENT_MESSAGES = (Applied, Delta, DeltaRequest, Digest)
 
 log = structlog.get_logger()
 
@@ -36,7 +49,9 @@
         link: Link,
         handlers: Mapping[type, Handler],
         decompressor: Decompressor | None,
+        era_of_old_peers: Callable[[], int | None],
     ) -> None:
+        self._era_of_old_peers = era_of_old_peers
         self._link = link
         self._handlers = handlers
         self._messages = ReceivedMessages(decompressor)
@@ -92,9 +107,18 @@
             link.close(LinkCloseReason.FAILED)
         return count
 
-    def _dispatch(self, message: msgspec.Struct) -> None:
+    def _dispatch(self, message: Message) -> None:
         handler = self._handlers.get(type(message))
         if handler is None:
             raise WireError(f"unexpected message {type(message).__name__}")
         self._link.traffic.received_messages += 1
+        if not self._link.hello.has_eras:
+            era = self._era_of_old_peers()
+            if era is None and isinstance(message, DOCUMENT_MESSAGES):
+                return
+            message = map_positions(message, partial(_to_position, era or 0))
         handler(self._link, message)
+
+
+def _to_position(era: int, revision: int) -> int:
+    return make_position(era, revision) if revision else 0
--- a/lentilsill/wire/link.py
+++ b/lentilsill/wire/link.py
@@ -8,7 +8,10 @@
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
+from lentilsill.versioning import revision_of
+
 from .compression import Compressor
+from .eras import map_positions
 from .messages import Hello, Message, encode
 from .streams import ProtocolStream
 
@@ -100,6 +103,8 @@
 
     def send(self, message: Message) -> bool:
         """Queue a message; return False if the stream is closed or the buffer full."""
+        if not self.hello.has_eras:
+            message = map_positions(message, revision_of)
         data = encode(message)
         if self.compressor is not None:
             # Compressed bytes must be sent, since later messages refer to them.
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -94,6 +94,8 @@
         self._is_closed = False
         # The controller that sends calls over the links sets this callback.
         self.is_awaiting_answer: Callable[[Link], bool] = lambda link: False
+        # Era of the revisions of peers that know no eras; None if that is not known.
+        self.era_of_old_peers: Callable[[], int | None] = lambda: 0
 
     def on(self, message_type: type[M], handler: Callable[[Link, M], object]) -> None:
         """Register the handler of one message type."""
@@ -285,6 +287,7 @@
             purpose,
             me.peer_address,
             (COMPRESSION,),
+            has_eras=True,
         )
 
     async def _dial(self, address: str, purpose: str) -> Link:
@@ -344,7 +347,9 @@
     ) -> None:
         """Dispatch messages that came with `Hello`, and then those that follow."""
         stream = link.stream
-        dispatch = LinkDispatch(link, self.handlers, decompressor)
+        dispatch = LinkDispatch(
+            link, self.handlers, decompressor, lambda: self.era_of_old_peers()
+        )
         stream.set_close_callback(lambda: self._handle_close(link, dispatch))
         dispatch.receive(remainder)
         stream.consume(dispatch.receive)
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -115,7 +115,9 @@
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=0):
     """First message that each side of a link sends.
 
-    `compression` lists the compression methods that the sender can read.
+    `compression` lists the compression methods that the sender can read. `has_eras`
+    states that its messages hold positions in the history of the platform's store, and
+    not revisions.
     """
 
     protocol_version: int
@@ -125,6 +127,7 @@
     purpose: str
     peer_address: str
     compression: tuple[str, ...] = ()
+    has_eras: bool = False
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag=1):
