Push at once what a node has read in place of silent watchers

Callers: with the connections of both watchers to the platform silent, a version reached the other nodes of a domain half a second later than the node that reads in their place: it waited for a push of the first-ranked watcher, which it reads because of the silence of.

The next ranks that read follow each other after 0.02 of the time in which a change must be in force, not 0.05, so that the last of the five reads at 0.73 of it and leaves time for a push over silent links (docs/design.md 4.2).

--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -60,7 +60,7 @@
 
     See Also
     --------
-    lentilsill.daemon.controllers.platform_watch : source of new versions.
+    lentilsill.daemon.controllers.platform_watch
     """
 
     def __init__(
@@ -127,11 +127,13 @@
         if new is None or not has_content(new):
             return
         forwarded = delta_to_forward(delta, new)
-        if self._membership.is_among_first_ranked(1):
+        rank = self._membership.rank()
+        # A node that is no watcher reads because no watcher has pushed for long.
+        if rank == 0 or rank >= self._ctx.cfg.distribution.watchers_per_domain:
             self._push_or_batch(forwarded)
             return
-        # The first-ranked watcher pushes the same changes; an immediate second push
-        # would double the traffic. The backup is for a paused first watcher.
+        # An immediate second push would double the traffic of the first watcher's. The
+        # backup is for a paused first watcher.
         delay_s = batch_window_s(self._policy) + BACKUP_PUSH_DELAY_S
         asyncio.get_running_loop().call_later(delay_s, self._push_backup, forwarded)
         self._pending_backup_pushes += 1
@@ -224,8 +226,7 @@
     # Digests
 
     def _local_digest(self) -> DigestValue:
-        docs = self._documents
-        return DigestValue(docs.complete_as_of, docs.content_hash)
+        return DigestValue(self._documents.complete_as_of, self._documents.content_hash)
 
     def _on_probe_digest(self, link: Link, digest: DigestTuple) -> None:
         # A peer that is behind requests the changes itself, as it gets this node's
--- a/lentilsill/daemon/controllers/tests/test_silent_platform.py
+++ b/lentilsill/daemon/controllers/tests/test_silent_platform.py
@@ -5,6 +5,8 @@
 from .spread_builders import FakePlatform, PlatformPath, start_node, wait_until
 
 IN_FORCE_S = 2.0
+# A push over a link that carries bytes; the second watcher waits 0.5 s with its push.
+PUSH_S = 0.3
 
 
 class SilentPlatformTests(unittest.IsolatedAsyncioTestCase):
@@ -36,6 +38,18 @@
             path.is_silent = True
         await self.check_version_reaches_all(platform, nodes)
 
+    async def test_version_waits_at_the_node_that_reads_for_silent_watchers(self):
+        """Guards against a wait for the push of a watcher that gets no answers."""
+        platform = FakePlatform()
+        nodes, paths = await self.start_domain(platform, "abcdefgh")
+        for path in paths[:2]:
+            path.is_silent = True
+        reader, last = nodes[2], nodes[-1]
+        last.distribution._handle_digest = lambda link, theirs: False
+        await platform.write("slots", {"service": "slots"})
+        await wait_until(lambda: reader.documents.rows, timeout_s=IN_FORCE_S)
+        await wait_until(lambda: last.documents.rows, timeout_s=PUSH_S)
+
     async def test_version_is_missed_while_most_of_a_domain_gets_no_answers(self):
         """Guards against a single substitute that gets no answers either."""
         platform = FakePlatform()
--- a/lentilsill/distribution/confirmation.py
+++ b/lentilsill/distribution/confirmation.py
@@ -7,7 +7,7 @@
 # that reads still has time to pass a change on.
 WATCH_WAIT_SHARE = 0.45
 FIRST_BACKUP_SHARE = 0.65
-BACKUP_STEP_SHARE = 0.05
+BACKUP_STEP_SHARE = 0.02
 # Ranks that read the platform in place of silent watchers. The bound limits the
 # requests of a domain during an outage of the platform.
 MAX_BACKUP_READERS = 5
@@ -93,7 +93,7 @@
     Examples
     --------
     >>> [read_due_age_s(rank, 2, 20.0) for rank in (1, 2, 4, 7)]
-    [0.0, 13.0, 15.0, None]
+    [0.0, 13.0, 13.8, None]
     """
     position = rank - watchers
     if position < 0:
