Say not run of what no upstream has begun when a stop ends calls

Callers at a node that stops: requests that may not be repeated, that came 1.9 to 2.5 s after SIGTERM and that no worker began, got 504 when calls ended. 504 promises nothing, so that they could not be sent elsewhere.

Cause: since calls end 0.5 s after the bound of the drain, as unknown, and their deadline was that same moment. The destination, which knows that a call has not begun, refused it at its deadline, too late to be heard. The deadline is now earlier by the grace within which attempts end by themselves.

That such a call is held until then, and not rejected at once, is not changed.

--- a/lentilsill/daemon/controllers/call_limits.py
+++ b/lentilsill/daemon/controllers/call_limits.py
@@ -10,7 +10,7 @@
 from lentilsill.daemon.deadlines import Deadlines, Entry
 from lentilsill.outcomes import CallResult, Outcome, Refused
 
-__all__ = ["CallLimits"]
+__all__ = ["ATTEMPT_END_GRACE_S", "CallLimits"]
 
 # An attempt ends by itself within this time after its deadline, with a reason that is
 # more precise.
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -23,7 +23,7 @@
 from lentilsill.wire.messages import Call, GoAway
 
 from .call_budgets import CallBudgets
-from .call_limits import CallLimits
+from .call_limits import ATTEMPT_END_GRACE_S, CallLimits
 from .call_progress import Attempt, CallProgress, report_call
 from .call_results import is_busy, is_overload, is_upstream_failure, worse_refusal
 from .destination import DestinationController
@@ -142,7 +142,9 @@
         if req.deadline_ms > 0:
             deadline_s = min(deadline_s, req.deadline_ms / 1000)
         now = self.ctx.now()
-        deadline = min(now + deadline_s, board.calls_end_at_s)
+        # A call that no upstream has begun by then ends as not run.
+        ends_at = board.calls_end_at_s - ATTEMPT_END_GRACE_S
+        deadline = min(now + deadline_s, ends_at)
         progress = CallProgress(req, document, route, now, deadline, fingerprint)
         if req.deadline_ms > 0:
             progress.age_s = (
--- a/lentilsill/daemon/controllers/tests/test_call_limits.py
+++ b/lentilsill/daemon/controllers/tests/test_call_limits.py
@@ -4,13 +4,18 @@
 import gc
 import time
 import unittest
+from collections import Counter
 
+from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.controllers.call_limits import CallLimits
 from lentilsill.outcomes import Answer, Outcome
 
-from .call_builders import FakeNode
+from .call_builders import FakeNode, FakeUpstream, make_request
 
 ANSWER = Answer(200, (), b"ok")
+UPSTREAM_SLOTS = 6
+# Shorter than the deadline of the route.
+CALLS_END_S = 0.5
 
 
 class CallLimitTests(unittest.IsolatedAsyncioTestCase):
@@ -67,3 +72,31 @@
         call.cancel()
         with self.assertRaises(asyncio.CancelledError):
             await call
+
+
+class StoppingNodeTests(unittest.IsolatedAsyncioTestCase):
+    """A node that ends its calls soon; the upstream of its peer has no free slot."""
+
+    async def test_request_that_no_upstream_began_counts_as_unknown(self):
+        """Guards against 504 for a request that its caller could send elsewhere."""
+        upstream = FakeUpstream()
+        self.addCleanup(upstream.stop)
+        gate = upstream.gates["/p"] = asyncio.Event()
+        self.addCleanup(gate.set)
+        node, peer = FakeNode("near"), FakeNode("far")
+        for started in (node, peer):
+            self.addCleanup(started.close)
+        peer.add_upstream("w1", upstream.port)
+        node.set_members(peer.record())
+        board = node.ctx.board
+        board.draining = True
+        board.calls_end_at_s = node.ctx.now() + CALLS_END_S
+        board.notify(Topic.DRAIN)
+        calls = [
+            asyncio.ensure_future(node.entry.handle(make_request("POST", "/p")))
+            for _ in range(UPSTREAM_SLOTS + 2)
+        ]
+        results = await asyncio.gather(*calls)
+        self.assertEqual(len(upstream.seen), UPSTREAM_SLOTS)
+        outcomes = Counter(result.outcome for result in results)
+        self.assertEqual(outcomes[Outcome.NOT_RUN], 2, outcomes)
