List at once after a lost history, whatever failed before

After the store had been away, the pause between a watch that finds its history gone and the list that follows grew with the failures while it was away, up to 2 s. The pause that bounds lists and compactions in turn is now counted apart.

--- a/lentilsill/daemon/controllers/platform_watch.py
+++ b/lentilsill/daemon/controllers/platform_watch.py
@@ -80,6 +80,8 @@
         self._membership = membership
         self._distribution = distribution
         self._backoff = Backoff(BACKOFF_BASE_S, BACKOFF_CAP_S, ctx.rng)
+        # Failures before a lost history must not delay the list that follows it.
+        self._list_backoff = Backoff(BACKOFF_BASE_S, BACKOFF_CAP_S, ctx.rng)
         self._read_planner = ReadPlanner(ctx.cfg.documents == "bundle")
         self._last_error = ""
         self._is_watching = False
@@ -162,6 +164,7 @@
         match watch_result:
             case Ok(batch):
                 self._backoff.reset()
+                self._list_backoff.reset()
                 self._read_planner.record_watch(len(batch.changes), batch.transfer_s)
                 self._apply(since, batch.revision, False, batch.changes)
                 # A process that was stopped reads the answer late.
@@ -175,7 +178,7 @@
                 # Without a delay, a platform that compacts faster than it lists
                 # would receive requests without a pause.
                 self._read_planner.record_compaction()
-                await asyncio.sleep(self._backoff.next_delay())
+                await asyncio.sleep(self._list_backoff.next_delay())
             case Err(exc):
                 self._read_planner.record_failure()
                 await self._handle_error(exc)
--- a/lentilsill/daemon/controllers/tests/test_restored_store.py
+++ b/lentilsill/daemon/controllers/tests/test_restored_store.py
@@ -1,10 +1,15 @@
 """Versions are in force in time and none goes back when the store loses writes."""
 
+import random
+import time
+import unittest
+
 from lentilsill.daemon.blackboard import Topic
+from lentilsill.daemon.controllers.platform_watch import PlatformWatchController
 from lentilsill.versioning import make_position
 
-from .restored_store_builders import IN_FORCE_S, DrillCase, in_force
-from .spread_builders import wait_until
+from .restored_store_builders import IN_FORCE_S, DrillCase, bundle_value, in_force
+from .spread_builders import FakePlatform, PlatformPath, start_node, wait_until
 
 
 class NextVersionTests(DrillCase):
@@ -45,6 +50,35 @@
         await self.wait_in_force("nine", node)
 
 
+class SlowestRandom(random.Random):
+    """Always returns the upper bound."""
+
+    def uniform(self, a, b):
+        return b
+
+
+class ReturnTests(unittest.IsolatedAsyncioTestCase):
+    async def test_list_after_a_return_waits_as_long_as_the_failures_before(self):
+        """Guards against a node that lists seconds after the store is back (G9)."""
+        platform = FakePlatform()
+        platform.revision = platform.oldest_revision = 5
+        await platform.write("main", bundle_value(3, "five"))
+        node = start_node("n", PlatformPath(platform), documents="bundle")
+        self.addCleanup(node.stop)
+        node.ctx.rng = SlowestRandom()
+        watch = PlatformWatchController.from_context(
+            node.ctx, platform, node.documents, node.membership, node.distribution
+        )
+        node.documents.complete_as_of = 1
+        for _ in range(10):
+            watch._backoff.next_delay()
+        started_s = time.monotonic()
+        await watch._read_platform()
+        await watch._read_platform()
+        self.assertEqual(in_force(node), "five")
+        self.assertLess(time.monotonic() - started_s, IN_FORCE_S / 2)
+
+
 class CopyTests(DrillCase):
     """A copy that holds an older version than the one in force."""
 
