--- a/lentilsill/daemon/controllers/tests/test_restored_store.py
+++ b/lentilsill/daemon/controllers/tests/test_restored_store.py
@@ -3,6 +3,7 @@
 import random
 import time
 import unittest
+from typing import Any
 
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.controllers.platform_watch import PlatformWatchController
@@ -60,7 +61,7 @@
 class ReturnTests(unittest.IsolatedAsyncioTestCase):
     async def test_list_after_a_return_waits_as_long_as_the_failures_before(self):
         """Guards against a node that lists seconds after the store is back (G9)."""
-        platform = FakePlatform()
+        platform: Any = FakePlatform()
         platform.revision = platform.oldest_revision = 5
         await platform.write("main", bundle_value(3, "five"))
         node = start_node("n", PlatformPath(platform), documents="bundle")
