--- a/harness/scenarios/drills.py
+++ b/harness/scenarios/drills.py
@@ -13,6 +13,8 @@
 from harness.processes import fetch_json
 from harness.scenario import START_TIMEOUT_S, Run, Scenario
 
+from .partition import set_links
+
 __all__ = ["DRILL", "DRILL_AT_SIZE"]
 
 FIRST_ERA = 1
@@ -114,17 +116,9 @@
     domain = rng.choice(run.scenario.domains)
     run.disrupted |= {host.node for host in run.hosts_of(domain)}
     await asyncio.sleep(rng.uniform(0, MAX_CUT_S))
-    _set_links(run, domain, "cut")
+    set_links(run, domain, "cut")
     await asyncio.sleep(rng.uniform(0, MAX_CUT_S))
-    _set_links(run, domain, "open")
-
-
-def _set_links(run: Run, domain: str, action: str) -> None:
-    for other in run.scenario.domains:
-        if other != domain:
-            run.cluster.set_rule(domain, other, action=action, both=True)
-    platform = run.cluster.layout.platform_domain(domain)
-    run.cluster.set_rule("*", platform, action=action)
+    set_links(run, domain, "open")
 
 
 async def _check_written_again(run: Run) -> None:
--- a/harness/scenarios/partition.py
+++ b/harness/scenarios/partition.py
@@ -5,7 +5,7 @@
 
 from harness.scenario import Run, Scenario
 
-__all__ = ["PARTITION"]
+__all__ = ["PARTITION", "set_links"]
 
 MEAN_EDIT_PAUSE_S = 0.4
 SETTLE_S = 1.0
@@ -29,13 +29,13 @@
     await asyncio.sleep(SETTLE_S)
     run.disrupted |= {host.node for host in cut_hosts}
     cut_at_s = time.monotonic()
-    _set_links(run, cut_domain, "cut")
+    set_links(run, cut_domain, "cut")
     while time.monotonic() < cut_at_s + run.parameters["cut_s"]:
         await run.write(run.rng.choice(run.scenario.services))
         await asyncio.sleep(run.rng.uniform(0, 2 * MEAN_EDIT_PAUSE_S))
     cut_versions = run.fetch_versions_in_force(cut_hosts[0])
     healed_at_s = time.monotonic()
-    _set_links(run, cut_domain, "open")
+    set_links(run, cut_domain, "open")
     newest_versions = {w.service: w.version for w in run.recording.writes}
     if cut_versions == newest_versions:
         run.findings.add("scenario", "the cut domain got edits during the cut")
@@ -50,7 +50,8 @@
     _check_cut_calls(run, {h.caller_address for h in cut_hosts}, cut_at_s, healed_at_s)
 
 
-def _set_links(run: Run, domain: str, action: str) -> None:
+def set_links(run: Run, domain: str, action: str) -> None:
+    """Set the links of a domain to the other domains and to the platform."""
     for other in run.scenario.domains:
         if other != domain:
             run.cluster.set_rule(domain, other, action=action, both=True)
