--- a/harness/tests/test_addresses.py
+++ b/harness/tests/test_addresses.py
@@ -5,8 +5,8 @@
 import unittest
 
 from harness import scenario
+from harness.addresses import reserved_second_octet
 from harness.layout import PLATFORM_PORT
-from harness.scenario import reserved_second_octet
 
 
 class ReservedBaseTests(unittest.TestCase):
--- a/harness/tests/test_golden_sessions.py
+++ b/harness/tests/test_golden_sessions.py
@@ -6,12 +6,12 @@
 
 from approvaltests import verify
 
+from harness.addresses import reserved_second_octet
 from harness.documents import make_document
 from harness.layout import Layout
 from harness.objects import write_object
 from harness.processes import running_cluster, wait_until
 from harness.recording import read_events
-from harness.scenario import reserved_second_octet
 from harness.tests.sessions import Session, read_normalised_log
 
 TIMEOUT_S = 15.0
--- a/lentilsill/daemon/controllers/platform_claims.py
+++ b/lentilsill/daemon/controllers/platform_claims.py
@@ -251,7 +251,7 @@
             self._start_write(name, version, value, refused)
             return refused
         era = self.ctx.board.store_era
-        if era is not None and era_of(version) != era:
+        if era and era_of(version) != era:
             # Another node may have stored a claim that the store has lost.
             self._start_write(name, version, value, NOT_RUN)
             return _refuse_as_unknown(LOST_WRITES)
--- a/lentilsill/daemon/controllers/version_arrivals.py
+++ b/lentilsill/daemon/controllers/version_arrivals.py
@@ -63,7 +63,7 @@
                 "versions_ignored",
                 versions=_format(ignored),
                 newest=format_position(self._documents.bundle_version),
-                store_revision=format_position(delta.complete_as_of),
+                store_as_of=format_position(delta.complete_as_of),
             )
 
     def log_received(self, link: Link, message: Delta, new: Delta | None) -> None:
