--- a/harness/tests/test_addresses.py
+++ b/harness/tests/test_addresses.py
@@ -4,7 +4,7 @@
 import socket
 import unittest
 
-from harness import scenario
+from harness import addresses
 from harness.addresses import reserved_second_octet
 from harness.layout import PLATFORM_PORT
 
@@ -27,5 +27,5 @@
                 self.assertNotEqual(first_run_octet, second_run_octet)
         self.assertIn(
             second_run_octet,
-            range(scenario.SECOND_OCTET_START, scenario.SECOND_OCTET_END),
+            range(addresses.SECOND_OCTET_START, addresses.SECOND_OCTET_END),
         )
