--- a/lentilsill/daemon/controllers/tests/spread_builders.py
+++ b/lentilsill/daemon/controllers/tests/spread_builders.py
@@ -83,16 +83,17 @@
         self.is_up = is_up
         self.revision = 0
         self.objects = {}
-        self.changed = asyncio.Condition()
+        self._waiters: set[asyncio.Future] = set()
         self.waiting_watches = 0
         self.list_count = 0
         self.oldest_revision = 0
 
     async def write(self, name, value):
-        async with self.changed:
-            self.revision += 1
-            self.objects[name] = StoredObject("service", name, self.revision, value)
-            self.changed.notify_all()
+        self.revision += 1
+        self.objects[name] = StoredObject("service", name, self.revision, value)
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(None)
 
     async def list(self, kind, stale=False):
         if not self.is_up:
@@ -106,15 +107,15 @@
         if since < self.oldest_revision:
             return Err(Compacted())
         self.waiting_watches += 1
+        # `asyncio.Condition` can lose a cancellation, and the test would not end.
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.add(waiter)
         try:
-            async with self.changed:
-                await asyncio.wait_for(
-                    self.changed.wait_for(lambda: self.revision > since), timeout_s
-                )
-        except TimeoutError:
-            pass
+            if self.revision <= since:
+                await asyncio.wait([waiter], timeout=timeout_s)
         finally:
             self.waiting_watches -= 1
+            self._waiters.discard(waiter)
         changes = tuple(o for o in self.objects.values() if o.version > since)
         return Ok(WatchBatch(self.revision, changes))
 
