Expect plain revisions that a test writes itself

It now spells out each message, and has DeltaRequest too. With the conversion taken out, it failed to fail before (1 of 3 tests of the module failed) and fails now (2 of 3).

--- a/lentilsill/wire/tests/test_eras.py
+++ b/lentilsill/wire/tests/test_eras.py
@@ -5,7 +5,6 @@
 
 from lentilsill.versioning import make_position
 from lentilsill.wire import CONTROL, PeerLinks
-from lentilsill.wire.eras import map_positions
 from lentilsill.wire.links import Identity
 from lentilsill.wire.messages import (
     Applied,
@@ -65,16 +64,24 @@
         await self.exchange(Digest(7, 1, 0))
         [link] = self.links.accepted
         position = make_position(ERA, 60)
-        rows = (("main", position, False, "{}"),)
-        for message in (
-            Digest(position, 1, 0),
-            Delta(position, position, False, rows),
-            Delta(0, 0, False, (), patches=(("main", position, position, 1, ()),)),
-            Applied(position, (("main", position),)),
-            Probe(1, (position, 1, 2)),
+        for message, plain in (
+            (Digest(position, 1, 0), Digest(60, 1, 0)),
+            (DeltaRequest(position, position), DeltaRequest(60, 60)),
+            (
+                Delta(position, position, False, (("main", position, False, "{}"),)),
+                Delta(60, 60, False, (("main", 60, False, "{}"),)),
+            ),
+            (
+                Delta(0, 0, False, (), patches=(("main", position, position, 1, ()),)),
+                Delta(0, 0, False, (), patches=(("main", 60, 60, 1, ()),)),
+            ),
+            (
+                Applied(position, (("main", position),)),
+                Applied(60, (("main", 60),)),
+            ),
+            (Probe(1, (position, 1, 2)), Probe(1, (60, 1, 2))),
         ):
             link.send(message)
-            plain = map_positions(message, lambda value: 60 if value else 0)
             self.assertEqual(await self.read(), plain)
 
     async def test_revision_of_an_old_peer_counts_as_of_no_era(self):
