Add types for organisations and a hook that admits calls

Cause: organisations with API keys, quotas, fair sharing and roll-outs need fields in the same types and messages.

Change: Organisation and Quota in documents, organisations in bundles and

CallAdmission, which EntryController asks once the route is known. It admits every call so far, and the new fields keep their defaults.

--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -18,7 +18,7 @@
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 
 from .connection_close import CloseReason
-from .controllers.reasons import NO_ROUTE
+from .controllers.reasons import NO_ROUTE, OVER_QUOTA, UNKNOWN_KEY
 from .controllers.upstream_client import HOP_BY_HOP
 from .header_numbers import parse_count
 from .held_bytes import HeldBytes
@@ -38,6 +38,9 @@
     Outcome.UNKNOWN: 504,
 }
 
+# Statuses of refusals whose reason tells callers more than the outcome.
+REASON_STATUS = {NO_ROUTE: 404, UNKNOWN_KEY: 401, OVER_QUOTA: 429}
+
 Response = tuple[int, tuple[tuple[str, str], ...], bytes]
 
 log = structlog.get_logger()
@@ -295,7 +298,7 @@
         case Answer(status, headers, body):
             return status, headers, body
         case Refused(outcome, reason, retry_after_s):
-            status = 404 if reason == NO_ROUTE else OUTCOME_STATUS[outcome]
+            status = REASON_STATUS.get(reason, OUTCOME_STATUS[outcome])
             value = {"outcome": outcome.value, "reason": reason}
             return json_response(status, value, outcome, retry_after_s)
 
--- a/lentilsill/daemon/controllers/bundle.py
+++ b/lentilsill/daemon/controllers/bundle.py
@@ -267,7 +267,11 @@
         self._in_force_since = self.ctx.now()
         board = self.ctx.board
         board.snapshot = Snapshot(
-            bundle.documents, self.complete_as_of, bundle.caller_limits, bundle.hosts
+            bundle.documents,
+            self.complete_as_of,
+            bundle.caller_limits,
+            bundle.hosts,
+            bundle.organisations,
         )
         self.ctx.count("documents.in_force_changed")
         log.info(
--- a/lentilsill/daemon/controllers/call_progress.py
+++ b/lentilsill/daemon/controllers/call_progress.py
@@ -9,6 +9,7 @@
 from lentilsill.outcomes import Answer, CallResult, Refused
 from lentilsill.routing import Candidate
 
+from .call_admission import Admission
 from .late_replies import LateReplies
 
 __all__ = ["Attempt", "CallProgress", "report_call"]
@@ -50,6 +51,8 @@
     ----------
     started_at, deadline : float
         In seconds of one monotonic clock.
+    admission : Admission
+        The caller's organisation and the priority of the call.
     tried_upstreams : set of str
         Upstreams chosen for an attempt, without those that refused a slot probe.
     arrival_count : int
@@ -83,6 +86,7 @@
     started_at: float
     deadline: float
     fingerprint: str
+    admission: Admission
     tried_upstreams: set[str] = field(default_factory=set)
     arrival_count: int = 0
     last_upstream: str = ""
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -22,6 +22,7 @@
 from lentilsill.wire import CALLS, Link
 from lentilsill.wire.messages import Call, GoAway
 
+from .call_admission import CallAdmission
 from .call_budgets import CallBudgets
 from .call_limits import ATTEMPT_END_GRACE_S, CallLimits
 from .call_progress import Attempt, CallProgress, report_call
@@ -80,6 +81,7 @@
         self.in_flight = 0
         self._attempt_ids = itertools.count(1)
         self._placer = AttemptPlacer(ctx, self.selector)
+        self._admission = CallAdmission(ctx)
         self._budgets = CallBudgets(ctx)
         self._limits = CallLimits(ctx)
         self._leaving_nodes: dict[str, str] = {}
@@ -115,6 +117,7 @@
 
     async def handle(self, req: CallRequest) -> CallResult:
         """Run the call; a failure is returned as its result, never raised."""
+        now = self.ctx.now()
         board = self.ctx.board
         if not board.ready:
             return _refused(req, NOT_READY)
@@ -128,6 +131,10 @@
             return _refused(req, NO_ROUTE)
         if self.in_flight >= self.ctx.cfg.calls.max_calls:
             return _refused(req, OVERLOADED)
+        admission = await self._admission.admit(req, route)
+        if isinstance(admission, Refused):
+            return admission
+        req = admission.req
         needs_claim = bool(req.request_key) and not route.idempotent
         fingerprint = ""
         if needs_claim or self.guard is not None:
@@ -141,11 +148,12 @@
         deadline_s = route.deadline_ms / 1000
         if req.deadline_ms > 0:
             deadline_s = min(deadline_s, req.deadline_ms / 1000)
-        now = self.ctx.now()
         # A call that no upstream has begun by then ends as not run.
         ends_at = board.calls_end_at_s - ATTEMPT_END_GRACE_S
         deadline = min(now + deadline_s, ends_at)
-        progress = CallProgress(req, document, route, now, deadline, fingerprint)
+        progress = CallProgress(
+            req, document, route, now, deadline, fingerprint, admission
+        )
         if req.deadline_ms > 0:
             progress.age_s = (
                 self.call_ages.age_ms(progress.kind, req.deadline_ms) / 1000
@@ -337,10 +345,12 @@
             attempt=progress.claim_attempt,
             attempt_id=req.attempt_id,
             route=progress.route.name,
-            priority=progress.route.priority,
+            priority=progress.admission.priority,
             objective_ms=progress.objective_ms(self.ctx.now()),
             is_suspect=progress.is_suspect,
             only_if_free=only_if_free,
+            organisation=progress.admission.organisation,
+            organisation_weight=progress.admission.weight,
         )
         if candidate.node != self.ctx.cfg.node:
             return await self.peers.send(
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -123,6 +123,8 @@
             call.is_suspect,
             call.only_if_free,
             self._notices.row(call.upstream, now),
+            call.organisation,
+            call.organisation_weight,
         )
         if not link.send(message):
             return Reply(not_run_refusal(f"{UNREACHABLE}link to {address} is closed"))
--- a/lentilsill/daemon/controllers/reasons.py
+++ b/lentilsill/daemon/controllers/reasons.py
@@ -14,12 +14,14 @@
     "NO_ROUTE",
     "NO_UPSTREAM",
     "OVERLOADED",
+    "OVER_QUOTA",
     "QUARANTINED",
     "RATE_LIMITED",
     "REFUSED_BY_UPSTREAM",
     "RESET_BEFORE_REQUEST",
     "STARTUP_RETRY_S",
     "SUSPECTED",
+    "UNKNOWN_KEY",
     "UNREACHABLE",
     "not_run_refusal",
 ]
@@ -44,6 +46,8 @@
 NOT_READY = "node is not ready"
 NO_UPSTREAM = "no upstream is ready"
 OVERLOADED = "too many calls"
+OVER_QUOTA = "organisation is over its quota"
+UNKNOWN_KEY = "API key is unknown"
 RATE_LIMITED = "upstream takes no more calls a second"
 REFUSED_BY_UPSTREAM = "upstream refused the call"
 # Prefix of reasons that count as a failure of the upstream or its host.
--- a/lentilsill/documents/bundle.py
+++ b/lentilsill/documents/bundle.py
@@ -10,7 +10,7 @@
 from lentilsill.findings import Findings
 
 from .input_models import BundleModel
-from .model import CallerLimits, Route, RouteTarget, ServiceDocument
+from .model import CallerLimits, Organisation, Route, RouteTarget, ServiceDocument
 from .parse import convert_document, format_place
 
 __all__ = ["MAX_BUNDLE_BYTES", "Bundle", "DocumentNames", "parse_bundle"]
@@ -32,6 +32,8 @@
     revision at the write. A version is put in force as a whole, so that documents
     never refer to documents of another version. `hosts` holds the documents of
     virtual hosts that have the name of a service; the others are in `documents`.
+    `organisations` holds the organisations by name; if it is None, callers need no API
+    key.
     """
 
     version: int
@@ -39,6 +41,7 @@
     documents: Mapping[str, ServiceDocument]
     caller_limits: CallerLimits
     hosts: Mapping[str, ServiceDocument] = field(default_factory=_no_documents)
+    organisations: Mapping[str, Organisation] | None = None
 
 
 class DocumentNames:
--- a/lentilsill/documents/model.py
+++ b/lentilsill/documents/model.py
@@ -7,6 +7,8 @@
     "CallerLimits",
     "HedgePolicy",
     "Limits",
+    "Organisation",
+    "Quota",
     "RetryPolicy",
     "Route",
     "RouteTarget",
@@ -87,7 +89,8 @@
     An empty `methods` matches all methods. `deadline_ms` is in milliseconds.
     `priority` orders the calls that wait for an upstream; 0 comes first.
     `objective_ms` is the latency objective, the time in milliseconds within which
-    an answer has the most value to the caller; 0 stands for the deadline.
+    an answer has the most value to the caller; 0 stands for the deadline. A route
+    that `is_public` needs no API key.
     """
 
     name: str
@@ -100,6 +103,33 @@
     hedge: HedgePolicy | None
     priority: int = 0
     objective_ms: int = 0
+    is_public: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """Token bucket of an organisation, over all nodes together.
+
+    In any t seconds, at most ``rate_per_s * t + burst`` of its calls are sent to
+    upstreams.
+    """
+
+    rate_per_s: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """A customer whose callers identify themselves by API keys.
+
+    Only digests of the keys are kept. `priority` replaces that of the route; None
+    leaves it. Calls are not limited if `quota` is None.
+    """
+
+    name: str
+    key_digests: frozenset[str]
+    priority: int | None = None
+    quota: Quota | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilsill/versioning/snapshot.py
+++ b/lentilsill/versioning/snapshot.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
-from lentilsill.documents import CallerLimits, ServiceDocument
+from lentilsill.documents import CallerLimits, Organisation, ServiceDocument
 
 __all__ = ["EMPTY_SNAPSHOT", "Snapshot"]
 
@@ -20,13 +20,15 @@
     `complete_as_of` is the platform revision up to which the node has every
     change. `caller_limits` limits what callers may send; if it is None, the
     limits of the settings apply. `hosts` holds the virtual hosts that have the name of
-    a service.
+    a service. `organisations` holds the organisations by name; if it is None, callers
+    need no API key.
     """
 
     documents: Mapping[str, ServiceDocument]
     complete_as_of: int
     caller_limits: CallerLimits | None = None
     hosts: Mapping[str, ServiceDocument] = field(default_factory=_no_documents)
+    organisations: Mapping[str, Organisation] | None = None
 
     def find_routes(self, name: str) -> ServiceDocument | None:
         """Return the document whose routes hold for calls to a host or service."""
--- a/lentilsill/wire/call_messages.py
+++ b/lentilsill/wire/call_messages.py
@@ -55,6 +55,9 @@
     `is_suspect` states that an upstream died while it ran this call. With
     `only_if_free`, the receiver refuses the call if it would have to wait. `notice` is
     what the sender has heard from the upstream before, if that restricts its calls.
+    `organisation` names the caller's organisation; it is empty without one.
+    `organisation_weight` is the organisation's weight among others that compete for
+    slots, and 0 if all weigh the same.
     """
 
     call_id: int
@@ -77,6 +80,8 @@
     is_suspect: bool = False
     only_if_free: bool = False
     notice: NoticeRow | None = None
+    organisation: str = ""
+    organisation_weight: float = 0.0
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag=21):
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -117,7 +117,8 @@
 
     `compression` lists the compression methods that the sender can read. `has_eras`
     states that its messages hold positions in the history of the platform's store, and
-    not revisions.
+    not revisions. `features` names the messages and fields that the sender reads beyond
+    those of the first release; a peer that doesn't name a feature gets none of them.
     """
 
     protocol_version: int
@@ -128,6 +129,7 @@
     peer_address: str
     compression: tuple[str, ...] = ()
     has_eras: bool = False
+    features: tuple[str, ...] = ()
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag=1):
