--- a/lentilsill/wire/compression.py
+++ b/lentilsill/wire/compression.py
@@ -10,7 +10,7 @@
 import zlib
 from collections.abc import Iterator
 
-from .messages import CONTROL, MAX_MESSAGE_BYTES, Hello, WireError
+from .messages import CALLS, CONTROL, MAX_MESSAGE_BYTES, Hello, WireError
 
 __all__ = ["COMPRESSION", "Compressor", "Decompressor", "uses_compression"]
 
@@ -20,6 +20,10 @@
 # per link end (`bench.links`), while the defaults of zlib take about 300 KB.
 WINDOW_BITS = -13
 MEMORY_LEVEL = 6
+# Links for control carry documents whose lines repeat within some hundred bytes, so
+# that half of the window and of the memory is enough for them.
+CONTROL_WINDOW_BITS = -12
+CONTROL_MEMORY_LEVEL = 5
 # Headers repeat byte for byte, which the fastest level detects.
 LEVEL = 1
 # Limit on the memory that a piece of decompressed data takes, whatever a peer sends.
@@ -45,11 +49,17 @@
     """Compresses the messages of one direction of a link.
 
     The receiver can decompress each message as soon as its bytes have arrived.
+    `purpose` is that of the link.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, purpose: str = CALLS) -> None:
+        is_control = purpose == CONTROL
+        # The peer reads any window up to `WINDOW_BITS`.
         self._deflate = zlib.compressobj(
-            LEVEL, zlib.DEFLATED, WINDOW_BITS, MEMORY_LEVEL
+            LEVEL,
+            zlib.DEFLATED,
+            CONTROL_WINDOW_BITS if is_control else WINDOW_BITS,
+            CONTROL_MEMORY_LEVEL if is_control else MEMORY_LEVEL,
         )
 
     def compress(self, data: bytes) -> bytes:
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -330,7 +330,7 @@
         link = Link(stream, hello, address, is_dialed, loop.time(), traffic)
         decompressor = None
         if uses_compression(self._make_hello(hello.purpose), hello):
-            link.compressor = Compressor()
+            link.compressor = Compressor(hello.purpose)
             decompressor = Decompressor()
         if not is_dialed:
             self.accepted.add(link)
