Translate the platform's tenants into organisations

Cause: the configuration has organisations with API keys, and nodes had no form for them.

Change: the adapter replaces keys by their digests (BLAKE2b, 128 bits) and adds the organisations to the bundle. The bundle text has a line for each of them, after the members that it had before, so that a text can be cut to that of a release without organisations. The reader parses only new lines. An entry or member that can't be read is left out and logged without its value; a list that can't be read invalidates the version. Routes of the kind download are idempotent.

--- a/lentilsill/documents/__init__.py
+++ b/lentilsill/documents/__init__.py
@@ -7,6 +7,7 @@
 from .bundle import Bundle, parse_bundle
 from .bundle_text import BundleReader, bundle_text
 from .canonical import References, canonical_text, references
+from .key_digests import key_digest
 from .model import (
     CallerLimits,
     HedgePolicy,
@@ -19,6 +20,7 @@
     ServiceDocument,
     UpstreamSet,
 )
+from .organisation_lines import without_organisations
 from .parse import MAX_TEXT_BYTES, parse_document
 
 __all__ = [
@@ -38,7 +40,9 @@
     "UpstreamSet",
     "bundle_text",
     "canonical_text",
+    "key_digest",
     "parse_bundle",
     "parse_document",
     "references",
+    "without_organisations",
 ]
--- a/lentilsill/documents/bundle.py
+++ b/lentilsill/documents/bundle.py
@@ -1,6 +1,6 @@
 """Bundles: documents that are put in force together as one version."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
@@ -11,9 +11,15 @@
 
 from .input_models import BundleModel
 from .model import CallerLimits, Organisation, Route, RouteTarget, ServiceDocument
-from .parse import convert_document, format_place
+from .parse import convert_document, convert_organisation, format_place
 
-__all__ = ["MAX_BUNDLE_BYTES", "Bundle", "DocumentNames", "parse_bundle"]
+__all__ = [
+    "MAX_BUNDLE_BYTES",
+    "Bundle",
+    "DocumentNames",
+    "map_organisations",
+    "parse_bundle",
+]
 
 # The limit is above the platform's own limit of 1 MB for a value.
 MAX_BUNDLE_BYTES = 4 * 1024 * 1024
@@ -100,7 +106,12 @@
                 f"no upstream set {target.upstream_set!r} of {target.service!r}",
             )
 
-    def make_bundle(self, model: BundleModel, revision: int) -> Bundle:
+    def make_bundle(
+        self,
+        model: BundleModel,
+        revision: int,
+        organisations: Mapping[str, Organisation] | None,
+    ) -> Bundle:
         """Return the bundle of these documents."""
         return Bundle(
             model.version,
@@ -108,9 +119,21 @@
             MappingProxyType(self.documents),
             CallerLimits(**model.caller_limits.model_dump()),
             MappingProxyType(self.hosts),
+            organisations,
         )
 
 
+def map_organisations(
+    organisations: Iterable[Organisation], findings: Findings
+) -> Mapping[str, Organisation]:
+    """Return organisations by name; add a finding for each name that appears twice."""
+    by_name: dict[str, Organisation] = {}
+    for index, organisation in enumerate(organisations):
+        if by_name.setdefault(organisation.name, organisation) is not organisation:
+            findings.add(f"organisations[{index}].name", "appears twice")
+    return MappingProxyType(by_name)
+
+
 def _is_host(document: ServiceDocument) -> bool:
     return not document.upstream_sets
 
@@ -143,6 +166,10 @@
         if not names.add(convert_document(document, revision)):
             findings.add(f"documents[{index}].service", "appears twice")
     names.check_targets(findings)
+    organisations = None
+    if model.organisations is not None:
+        converted = [convert_organisation(item) for item in model.organisations]
+        organisations = map_organisations(converted, findings)
     if findings:
         return Err(findings)
-    return Ok(names.make_bundle(model, revision))
+    return Ok(names.make_bundle(model, revision, organisations))
--- a/lentilsill/documents/bundle_text.py
+++ b/lentilsill/documents/bundle_text.py
@@ -1,11 +1,11 @@
-"""Bundle text with one line for each route, and a reader that parses only new lines.
+"""Bundle text with a line for each entry, and a reader that parses only new lines.
 
-A bundle can have thousands of routes, of which a new version changes a few.
-With a line for each route, nodes send patches of lines
-(`lentilsill.distribution.patch`) and parse only the routes that changed.
+A bundle can have thousands of routes and organisations, of which a new version changes
+a few. With a line for each route and each organisation, nodes send patches of lines
+(`lentilsill.distribution.patch`) and parse only the entries that changed.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 from pydantic import ValidationError
@@ -14,10 +14,21 @@
 
 from lentilsill.findings import Findings
 
-from .bundle import MAX_BUNDLE_BYTES, Bundle, DocumentNames, parse_bundle
-from .input_models import BundleModel, BundleRouteModel
-from .model import Route
-from .parse import convert_document, convert_route
+from .bundle import (
+    MAX_BUNDLE_BYTES,
+    Bundle,
+    DocumentNames,
+    map_organisations,
+    parse_bundle,
+)
+from .input_models import BundleModel, BundleRouteModel, OrganisationModel
+from .model import Organisation, Route
+from .organisation_lines import (
+    organisation_lines,
+    read_organisation_lines,
+    split_off_organisations,
+)
+from .parse import convert_document, convert_organisation, convert_route
 
 __all__ = ["BundleReader", "bundle_text"]
 
@@ -27,7 +38,7 @@
 
 
 def bundle_text(value: Any) -> str:
-    """Return the JSON text of a bundle, with one line for each route.
+    """Return the JSON text of a bundle, with a line for each route and organisation.
 
     A value without the structure of a bundle is written on one line; the findings
     are reported when the text is read.
@@ -55,16 +66,20 @@
             lines[-1] = lines[-1][:-1]
         comma = "," if number < len(documents) else ""
         lines.append(_close_list(document, "routes") + comma)
-    lines.append(_close_list(value, "documents"))
+    others = {name: item for name, item in value.items() if name != "organisations"}
+    lines.append(_close_list(others, "documents"))
+    if "organisations" in value:
+        lines[-1] = lines[-1].removesuffix("}")
+        lines += organisation_lines(value["organisations"])
     return "\n".join(lines)
 
 
 class BundleReader:
-    """Reader of successive bundles that keeps the routes of the last one read by lines.
+    """Reader of successive bundles that keeps the entries of the last one by lines.
 
-    A route whose line was in that bundle is not parsed again. The result equals that
-    of `parse_bundle`, which reads texts that have findings or don't have a line for
-    each route.
+    A route or organisation whose line was in that bundle is not parsed again. The
+    result equals that of `parse_bundle`, which reads texts that have findings or don't
+    have a line for each entry.
 
     Examples
     --------
@@ -76,6 +91,7 @@
 
     def __init__(self) -> None:
         self._routes: dict[str, Route] = {}
+        self._organisations: dict[str, Organisation] = {}
 
     def read(self, text: str, revision: int) -> Result[Bundle, Findings]:
         """Validate the text of a bundle written at the platform's `revision`."""
@@ -83,12 +99,18 @@
         return parse_bundle(text, revision) if bundle is None else Ok(bundle)
 
     def _read_lines(self, text: str, revision: int) -> Bundle | None:
-        split = _split_off_routes(text) if len(text) <= MAX_BUNDLE_BYTES else None
+        if len(text) > MAX_BUNDLE_BYTES:
+            return None
+        text, part = split_off_organisations(text)
+        split = _split_off_routes(text)
         if split is None:
             return None
         text_without_routes, route_lines = split
         routes: dict[str, Route] = {}
+        organisations_by_line: dict[str, Organisation] = {}
+        organisations: Mapping[str, Organisation] | None = None
         names = DocumentNames()
+        findings = Findings()
         try:
             model = BundleModel.model_validate_json(text_without_routes)
             if len(model.documents) != len(route_lines):
@@ -97,14 +119,25 @@
                 converted = tuple(self._read_route(line, routes) for line in lines)
                 if not names.add(convert_document(document, revision, converted)):
                     return None
+            if part is not None:
+                lines_of_part = read_organisation_lines(part)
+                if lines_of_part is None or model.organisations is not None:
+                    return None
+                organisations = map_organisations(
+                    [
+                        self._read_organisation(line, organisations_by_line)
+                        for line in lines_of_part
+                    ],
+                    findings,
+                )
         except ValidationError:
             return None
-        findings = Findings()
         names.check_targets(findings)
         if findings:
             return None
         self._routes = routes
-        return names.make_bundle(model, revision)
+        self._organisations = organisations_by_line
+        return names.make_bundle(model, revision, organisations)
 
     def _read_route(self, line: str, routes: dict[str, Route]) -> Route:
         route = self._routes.get(line)
@@ -113,6 +146,16 @@
         routes[line] = route
         return route
 
+    def _read_organisation(
+        self, line: str, by_line: dict[str, Organisation]
+    ) -> Organisation:
+        organisation = self._organisations.get(line)
+        if organisation is None:
+            model = OrganisationModel.model_validate_json(line)
+            organisation = convert_organisation(model)
+        by_line[line] = organisation
+        return organisation
+
 
 def _has_bundle_structure(value: Any) -> bool:
     documents = value.get("documents") if isinstance(value, dict) else None
--- a/lentilsill/documents/input_models.py
+++ b/lentilsill/documents/input_models.py
@@ -1,10 +1,17 @@
 """Pydantic models of the documents and bundles that operators write."""
 
-from typing import Annotated
+from typing import Annotated, Any, cast
 
 from pydantic import BaseModel, ConfigDict, Field, StringConstraints
 
-__all__ = ["NAME_PATTERN", "BundleModel", "DocumentModel", "RouteModel"]
+__all__ = [
+    "NAME_PATTERN",
+    "BundleModel",
+    "BundleRouteModel",
+    "DocumentModel",
+    "OrganisationModel",
+    "RouteModel",
+]
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
 MAX_ROUTES = 256
@@ -134,6 +141,7 @@
     deadline_ms: int = Field(ge=1, le=MAX_BUNDLE_NUMBER)
     priority: int = Field(default=0, ge=0, le=MAX_BUNDLE_NUMBER)
     objective_ms: int = Field(default=0, ge=0, le=MAX_BUNDLE_NUMBER)
+    is_public: bool = False
 
 
 class BundleDocumentModel(DocumentModel):
@@ -149,9 +157,32 @@
     )
 
 
+class QuotaModel(_StrictModel):
+    """Quota of an organisation over all nodes."""
+
+    rate_per_s: float = Field(gt=0, allow_inf_nan=False)
+    burst: float = Field(ge=0, allow_inf_nan=False)
+
+
+class OrganisationModel(_StrictModel):
+    """An organisation with the digests of its API keys."""
+
+    name: str = Field(min_length=1)
+    key_digests: list[str] = Field(default=[], max_length=MAX_BUNDLE_ENTRIES)
+    priority: int | None = Field(default=None, ge=0, le=MAX_BUNDLE_NUMBER)
+    quota: QuotaModel | None = None
+
+
 class BundleModel(_StrictModel):
-    """Documents that are put in force together."""
+    """Documents that are put in force together.
+
+    Without `organisations`, callers need no API key; null is no valid value.
+    """
 
     version: int = Field(ge=0)
     documents: list[BundleDocumentModel] = Field(max_length=MAX_BUNDLE_ENTRIES)
     caller_limits: CallerLimitsModel = CallerLimitsModel()
+    organisations: list[OrganisationModel] = Field(
+        default=cast("Any", None),
+        max_length=MAX_BUNDLE_ENTRIES,
+    )
--- a/lentilsill/documents/parse.py
+++ b/lentilsill/documents/parse.py
@@ -11,10 +11,17 @@
 from lentilsill.findings import Findings
 
 from .checks import check_semantics
-from .input_models import DocumentModel, RouteModel
+from .input_models import (
+    BundleRouteModel,
+    DocumentModel,
+    OrganisationModel,
+    RouteModel,
+)
 from .model import (
     HedgePolicy,
     Limits,
+    Organisation,
+    Quota,
     RetryPolicy,
     Route,
     RouteTarget,
@@ -25,6 +32,7 @@
 __all__ = [
     "MAX_TEXT_BYTES",
     "convert_document",
+    "convert_organisation",
     "convert_route",
     "format_place",
     "parse_document",
@@ -168,4 +176,16 @@
         else HedgePolicy(float(hedge.delay_ms), float(hedge.budget_percent)),
         priority=route.priority,
         objective_ms=route.objective_ms,
+        is_public=isinstance(route, BundleRouteModel) and route.is_public,
+    )
+
+
+def convert_organisation(model: OrganisationModel) -> Organisation:
+    """Convert a validated model of an organisation."""
+    quota = model.quota
+    return Organisation(
+        name=model.name,
+        key_digests=frozenset(model.key_digests),
+        priority=model.priority,
+        quota=None if quota is None else Quota(quota.rate_per_s, quota.burst),
     )
--- a/lentilsill/documents/tests/test_bundle_text.py
+++ b/lentilsill/documents/tests/test_bundle_text.py
@@ -7,7 +7,7 @@
 from hypothesis import given, strategies as st
 
 from lentilsill.documents import BundleReader, bundle_text, parse_bundle
-from lentilsill.documents.input_models import BundleRouteModel
+from lentilsill.documents.input_models import BundleRouteModel, OrganisationModel
 
 NAMES = st.sampled_from(["a", "b", "c.example"])
 ROUTES = st.fixed_dictionaries(
@@ -16,15 +16,27 @@
         "match": st.fixed_dictionaries({"path_prefix": st.sampled_from(["/", "/x/"])}),
         "targets": st.just([{"service": "a", "upstream_set": "all"}]),
         "deadline_ms": st.sampled_from([1, 20, 0]),
-    }
+    },
+    optional={"is_public": st.booleans()},
 )
 DOCUMENTS = st.fixed_dictionaries(
     {"service": NAMES, "upstream_sets": st.just({"all": {}})},
     optional={"routes": st.lists(ROUTES, max_size=3), "requires": st.just(["x\n],"])},
 )
+ORGANISATIONS = st.fixed_dictionaries(
+    {"name": st.sampled_from(["a", "b", "], x", "]}", '\n,"organisations":[\n'])},
+    optional={
+        "key_digests": st.lists(st.sampled_from(["d1", "d2", 5]), max_size=2),
+        "priority": st.sampled_from([0, -1]),
+        "quota": st.just({"rate_per_s": 2, "burst": 0}),
+    },
+)
 BUNDLES = st.fixed_dictionaries(
     {"version": st.integers(-1, 9), "documents": st.lists(DOCUMENTS, max_size=3)},
-    optional={"unknown": st.just(1)},
+    optional={
+        "unknown": st.just(1),
+        "organisations": st.lists(ORGANISATIONS, max_size=3) | st.none(),
+    },
 )
 
 
@@ -50,7 +62,8 @@
     def test_reading_by_lines_equals_parsing_the_whole_text(self, values):
         """Guards against a route that is added or lost only when reading by lines.
 
-        A string such as "], x" contains the text that ends the list of routes.
+        A string such as "], x" contains the text that ends the list of routes, and an
+        organisation's name may contain the text that starts their part.
         """
         reader = BundleReader()
         for number, bundle in enumerate(values):
@@ -69,13 +82,21 @@
         The reader parses each route line by itself, so that it could overlook a
         missing or additional comma between lines.
         """
-        good = bundle_text(make_bundle_value([make_route(1), make_route(2)]))
+        value = make_bundle_value([make_route(1), make_route(2)])
+        good = bundle_text(value)
+        with_organisations = bundle_text(
+            value | {"organisations": [{"name": "a"}, {"name": "b"}]}
+        )
         for bad in (
+            with_organisations.replace('"a"},', '"a"}'),
+            with_organisations.replace('"b"}', '"b"},'),
+            with_organisations.replace('"b"}', '"a"}'),
+            with_organisations + "\n]}",
             good.replace("},\n{", "}\n{", 1),
             good.replace("}\n],", "},\n],", 1),
             good.replace('"version":1}', '"version":1}\n]'),
         ):
-            self.assertNotEqual(bad, good)
+            self.assertNotIn(bad, (good, with_organisations))
             self.assertTrue(BundleReader().read(bad, 1).is_err(), bad)
 
     def test_only_changed_routes_are_parsed(self):
@@ -96,3 +117,21 @@
             bundle = reader.read(text, 2).unwrap()
         self.assertEqual(validate.call_count, 1)
         self.assertEqual(bundle.documents["h.example"].routes[7].deadline_ms, 200)
+
+    def test_only_changed_organisations_are_parsed(self):
+        """Guards against parsing every organisation again when a key changes."""
+        reader = BundleReader()
+        value = make_bundle_value([])
+        organisations = [{"name": f"o{n}", "key_digests": [f"d{n}"]} for n in range(50)]
+        reader.read(bundle_text(value | {"organisations": organisations}), 1)
+        organisations[7] = {"name": "o7", "key_digests": ["d7", "new"]}
+        text = bundle_text(value | {"organisations": organisations})
+        with mock.patch.object(
+            OrganisationModel,
+            "model_validate_json",
+            wraps=OrganisationModel.model_validate_json,
+        ) as validate:
+            bundle = reader.read(text, 2).unwrap()
+        self.assertEqual(validate.call_count, 1)
+        assert bundle.organisations is not None
+        self.assertIn("new", bundle.organisations["o7"].key_digests)
--- a/lentilsill/platform/configuration.py
+++ b/lentilsill/platform/configuration.py
@@ -22,6 +22,9 @@
     ValidationError,
 )
 
+from .organisations import OrganisationDecoder
+from .weights import scale_weights
+
 __all__ = [
     "CONFIGURATION_KIND",
     "ConfigurationDecoder",
@@ -31,13 +34,8 @@
 
 CONFIGURATION_KIND = "config"
 ALL_UPSTREAMS = "all"
-IDEMPOTENT_KIND = "safe"
+IDEMPOTENT_KINDS = frozenset({"safe", "download"})
 VERSION_BASE = 16
-# Weights in documents are integers; those of the platform may be fractions.
-WEIGHT_SCALE = 100
-MAX_WEIGHT = 1_000_000
-# Largest error of a weight that is rounded to an integer, as a share of the weight.
-MAX_WEIGHT_ERROR = 0.01
 # Figures beyond the limits of documents, of which the nearest has the same effect: a
 # time limit of 24 days, and more connections than descriptors.
 MAX_TIME_MS = 2**31 - 1
@@ -81,7 +79,7 @@
 class _Route(BaseModel):
     name: Text
     path_prefix: Text
-    # ``safe`` if a request may run more than once; not a type of route.
+    # ``safe`` or ``download`` if a request may run more than once; not a type of route.
     kind: Text
     timeout_ms: Number
     target_latency_ms: Number = 0
@@ -91,6 +89,8 @@
     max_attempts: Integer = 1
     service: Text | None = None
     weighted_split: list[_Share] | None = None
+    # A value that is no boolean leaves the route to callers with a key.
+    public: Annotated[bool, BeforeValidator(lambda value: value is True)] = False
 
 
 class _RoutePlace(BaseModel):
@@ -125,6 +125,7 @@
     services: list[Any]
     virtual_hosts: list[Any]
     limits: Any = None
+    tenants: Any = None
 
 
 def decode_version(text: str) -> int:
@@ -149,6 +150,7 @@
     def __init__(self) -> None:
         # Translated routes by the JSON text of the platform's route.
         self._routes: dict[bytes, dict[str, Any]] = {}
+        self._decode_organisations = OrganisationDecoder()
         self.findings: list[str] = []
 
     def __call__(self, spec: Any) -> dict[str, Any]:
@@ -197,13 +199,24 @@
                 if key and len(findings) == known_count:
                     routes[key] = route
         limits = _translate_limits(cfg.limits, findings)
+        organisations = {}
+        if "tenants" in cfg.model_fields_set:
+            decoded = self._decode_organisations(cfg.tenants, findings)
+            organisations["organisations"] = decoded
+        else:
+            hosts = {name: _without_public(items) for name, items in hosts.items()}
         self._routes = routes
         self._log(version, findings)
         documents = [
             *services.values(),
             *({"service": name, "routes": items} for name, items in hosts.items()),
         ]
-        return {"version": version, "documents": documents, "caller_limits": limits}
+        return {
+            "version": version,
+            "documents": documents,
+            "caller_limits": limits,
+            **organisations,
+        }
 
     def _log(self, version: int, findings: list[str]) -> None:
         if findings and findings != self.findings:
@@ -322,6 +335,8 @@
     """
     try:
         route = _Route.model_validate(raw_route)
+        if not isinstance(raw_route.get("public", False), bool):
+            findings.append(f"{place}public: not a boolean")
         if route.service is not None or route.weighted_split:
             return _translate_route(route)
         findings.append(f"{place}service: missing")
@@ -338,7 +353,9 @@
     shares = route.weighted_split or []
     if route.service is not None and not shares:
         shares = [_Share(service=route.service, weight=1)]
-    weights = _scale_weights([share.weight for share in shares])
+    weights = scale_weights([share.weight for share in shares])
+    # `documents.without_organisations` expects it to be the last member.
+    public = {"is_public": True} if route.public else {}
     return {
         "name": route.name,
         "match": {"path_prefix": route.path_prefix},
@@ -350,32 +367,26 @@
             }
             for share, weight in zip(shares, weights, strict=True)
         ],
-        "idempotent": route.kind == IDEMPOTENT_KIND,
+        "idempotent": route.kind in IDEMPOTENT_KINDS,
         "deadline_ms": _clamp(round(route.timeout_ms), MAX_TIME_MS),
         "objective_ms": _clamp(round(route.target_latency_ms), MAX_TIME_MS, 0),
         "priority": _clamp(route.priority, MAX_PRIORITY, 0),
         "retry": {"max_attempts": _clamp(route.max_attempts, MAX_ATTEMPTS)},
+        **public,
     }
 
 
-def _scale_weights(weights: list[float]) -> list[int]:
-    """Return integers in the proportions of the weights.
+def _without_public(routes: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return routes as they are where callers need no key.
 
-    Examples
-    --------
-    >>> _scale_weights([90, 10]), _scale_weights([90_000, 10_000])
-    ([9000, 1000], [1000000, 111111])
-    >>> _scale_weights([0.001, 0.003, 0])
-    [333333, 1000000, 0]
+    The text of bundles without organisations is the same in all releases.
     """
-    largest = max(weights, default=0)
-    scaled = [weight * WEIGHT_SCALE for weight in weights]
-    is_exact = largest * WEIGHT_SCALE <= MAX_WEIGHT and all(
-        abs(round(weight) - weight) <= MAX_WEIGHT_ERROR * weight for weight in scaled
-    )
-    if not is_exact:
-        scaled = [weight / largest * MAX_WEIGHT for weight in weights]
-    return [round(weight) for weight in scaled]
+    return [
+        {name: item for name, item in route.items() if name != "is_public"}
+        if "is_public" in route
+        else route
+        for route in routes
+    ]
 
 
 def _clamp(value: int, largest: int, smallest: int = 1) -> int:
