Authenticate calls by the API keys of the documents in force

Cause: calls with unknown keys were served, and the key reached upstreams.

A call without a known key gets 401 unless its route is public. The upstream gets the organisation's name and no credentials; the name that a caller sends is dropped. The new setting `organisations` turns all of it on; the adapter sets it if `contracts` has `tenants`. tornado's log line about headers that it can't read quoted them, so that a key with a control character was logged; the quoted part is now left out.

--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -300,7 +300,15 @@
         case Refused(outcome, reason, retry_after_s):
             status = REASON_STATUS.get(reason, OUTCOME_STATUS[outcome])
             value = {"outcome": outcome.value, "reason": reason}
-            return json_response(status, value, outcome, retry_after_s)
+            response = json_response(status, value, outcome, retry_after_s)
+            return _with_challenge(*response) if reason == UNKNOWN_KEY else response
+
+
+def _with_challenge(
+    status: int, headers: tuple[tuple[str, str], ...], body: bytes
+) -> Response:
+    """Add the header that each answer with status 401 must have (RFC 9110, 11.6.1)."""
+    return status, (*headers, ("WWW-Authenticate", "Bearer")), body
 
 
 def json_response(
--- a/lentilsill/daemon/controllers/tests/call_builders.py
+++ b/lentilsill/daemon/controllers/tests/call_builders.py
@@ -80,13 +80,14 @@
     `gates` maps paths to events that are awaited before the answer. `raw_answers` maps
     paths to bytes that are written instead, before the connection is closed.
     `extra_head` has further header lines of all other answers. `seen_at` has the time
-    of each request, in seconds of the loop's clock.
+    of each request, in seconds of the loop's clock, and `heads` its head.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.seen: list[str] = []
         self.seen_at: list[float] = []
+        self.heads: list[bytes] = []
         self.extra_head = b""
         self.cancelled: list[str] = []
         self.streams: set = set()
@@ -110,6 +111,7 @@
                     if line.startswith(b"content-length:"):
                         await stream.read_bytes(int(line.split(b":")[1]))
                 self.seen.append(path)
+                self.heads.append(head)
                 self.seen_at.append(asyncio.get_running_loop().time())
                 if path in self.gates:
                     stream.set_close_callback(partial(self.cancelled.append, path))
--- a/lentilsill/daemon/integration.py
+++ b/lentilsill/daemon/integration.py
@@ -43,6 +43,8 @@
         the first of these names that an answer has counts.
     leaving : tuple of str
         Names of the header with the value 1 in the answers of an upstream that leaves.
+    organisation : str
+        Name of the caller's organisation, which only the node sets.
     """
 
     deadline_ms: str = "Lentilsill-Deadline-Ms"
@@ -56,6 +58,7 @@
     upstream: str = ""
     limit: tuple[str, ...] = ("Lentilsill-Limit",)
     leaving: tuple[str, ...] = ("Lentilsill-Leaving",)
+    organisation: str = "Lentilsill-Organisation"
 
 
 def _no_start_time(body: bytes) -> None:
--- a/lentilsill/daemon/logs.py
+++ b/lentilsill/daemon/logs.py
@@ -1,6 +1,7 @@
 """Logging of a process: one JSON line per event on standard output."""
 
 import logging
+import re
 import sys
 
 import structlog
@@ -10,11 +11,19 @@
 __all__ = ["configure_logs"]
 
 
+# tornado quotes the header that it can't read, which may hold the API key of a caller.
+MALFORMED_MESSAGE_PREFIX = "Malformed HTTP message"
+QUOTED_PART = re.compile("['\"].*", re.DOTALL)
+
+
 class _ForwardHandler(logging.Handler):
     """Forwards records of the standard library's loggers to structlog."""
 
     def emit(self, record: logging.LogRecord) -> None:
-        fields = {"logger": record.name, "message": record.getMessage()}
+        message = record.getMessage()
+        if message.startswith(MALFORMED_MESSAGE_PREFIX):
+            message = QUOTED_PART.sub("...", message)
+        fields = {"logger": record.name, "message": message}
         if record.exc_info and record.exc_info[1] is not None:
             fields["error"] = repr(record.exc_info[1])
         structlog.get_logger().log(
--- a/lentilsill/daemon/reload.py
+++ b/lentilsill/daemon/reload.py
@@ -30,6 +30,7 @@
         "admin_address",
         "extra_admin_addresses",
         "documents",
+        "organisations",
         "platform",
         "statsd",
     }
--- a/lentilsill/platform/integration.py
+++ b/lentilsill/platform/integration.py
@@ -21,6 +21,7 @@
         upstream="X-Lentilsill-Instance-Id",
         limit=("Server-Limit", "X-Lentilsill-Server-Limit"),
         leaving=("Server-Leaving", "X-Lentilsill-Server-Leaving"),
+        organisation="X-Lentilsill-Tenant",
     ),
     routes_by_host=True,
     accepts_unframed_answers=True,
--- a/lentilsill/platform/settings_file.py
+++ b/lentilsill/platform/settings_file.py
@@ -90,6 +90,12 @@
     return float(fields.get("limits.link_mbps") or 0) or None
 
 
+def _contracts(fields: Mapping[str, str]) -> frozenset[str]:
+    """Return the names of the parts that the platform expects of the nodes."""
+    names = fields.get("contracts", "").split(",")
+    return frozenset(name.strip() for name in names)
+
+
 def _node_settings(fields: Mapping[str, str]) -> dict[str, Any]:
     ip = fields["ip"]
     first_port = fields["internal_ports"].split(",")[0]
@@ -112,6 +118,7 @@
         "link_mbps": _link_mbps(fields),
         "documents": "bundle",
         "directory": True,
+        "organisations": "tenants" in _contracts(fields),
         "distribution": {
             "in_force_s": float(fields["bounds.config_apply_ms"]) / 1000,
         },
--- a/lentilsill/platform/tests/test_translation.py
+++ b/lentilsill/platform/tests/test_translation.py
@@ -91,6 +91,16 @@
         self.assertLess(cfg.calls.drain_bound_s, 6.0)
         self.assertEqual(cfg.platform.watch_timeout_s, 1.5)
 
+    def test_organisations_are_on_if_the_platform_expects_them(self):
+        """Guards against a deployment without organisations that refuses its calls."""
+        for contracts, expected in (
+            (None, False),
+            ("pool", False),
+            ("a, tenants", True),
+        ):
+            cfg = parse_platform_settings(settings_text(contracts=contracts))
+            self.assertEqual(cfg.organisations, expected)
+
     def test_missing_and_invalid_fields_are_named(self):
         """Guards against a node that starts although a field is missing or invalid."""
         for text, place in (
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -217,6 +217,11 @@
         default=False,
         description="Whether nodes find each other through entries on the platform",
     )
+    organisations: bool = Field(
+        default=False,
+        description="Whether callers need an API key where the configuration in force "
+        "has organisations",
+    )
     host_service: str = Field(
         default="", description="Service of the upstream on this host"
     )
