Keep organisations apart from peers without the feature

Cause: nodes of the release before reject a bundle with organisations or public routes, and what they send has neither. A node that takes it over serves callers without a key.

Change: a node with `organisations` set names the feature in Hello. Peers without it get whole texts without the organisations, and no patches, since their text of a version may be another one. Their bundles and digests that are ahead are refused; a node that only they could bring up to date reads the platform as the last of the backup readers does. A node without the setting drops the organisations when it reads the platform.

With the refusals taken out, the test that a node takes no bundle from such a peer fails.

--- a/lentilsill/daemon/controllers/bundle.py
+++ b/lentilsill/daemon/controllers/bundle.py
@@ -5,12 +5,13 @@
 
 import structlog
 import xxhash
+from msgspec import structs
 from result import Err, Ok, Result
 
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.distribution import PatchError, TextPatch, TextVersions
-from lentilsill.documents import Bundle, BundleReader
+from lentilsill.documents import Bundle, BundleReader, without_organisations
 from lentilsill.findings import Findings
 from lentilsill.versioning import (
     HeldVersion,
@@ -23,7 +24,8 @@
     revision_of,
     supersedes,
 )
-from lentilsill.wire.messages import Delta, DocumentRow, PatchRow
+from lentilsill.wire.features import ORGANISATIONS
+from lentilsill.wire.messages import Delta, DocumentRow, Message, PatchRow
 
 __all__ = ["BundleController"]
 
@@ -54,7 +56,11 @@
         # Text in force, which differs from the newest one if that is rejected.
         self._in_force_text = ""
         self._in_force_since = 0.0
+        # Newest text that was sent without organisations, and what was sent.
+        self._plain_text = ("", "")
         ctx.board.dump_parts["documents"] = self.dump
+        if ctx.cfg.organisations:
+            ctx.links.adapters[ORGANISATIONS] = self._without_organisations
 
     @property
     def content_hash(self) -> int:
@@ -117,6 +123,28 @@
         row: PatchRow = (self._name, newest, held, patch.text_hash, patch.parts)
         return Delta(base, base, False, (), patches=(row,))
 
+    def _without_organisations(self, message: Message) -> Message:
+        """Return a message for a peer whose texts lack the organisations.
+
+        It gets no patches: its text of a version need not be this node's text without
+        the organisations, since another release may translate other parts differently.
+        """
+        if not isinstance(message, Delta):
+            return message
+        rows = message.rows
+        if message.patches:
+            rows = self._newest_rows() + self._in_force_rows()
+        plain_rows = tuple(
+            (name, version, is_deleted, self._make_plain(text))
+            for name, version, is_deleted, text in rows
+        )
+        return structs.replace(message, rows=plain_rows, patches=())
+
+    def _make_plain(self, text: str) -> str:
+        if text != self._plain_text[0]:
+            self._plain_text = (text, without_organisations(text))
+        return self._plain_text[1]
+
     def _is_from_store_behind(self, delta: Delta) -> bool:
         """Return whether a listing shows a copy that is behind what was read before."""
         theirs, mine = delta.complete_as_of, self.complete_as_of
--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -10,14 +10,11 @@
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import Documents
 from lentilsill.distribution import (
-    Admitted,
     AdoptRevision,
     Ask,
     DigestValue,
     InSync,
-    RetryAfter,
     SendDigest,
-    SyncAdmission,
     batch_window_s,
     compare_digests,
     policy_for,
@@ -27,10 +24,12 @@
 from lentilsill.wire import CONTROL, Link
 from lentilsill.wire.messages import Busy, Delta, DeltaRequest, Digest
 
+from .bundle_sources import BundleSources
 from .confirmations import ConfirmationController
 from .deltas import coalesce, delta_to_forward, has_content, row_versions
 from .membership import MembershipController
 from .probe_relays import DigestTuple
+from .sync_server import SyncServer
 from .version_arrivals import VersionArrivals
 
 __all__ = ["DistributionController"]
@@ -46,8 +45,6 @@
 # watcher therefore seldom has anything left to push.
 BACKUP_PUSH_DELAY_S = 0.5
 PEER_CHANGE_PROBABILITY = 0.1
-WRITE_POLL_INTERVAL_S = 0.05
-MAX_SYNC_S = 10.0
 
 log = structlog.get_logger()
 
@@ -72,7 +69,8 @@
         self.confirmations = ConfirmationController(ctx, documents, membership)
         cfg = ctx.cfg.distribution
         self._policy = policy_for(cfg.optimise_for)
-        self._admission = SyncAdmission(cfg.max_full_syncs, ctx.rng, MAX_SYNC_S)
+        self._sync_server = SyncServer(ctx, documents)
+        self.bundle_sources = BundleSources(ctx, documents)
         self._request_timeout_s = min(
             MAX_REQUEST_TIMEOUT_S, REQUEST_TIMEOUT_SHARE * cfg.in_force_s
         )
@@ -94,8 +92,6 @@
         self._remote_peers: dict[str, str] = {}
         self._arrivals = VersionArrivals(ctx, documents)
         self._has_lost_history = False
-        self._full_sync_count = 0
-        self._peak_syncs = 0
         self.sources: dict[str, str] = {}
 
     @classmethod
@@ -110,11 +106,11 @@
         links = self._ctx.links
         links.era_of_old_peers = self._era_of_old_peers
         links.on(Digest, self._on_digest_message)
-        links.on(DeltaRequest, self._on_delta_request)
         links.on(Delta, self._on_delta)
         links.on(Busy, self._on_busy)
         self._membership.subscribe_to_digests(self._on_probe_digest)
         self._ctx.board.dump_parts["distribution"] = self._dump
+        self._sync_server.start()
         self.confirmations.start()
         self._ctx.spawn(self._remote_digest_loop())
         self._ctx.spawn(self._unready_digest_loop())
@@ -191,6 +187,8 @@
         self._ctx.count("distribution.pushes", count)
 
     def _on_delta(self, link: Link, message: Delta) -> None:
+        if not self.bundle_sources.accepts_delta(link, message):
+            return
         new = self._documents.merge(message)
         self._arrivals.log_received(link, message, new)
         self._record_era()
@@ -262,7 +260,7 @@
             case SendDigest():
                 self._record_source(link, theirs.complete_as_of)
                 return True
-            case Ask():
+            case Ask() if self.bundle_sources.accepts(link, theirs.complete_as_of):
                 if not self._is_ineffective(theirs):
                     self._arrivals.record_lack()
                     self._request_changes(link, theirs)
@@ -363,37 +361,12 @@
         self._pending_request = None
         self._next_request_at = self._ctx.now() + message.retry_after_ms / 1000
 
-    def _on_delta_request(self, link: Link, message: DeltaRequest) -> None:
-        delta = self._documents.delta_since(message.complete_as_of, message.held)
-        if not delta.full:
-            link.send(delta)
-            return
-        match self._admission.try_start(self._ctx.now()):
-            case RetryAfter(delay_ms):
-                self._ctx.count("distribution.syncs_refused")
-                link.send(Busy(delay_ms))
-            case Admitted(ticket):
-                self._ctx.count("distribution.full_syncs")
-                self._full_sync_count += 1
-                self._peak_syncs = max(self._peak_syncs, self._admission.running)
-                link.send(delta)
-                self._ctx.spawn(self._finish_sync(link, ticket))
-
-    async def _finish_sync(self, link: Link, ticket: int) -> None:
-        """Count a full sync against the limit until its bytes have been sent."""
-        deadline = self._ctx.now() + MAX_SYNC_S
-        while link.is_open and link.stream.writing() and self._ctx.now() < deadline:
-            await asyncio.sleep(WRITE_POLL_INTERVAL_S)
-        self._admission.finish(ticket)
-
     def _dump(self) -> dict[str, Any]:
         mine = self._local_digest()
         return {
             "complete_as_of": mine.complete_as_of,
             "documents_hash": f"{mine.documents_hash:016x}",
             "sources": dict(self.sources),
-            "syncs_served": self._admission.running,
-            "full_syncs": self._full_sync_count,
-            "full_syncs_at_once": self._peak_syncs,
+            **self._sync_server.dump(),
             "batched": len(self._batch),
         }
--- a/lentilsill/daemon/controllers/platform_watch.py
+++ b/lentilsill/daemon/controllers/platform_watch.py
@@ -17,7 +17,7 @@
     read_due_age_s,
     watch_wait_s,
 )
-from lentilsill.documents import bundle_text
+from lentilsill.documents import bundle_text, without_organisations
 from lentilsill.platform import (
     Compacted,
     ObjectApi,
@@ -129,8 +129,12 @@
         """Return the age of the documents from which on this node reads, or None."""
         cfg = self._ctx.cfg.distribution
         # A node that knows no peers ranks first.
-        rank = self._membership.rank()
-        return read_due_age_s(rank, cfg.watchers_per_domain, cfg.in_force_s)
+        return read_due_age_s(
+            self._membership.rank(),
+            cfg.watchers_per_domain,
+            cfg.in_force_s,
+            self._distribution.bundle_sources.has_refused_newer,
+        )
 
     async def _read_platform(self) -> None:
         since = self._documents.complete_as_of
@@ -187,7 +191,9 @@
         self, base: int, revision: int, full: bool, objects: tuple[StoredObject, ...]
     ) -> None:
         self._last_error = ""
-        to_text = bundle_text if self._read_planner.newest_only else _document_text
+        to_text = _document_text
+        if self._read_planner.newest_only:
+            to_text = bundle_text if self._ctx.cfg.organisations else _plain_bundle_text
         rows = tuple(_to_row(obj, to_text) for obj in objects)
         self._ctx.count("platform_watch.changes", len(rows))
         self._distribution.add_platform_changes(Delta(base, revision, full, rows))
@@ -218,5 +224,9 @@
     return (obj.name, obj.version, False, to_text(obj.value))
 
 
+def _plain_bundle_text(value: Any) -> str:
+    return without_organisations(bundle_text(value))
+
+
 def _document_text(value: Any) -> str:
     return json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False)
--- a/lentilsill/daemon/controllers/tests/spread_builders.py
+++ b/lentilsill/daemon/controllers/tests/spread_builders.py
@@ -187,6 +187,7 @@
     domain="lahore",
     documents="per_service",
     link_mbps=None,
+    organisations=False,
     **distribution,
 ):
     """Start a node on loopback with short probe intervals and timeouts.
@@ -200,6 +201,7 @@
         domain=domain,
         documents="bundle" if documents == "bundle" else "per_service",
         link_mbps=link_mbps,
+        organisations=organisations,
         bind_ip="127.0.0.1",
         peer_address=free_address(),
         caller_address="127.0.0.1:1",
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -13,6 +13,7 @@
 from lentilsill.status.aggregate import VersionedDocuments
 from lentilsill.versioning import EMPTY_SNAPSHOT
 from lentilsill.wire import PeerLinks
+from lentilsill.wire.features import ORGANISATIONS
 from lentilsill.wire.links import Identity
 
 from .admin_server import AdminServer
@@ -50,10 +51,13 @@
     if cfg.statsd is not None:
         host, _, port = cfg.statsd.address.rpartition(":")
         statsd_client = statsd.StatsClient(host, int(port), prefix=cfg.statsd.prefix)
+    links = PeerLinks(identity, cfg.bind_ip)
+    if cfg.organisations:
+        links.features += (ORGANISATIONS,)
     return Context(
         cfg=cfg,
         board=Blackboard(EMPTY_SNAPSHOT),
-        links=PeerLinks(identity, cfg.bind_ip),
+        links=links,
         statsd_client=statsd_client,
         rng=random.Random(),
     )
--- a/lentilsill/distribution/confirmation.py
+++ b/lentilsill/distribution/confirmation.py
@@ -83,21 +83,28 @@
     return min(longest_s, WATCH_WAIT_SHARE * in_force_s)
 
 
-def read_due_age_s(rank: int, watchers: int, in_force_s: float) -> float | None:
+def read_due_age_s(
+    rank: int, watchers: int, in_force_s: float, lacks_source: bool = False
+) -> float | None:
     """Return the age of the confirmation at which a node reads the platform itself.
 
     The watchers always read. The next ranks follow one after the other, each within
     the time in which a change must be in force; the result is None for ranks that
-    never read.
+    never read. A node that `lacks_source`, as no peer can send it the documents, reads
+    like the last of the ranks that do.
 
     Examples
     --------
     >>> [read_due_age_s(rank, 2, 20.0) for rank in (1, 2, 4, 7)]
     [0.0, 13.0, 13.8, None]
+    >>> read_due_age_s(7, 2, 20.0, lacks_source=True)
+    14.6
     """
     position = rank - watchers
     if position < 0:
         return 0.0
     if position >= MAX_BACKUP_READERS:
-        return None
+        if not lacks_source:
+            return None
+        position = MAX_BACKUP_READERS - 1
     return in_force_s * (FIRST_BACKUP_SHARE + BACKUP_STEP_SHARE * position)
--- a/lentilsill/wire/link.py
+++ b/lentilsill/wire/link.py
@@ -67,6 +67,7 @@
     """One stream to a peer after both sides have sent `Hello`.
 
     `last_received_s` and `last_sent_s` are in seconds of the event loop's clock.
+    `adapters` convert messages for a peer that lacks features of this node.
     `close_reason` and `idle_at_close_s` hold how the link was closed, once it is.
     """
 
@@ -77,6 +78,7 @@
     last_received_s: float
     traffic: Traffic
     on_close: list[Callable[["Link"], None]] = field(default_factory=list)
+    adapters: list[Callable[[Message], Message]] = field(default_factory=list)
     compressor: Compressor | None = None
     last_sent_s: float = 0.0
     is_closed: bool = False
@@ -103,6 +105,8 @@
 
     def send(self, message: Message) -> bool:
         """Queue a message; return False if the stream is closed or the buffer full."""
+        for adapt in self.adapters:
+            message = adapt(message)
         if not self.hello.has_eras:
             message = map_positions(message, revision_of)
         data = encode(message)
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -94,6 +94,10 @@
         self._is_closed = False
         # The controller that sends calls over the links sets this callback.
         self.is_awaiting_answer: Callable[[Link], bool] = lambda link: False
+        # What this node reads beyond the first release, as sent in `Hello`, and by the
+        # same names the functions that convert messages for peers without it.
+        self.features: tuple[str, ...] = ()
+        self.adapters: dict[str, Callable[[Message], Message]] = {}
         # Era of the revisions of peers that know no eras; None if that is not known.
         self.era_of_old_peers: Callable[[], int | None] = lambda: 0
 
@@ -288,6 +292,7 @@
             me.peer_address,
             (COMPRESSION,),
             has_eras=True,
+            features=self.features,
         )
 
     async def _dial(self, address: str, purpose: str) -> Link:
@@ -328,6 +333,11 @@
         loop = asyncio.get_running_loop()
         traffic = self.traffic[purpose or hello.purpose]
         link = Link(stream, hello, address, is_dialed, loop.time(), traffic)
+        link.adapters = [
+            adapt
+            for feature, adapt in self.adapters.items()
+            if feature not in hello.features
+        ]
         decompressor = None
         if uses_compression(self._make_hello(hello.purpose), hello):
             link.compressor = Compressor()
