--- a/lentilsill/daemon/controllers/call_admission.py
+++ b/lentilsill/daemon/controllers/call_admission.py
@@ -1,6 +1,6 @@
 """Admission of calls at their entry node, before an upstream is chosen."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
@@ -9,10 +9,13 @@
 from lentilsill.daemon.interfaces import CallRequest
 from lentilsill.documents import Organisation, Route, key_digest
 from lentilsill.outcomes import CallResult, Outcome, Refused
+from lentilsill.wire.messages import Call
 
 from .reasons import OVER_QUOTA, UNKNOWN_KEY
 
-__all__ = ["Admission", "CallAdmission", "QuotaGate"]
+__all__ = ["Admission", "CallAdmission", "QuotaGate", "upstream_headers"]
+
+Header = tuple[str, str]
 
 KEY_HEADER = "authorization"
 KEY_SCHEME = "bearer"
@@ -67,8 +70,7 @@
         self.quotas: QuotaGate | None = None
         self._ctx = ctx
         self._header_name = header_names.organisation
-        self._own_headers = frozenset({header_names.organisation.lower()})
-        self._own_headers_and_key = self._own_headers | {KEY_HEADER}
+        self._own_header = header_names.organisation.lower()
         self._organisations: Mapping[str, Organisation] | None = None
         self._by_digest: dict[str, Organisation] = {}
         ctx.board.dump_parts["organisations"] = self._dump
@@ -78,12 +80,15 @@
         if not self._ctx.cfg.organisations:
             return Admission(req, route.priority)
         organisations = self._ctx.board.snapshot.organisations
+        headers, credentials = _split_off_credentials(req.headers, self._own_header)
         if organisations is None:
-            headers = _without(req.headers, self._own_headers)
-            return Admission(replace(req, headers=headers), route.priority)
+            # The upstreams check the credentials themselves.
+            kept = tuple(("Authorization", value) for value in credentials)
+            req = replace(req, headers=(*headers, *kept))
+            return Admission(req, route.priority)
         if organisations is not self._organisations:
             self._index(organisations)
-        key = _find_key(req.headers)
+        key = _find_key(credentials)
         organisation = None if key is None else self._by_digest.get(key_digest(key))
         if organisation is None:
             if not route.is_public:
@@ -92,38 +97,30 @@
                 else:
                     self._ctx.count("calls.unknown_key")
                 return _refused(req, UNKNOWN_KEY)
-            headers = _without(req.headers, self._own_headers_and_key)
-            return Admission(replace(req, headers=headers), route.priority)
+            return Admission(replace(req, headers=tuple(headers)), route.priority)
         if self.quotas is not None and organisation.quota is not None:
             wait_s = await self.quotas.take(organisation)
             if wait_s is not None:
                 return _refused(req, OVER_QUOTA, wait_s)
-        return self._admit(req, route, organisation)
-
-    def record_end(self, admission: Admission, result: CallResult | None) -> None:
-        """Record the result of an admitted call; None if its caller disconnected."""
-        is_not_run = isinstance(result, Refused) and result.outcome is Outcome.NOT_RUN
-        # An organisation has a weight if it has a quota.
-        if self.quotas is not None and admission.weight and is_not_run:
-            self.quotas.give_back(admission.organisation)
-
-    def _admit(
-        self, req: CallRequest, route: Route, organisation: Organisation
-    ) -> Admission:
         # Header values are sent in Latin-1; the bytes on the connection are UTF-8.
-        name = organisation.name.encode().decode("latin-1")
-        headers = (
-            *_without(req.headers, self._own_headers_and_key),
-            (self._header_name, name),
+        headers.append(
+            (self._header_name, organisation.name.encode().decode("latin-1"))
         )
         priority, quota = organisation.priority, organisation.quota
         return Admission(
-            replace(req, headers=headers),
+            replace(req, headers=tuple(headers)),
             route.priority if priority is None else priority,
             organisation.name,
             0.0 if quota is None else quota.rate_per_s,
         )
 
+    def record_end(self, admission: Admission, result: CallResult | None) -> None:
+        """Record the result of an admitted call; None if its caller disconnected."""
+        is_not_run = isinstance(result, Refused) and result.outcome is Outcome.NOT_RUN
+        # An organisation has a weight if it has a quota.
+        if self.quotas is not None and admission.weight and is_not_run:
+            self.quotas.give_back(admission.organisation)
+
     def _index(self, organisations: Mapping[str, Organisation]) -> None:
         self._organisations = organisations
         self._by_digest = {}
@@ -140,14 +137,34 @@
         }
 
 
-def _without(
-    headers: tuple[tuple[str, str], ...], names: frozenset[str]
-) -> tuple[tuple[str, str], ...]:
-    """Return headers without those with the given names, which are in lower case."""
-    return tuple(header for header in headers if header[0].lower() not in names)
+def upstream_headers(ctx: Context, names: HeaderNames, call: Call) -> Iterable[Header]:
+    """Return the headers of a call that its upstream may get.
 
-
-def _find_key(headers: tuple[tuple[str, str], ...]) -> bytes | None:
+    The entry node may have passed credentials on, since it runs an earlier release or
+    has a version without organisations in force.
+    """
+    if not ctx.cfg.organisations or ctx.board.snapshot.organisations is None:
+        return call.headers
+    own_header = "" if call.organisation else names.organisation.lower()
+    return _split_off_credentials(call.headers, own_header)[0]
+
+
+def _split_off_credentials(
+    headers: Iterable[Header], own_header: str
+) -> tuple[list[Header], list[str]]:
+    """Return other headers than the node's own, and the values of the credentials."""
+    others: list[Header] = []
+    credentials: list[str] = []
+    for header in headers:
+        name = header[0].lower()
+        if name == KEY_HEADER:
+            credentials.append(header[1])
+        elif name != own_header:
+            others.append(header)
+    return others, credentials
+
+
+def _find_key(credentials: Sequence[str]) -> bytes | None:
     """Return the API key of a request, None without one.
 
     A request with several credentials has no key, since it is not clear which one
@@ -155,15 +172,14 @@
 
     Examples
     --------
-    >>> _find_key((("Accept", "*/*"), ("Authorization", "Bearer k-1")))
+    >>> _find_key(["Bearer k-1"])
     b'k-1'
-    >>> _find_key((("Authorization", "Basic k-1"),)) is None
-    True
+    >>> _find_key(["Basic k-1"]) is None, _find_key(["Bearer k-1"] * 2) is None
+    (True, True)
     """
-    values = [value for name, value in headers if name.lower() == KEY_HEADER]
-    if len(values) != 1:
+    if len(credentials) != 1:
         return None
-    scheme, _, key = values[0].partition(" ")
+    scheme, _, key = credentials[0].partition(" ")
     if scheme.lower() != KEY_SCHEME:
         return None
     # The bytes of a header are decoded as Latin-1.
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -16,6 +16,7 @@
 from lentilsill.wire import CALLS
 from lentilsill.wire.messages import Call, GoAway, NoticeRow
 
+from .call_admission import upstream_headers
 from .local_upstream import (
     Execution,
     LocalUpstream,
@@ -310,7 +311,8 @@
 
     def _headers(self, call: Call, remaining_s: float) -> list[tuple[str, str]]:
         names = self.integration.headers
-        headers = [*call.headers, (names.deadline_ms, str(_ms(remaining_s)))]
+        forwarded = upstream_headers(self.ctx, names, call)
+        headers = [*forwarded, (names.deadline_ms, str(_ms(remaining_s)))]
         if call.request_key:
             headers.append((names.request_key, call.request_key))
         if names.target_upstream:
--- a/lentilsill/daemon/controllers/tests/test_call_admission.py
+++ b/lentilsill/daemon/controllers/tests/test_call_admission.py
@@ -11,12 +11,14 @@
 
 from lentilsill.daemon.caller_server import CallerServer
 from lentilsill.daemon.controllers.call_admission import Admission, CallAdmission
+from lentilsill.daemon.controllers.local_upstream import Execution
 from lentilsill.daemon.controllers.reasons import OVER_QUOTA
 from lentilsill.daemon.integration import HeaderNames
 from lentilsill.daemon.logs import _ForwardHandler
 from lentilsill.documents import Organisation, Quota, key_digest
 from lentilsill.outcomes import Outcome, Refused
 from lentilsill.versioning import Snapshot
+from lentilsill.wire.messages import Call
 
 from .call_builders import HOST, FakeNode, FakeUpstream, make_document, make_request
 
@@ -133,6 +135,16 @@
                 )
                 self.assertIn(expected or b"", head)
 
+    async def test_destination_passes_no_credentials_on(self):
+        """Guards against keys that an entry node of an earlier release passes on."""
+        headers = (*HEADERS.items(), ("X-Other", "1"))
+        call = Call(1, "w1", "GET", "/a", headers, b"", 1000, True, "", "slots", 1)
+        deadline = self.node.ctx.now() + 3
+        await self.node.destination.execute(Execution(call, deadline))
+        self.assertIn(b"x-other", self.last_head())
+        self.assertNotIn(b"authorization", self.last_head())
+        self.assertNotIn(b"lentilsill-organisation", self.last_head())
+
     async def test_without_organisations_credentials_are_forwarded(self):
         """Guards against upstreams that lose credentials which they check."""
         put_in_force(self.node, need_key=False)
--- a/lentilsill/documents/model.py
+++ b/lentilsill/documents/model.py
@@ -1,6 +1,6 @@
 """Data classes of a validated service document."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 __all__ = [
@@ -127,7 +127,7 @@
     """
 
     name: str
-    key_digests: frozenset[str]
+    key_digests: Collection[str]
     priority: int | None = None
     quota: Quota | None = None
 
--- a/lentilsill/documents/parse.py
+++ b/lentilsill/documents/parse.py
@@ -185,7 +185,8 @@
     quota = model.quota
     return Organisation(
         name=model.name,
-        key_digests=frozenset(model.key_digests),
+        # Calls look keys up in an index; a set would take 2 KB for 20 keys.
+        key_digests=tuple(model.key_digests),
         priority=model.priority,
         quota=None if quota is None else Quota(quota.rate_per_s, quota.burst),
     )
--- a/lentilsill/platform/organisations.py
+++ b/lentilsill/platform/organisations.py
@@ -53,12 +53,13 @@
                 continue
             names.add(organisation["name"])
             digests = organisation["key_digests"]
-            own = [digest for digest in digests if digest not in owned_digests]
-            if len(own) < len(digests):
+            if not owned_digests.isdisjoint(digests):
+                own = [digest for digest in digests if digest not in owned_digests]
                 count = len(digests) - len(own)
                 findings.append(f"{place}.api_keys: {count} belong to earlier entries")
-            owned_digests.update(own)
-            organisations.append(organisation | {"key_digests": own})
+                organisation = organisation | {"key_digests": own}
+            owned_digests.update(digests)
+            organisations.append(organisation)
         self._decoded = decoded
         return organisations
 
