Check a configuration of the users' platform before it is sent

Cause: an operator learned of an entry that nodes leave out, or that never matches, only from the logs after the version was written.

Change: `lentilsill check FILE [--against FILE]` reads the object as nodes do. The exit status is 1 with errors, 11 with warnings, 10 with differences, otherwise 0. Review and comparison are pure code on bundles. The decoder can be called without its log line.

--- a/lentilsill/cli/checks.py
+++ b/lentilsill/cli/checks.py
@@ -14,6 +14,7 @@
 from .references import DocumentFile, check_references
 
 __all__ = [
+    "add_locations",
     "check_document",
     "check_files",
     "check_text",
@@ -43,13 +44,13 @@
         value = json5.loads(text, allow_duplicate_keys=False)
     except ValueError as exc:
         findings.add("document", str(exc))
-        return "", None, _add_locations(findings, text, source)
+        return "", None, add_locations(findings, text, source)
     service = value.get("service") if isinstance(value, dict) else None
     if not isinstance(service, str) or not service:
         findings.add("service", "must name the service", source)
         return "", value, findings
     document_findings = check_document(value, service)
-    return service, value, _add_locations(document_findings, text, source)
+    return service, value, add_locations(document_findings, text, source)
 
 
 def check_text(text: str, source: str) -> Findings:
@@ -63,7 +64,7 @@
     try:
         parse_settings(text)
     except FindingsError as exc:
-        return _add_locations(exc.findings, text, source)
+        return add_locations(exc.findings, text, source)
     return Findings()
 
 
@@ -108,7 +109,8 @@
     return parse_document(value, value["service"], 0).unwrap()
 
 
-def _add_locations(findings: Findings, text: str, source: str) -> Findings:
+def add_locations(findings: Findings, text: str, source: str) -> Findings:
+    """Return findings with their source and lines, in the order of the lines."""
     lines = find_value_lines(text)
     located = []
     for finding in findings:
--- a/lentilsill/cli/exits.py
+++ b/lentilsill/cli/exits.py
@@ -18,6 +18,7 @@
     TIMEOUT = 8
     REJECTED = 9
     DIFFERENT = 10
+    WARNINGS = 11
 
 
 EXIT_HELP = """Exit statuses: 0 done; 1 findings in a document or in settings;
@@ -25,4 +26,4 @@
 node unavailable, nothing written; 6 answer to a write lost, and the write was
 not found when read back; 7 answer lost and reading back failed; 8 wait
 exceeded its bound; 9 the version waited for was rejected; 10 the stored
-document differs from the file."""
+document, or the configuration in force, differs from the file; 11 warnings only."""
--- a/lentilsill/cli/main.py
+++ b/lentilsill/cli/main.py
@@ -12,6 +12,7 @@
 from lentilsill.versioning import parse_position
 
 from .checks import check_files, expand_directories
+from .configuration_checks import check_configuration, is_configuration
 from .dump import dump_state
 from .edits import apply_document, delete_document, diff_document, show_document
 from .exits import EXIT_HELP, ExitCode
@@ -22,8 +23,8 @@
 REQUEST_TIMEOUT_S = 10.0
 LINE_COLOURS = (
     (re.compile(r"^\+| in force everywhere$"), "green"),
-    (re.compile(r"^-| rejected: |: conflict: "), "red"),
-    (re.compile(r" held: |: not heard from, "), "yellow"),
+    (re.compile(r"^-|^error: | rejected: |: conflict: "), "red"),
+    (re.compile(r"^~|^warning: | held: |: not heard from, "), "yellow"),
 )
 
 app = typer.Typer(
@@ -156,12 +157,23 @@
 
 
 @app.command("check")
-def check_command(paths: list[Path]) -> None:
-    """Check documents and settings without the platform.
+def check_command(
+    paths: list[Path],
+    against: Annotated[
+        Path | None,
+        typer.Option(help="Configuration in force, to show what differs from it"),
+    ] = None,
+) -> None:
+    """Check documents, settings and a configuration without the platform.
 
     PATHS are files, or directories whose .json5 and .json files are checked.
-    Given several documents, the references between them are checked too.
+    Given several documents, the references between them are checked too. A
+    configuration of the users' platform is checked alone.
     """
+    if against is not None or (len(paths) == 1 and is_configuration(paths[0])):
+        if len(paths) != 1:
+            raise typer.BadParameter("--against needs one configuration")
+        raise typer.Exit(check_configuration(paths[0], against, _echo))
     files = expand_directories(paths)
     findings = check_files(files)
     for finding in findings:
--- a/lentilsill/documents/__init__.py
+++ b/lentilsill/documents/__init__.py
@@ -5,6 +5,8 @@
 """
 
 from .bundle import Bundle, parse_bundle
+from .bundle_differences import compare_bundles
+from .bundle_review import review_bundle
 from .bundle_text import BundleReader, bundle_text
 from .canonical import References, canonical_text, references
 from .key_digests import key_digest
@@ -40,9 +42,11 @@
     "UpstreamSet",
     "bundle_text",
     "canonical_text",
+    "compare_bundles",
     "key_digest",
     "parse_bundle",
     "parse_document",
     "references",
+    "review_bundle",
     "without_organisations",
 ]
--- a/lentilsill/platform/configuration.py
+++ b/lentilsill/platform/configuration.py
@@ -154,6 +154,19 @@
         self.findings: list[str] = []
 
     def __call__(self, spec: Any) -> dict[str, Any]:
+        """Return what `decode` returns, and log new findings."""
+        earlier_findings = self.findings
+        bundle = self.decode(spec)
+        if self.findings and self.findings != earlier_findings:
+            log.warning(
+                "configuration_entries_unreadable",
+                version=bundle["version"],
+                findings=self.findings[:MAX_LOGGED_ENTRIES],
+                findings_count=len(self.findings),
+            )
+        return bundle
+
+    def decode(self, spec: Any) -> dict[str, Any]:
         """Return the bundle for a configuration object as a JSON value.
 
         Raises
@@ -206,7 +219,7 @@
         else:
             hosts = {name: _without_public(items) for name, items in hosts.items()}
         self._routes = routes
-        self._log(version, findings)
+        self.findings = findings
         documents = [
             *services.values(),
             *({"service": name, "routes": items} for name, items in hosts.items()),
@@ -218,16 +231,6 @@
             **organisations,
         }
 
-    def _log(self, version: int, findings: list[str]) -> None:
-        if findings and findings != self.findings:
-            log.warning(
-                "configuration_entries_unreadable",
-                version=version,
-                findings=findings[:MAX_LOGGED_ENTRIES],
-                findings_count=len(findings),
-            )
-        self.findings = findings
-
 
 def decode_configuration(spec: Any) -> dict[str, Any]:
     """Decode a single configuration object with a new `ConfigurationDecoder`."""
