Request the whole bundle after a patch that did not fit

Cause: two releases may translate one version of the platform into different texts; the kind `download` is one case. A patch of a peer then gave another text than the peer's, and the node asked for the same patch again.

Change: after such a patch the node names no base in its requests, until it has a text of a newer version, and gets the whole text.

With the base still named, the new test fails.

--- a/lentilsill/daemon/controllers/bundle.py
+++ b/lentilsill/daemon/controllers/bundle.py
@@ -49,6 +49,9 @@
         self.in_force: Bundle | None = None
         self._name = ""
         self._versions = TextVersions()
+        # Whether a patch of the newest version did not fit: peers have another text of
+        # it, as releases may translate a version differently.
+        self._has_other_text = False
         self._reader = BundleReader()
         self._rejected: RejectedVersion | None = None
         # Number that the author of the newest version gave; None if it is rejected.
@@ -79,6 +82,11 @@
         """Newest known revision, valid or not."""
         return self._versions.version
 
+    @property
+    def patch_base(self) -> int:
+        """Version to which patches of peers apply; 0 if peers have another text."""
+        return 0 if self._has_other_text else self.bundle_version
+
     def merge(self, delta: Delta) -> Delta | None:
         """Apply a newer bundle; return the delta to forward, or None if not newer."""
         version_before = self.bundle_version
@@ -100,8 +108,8 @@
 
     def lacks_patch_base(self, delta: Delta) -> bool:
         """Return whether the delta has a patch of a bundle that this node lacks."""
-        newest = self.bundle_version
-        return any(row[1] > newest and row[2] != newest for row in delta.patches)
+        newest, base = self.bundle_version, self.patch_base
+        return any(row[1] > newest and row[2] != base for row in delta.patches)
 
     def delta_since(self, base: int, held: int = 0) -> Delta:
         """Return the bundle if it has changed after revision `base`.
@@ -166,6 +174,7 @@
             has_same_text = text == self._versions.text
             self._name = name
             self._versions.keep(version, text)
+            self._has_other_text = False
             if has_same_text:
                 self._adopt_revision(version)
             else:
@@ -200,6 +209,7 @@
             try:
                 text = self._versions.patched(TextPatch(parts, text_hash))
             except PatchError as exc:
+                self._has_other_text = True
                 self.ctx.count("documents.bad_patches")
                 log.warning(
                     "patch_rejected", service=name, version=version, error=str(exc)
--- a/lentilsill/daemon/controllers/distribution.py
+++ b/lentilsill/daemon/controllers/distribution.py
@@ -355,7 +355,7 @@
 
     def _delta_request(self) -> DeltaRequest:
         docs = self._documents
-        return DeltaRequest(docs.complete_as_of, docs.bundle_version)
+        return DeltaRequest(docs.complete_as_of, docs.patch_base)
 
     def _on_busy(self, link: Link, message: Busy) -> None:
         self._pending_request = None
--- a/lentilsill/daemon/controllers/documents.py
+++ b/lentilsill/daemon/controllers/documents.py
@@ -113,6 +113,11 @@
         """Always 0: documents of single services are never sent as patches."""
         return 0
 
+    @property
+    def patch_base(self) -> int:
+        """Return 0: patches are made of bundles only."""
+        return 0
+
     def lacks_patch_base(self, delta: Delta) -> bool:
         """Return False: documents of single services are never sent as patches."""
         return False
--- a/lentilsill/daemon/controllers/tests/spread_builders.py
+++ b/lentilsill/daemon/controllers/tests/spread_builders.py
@@ -66,7 +66,7 @@
             return None
         return Delta(delta.base, delta.complete_as_of, delta.full, new)
 
-    bundle_version = 0
+    bundle_version = patch_base = 0
 
     def lacks_patch_base(self, delta):
         return False
--- a/lentilsill/daemon/controllers/tests/test_bundle.py
+++ b/lentilsill/daemon/controllers/tests/test_bundle.py
@@ -134,6 +134,24 @@
         self.assertIsNotNone(self.bundle.merge(repair))
         self.assertEqual(self.bundle.in_force, other.in_force)
 
+    def test_text_that_differs_from_that_of_peers_is_replaced(self):
+        """Guards against a node that rejects all patches after an upgrade of peers.
+
+        Releases may translate one version of the platform into different texts.
+        """
+        other = BundleController(self.ctx)
+        other.merge(make_delta(8, text=routes_text(50)))
+        own_text = routes_text(50).replace(":100", ":90", 1)
+        self.bundle.merge(make_delta(8, text=own_text))
+        patch = self.merge_new(other, make_delta(9, text=routes_text(50, changed=7)))
+        self.assertIsNone(self.bundle.merge(patch))
+        self.assertTrue(self.bundle.lacks_patch_base(patch))
+        held = self.bundle.patch_base
+        self.bundle.merge(other.delta_since(self.bundle.complete_as_of, held))
+        self.assertEqual(self.bundle.in_force, other.in_force)
+        patch = self.merge_new(other, make_delta(10, text=routes_text(50, changed=8)))
+        self.assertIsNotNone(self.bundle.merge(patch))
+
     def test_damaged_patch_changes_nothing(self):
         """Guards against a corrupt configuration that no operator wrote (G3)."""
         other = BundleController(self.ctx)
--- a/lentilsill/daemon/interfaces.py
+++ b/lentilsill/daemon/interfaces.py
@@ -65,7 +65,12 @@
 
     @property
     def bundle_version(self) -> int:
-        """Version of the bundle, to which patches apply; 0 without a bundle."""
+        """Version of the bundle; 0 without a bundle."""
+        ...
+
+    @property
+    def patch_base(self) -> int:
+        """Version of the bundle to which patches of peers apply; 0 if there is none."""
         ...
 
     def lacks_patch_base(self, delta: Delta) -> bool:
