--- a/lentilsill/daemon/controllers/call_admission.py
+++ b/lentilsill/daemon/controllers/call_admission.py
@@ -11,6 +11,7 @@
 from lentilsill.outcomes import CallResult, Outcome, Refused
 from lentilsill.wire.messages import Call
 
+from .call_results import refuse_call
 from .reasons import OVER_QUOTA, UNKNOWN_KEY
 
 __all__ = ["Admission", "CallAdmission", "QuotaGate", "upstream_headers"]
@@ -96,12 +97,12 @@
                     self._ctx.count("calls.missing_key")
                 else:
                     self._ctx.count("calls.unknown_key")
-                return _refused(req, UNKNOWN_KEY)
+                return refuse_call(req, UNKNOWN_KEY)
             return Admission(replace(req, headers=tuple(headers)), route.priority)
         if self.quotas is not None and organisation.quota is not None:
             wait_s = await self.quotas.take(organisation)
             if wait_s is not None:
-                return _refused(req, OVER_QUOTA, wait_s)
+                return refuse_call(req, OVER_QUOTA, wait_s)
         # Header values are sent in Latin-1; the bytes on the connection are UTF-8.
         headers.append(
             (self._header_name, organisation.name.encode().decode("latin-1"))
@@ -184,12 +185,3 @@
         return None
     # The bytes of a header are decoded as Latin-1.
     return key.strip(" \t").encode("latin-1", "replace") or None
-
-
-def _refused(req: CallRequest, reason: str, retry_after_s: float = 0.0) -> Refused:
-    """Refuse a call that is not sent.
-
-    A call with a request key may have run before through another node.
-    """
-    outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
-    return Refused(outcome, reason, retry_after_s)
--- a/lentilsill/daemon/controllers/call_results.py
+++ b/lentilsill/daemon/controllers/call_results.py
@@ -1,10 +1,17 @@
 """Classification of the results of attempts."""
 
+from lentilsill.daemon.interfaces import CallRequest
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 
 from .reasons import BUSY, RATE_LIMITED, UNREACHABLE
 
-__all__ = ["is_busy", "is_overload", "is_upstream_failure", "worse_refusal"]
+__all__ = [
+    "is_busy",
+    "is_overload",
+    "is_upstream_failure",
+    "refuse_call",
+    "worse_refusal",
+]
 
 
 def is_upstream_failure(result: CallResult) -> bool:
@@ -39,3 +46,13 @@
     if worst is None or order.index(result.outcome) >= order.index(worst.outcome):
         return result
     return worst
+
+
+def refuse_call(req: CallRequest, reason: str, retry_after_s: float = 0.0) -> Refused:
+    """Refuse a call before its first attempt.
+
+    A call with a request key may have run before through another node. Only the
+    replicas of the key know, so its outcome is ``unknown``.
+    """
+    outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
+    return Refused(outcome, reason, retry_after_s)
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -14,11 +14,7 @@
 from lentilsill.documents import ServiceDocument
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.retries import decide_hedge, decide_retry
-from lentilsill.routing import (
-    Candidate,
-    RouteIndex,
-    Selector,
-)
+from lentilsill.routing import Candidate, RouteIndex, Selector
 from lentilsill.wire import CALLS, Link
 from lentilsill.wire.messages import Call, GoAway
 
@@ -26,7 +22,13 @@
 from .call_budgets import CallBudgets
 from .call_limits import ATTEMPT_END_GRACE_S, CallLimits
 from .call_progress import Attempt, CallProgress, report_call
-from .call_results import is_busy, is_overload, is_upstream_failure, worse_refusal
+from .call_results import (
+    is_busy,
+    is_overload,
+    is_upstream_failure,
+    refuse_call,
+    worse_refusal,
+)
 from .destination import DestinationController
 from .hedging import run_hedged
 from .local_upstream import Execution, call_fingerprint, request_fingerprint
@@ -120,17 +122,17 @@
         now = self.ctx.now()
         board = self.ctx.board
         if not board.ready:
-            return _refused(req, NOT_READY)
+            return refuse_call(req, NOT_READY, STARTUP_RETRY_S)
         if board.is_refusing_callers:
-            return _refused(req, NODE_LEAVING)
+            return refuse_call(req, NODE_LEAVING, STARTUP_RETRY_S)
         document = board.snapshot.find_routes(req.service)
         if document is None:
-            return _refused(req, NO_ROUTE)
+            return refuse_call(req, NO_ROUTE, STARTUP_RETRY_S)
         route = self._route_index(document).match(req.method, req.path)
         if route is None:
-            return _refused(req, NO_ROUTE)
+            return refuse_call(req, NO_ROUTE, STARTUP_RETRY_S)
         if self.in_flight >= self.ctx.cfg.calls.max_calls:
-            return _refused(req, OVERLOADED)
+            return refuse_call(req, OVERLOADED, STARTUP_RETRY_S)
         admission = await self.admission.admit(req, route)
         if isinstance(admission, Refused):
             return admission
@@ -390,13 +392,3 @@
             "outstanding": self.peers.outstanding,
             "upstreams": self.selector.dump(self.ctx.now()),
         }
-
-
-def _refused(req: CallRequest, reason: str) -> Refused:
-    """Refuse a call before its first attempt.
-
-    A call with a request key may have run before through another node. Only the
-    replicas of the key know, so its outcome is ``unknown``.
-    """
-    outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
-    return Refused(outcome, reason, STARTUP_RETRY_S)
