Forward headers in their order while no organisations are in force

A node with the setting moved Authorization behind the other headers and wrote its name in another case while the configuration had no organisations. It forwards the headers as they came now, without the node's own header.

--- a/lentilsill/daemon/controllers/call_admission.py
+++ b/lentilsill/daemon/controllers/call_admission.py
@@ -81,12 +81,15 @@
         if not self._ctx.cfg.organisations:
             return Admission(req, route.priority)
         organisations = self._ctx.board.snapshot.organisations
-        headers, credentials = _split_off_credentials(req.headers, self._own_header)
         if organisations is None:
             # The upstreams check the credentials themselves.
-            kept = tuple(("Authorization", value) for value in credentials)
-            req = replace(req, headers=(*headers, *kept))
-            return Admission(req, route.priority)
+            forwarded = tuple(
+                header
+                for header in req.headers
+                if header[0].lower() != self._own_header
+            )
+            return Admission(replace(req, headers=forwarded), route.priority)
+        headers, credentials = _split_off_credentials(req.headers, self._own_header)
         if organisations is not self._organisations:
             self._index(organisations)
         key = _find_key(credentials)
--- a/lentilsill/daemon/controllers/tests/test_call_admission.py
+++ b/lentilsill/daemon/controllers/tests/test_call_admission.py
@@ -148,6 +148,9 @@
     async def test_without_organisations_credentials_are_forwarded(self):
         """Guards against upstreams that lose credentials which they check."""
         put_in_force(self.node, need_key=False)
+        headers = (("X-A", "1"), ("authorization", "Basic x"), ("X-B", "2"))
+        admission = await self.admit(*headers, ("Lentilsill-Organisation", "other"))
+        self.assertEqual(admission.req.headers, headers)
         self.assertEqual((await self.fetch("/a", HEADERS)).code, 200)
         self.assertIn(b"\r\nauthorization: bearer key-of-acme", self.last_head())
         self.assertNotIn(b"lentilsill-organisation", self.last_head())
