Return the quota token of a call that the quarantine refuses

A call that the quarantine refused as not run, after its admission, kept the token of its organisation, as only calls that reached an attempt recorded their end.

Measured: the extended test fails on the code before (0 tokens left in place of 1) and passes; 12 tests of call admission pass.

--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -146,7 +146,9 @@
         if refused is not None:
             # The quarantine shows that a request with this key has run before.
             outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
-            return replace(refused, outcome=outcome)
+            refused = replace(refused, outcome=outcome)
+            self.admission.record_end(admission, refused)
+            return refused
         deadline_s = route.deadline_ms / 1000
         if req.deadline_ms > 0:
             deadline_s = min(deadline_s, req.deadline_ms / 1000)
--- a/lentilsill/daemon/controllers/tests/test_call_admission.py
+++ b/lentilsill/daemon/controllers/tests/test_call_admission.py
@@ -4,6 +4,7 @@
 import unittest
 from contextlib import contextmanager
 from dataclasses import replace
+from unittest import mock
 
 import structlog
 from tornado.httpclient import AsyncHTTPClient
@@ -218,6 +219,10 @@
         self.assertIn(OVER_QUOTA.encode(), got.body)
         self.assertEqual((await self.fetch("/open/a")).code, 200)
         quotas.tokens = 1
+        self.node.entry.guard = mock.Mock(is_quarantined=lambda fingerprint: True)
+        self.assertEqual((await self.fetch("/a", HEADERS)).code, 503)
+        self.assertEqual(quotas.tokens, 1)
+        self.node.entry.guard = None
         self.node.set_members()
         self.node.ctx.board.upstreams.clear()
         self.node.destination.refresh()
