Ignore white space at the ends of API keys

A header has none at the ends of its value, so a key that the configuration gave with a leading space or a trailing tab was refused to all callers. A key of white space only is no key.

--- a/lentilsill/platform/organisations.py
+++ b/lentilsill/platform/organisations.py
@@ -139,9 +139,11 @@
     # A dict keeps the order and drops repetitions.
     digests: dict[str, None] = {}
     for index, key in enumerate(keys):
-        if isinstance(key, str) and key:
+        # A header has no white space at the ends of its value.
+        text = key.strip(" \t") if isinstance(key, str) else ""
+        if text:
             try:
-                digests[key_digest(key.encode())] = None
+                digests[key_digest(text.encode())] = None
                 continue
             except UnicodeEncodeError:
                 pass
--- a/lentilsill/platform/tests/test_organisations.py
+++ b/lentilsill/platform/tests/test_organisations.py
@@ -95,6 +95,15 @@
                 self.assertIsNone(organisations["acme"].quota)
                 self.assertIsNone(organisations["acme"].priority)
 
+    def test_white_space_around_a_key_does_not_count(self):
+        """Guards against a key that no caller can send: headers lose the space."""
+        padded = tenant(api_keys=[f" {SECRET}\t"])
+        organisations = read(configuration(tenants=[padded]))
+        digests = organisations["acme"].key_digests
+        self.assertEqual(digests, (key_digest(SECRET.encode()),))
+        organisations = read(configuration(tenants=[tenant(api_keys=[" "])]))
+        self.assertEqual(organisations["acme"].key_digests, ())
+
     def test_organisation_without_keys_is_known(self):
         """Guards against a missing list of keys that invalidates the entry."""
         unreadable: tuple[Any, ...] = ([], None, "k")
