--- a/harness/imports.py
+++ b/harness/imports.py
@@ -17,6 +17,7 @@
     "retries",
     "outcomes",
     "quarantine",
+    "rollouts",
     "drain",
     "status",
 )
