Read orders of roll-outs and write their status

Orders of roll-outs and the states that nodes store need a translation, and the client could not write a status.

The adapter parses orders and states, the client has put_status, reports can give the label version, and the settings have the section rollouts, which the platform's settings file sets with the contract rollout. Messages 60 and 61 go only to peers that name the feature rollouts. The stand-in keeps statuses and the revision of the creation.

--- a/harness/reference.py
+++ b/harness/reference.py
@@ -31,6 +31,9 @@
     "caller_address": "127.20.1.1:8001",
     "admin_address": "127.20.1.1:9001",
     "platform.url": "http://127.20.0.1:7000",
+    "rollouts.exposed_share": 0.1,
+    "rollouts.exposed_calls": 50.0,
+    "rollouts.rollback_s": 5.0,
     "statsd.address": "127.20.1.1:8125",
 }
 PAGE_HEAD = """# Settings of a node
--- a/lentilsill/daemon/integration.py
+++ b/lentilsill/daemon/integration.py
@@ -83,6 +83,9 @@
         Parses an announcement from the upstream's id and the request body.
     parse_start_ms : callable
         Parses the start time of an upstream, in ms, from the body of its deletion.
+    parse_versioned_announcement : callable or None
+        Used instead of `parse_announcement` if the settings enable roll-outs; the
+        version of the upstream becomes its label `version`.
     decoders : mapping
         For each kind of platform object, the function that decodes its value.
     documents_kind : str
@@ -99,6 +102,9 @@
         parse_announcement
     )
     parse_start_ms: Callable[[bytes], int | None] = _no_start_time
+    parse_versioned_announcement: (
+        Callable[[str, bytes], Result[Announcement, Findings]] | None
+    ) = None
     decoders: Mapping[str, Callable[[Any], Any]] = field(default_factory=dict)
     documents_kind: str = "service"
     # Headers that the node sets itself, in lower case.
--- a/lentilsill/platform/answers.py
+++ b/lentilsill/platform/answers.py
@@ -48,6 +48,7 @@
     name: str
     revision: int = Field(ge=0, le=MAX_REVISION)
     deleting: bool = False
+    created: Any = None
 
 
 class ObjectBody(BaseModel):
@@ -55,6 +56,7 @@
 
     metadata: _Metadata
     spec: Any = None
+    status: Any = None
 
 
 class ListBody(BaseModel):
--- a/lentilsill/platform/client.py
+++ b/lentilsill/platform/client.py
@@ -49,6 +49,7 @@
 # A page has about 500 objects, so a listing of 4,600 nodes has 10 pages.
 MAX_PAGES = 100
 MAX_ERROR_CHARS = 500
+MAX_CREATED_CHARS = 64
 # An object of 1 MB, the platform's limit, takes 4 s on a network link of 2.5 Mbit/s,
 # and longer while the link also carries calls.
 MAX_TRANSFER_S = 8.0
@@ -188,6 +189,24 @@
                 return Err(Conflict(0))
         return result
 
+    async def put_status(
+        self, kind: str, name: str, status: Any, expected_version: int | None
+    ) -> Result[int, PlatformError]:
+        """Replace the status of an object and return the new version of the object."""
+        metadata: dict[str, Any] = {"name": name}
+        if self._is_of_earlier_era(expected_version):
+            return Err(Conflict(0))
+        if expected_version is not None:
+            metadata["revision"] = revision_of(expected_version)
+        path = f"{_object_path(kind, name)}/status"
+        result = await self._write(
+            "PUT", path, metadata, status, expected_version, "status"
+        )
+        match result:
+            case Err(Rejected(status=404)):
+                return Err(Conflict(0))
+        return result
+
     async def delete(
         self, kind: str, name: str, expected_version: int | None
     ) -> Result[int, PlatformError]:
@@ -271,7 +290,15 @@
                 error=str(exc)[:MAX_ERROR_CHARS],
             )
             return None
-        return StoredObject(kind, name, revision, value)
+        created = body.metadata.created
+        return StoredObject(
+            kind,
+            name,
+            revision,
+            value,
+            status=body.status,
+            created="" if created is None else str(created)[:MAX_CREATED_CHARS],
+        )
 
     async def _read(
         self,
@@ -301,10 +328,11 @@
         metadata: dict[str, Any] | None,
         value: Any,
         condition: int | None = None,
+        part: str = "spec",
     ) -> Result[int, PlatformError]:
         body = None
         if metadata is not None:
-            text = json.dumps({"metadata": metadata, "spec": value}, ensure_ascii=False)
+            text = json.dumps({"metadata": metadata, part: value}, ensure_ascii=False)
             body = text.encode()
         req = self._make_request(
             method, path, self._timeout_s, body, needs_new_connection=True
--- a/lentilsill/platform/integration.py
+++ b/lentilsill/platform/integration.py
@@ -3,7 +3,7 @@
 from lentilsill.daemon.integration import HeaderNames, Integration
 
 from .configuration import CONFIGURATION_KIND, ConfigurationDecoder
-from .reports import parse_report, parse_start_ms
+from .reports import parse_report, parse_start_ms, parse_versioned_report
 
 __all__ = ["PLATFORM_INTEGRATION"]
 
@@ -28,6 +28,7 @@
     ready_path="/ready",
     parse_announcement=parse_report,
     parse_start_ms=parse_start_ms,
+    parse_versioned_announcement=parse_versioned_report,
     decoders={CONFIGURATION_KIND: ConfigurationDecoder()},
     documents_kind=CONFIGURATION_KIND,
 )
--- a/lentilsill/platform/model.py
+++ b/lentilsill/platform/model.py
@@ -26,7 +26,9 @@
     """An object; `version` is the revision of the whole store at its last write.
 
     A deleted object appears only in watch batches. It has `deleted` set, no value,
-    and the revision of the deletion as its version.
+    and the revision of the deletion as its version. `status` is what other writers than
+    those of the value report about it, and `created` names the creation of the object;
+    it is empty if the platform names none.
     """
 
     kind: str
@@ -34,6 +36,8 @@
     version: int
     value: Any
     deleted: bool = False
+    status: Any = field(default=None, compare=False)
+    created: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +136,12 @@
         """
         ...
 
+    async def put_status(
+        self, kind: str, name: str, status: Any, expected_version: int | None
+    ) -> Result[int, PlatformError]:
+        """Replace the status of an object and return the new version of the object."""
+        ...
+
     async def delete(
         self, kind: str, name: str, expected_version: int | None
     ) -> Result[int, PlatformError]:
--- a/lentilsill/platform/reports.py
+++ b/lentilsill/platform/reports.py
@@ -1,6 +1,7 @@
 """Translation of the liveness reports that the platform's upstreams send."""
 
-from typing import Annotated, Literal
+from dataclasses import replace
+from typing import Annotated, Any, Literal
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
@@ -9,11 +10,12 @@
 from lentilsill.membership import Announcement, UpstreamRecord, UpstreamState
 from lentilsill.wire.addresses import check_address
 
-__all__ = ["parse_report", "parse_start_ms"]
+__all__ = ["parse_report", "parse_start_ms", "parse_versioned_report"]
 
 UPSTREAM_STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.LEAVING}
 # Largest integer that messages, JSON and floats represent exactly.
 MAX_COUNT = 2**53
+MAX_VERSION_CHARS = 255
 
 
 class _Report(BaseModel):
@@ -27,6 +29,7 @@
     cold_left_ms: float = Field(default=0, ge=0, le=MAX_COUNT)
     # Number of the report since the start of the upstream.
     sequence: int = Field(ge=0, le=MAX_COUNT)
+    version: Any = None
     # Start of the upstream, in ms since the epoch.
     born: int | None = Field(default=None, ge=0, le=MAX_COUNT)
 
@@ -67,6 +70,31 @@
     )
 
 
+def parse_versioned_report(
+    upstream: str, text: bytes
+) -> Result[Announcement, Findings]:
+    """Parse a liveness report whose version becomes the label `version`.
+
+    A version that is not a text is left out, as the rest of the report holds.
+
+    Examples
+    --------
+    >>> text = b'{"service": "a", "address": "10.0.0.1:80", "slots": 2, '
+    >>> text += b'"state": "ready", "sequence": 1, "version": "v2"}'
+    >>> parse_versioned_report("i-1", text).unwrap().record.labels
+    (('version', 'v2'),)
+    """
+
+    def add_label(announcement: Announcement) -> Announcement:
+        version = _Report.model_validate_json(text).version
+        if not isinstance(version, str) or not 0 < len(version) <= MAX_VERSION_CHARS:
+            return announcement
+        record = replace(announcement.record, labels=(("version", version),))
+        return replace(announcement, record=record)
+
+    return parse_report(upstream, text).map(add_label)
+
+
 def parse_start_ms(body: bytes) -> int | None:
     """Return the start time of an upstream from the body of its deletion.
 
--- a/lentilsill/platform/settings_file.py
+++ b/lentilsill/platform/settings_file.py
@@ -90,6 +90,22 @@
     return float(fields.get("limits.link_mbps") or 0) or None
 
 
+def _has_contract(fields: Mapping[str, str], name: str) -> bool:
+    """Return whether the list of `contracts` has `name`."""
+    items = fields.get("contracts", "").split(",")
+    return name in (item.strip() for item in items)
+
+
+def _rollout_settings(fields: Mapping[str, str]) -> dict[str, Any] | None:
+    if not _has_contract(fields, "rollout"):
+        return None
+    return {
+        "exposed_share": float(fields["bounds.expose_share"]),
+        "exposed_calls": float(fields["bounds.expose_slack"]),
+        "rollback_s": float(fields["bounds.rollback_ms"]) / 1000,
+    }
+
+
 def _node_settings(fields: Mapping[str, str]) -> dict[str, Any]:
     ip = fields["ip"]
     first_port = fields["internal_ports"].split(",")[0]
@@ -128,4 +144,5 @@
             "drain_take_s": DRAIN_ACCEPT_S,
             "drain_bound_s": float(fields["bounds.grace_s"]) - EXIT_MARGIN_S,
         },
+        "rollouts": _rollout_settings(fields),
     }
--- a/lentilsill/platform/tests/builders.py
+++ b/lentilsill/platform/tests/builders.py
@@ -24,6 +24,10 @@
     "bounds.budget_slack": "56",
     "app_addr": "10.1.0.8:8301",
     "service": "huvo11a",
+    "contracts": "routes,health",
+    "bounds.expose_share": "0.1",
+    "bounds.expose_slack": "50",
+    "bounds.rollback_ms": "5000",
     "platform.address": "10.200.1.7:8309",
 }
 
--- a/lentilsill/settings/__init__.py
+++ b/lentilsill/settings/__init__.py
@@ -8,6 +8,7 @@
     MembershipSettings,
     NodeSettings,
     PlatformSettings,
+    RolloutSettings,
     StatsdSettings,
 )
 
@@ -18,6 +19,7 @@
     "MembershipSettings",
     "NodeSettings",
     "PlatformSettings",
+    "RolloutSettings",
     "StatsdSettings",
     "load_settings",
     "parse_settings",
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -11,6 +11,7 @@
     "MembershipSettings",
     "NodeSettings",
     "PlatformSettings",
+    "RolloutSettings",
     "StatsdSettings",
 ]
 
@@ -191,6 +192,25 @@
     )
 
 
+class RolloutSettings(_Section):
+    """Roll-outs of a service's version; without this section, orders are not read."""
+
+    exposed_share: float = Field(
+        gt=0,
+        le=1,
+        description="Largest share of a service's calls that a bad version gets during "
+        "its roll-out",
+    )
+    exposed_calls: float = Field(
+        ge=0, description="Number of calls above this share, over all nodes"
+    )
+    rollback_s: float = Field(
+        gt=0,
+        description="Time after the 50th bad answer of a version from which it gets no "
+        "calls",
+    )
+
+
 class StatsdSettings(_Section):
     """Statsd server for metrics; without this section, none are sent."""
 
@@ -253,3 +273,4 @@
     calls: CallSettings = CallSettings()
     keys: KeySettings = KeySettings()
     statsd: StatsdSettings | None = None
+    rollouts: RolloutSettings | None = None
--- a/lentilsill/wire/link.py
+++ b/lentilsill/wire/link.py
@@ -12,7 +12,7 @@
 
 from .compression import Compressor
 from .eras import map_positions
-from .messages import Hello, Message, encode
+from .messages import REQUIRED_FEATURES, Hello, Message, encode
 from .streams import ProtocolStream
 
 __all__ = ["Identity", "Link", "LinkCloseReason", "LinkError", "Traffic"]
@@ -102,7 +102,13 @@
         return self.is_open and not self.stream.is_open_without_input()
 
     def send(self, message: Message) -> bool:
-        """Queue a message; return False if the stream is closed or the buffer full."""
+        """Queue a message; return False if the stream is closed or the buffer full.
+
+        A message that the peer can't read is not sent either.
+        """
+        feature = REQUIRED_FEATURES.get(type(message))
+        if feature is not None and feature not in self.hello.features:
+            return False
         if not self.hello.has_eras:
             message = map_positions(message, revision_of)
         data = encode(message)
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -32,6 +32,7 @@
     "CONTROL",
     "MAX_MESSAGE_BYTES",
     "PROTOCOL_VERSION",
+    "REQUIRED_FEATURES",
     "Answer",
     "Applied",
     "Busy",
@@ -57,6 +58,8 @@
     "Records",
     "Refusal",
     "Release",
+    "RolloutReport",
+    "RolloutState",
     "StoreOutcome",
     "Summary",
     "WireError",
@@ -282,6 +285,48 @@
     cleared: tuple[tuple[str, int], ...] = ()
 
 
+# upstream, route, failures, answers without a time, and pairs of bucket and count
+RolloutRow = tuple[str, str, int, int, tuple[tuple[int, int], ...]]
+
+
+class RolloutReport(msgspec.Struct, frozen=True, array_like=True, tag=60):
+    """Answers of a service's versions and the state of `source` in a roll-out.
+
+    `source` is a node or, with `is_domain`, a domain. Rows are cumulative; a row
+    without an upstream is of all versions but the target version. Without a service,
+    the message asks for the states of all roll-outs.
+    """
+
+    service: str
+    identity: str = ""
+    source: str = ""
+    is_domain: bool = False
+    stage: int = 0
+    has_confirmed: bool = False
+    rows: tuple[RolloutRow, ...] = ()
+
+
+class RolloutState(msgspec.Struct, frozen=True, array_like=True, tag=61):
+    """State of a roll-out; `age_ms` is the time since its order.
+
+    `started_ms` is the time of the order by the clock of the node that first learned of
+    it. `root` is as in `Delta`. A heartbeat shows that the sender knows no newer state.
+    """
+
+    service: str
+    identity: str
+    target_version: str
+    duration_ms: int
+    position: int
+    started_ms: int
+    age_ms: int
+    stage: int
+    is_stored: bool
+    reason: str = ""
+    root: str = ""
+    is_heartbeat: bool = False
+
+
 Message = Union[  # noqa: UP007 - msgspec needs one union object at run time
     Hello,
     Digest,
@@ -308,8 +353,16 @@
     ClaimReply,
     StoreOutcome,
     Release,
+    RolloutReport,
+    RolloutState,
 ]
 
+# Features of `Hello` without which a peer can't read a message.
+REQUIRED_FEATURES: dict[type, str] = {
+    RolloutReport: "rollouts",
+    RolloutState: "rollouts",
+}
+
 _TYPE_BY_NUMBER: dict[int, Any] = {
     message_type.__struct_config__.tag: message_type
     for message_type in get_args(Message)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -47,6 +47,11 @@
     spec: Any
 
 
+class _StatusBody(BaseModel):
+    metadata: _MetadataBody
+    status: Any
+
+
 class Faults(BaseModel):
     """Faults that the stand-in simulates."""
 
@@ -218,6 +223,23 @@
             raise Finish
 
 
+class _StatusHandler(_ObjectHandler):
+    async def put(self, kind: str, name: str) -> None:
+        await self.admit("put", self.platform.write_bucket)
+        try:
+            body = _StatusBody.model_validate_json(self.request.body)
+        except ValidationError as exc:
+            self.answer(400, reason=str(exc))
+            return
+        expected = body.metadata.revision
+        text = self.get_query_argument("revision", None)
+        if expected is None and text is not None and text.isdigit():
+            expected = int(text)
+        self.require_object(kind, name)
+        store = self.platform.store
+        self.apply_write(lambda: store.put_status(kind, name, body.status, expected))
+
+
 class _KindHandler(_Base):
     is_disconnected = False
 
@@ -313,6 +335,7 @@
     args = {"platform": platform}
     name_pattern = "([A-Za-z0-9._-]+)"
     routes: list[Any] = [
+        (f"/objects/{name_pattern}/{name_pattern}/status", _StatusHandler, args),
         (f"/objects/{name_pattern}/{name_pattern}", _ObjectHandler, args),
         (f"/objects/{name_pattern}", _KindHandler, args),
         ("/standin/faults", _FaultsHandler, args),
--- a/standins/store.py
+++ b/standins/store.py
@@ -3,7 +3,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import takewhile
 from typing import Any
 
@@ -19,6 +19,8 @@
     version: int
     value: Any
     deleted: bool = False
+    status: Any = None
+    created: int = 0
 
     def to_json(self) -> dict[str, Any]:
         """Return the object in the form that listings contain."""
@@ -27,8 +29,9 @@
             "revision": self.version,
             "finalizers": [],
             "deleting": False,
+            "created": self.created,
         }
-        return {"metadata": metadata, "spec": self.value, "status": None}
+        return {"metadata": metadata, "spec": self.value, "status": self.status}
 
     def to_event(self) -> dict[str, Any]:
         """Return the event that watches receive."""
@@ -95,7 +98,20 @@
     def put(self, kind: str, name: str, value: Any, expected: int | None) -> Change:
         """Write an object if its version is `expected` (None accepts any)."""
         self._check_version(kind, name, expected)
-        return self._record(Change(kind, name, self.revision + 1, value))
+        revision = self.revision + 1
+        old = self.objects.get((kind, name))
+        status, created = (old.status, old.created) if old else (None, revision)
+        return self._record(
+            Change(kind, name, revision, value, status=status, created=created)
+        )
+
+    def put_status(
+        self, kind: str, name: str, status: Any, expected: int | None
+    ) -> Change:
+        """Replace the status of an existing object if its version is `expected`."""
+        self._check_version(kind, name, expected)
+        old = self.objects[kind, name]
+        return self._record(replace(old, version=self.revision + 1, status=status))
 
     def delete(self, kind: str, name: str, expected: int | None) -> Change:
         """Delete an existing object if its version is `expected` (None accepts any)."""
