Run roll-outs of a service's version on the nodes

The decisions of roll-outs were not connected to the nodes.

Entry nodes restrict the candidates to versions of the service and count calls and answers; the choice among candidates is unchanged. The roll-outs controller exchanges reports and states, the first-ranked nodes of each domain read orders, decide, and write states and statuses. Destination nodes refuse calls of old upstreams once their node has confirmed the shift. lentilsill status shows the roll-outs. Nothing of this runs without the section rollouts.

--- a/lentilsill/cli/reports.py
+++ b/lentilsill/cli/reports.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from lentilsill.platform import Compacted, ObjectApi, StoredObject
+from lentilsill.platform.rollouts import STATES_KIND, parse_state
 from lentilsill.status import DomainStatus, ServiceStatus, status_from_value
 from lentilsill.versioning import format_position, parse_position
 
@@ -20,6 +21,7 @@
 STATUS_KIND = "status"
 WATCH_TIMEOUT_S = 30.0
 RETRY_DELAY_S = 0.5
+ROLLOUT_HEADINGS: tuple[str, ...] = ("SERVICE", "TARGET", "STAGE", "REASON")
 HEADINGS = ("DOMAIN", "SERVICE", "ACCEPTED", "IN FORCE", "NODES", "AS OF", "UPDATED")
 # A domain writes its status at least every 55 s while one of its writers can
 # reach the platform.
@@ -67,6 +69,8 @@
             return ExitCode.UNAVAILABLE
         case Ok(listing):
             _print_statuses(listing.objects, as_json, echo, clock())
+    if not as_json:
+        await _print_rollouts(api, echo)
     return ExitCode.OK
 
 
@@ -80,6 +84,8 @@
         revision = await _update_objects(api, objects, revision, WATCH_TIMEOUT_S, echo)
         if revision is not None:
             _print_statuses(tuple(objects.values()), as_json, echo, clock())
+            if not as_json:
+                await _print_rollouts(api, echo)
 
 
 async def wait_until_in_force(
@@ -235,12 +241,34 @@
             case report:
                 rows += _make_rows(report, now_s)
                 notes += _make_notes(report, now_s)
+    _print_table(rows, echo)
+    for note in notes:
+        echo(note)
+
+
+async def _print_rollouts(api: ObjectApi, echo: Echo) -> None:
+    """Print the roll-outs, if there are any."""
+    match await api.list(STATES_KIND):
+        case Err(error):
+            echo(describe_error(error))
+        case Ok(listing) if listing.objects:
+            rows = [ROLLOUT_HEADINGS]
+            for obj in sorted(listing.objects, key=lambda obj: obj.name):
+                match parse_state(obj):
+                    case Ok(state):
+                        stage = state.stage.name.lower()
+                        version = state.order.target_version
+                        rows.append((obj.name, version, stage, state.reason or "-"))
+                    case Err(reason):
+                        rows.append((obj.name, "-", "unreadable", reason))
+            _print_table(rows, echo)
+
+
+def _print_table(rows: list[tuple[str, ...]], echo: Echo) -> None:
     widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
     for row in rows:
         cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
         echo("  ".join(cells).rstrip())
-    for note in notes:
-        echo(note)
 
 
 def _age_s(report: DomainStatus, now_s: float) -> float:
--- a/lentilsill/cli/tests/test_reports.py
+++ b/lentilsill/cli/tests/test_reports.py
@@ -19,6 +19,8 @@
     watch_status,
 )
 from lentilsill.platform import HttpObjectApi
+from lentilsill.platform.rollouts import state_to_value
+from lentilsill.rollouts import Order, RolloutState, Stage
 from standins.platform import Platform, make_app
 
 from .builders import NOW_S, make_document, make_status
@@ -54,6 +56,16 @@
     async def show(self) -> None:
         await print_status(self.api, False, self.lines.append, lambda: NOW_S)
 
+    async def test_rollouts_are_shown(self) -> None:
+        """Guards against a roll-out whose state and reason operators can't see."""
+        order = Order("slots", "v2", 30.0, "3/30/v2", 7)
+        state = RolloutState(order, 5, Stage.ROLLED_BACK, "8 of 9 answers failed")
+        self.store.put("rollout-states", "slots", state_to_value(state), None)
+        self.store.put("rollout-states", "odd", {"stage": 7}, None)
+        await self.show()
+        self.assertIn("slots    v2      rolled_back  8 of 9 answers failed", self.lines)
+        self.assertTrue(any(line.startswith("odd      -") for line in self.lines))
+
     async def test_status_table(self) -> None:
         """Guards against a table that hides rejected, held, old or invalid statuses."""
         self.put("multan", 6, 2, 120.0)
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -10,7 +10,7 @@
 from lentilsill.daemon.integration import DEFAULT_INTEGRATION, Integration
 from lentilsill.daemon.interfaces import CrashGuard
 from lentilsill.documents import Limits
-from lentilsill.membership import UpstreamState
+from lentilsill.membership import UpstreamRecord, UpstreamState
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.routing import is_leaving
 from lentilsill.wire import CALLS
@@ -76,6 +76,8 @@
         # Callback that records that an upstream's process leaves (id, start of the
         # process in ms); set after construction.
         self.mark_leaving: Callable[[str, int], None] | None = None
+        # Whether a roll-out has ended the calls of an upstream; set after construction.
+        self.is_retired: Callable[[UpstreamRecord], bool] = lambda record: False
         for topic in (Topic.UPSTREAMS, Topic.IN_FORCE, Topic.DRAIN):
             ctx.board.subscribe(topic, self.refresh)
         ctx.board.subscribe(Topic.DRAIN, self._announce_drain)
@@ -190,6 +192,8 @@
             local.notices.record_peer(call.notice, now)
         if local is None or self._is_closed_to_calls(local):
             return not_run_refusal(LEAVING)
+        if self.is_retired(local.record):
+            return not_run_refusal(LEAVING)
         if self.guard is not None:
             execution.fingerprint = execution.fingerprint or call_fingerprint(
                 call, self.integration.headers.caller_service
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -14,11 +14,7 @@
 from lentilsill.documents import ServiceDocument
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.retries import decide_hedge, decide_retry
-from lentilsill.routing import (
-    Candidate,
-    RouteIndex,
-    Selector,
-)
+from lentilsill.routing import Candidate, RouteIndex, Selector
 from lentilsill.wire import CALLS, Link
 from lentilsill.wire.messages import Call, GoAway
 
@@ -46,6 +42,7 @@
     SUSPECTED,
     not_run_refusal,
 )
+from .rollout_calls import RolloutCalls
 from .suspects import refuse_suspect
 
 __all__ = ["EntryController"]
@@ -80,7 +77,8 @@
         self.call_ages = CallAges()
         self.in_flight = 0
         self._attempt_ids = itertools.count(1)
-        self._placer = AttemptPlacer(ctx, self.selector)
+        self.rollouts = RolloutCalls(ctx)
+        self._placer = AttemptPlacer(ctx, self.selector, self.rollouts)
         self._admission = CallAdmission(ctx)
         self._budgets = CallBudgets(ctx)
         self._limits = CallLimits(ctx)
@@ -307,6 +305,7 @@
         selector.record_start(upstream, started_at)
         failed = False
         reply: Reply | None = None
+        self.rollouts.record_start(progress, candidate)
         try:
             reply = await self._send(progress, candidate, only_if_free)
             failed = is_upstream_failure(reply.result)
@@ -317,6 +316,8 @@
                     Attempt(candidate, reply.result, reply.load, now - started_at)
                 )
             selector.record_end(upstream, now, failed, (now - started_at) * 1000)
+            result = None if reply is None else reply.result
+            self.rollouts.record_end(progress, candidate, result, now - started_at)
         if reply.late is not None:
             progress.late_replies.add(reply.late)
         if reply.load >= 0:
--- a/lentilsill/daemon/controllers/placement.py
+++ b/lentilsill/daemon/controllers/placement.py
@@ -5,9 +5,16 @@
 from lentilsill.daemon.context import Context
 from lentilsill.documents import RouteTarget
 from lentilsill.retries import SlotProbeRecord, decide_probe
-from lentilsill.routing import CallProfile, Candidate, Selector, choose_target
+from lentilsill.routing import (
+    CallProfile,
+    Candidate,
+    Selector,
+    VersionFilter,
+    choose_target,
+)
 
 from .call_progress import CallProgress
+from .rollout_calls import RolloutCalls
 
 __all__ = ["AttemptPlacer", "Placement"]
 
@@ -38,8 +45,11 @@
     rarely find a free slot, most calls are sent without them.
     """
 
-    def __init__(self, ctx: Context, selector: Selector) -> None:
+    def __init__(
+        self, ctx: Context, selector: Selector, rollouts: RolloutCalls
+    ) -> None:
         self._ctx = ctx
+        self._rollouts = rollouts
         self._selector = selector
         self._slot_probes = SlotProbeRecord()
 
@@ -76,6 +86,22 @@
         target: RouteTarget,
         now: float,
         is_suspect: bool,
+    ) -> Placement | None:
+        for versions in self._rollouts.filters(target.service, progress):
+            placement = self._choose_version(
+                progress, target, now, is_suspect, versions
+            )
+            if placement is not None:
+                return placement
+        return None
+
+    def _choose_version(
+        self,
+        progress: CallProgress,
+        target: RouteTarget,
+        now: float,
+        is_suspect: bool,
+        versions: VersionFilter | None,
     ) -> Placement | None:
         selector = self._selector
         if is_suspect:
@@ -85,10 +111,11 @@
                 now,
                 progress.fingerprint,
                 progress.tried_upstreams,
+                versions,
             )
             return None if candidate is None else Placement(target, candidate, False)
         local_upstreams = selector.local_upstreams(
-            target.service, target.upstream_set, now
+            target.service, target.upstream_set, now, versions
         )
         unprobed_count = len(
             local_upstreams - progress.busy_upstreams - progress.tried_upstreams
@@ -109,6 +136,7 @@
             CallProfile(progress.objective_ms(now), progress.kind),
             progress.busy_upstreams,
             is_probing=bool(can_probe),
+            versions=versions,
         )
         if candidate is None:
             return None
--- /dev/null
+++ b/lentilsill/daemon/controllers/rollout_calls.py
@@ -0,0 +1,146 @@
+"""Calls of this node while versions of services are rolled out."""
+
+import time
+from collections import defaultdict
+
+from lentilsill.daemon.context import Context
+from lentilsill.membership import UpstreamRecord
+from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
+from lentilsill.rollouts import NodeRollout, ServiceRollout, VersionChoice
+from lentilsill.routing import Candidate, VersionFilter, version_of
+
+from .call_progress import MIN_FAILED_STATUS, CallProgress
+from .reasons import BUSY, CONNECTION_LOST, CRASHED, CRASHED_IN_TRIAL
+
+__all__ = ["RolloutCalls", "rollout_now"]
+
+# Slow start of upstreams; the platform's are cold for 3 s after their start.
+WARM_AFTER_S = 4.0
+# An attempt that ends without an answer this close to the deadline was slow.
+DEADLINE_MARGIN_S = 0.1
+# An upstream or host that dies loses many calls at once, whatever its version.
+LOST_REASONS = frozenset({CONNECTION_LOST, CRASHED, CRASHED_IN_TRIAL})
+
+
+def rollout_now() -> float:
+    """Return the time in seconds of a clock that counts suspensions of the host."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class RolloutCalls:
+    """Chooses the versions that calls may go to, and counts calls and answers.
+
+    Does nothing unless the settings enable roll-outs. `rollouts` holds the roll-outs
+    by service; the roll-outs controller writes it.
+    """
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+        self._is_enabled = ctx.cfg.rollouts is not None
+        self.rollouts: dict[str, ServiceRollout] = {}
+        # Attempts without a result by service and version.
+        self._in_flight: dict[tuple[str, str], int] = defaultdict(int)
+
+    def filters(
+        self, service: str, progress: CallProgress
+    ) -> tuple[VersionFilter | None, ...]:
+        """Return what the next attempt of a call may use, the preferred one first."""
+        rollout = self._find(service)
+        if rollout is None:
+            return (None,)
+        order = rollout.state.order
+        target = VersionFilter(order.target_version, True)
+        others = VersionFilter(order.target_version, False)
+        is_first = not progress.tried_upstreams
+        match rollout.choose(rollout_now(), self._ctx.rng, is_first):
+            case VersionChoice.CANARIES:
+                version, key = order.target_version, order.identity
+                return VersionFilter(version, True, rollout.share, key), others
+            case VersionChoice.PREFER_TARGET:
+                return target, others
+            case VersionChoice.PREFER_OTHERS:
+                return others, target
+            case VersionChoice.TARGET:
+                return (target,)
+            case VersionChoice.OTHERS:
+                return (others,)
+        return (None,)
+
+    def record_start(self, progress: CallProgress, candidate: Candidate) -> None:
+        """Count an attempt that is sent."""
+        if not self._is_enabled:
+            return
+        service = _service(progress)
+        self._in_flight[service, candidate.version] += 1
+        rollout = self._find(service)
+        if rollout is not None:
+            is_target = candidate.version == rollout.state.order.target_version
+            rollout.record_sent(is_target, rollout_now())
+            if is_target:
+                self._ctx.count("rollouts.target_calls")
+
+    def record_end(
+        self,
+        progress: CallProgress,
+        candidate: Candidate,
+        result: CallResult | None,
+        duration_s: float,
+    ) -> None:
+        """Record the end of an attempt; the result is None if it was cancelled."""
+        if not self._is_enabled:
+            return
+        service, version = _service(progress), candidate.version
+        self._in_flight[service, version] -= 1
+        if not self._in_flight[service, version]:
+            del self._in_flight[service, version]
+        rollout = self._find(service)
+        if rollout is None:
+            return
+        is_target = version == rollout.state.order.target_version
+        is_failure = False
+        match result:
+            case Answer(status=status):
+                is_failure = status >= MIN_FAILED_STATUS
+            case Refused(outcome=Outcome.NOT_RUN, reason=reason, arrived=arrived):
+                if not arrived or reason == BUSY:
+                    rollout.limit.record_not_run(is_target)
+                return
+            case Refused(outcome=Outcome.RUN_ANSWER_LOST, reason=reason) if (
+                reason not in LOST_REASONS
+            ):
+                is_failure = True
+            case _ if self._ctx.now() < progress.deadline - DEADLINE_MARGIN_S:
+                return
+        age_s = (self._ctx.wall_ms() - candidate.ready_at_ms) / 1000
+        rollout.evidence.record(
+            candidate.upstream if is_target else "",
+            progress.route.name,
+            is_failure,
+            duration_s * 1000 if age_s >= WARM_AFTER_S else None,
+        )
+
+    def is_retired(self, record: UpstreamRecord) -> bool:
+        """Return whether an upstream of this node takes no calls any more."""
+        rollout = self._find(record.service)
+        return (
+            rollout is not None
+            and version_of(record) != rollout.state.order.target_version
+            and rollout.refuses_others(rollout_now())
+        )
+
+    def count_others(self, service: str, version: str) -> int:
+        """Return the attempts without a result at other versions of a service."""
+        return sum(
+            count
+            for (name, other), count in self._in_flight.items()
+            if name == service and other != version
+        )
+
+    def _find(self, service: str) -> NodeRollout | None:
+        found = self.rollouts.get(service)
+        return None if found is None else found.rollout
+
+
+def _service(progress: CallProgress) -> str:
+    target = progress.target
+    return progress.document.service if target is None else target.service
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -4,6 +4,7 @@
 import secrets
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import statsd
 
@@ -33,6 +34,8 @@
 from .controllers.platform_watch import PlatformWatchController
 from .controllers.quarantine import QuarantineController
 from .controllers.readiness import ReadinessController
+from .controllers.rollout_store import RolloutStoreController
+from .controllers.rollouts import FEATURE as ROLLOUTS_FEATURE, RolloutsController
 from .controllers.status import StatusController
 from .integration import DEFAULT_INTEGRATION, Integration
 
@@ -65,12 +68,16 @@
 ) -> AsyncIterator[Context]:
     """Run a node's controllers and servers until the context manager exits."""
     ctx = make_context(cfg)
+    versioned = integration.parse_versioned_announcement
+    if cfg.rollouts is not None and versioned is not None:
+        integration = replace(integration, parse_announcement=versioned)
     api = HttpObjectApi.from_config(cfg.platform, integration.decoders)
     membership = _start_control_plane(ctx, api, integration)
     entry, destination, claims = _start_call_path(ctx, api, membership, integration)
     ctx.in_flight = lambda: (
         entry.in_flight + destination.in_flight_total + claims.count_unfinished()
     )
+    _start_rollouts(ctx, api, membership, entry, destination)
     load_report = LoadReportController(ctx, destination)
     load_report.start()
     caller_server = CallerServer(
@@ -137,6 +144,23 @@
     return membership
 
 
+def _start_rollouts(
+    ctx: Context,
+    api: HttpObjectApi,
+    membership: MembershipController,
+    entry: EntryController,
+    destination: DestinationController,
+) -> None:
+    if ctx.cfg.rollouts is None:
+        return
+    ctx.links.features += (ROLLOUTS_FEATURE,)
+    rollouts = RolloutsController(
+        ctx, ctx.cfg.rollouts, membership, entry.rollouts, destination
+    )
+    rollouts.start()
+    RolloutStoreController(ctx, api, rollouts).start()
+
+
 def _start_call_path(
     ctx: Context,
     api: HttpObjectApi,
--- a/lentilsill/platform/answers.py
+++ b/lentilsill/platform/answers.py
@@ -32,6 +32,8 @@
     "describe_response",
     "parse",
     "parse_page",
+    "parse_write",
+    "transfer_time_s",
 ]
 
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -187,6 +189,21 @@
             return Err(Rejected(code, describe_response(resp)))
 
 
+def transfer_time_s(resp: HTTPResponse) -> float:
+    """Return the time from the first to the last byte of the answer, in seconds."""
+    times = resp.time_info
+    return max(0.0, times.get("total", 0.0) - times.get("starttransfer", 0.0))
+
+
+def parse_write(resp: HTTPResponse) -> Result[int, PlatformError]:
+    """Return the revision of a write, 0 for a deletion whose answer has no body."""
+    if resp.request.method == "DELETE" and not resp.body:
+        return Ok(0)
+    # Like a lost answer, an unreadable one does not show whether the write took effect.
+    parsed = parse(ObjectBody, resp.body)
+    return parsed.map(lambda body: body.metadata.revision).map_err(AnswerLost)
+
+
 def describe_response(resp: HTTPResponse) -> str:
     """Return status and begin of an answer, for a log line."""
     text = resp.body[:200].decode("utf-8", "replace")
--- a/lentilsill/platform/client.py
+++ b/lentilsill/platform/client.py
@@ -4,7 +4,6 @@
 import math
 from collections.abc import Callable, Mapping
 from typing import Any
-from urllib.parse import quote, urlencode
 
 import pycurl
 import structlog
@@ -24,6 +23,8 @@
     describe_response,
     parse,
     parse_page,
+    parse_write,
+    transfer_time_s,
 )
 from .eras import StoreEras
 from .model import (
@@ -37,6 +38,7 @@
     Unavailable,
     WatchBatch,
 )
+from .paths import kind_path, object_path, query_string
 
 __all__ = ["HttpObjectApi"]
 
@@ -126,7 +128,7 @@
         self, kind: str, name: str
     ) -> Result[StoredObject | None, PlatformError]:
         """Return an object, or None if it does not exist."""
-        answer = await self._read(_object_path(kind, name), self._timeout_s)
+        answer = await self._read(object_path(kind, name), self._timeout_s)
         match answer:
             case Err(Rejected(status=404)):
                 return Ok(None)
@@ -147,9 +149,9 @@
         eras: set[int] = set()
         transfer_s = 0.0
         for _ in range(MAX_PAGES):
-            path = _kind_path(kind) + _query_string(query)
+            path = kind_path(kind) + query_string(query)
             answer = await self._read(path, self._timeout_s)
-            transfer_s += answer.map_or(0.0, _transfer_s)
+            transfer_s += answer.map_or(0.0, transfer_time_s)
             match answer.and_then(lambda resp: self._parse_page(ListBody, resp)):
                 case Err(error):
                     return Err(error)
@@ -175,16 +177,16 @@
         """Write an object and return its new version."""
         metadata: dict[str, Any] = {"name": name}
         if expected_version == 0:
-            return await self._write("POST", _kind_path(kind), metadata, value)
+            return await self._write("POST", kind_path(kind), metadata, value)
         if self._is_of_earlier_era(expected_version):
             return Err(Conflict(0))
         if expected_version is not None:
             metadata["revision"] = revision_of(expected_version)
-        path = _object_path(kind, name)
+        path = object_path(kind, name)
         result = await self._write("PUT", path, metadata, value, expected_version)
         match result:
             case Err(Rejected(status=404)) if expected_version is None:
-                return await self._write("POST", _kind_path(kind), metadata, value)
+                return await self._write("POST", kind_path(kind), metadata, value)
             case Err(Rejected(status=404)):
                 return Err(Conflict(0))
         return result
@@ -198,7 +200,7 @@
             return Err(Conflict(0))
         if expected_version is not None:
             metadata["revision"] = revision_of(expected_version)
-        path = f"{_object_path(kind, name)}/status"
+        path = f"{object_path(kind, name)}/status"
         result = await self._write(
             "PUT", path, metadata, status, expected_version, "status"
         )
@@ -213,9 +215,9 @@
         """Delete an object and return the revision of the deletion."""
         if self._is_of_earlier_era(expected_version):
             return Err(Conflict(0))
-        path = _object_path(kind, name)
+        path = object_path(kind, name)
         if expected_version is not None:
-            path += _query_string({"revision": str(revision_of(expected_version))})
+            path += query_string({"revision": str(revision_of(expected_version))})
         return await self._write("DELETE", path, None, None, expected_version)
 
     async def watch(
@@ -232,11 +234,11 @@
         if self._is_of_earlier_era(since):
             return Err(Compacted())
         wait_ms = str(int(min(timeout_s, MAX_WATCH_S) * 1000))
-        path = _kind_path(kind) + _query_string(
+        path = kind_path(kind) + query_string(
             {"watch": str(revision_of(since)), "wait_ms": wait_ms}
         )
         answer = await self._read(path, timeout_s + WATCH_GRACE_S, on_start)
-        transfer_s = answer.map_or(0.0, _transfer_s)
+        transfer_s = answer.map_or(0.0, transfer_time_s)
         match answer.and_then(lambda resp: self._parse_page(WatchBody, resp)):
             case Err(error):
                 return Err(error)
@@ -349,7 +351,7 @@
         era = self._eras.read(resp.headers)
         if resp.code == 503:
             return Err(Unavailable(describe_response(resp)))
-        result = check_status(resp).and_then(_parse_write)
+        result = check_status(resp).and_then(parse_write)
         is_condition_met = condition is None or era == era_of(condition)
         if result.is_ok() and (era < self._eras.latest or not is_condition_met):
             # The write is lost, or its condition named a state of another era.
@@ -393,29 +395,3 @@
             decompress_response=False,
             prepare_curl_callback=set_options,
         )
-
-
-def _kind_path(kind: str) -> str:
-    return f"/objects/{quote(kind, '')}"
-
-
-def _object_path(kind: str, name: str) -> str:
-    return f"{_kind_path(kind)}/{quote(name, '')}"
-
-
-def _query_string(fields: Mapping[str, str]) -> str:
-    return "?" + urlencode(fields) if fields else ""
-
-
-def _transfer_s(resp: HTTPResponse) -> float:
-    """Return the time from the first to the last byte of the answer, in seconds."""
-    times = resp.time_info
-    return max(0.0, times.get("total", 0.0) - times.get("starttransfer", 0.0))
-
-
-def _parse_write(resp: HTTPResponse) -> Result[int, PlatformError]:
-    if resp.request.method == "DELETE" and not resp.body:
-        return Ok(0)
-    # Like a lost answer, an unreadable one does not show whether the write took effect.
-    parsed = parse(ObjectBody, resp.body)
-    return parsed.map(lambda body: body.metadata.revision).map_err(AnswerLost)
--- a/lentilsill/platform/rollouts.py
+++ b/lentilsill/platform/rollouts.py
@@ -89,7 +89,6 @@
     return {
         "state": STATUS_NAMES[state.stage],
         "target_version": state.order.target_version,
-        "reason": state.reason,
     }
 
 
--- a/lentilsill/rollouts/coordination.py
+++ b/lentilsill/rollouts/coordination.py
@@ -50,6 +50,8 @@
         Calls of this node and at its upstreams that involve other versions.
     store_read_at : float
         When the last successful read of the store began.
+    deciders : tuple of str
+        The first-ranked nodes of the own domain, to which the node reports.
     """
 
     members: Collection[str]
@@ -57,6 +59,7 @@
     is_decider: bool
     others_in_flight: int
     store_read_at: float = float("-inf")
+    deciders: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +123,7 @@
         self._started_at = 0.0
         self._reported_at = float("-inf")
         self._full_report_at = float("-inf")
+        self._deciders: tuple[str, ...] = ()
         self._domain_reported_at = float("-inf")
         self._domain_full_report_at = float("-inf")
         self._heartbeat_at = float("-inf")
@@ -181,6 +185,10 @@
         assert self.rollout is not None
         return self.rollout.merge(stored, now)
 
+    def forget_stored(self) -> None:
+        """Record that the store has lost the state; it is written again."""
+        self._stored = None
+
     def add_report(self, report: NodeReport, now: float) -> None:
         """Record the report of a node of the own domain."""
         if self.decider is not None:
@@ -212,8 +220,10 @@
 
     def _make_report(self, rollout: NodeRollout, now: float, view: View) -> NodeReport:
         all_rows = now - self._full_report_at >= FULL_REPORT_INTERVAL_S
-        if all_rows:
+        if all_rows or view.deciders != self._deciders:
+            all_rows = True
             self._full_report_at = now
+            self._deciders = view.deciders
         return NodeReport(
             self._node,
             rollout.state.order.identity,
--- a/lentilsill/rollouts/exposure.py
+++ b/lentilsill/rollouts/exposure.py
@@ -70,5 +70,6 @@
 
     def record_not_run(self, is_target: bool) -> None:
         """Take back a call that has reached no upstream."""
-        self.sent -= 1
-        self.exposed -= is_target
+        # A call that was sent before the order was learned has not been counted.
+        self.sent = max(0, self.sent - 1)
+        self.exposed = max(0, self.exposed - is_target)
--- a/lentilsill/rollouts/node_rollout.py
+++ b/lentilsill/rollouts/node_rollout.py
@@ -10,6 +10,9 @@
 
 __all__ = ["NodeRollout", "VersionChoice"]
 
+# After a completion the old upstreams stop. Later, upstreams of a further version
+# without an order must get calls as usual.
+COMPLETED_HOLD_S = 60.0
 # Time in which the share of the target version rises to 1.
 SHIFT_S = 2.0
 # Probability that a call goes to the target version while the limit has room, as a
@@ -68,9 +71,12 @@
     shifting_since: float = float("inf")
     others_used_at: float = float("-inf")
     confirmed_at: float = float("-inf")
+    completed_at: float = float("inf")
 
     def __post_init__(self) -> None:
         self.evidence = EvidenceTable()
+        if self.state.stage is Stage.COMPLETED:
+            self.completed_at = self.learned_at
 
     def merge(self, found: RolloutState, now: float) -> bool:
         """Apply a state of the same order; return whether it changed this one."""
@@ -78,7 +84,11 @@
         self.state = newest_state(before, found)
         if self.state.stage is Stage.SHIFTING:
             self.shifting_since = min(self.shifting_since, now)
-        return self.state != before
+        if self.state.stage is Stage.COMPLETED:
+            self.completed_at = min(self.completed_at, now)
+        after = self.state
+        # The position grows with each write of the order's status.
+        return (after.stage, after.is_stored) != (before.stage, before.is_stored)
 
     def choose(
         self, now: float, rng: Random, is_first_attempt: bool = True
@@ -93,7 +103,8 @@
             case Stage.WITHDRAWN:
                 return VersionChoice.ANY
             case Stage.COMPLETED:
-                return VersionChoice.TARGET
+                is_held = now - self.completed_at < COMPLETED_HOLD_S
+                return VersionChoice.TARGET if is_held else VersionChoice.ANY
             case Stage.ROLLED_BACK:
                 return VersionChoice.OTHERS
             case Stage.SHIFTING:
@@ -124,7 +135,7 @@
         """Return whether upstreams of this node with other versions take no calls."""
         match self.stage_at(now):
             case Stage.COMPLETED:
-                return True
+                return now - self.completed_at < COMPLETED_HOLD_S
             case Stage.SHIFTING:
                 return self.is_promised(now)
         return False
--- a/lentilsill/rollouts/tests/test_rollouts.py
+++ b/lentilsill/rollouts/tests/test_rollouts.py
@@ -71,6 +71,16 @@
         self.assertFalse(node.confirm(4.0, 0))
         self.assertIs(node.choose(5.6, rng), VersionChoice.OTHERS)
 
+    def test_later_version_without_an_order_gets_calls_after_a_completion(self):
+        """Guards against an old order that keeps calls from every other version."""
+        completed = replace(STATE, stage=Stage.COMPLETED, is_stored=True)
+        node, rng = make_node(), random.Random(1)
+        node.merge(completed, 1.0)
+        self.assertIs(node.choose(5.0, rng), VersionChoice.TARGET)
+        self.assertTrue(node.refuses_others(5.0))
+        self.assertIs(node.choose(70.0, rng), VersionChoice.ANY)
+        self.assertFalse(node.refuses_others(70.0))
+
 
 class EvidenceTests(unittest.TestCase):
     def table(self, *groups: tuple[str, int, int, float]) -> EvidenceTable:
--- a/lentilsill/routing/__init__.py
+++ b/lentilsill/routing/__init__.py
@@ -4,18 +4,21 @@
 the node that selects; its upstreams are preferred to those of other domains.
 """
 
-from .candidates import Candidate, build_candidates, is_leaving
+from .candidates import Candidate, build_candidates, is_leaving, version_of
 from .load import CallProfile
 from .match import RouteIndex, choose_target, match_route
 from .selector import Selector
+from .versions import VersionFilter
 
 __all__ = [
     "CallProfile",
     "Candidate",
     "RouteIndex",
     "Selector",
+    "VersionFilter",
     "build_candidates",
     "choose_target",
     "is_leaving",
     "match_route",
+    "version_of",
 ]
--- a/lentilsill/routing/candidates.py
+++ b/lentilsill/routing/candidates.py
@@ -11,7 +11,9 @@
     UpstreamState,
 )
 
-__all__ = ["Candidate", "build_candidates", "is_leaving"]
+__all__ = ["Candidate", "build_candidates", "is_leaving", "version_of"]
+
+VERSION_LABEL = "version"
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +27,12 @@
     peer_address: str
     slots: int
     ready_at_ms: int
+    version: str = ""
+
+
+def version_of(record: UpstreamRecord) -> str:
+    """Return the version of an upstream, empty if it names none."""
+    return next((v for name, v in record.labels if name == VERSION_LABEL), "")
 
 
 def is_leaving(document: ServiceDocument, record: UpstreamRecord) -> bool:
@@ -57,6 +65,7 @@
             node.peer_address,
             max(1, record.slots),
             record.ready_at_ms,
+            version_of(record),
         )
         for node in nodes
         if node.state is NodeState.READY and node.node not in suspects
--- a/lentilsill/routing/selector.py
+++ b/lentilsill/routing/selector.py
@@ -2,7 +2,6 @@
 
 from collections import defaultdict
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
@@ -12,6 +11,8 @@
 
 from .candidates import Candidate, build_candidates
 from .load import DEFAULT_PROFILE, CallProfile, TypicalTime, UpstreamLoad
+from .pool import Pool
+from .versions import VersionFilter, filter_candidates
 
 __all__ = ["Selector"]
 
@@ -47,21 +48,6 @@
 MAX_TRACKED_KINDS = 1024
 
 
-@dataclass(slots=True)
-class _Pool:
-    """Candidates of one set.
-
-    `local`, `remote` and `local_names` leave out ejected candidates and are valid
-    until `valid_until`.
-    """
-
-    candidates: tuple[Candidate, ...]
-    local: list[Candidate] = field(default_factory=list)
-    remote: list[Candidate] = field(default_factory=list)
-    local_names: frozenset[str] = frozenset()
-    valid_until: float = float("-inf")
-
-
 class Selector:
     """Selects upstreams by expected response time and prefers the local domain.
 
@@ -77,7 +63,7 @@
         self._nodes: tuple[NodeRecord, ...] = ()
         self._nodes_by_service: dict[str, list[NodeRecord]] = {}
         self._suspects: frozenset[str] = frozenset()
-        self._pools: dict[tuple[str, str], _Pool] = {}
+        self._pools: dict[tuple[str, str, VersionFilter | None], Pool] = {}
         self._loads: dict[str, UpstreamLoad] = {}
         self._domains: dict[str, str] = {}
         # Average of the times that upstreams report, by domain and kind of call.
@@ -123,6 +109,7 @@
         profile: CallProfile = DEFAULT_PROFILE,
         probed: Collection[str] = (),
         is_probing: bool = False,
+        versions: VersionFilter | None = None,
     ) -> Candidate | None:
         """Choose an upstream that is not in `tried`, or return None.
 
@@ -135,8 +122,9 @@
         `probed` names upstreams that had no free slot a moment ago. With `is_probing`,
         the local candidate is one that has not been probed yet. Otherwise it is the
         best of the probed ones, if any, because their reports are the newest.
+        `versions` restricts the choice to some versions of the service.
         """
-        pool = self._fresh_pool(service, upstream_set, now)
+        pool = self._fresh_pool(service, upstream_set, now, versions)
         local = pool.local
         if is_probing:
             tried = {*tried, *probed}
@@ -179,9 +167,10 @@
         now: float,
         fingerprint: str,
         tried: Collection[str] = (),
+        versions: VersionFilter | None = None,
     ) -> Candidate | None:
         """Choose the upstream on which a suspected request runs, in any domain."""
-        pool = self._fresh_pool(service, upstream_set, now)
+        pool = self._fresh_pool(service, upstream_set, now, versions)
         usable = {
             candidate.upstream: candidate
             for candidate in (*pool.local, *pool.remote)
@@ -207,10 +196,14 @@
         return SLOW_FACTOR - late_weight * (SLOW_FACTOR - SLOW_FACTOR_WHEN_LATE)
 
     def local_upstreams(
-        self, service: str, upstream_set: str, now: float
+        self,
+        service: str,
+        upstream_set: str,
+        now: float,
+        versions: VersionFilter | None = None,
     ) -> frozenset[str]:
         """Return the upstreams of the local domain that accept calls."""
-        return self._fresh_pool(service, upstream_set, now).local_names
+        return self._fresh_pool(service, upstream_set, now, versions).local_names
 
     def has_lower_failure_share(self, upstream: str, other: str, now: float) -> bool:
         """Return whether `upstream` fails calls clearly less often than `other`.
@@ -283,14 +276,22 @@
             for upstream, load in self._loads.items()
         }
 
-    def _fresh_pool(self, service: str, upstream_set: str, now: float) -> _Pool:
-        pool = self._pool(service, upstream_set)
+    def _fresh_pool(
+        self,
+        service: str,
+        upstream_set: str,
+        now: float,
+        versions: VersionFilter | None,
+    ) -> Pool:
+        pool = self._pool(service, upstream_set, versions)
         if now >= pool.valid_until:
             self._exclude_ejected(pool, now)
         return pool
 
-    def _pool(self, service: str, upstream_set: str) -> _Pool:
-        key = (service, upstream_set)
+    def _pool(
+        self, service: str, upstream_set: str, versions: VersionFilter | None = None
+    ) -> Pool:
+        key = (service, upstream_set, versions)
         pool = self._pools.get(key)
         if pool is None:
             candidates: tuple[Candidate, ...] = ()
@@ -302,10 +303,12 @@
                     self._nodes_by_service.get(service, ()),
                     self._suspects,
                 )
-            pool = self._pools[key] = _Pool(candidates)
+            if versions is not None:
+                candidates = filter_candidates(candidates, versions)
+            pool = self._pools[key] = Pool(candidates)
         return pool
 
-    def _exclude_ejected(self, pool: _Pool, now: float) -> None:
+    def _exclude_ejected(self, pool: Pool, now: float) -> None:
         """Exclude the ejected candidates, at most half of the set."""
         ejected = sorted(
             (load.ejected_until, c.upstream)
