Accept no calls before a started node knows the roll-outs

A node that had just started would have sent calls to a version that was rolled back, until it heard of the order.

It is ready only after a peer that knows all orders has answered, or it has read them in the store, at most 2 s after its start. The model restarts all nodes at once: bad versions stay without calls, good ones are completed.

--- a/lentilsill/daemon/controllers/rollout_store.py
+++ b/lentilsill/daemon/controllers/rollout_store.py
@@ -154,6 +154,7 @@
             # A store that came back from an older copy may have lost the order.
             if era_of(revision) == era_of(known.obj.version):
                 self._withdraw(service, revision)
+        self._rollouts.mark_informed()
 
     def _apply_order(self, obj: StoredObject) -> None:
         if obj.deleted:
--- a/lentilsill/daemon/controllers/rollouts.py
+++ b/lentilsill/daemon/controllers/rollouts.py
@@ -41,11 +41,15 @@
 # to be read may be old.
 MAX_TICK_GAP_S = 1.0
 DISTRUST_S = 0.5
-# A started node asks peers for the states until one has answered.
+# A started node asks peers for the states until one that knows them has answered. It
+# would send calls to a version that was rolled back before. When all nodes start, the
+# answers of the first ones that have read the store spread in a few rounds.
 REQUEST_INTERVAL_S = 0.2
 MAX_REQUESTS = 10
 REQUESTED_PEERS = 2
 MAX_REASON_CHARS = 300
+# Identity in the last message of an answer to a request for states.
+END_OF_STATES = "end"
 DEFAULT_LONGEST_CALL_S = 1.0
 
 log = structlog.get_logger()
@@ -54,8 +58,7 @@
 class RolloutsController:
     """Runs the node's part of each roll-out.
 
-    `store` is called with a state to be written to the platform's store; the
-    controller of the store sets it.
+    The controller of the store sets `store`, which writes a state there.
     """
 
     def __init__(
@@ -67,9 +70,8 @@
         destination: DestinationController,
     ) -> None:
         self._ctx = ctx
-        self._limits = ExposureLimits(
-            cfg.exposed_share, cfg.exposed_calls, cfg.rollback_s
-        )
+        share, extra = cfg.exposed_share, cfg.exposed_calls
+        self._limits = ExposureLimits(share, extra, cfg.rollback_s)
         self._membership = membership
         self._calls = calls
         self._destination = destination
@@ -78,6 +80,7 @@
         self._ticked_at = rollout_now()
         self._distrusted_until = -math.inf
         self._is_informed = False
+        ctx.board.awaits_rollouts = True
         self._logged: dict[str, tuple[str, Stage, bool]] = {}
 
     @property
@@ -116,6 +119,11 @@
             self._log_state(found.state)
             self._announce(service)
 
+    def mark_informed(self) -> None:
+        """Record that this node knows all roll-outs, and accept calls."""
+        self._is_informed = True
+        self._ctx.board.awaits_rollouts = False
+
     def forget_stored(self, service: str) -> None:
         """Record that the store has no state of a service."""
         found = self._calls.rollouts.get(service)
@@ -181,6 +189,7 @@
                 return
             for address in self._membership.random_peer_addresses(REQUESTED_PEERS):
                 self._ctx.links.send(address, CONTROL, wire.RolloutReport(""))
+        self._ctx.board.awaits_rollouts = False
 
     # Messages
 
@@ -214,8 +223,12 @@
 
     def _on_report(self, link: Link, message: wire.RolloutReport) -> None:
         if not message.service:
-            for known in self._calls.rollouts.values():
-                link.send(self._to_state(known))
+            if message.identity == END_OF_STATES:
+                self.mark_informed()
+            elif self._is_informed:
+                for known in self._calls.rollouts.values():
+                    link.send(self._to_state(known))
+                link.send(wire.RolloutReport("", END_OF_STATES))
             return
         rollout = self._calls.rollouts.get(message.service)
         if rollout is None:
@@ -240,7 +253,6 @@
             rollout.add_report(report, rollout_now())
 
     def _on_state(self, link: Link, message: wire.RolloutState) -> None:
-        self._is_informed = True
         stage = _parse_stage(message.stage)
         if stage is None or not message.service:
             return
--- a/lentilsill/rollouts/tests/rollout_model.py
+++ b/lentilsill/rollouts/tests/rollout_model.py
@@ -58,6 +58,7 @@
     store_down: tuple[float, float] | None = None
     killed_deciders_at: tuple[float, ...] = ()
     suspended: tuple[float, float] | None = None
+    restarted_at: float | None = None
 
 
 @dataclass
@@ -140,6 +141,8 @@
         self.at(0.0, self.write_order)
         for at_s in self.load.killed_deciders_at:
             self.at(at_s, self.kill_deciders)
+        if self.load.restarted_at is not None:
+            self.at(self.load.restarted_at, self.restart_all)
         if self.load.suspended is not None:
             self.at(self.load.suspended[0], self.suspend_some)
         while self.now < self.load.duration_s + 3.0:
@@ -147,7 +150,8 @@
                 heapq.heappop(self.events)[2]()
             for node in self.nodes:
                 if self.is_running(node):
-                    self.send_calls(node)
+                    if node.rollout.state is not None or not self.is_restarted():
+                        self.send_calls(node)
                     self.tick(node)
             self.now += TICK_S
         return self.figures
@@ -155,6 +159,10 @@
     def at(self, at_s: float, action: Callable[[], None]) -> None:
         heapq.heappush(self.events, (at_s, next(self.numbers), action))
 
+    def is_restarted(self) -> bool:
+        restarted_at = self.load.restarted_at
+        return restarted_at is not None and self.now >= restarted_at
+
     # Faults
 
     def is_running(self, node: SimNode) -> bool:
@@ -177,6 +185,13 @@
             node.is_alive = False
             self.at(self.now + 3.0, partial(node.start, self))
 
+    def restart_all(self) -> None:
+        """Restart all nodes; they accept calls when they know the state."""
+        for node in self.nodes:
+            node.is_alive = False
+            delay_s = self.rng.uniform(0.2, 1.0)
+            self.at(self.now + delay_s, partial(node.start, self))
+
     def suspend_some(self) -> None:
         begin, end = self.load.suspended or (0.0, 0.0)
         for node in self.rng.sample(self.nodes, max(1, len(self.nodes) // 5)):
--- a/lentilsill/rollouts/tests/test_rollout_model.py
+++ b/lentilsill/rollouts/tests/test_rollout_model.py
@@ -46,6 +46,7 @@
             self.check(Load(nodes, bad=bad, store_down=(0.5, 20.0)))
             self.check(Load(nodes, bad=bad, killed_deciders_at=(2.0, 3.5)))
             self.check(Load(nodes, bad=bad, suspended=(4.0, 12.0)))
+            self.check(Load(nodes, bad=bad, restarted_at=8.0))
 
 
 class GoodVersionTests(unittest.TestCase):
@@ -67,6 +68,8 @@
             replace(load, old_failing=0.1),
             replace(load, killed_deciders_at=(5.0, 15.0, 24.5)),
             replace(load, suspended=(10.0, 15.0)),
+            replace(load, restarted_at=12.0),
+            replace(load, restarted_at=24.0),
             replace(load, store_down=(5.0, 20.0)),
             replace(load, cut_domain=(8.0, 14.0)),
         ):
--- a/lentilsill/wire/rollout_messages.py
+++ b/lentilsill/wire/rollout_messages.py
@@ -13,7 +13,7 @@
 
     `source` is a node or, with `is_domain`, a domain. Rows are cumulative; a row
     without an upstream is of all versions but the target version. Without a service,
-    the message asks for the states of all roll-outs.
+    the message asks for the states of all roll-outs, or ends the answer to that.
     """
 
     service: str
