Test what calls contribute to a roll-out

Which results of attempts are evidence, and which count as exposed, was only covered by tests of whole nodes. The tests check each kind of result, second attempts, and that nothing is counted without the settings.

--- /dev/null
+++ b/lentilsill/daemon/controllers/tests/test_rollout_calls.py
@@ -0,0 +1,132 @@
+"""What the calls of a node contribute to a roll-out."""
+
+import random
+import unittest
+from types import SimpleNamespace
+from typing import Any
+
+from lentilsill.daemon.blackboard import Blackboard
+from lentilsill.daemon.context import Context
+from lentilsill.daemon.controllers.reasons import BUSY, CRASHED, not_run_refusal
+from lentilsill.daemon.controllers.rollout_calls import RolloutCalls, rollout_now
+from lentilsill.daemon.tests.builders import node_settings
+from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
+from lentilsill.rollouts import (
+    ExposureLimits,
+    NodeRollout,
+    Order,
+    RolloutState,
+    ServiceRollout,
+    Stage,
+)
+from lentilsill.routing import Candidate, VersionFilter
+from lentilsill.versioning import EMPTY_SNAPSHOT
+from lentilsill.wire import PeerLinks
+from lentilsill.wire.links import Identity
+
+SETTINGS = {"exposed_share": 0.1, "exposed_calls": 50, "rollback_s": 5}
+LIMITS = ExposureLimits(0.1, 50, 5)
+ORDER = Order("slots", "v2", 30.0, "a", 7)
+
+
+def make_candidate(version: str, ready_at_ms: int = 0) -> Candidate:
+    return Candidate(f"u-{version}", "n", "d", "i", "", 6, ready_at_ms, version)
+
+
+class RolloutCallsTests(unittest.TestCase):
+    def make_calls(self, **sections: Any) -> RolloutCalls:
+        links = PeerLinks(Identity("n1", "i", "d", "127.0.0.1:1"), "127.0.0.1")
+        cfg = node_settings("n1", **sections)
+        board = Blackboard(EMPTY_SNAPSHOT)
+        self.ctx = Context(cfg, board, links, None, random.Random(1))
+        return RolloutCalls(self.ctx)
+
+    def setUp(self) -> None:
+        self.calls = self.make_calls(rollouts=SETTINGS)
+        rollout = ServiceRollout("n1", "d", LIMITS, 1.0)
+        rollout.learn(RolloutState(ORDER, 0), rollout_now(), 0.0, ["n1"])
+        self.calls.rollouts["slots"] = rollout
+        assert rollout.rollout is not None
+        self.rollout: NodeRollout = rollout.rollout
+
+    def make_progress(self, remaining_s: float = 9.0, **fields: Any) -> Any:
+        values = {
+            "target": SimpleNamespace(service="slots"),
+            "route": SimpleNamespace(name="get"),
+            "deadline": self.ctx.now() + remaining_s,
+            "tried_upstreams": set(),
+        }
+        return SimpleNamespace(**values | fields)
+
+    def run_attempt(
+        self, result: CallResult | None, version: str = "v2", **fields: Any
+    ) -> None:
+        progress = self.make_progress(**fields)
+        candidate = make_candidate(version)
+        self.calls.record_start(progress, candidate)
+        self.calls.record_end(progress, candidate, result, 0.05)
+
+    def counts(self, upstream: str = "u-v2") -> tuple[int, int]:
+        found = self.rollout.evidence.counts.get((upstream, "get"))
+        return (found.failures, found.answers) if found else (0, 0)
+
+    def test_failed_answers_and_late_ends_are_evidence(self):
+        """Guards against failures and attempts cut off late that count for nothing."""
+        self.run_attempt(Answer(200, (), b""))
+        self.run_attempt(Answer(500, (), b""))
+        self.run_attempt(Refused(Outcome.RUN_ANSWER_LOST, "answer is incomplete"))
+        self.run_attempt(Refused(Outcome.UNKNOWN, "deadline passed"), remaining_s=0.0)
+        self.run_attempt(None, remaining_s=0.0)
+        self.assertEqual(self.counts(), (2, 5))
+
+    def test_losses_and_refusals_are_no_evidence(self):
+        """Guards against a roll-back because hosts of a good version die."""
+        self.run_attempt(Refused(Outcome.RUN_ANSWER_LOST, CRASHED))
+        self.run_attempt(Refused(Outcome.UNKNOWN, "node of the upstream is lost"))
+        self.run_attempt(None)
+        self.run_attempt(not_run_refusal(BUSY))
+        self.assertEqual(self.counts(), (0, 0))
+
+    def test_calls_that_reached_no_upstream_are_not_exposed(self):
+        """Guards against slot probes that use up the exposure."""
+        self.run_attempt(not_run_refusal(BUSY))
+        self.assertEqual((self.rollout.limit.sent, self.rollout.limit.exposed), (0, 0))
+        self.run_attempt(Answer(200, (), b""))
+        self.assertEqual((self.rollout.limit.sent, self.rollout.limit.exposed), (1, 1))
+
+    def test_attempts_at_old_versions_are_counted_until_they_end(self):
+        """Guards against a confirmation while a call is on its way."""
+        progress, old = self.make_progress(), make_candidate("v1")
+        self.calls.record_start(progress, old)
+        self.assertEqual(self.calls.count_others("slots", "v2"), 1)
+        self.assertEqual(self.calls.count_others("slots", "v1"), 0)
+        self.calls.record_end(progress, old, Answer(200, (), b""), 0.01)
+        self.assertEqual(self.calls.count_others("slots", "v2"), 0)
+        self.assertEqual(self.counts(""), (0, 1))
+
+    def test_second_attempts_use_other_versions(self):
+        """Guards against retries that add to the exposure."""
+        progress = self.make_progress(tried_upstreams={"u"})
+        filters = {self.calls.filters("slots", progress) for _ in range(200)}
+        self.assertEqual(filters, {(VersionFilter("v2", False),)})
+
+    def test_nothing_is_restricted_or_counted_without_the_settings(self):
+        """Guards against a cost in deployments without roll-outs."""
+        calls = self.make_calls()
+        progress = self.make_progress()
+        self.assertEqual(calls.filters("slots", progress), (None,))
+        calls.record_start(progress, make_candidate("v1"))
+        self.assertEqual(calls.count_others("slots", "v2"), 0)
+
+    def test_rolled_back_version_gets_no_calls(self):
+        """Guards against calls to a version that nodes have rolled back."""
+        state = self.rollout.state.advance(Stage.ROLLED_BACK, "bad")
+        self.rollout.merge(state, rollout_now())
+        filters = {
+            self.calls.filters("slots", self.make_progress()) for _ in range(200)
+        }
+        self.assertEqual(filters, {(VersionFilter("v2", False),)})
+
+
+if __name__ == "__main__":
+    unittest.main()
