Keep the status of an outcome, and write it at once

A decider whose watch of states lagged behind its watch of orders wrote `running` over `completed`, at which old upstreams had stopped already. It now reads the stored state before it replaces a final status.

--- a/lentilsill/daemon/controllers/rollout_store.py
+++ b/lentilsill/daemon/controllers/rollout_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 import structlog
@@ -20,6 +21,7 @@
 from lentilsill.platform.rollouts import (
     ORDERS_KIND,
     STATES_KIND,
+    is_final_status,
     parse_order,
     parse_state,
     state_to_value,
@@ -65,6 +67,8 @@
         self._orders: dict[str, _KnownOrder] = {}
         self._states: dict[str, tuple[int, RolloutState | None]] = {}
         self._has_states = asyncio.Event()
+        # Set after the write of a state, as its status must follow within the duration.
+        self._has_written = asyncio.Event()
         # Services whose stored state must be read before the next write.
         self._unsettled: set[str] = set()
         self._writing: set[str] = set()
@@ -240,6 +244,7 @@
                     obj = StoredObject(STATES_KIND, service, new_version, value)
                     self._ctx.count("rollouts.states_written")
                     self._apply_state(obj)
+                    self._has_written.set()
                 case Err(exc):
                     # After a conflict or a lost answer the stored state is unknown.
                     self._unsettled.add(service)
@@ -265,7 +270,10 @@
 
     async def _write_statuses(self) -> None:
         while True:
-            await asyncio.sleep(STATUS_CHECK_INTERVAL_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(STATUS_CHECK_INTERVAL_S):
+                    await self._has_written.wait()
+            self._has_written.clear()
             if self._rollouts.is_decider:
                 for service in list(self._orders):
                     await self._write_status(service)
@@ -279,6 +287,13 @@
         value = status_value(stored)
         if known.obj.status == value:
             return
+        if not stored.is_outcome and is_final_status(known.obj.status):
+            # Another decider may have stored the outcome since, or the status is of an
+            # earlier order.
+            if not await self._read_state(service):
+                return
+            if self._states.get(service, (0, None))[1] != stored:
+                return
         match await self._api.put_status(
             ORDERS_KIND, service, value, known.obj.version
         ):
--- a/lentilsill/daemon/controllers/tests/test_rollout_store.py
+++ b/lentilsill/daemon/controllers/tests/test_rollout_store.py
@@ -69,7 +69,9 @@
         ctx = Context(node_settings("n1"), board, links, None, random.Random(1))
         api = HttpObjectApi(self.url, 1.0)
         rollouts = FakeRollouts()
-        RolloutStoreController(ctx, api, rollouts).start()  # type: ignore[arg-type]
+        self.controller = RolloutStoreController(ctx, api, rollouts)  # type: ignore[arg-type]
+        self.controller.start()
+        self.api = api
         self.addCleanup(api.close)
         self.addCleanup(lambda: [task.cancel() for task in ctx.tasks])
         return rollouts
@@ -107,6 +109,25 @@
         )
         self.assertEqual(self.stage(), "completed")
 
+    async def test_status_of_an_outcome_is_kept_by_a_decider_that_lags(self) -> None:
+        """Guards against `running` after `completed`: old upstreams have stopped."""
+        self.write("rollouts", SPEC)
+        rollouts = self.start()
+        state = await self.learn_order(rollouts)
+        rollouts.store(state.advance(Stage.SHIFTING, ""))  # type: ignore[attr-defined]
+        await wait_for(lambda: self.status() == "running")
+        store = self.platform.store
+        value = store.objects["rollout-states", "slots"].value
+        completed = {"state": "completed", "target_version": "v2"}
+        # The watches are not notified, so the node reads the order first.
+        store.put("rollout-states", "slots", value | {"stage": "completed"}, None)
+        store.put_status("rollouts", "slots", completed, None)
+        obj = (await self.api.get("rollouts", "slots")).unwrap()
+        assert obj is not None
+        self.controller._apply_order(obj)
+        await self.controller._write_status("slots")
+        self.assertEqual(self.status(), "completed")
+
     async def test_restarted_node_goes_on_with_the_stored_stage(self) -> None:
         """Guards against a repeated order that starts a rolled-back version anew."""
         self.write("rollouts", SPEC)
--- a/lentilsill/platform/rollouts.py
+++ b/lentilsill/platform/rollouts.py
@@ -12,6 +12,7 @@
 __all__ = [
     "ORDERS_KIND",
     "STATES_KIND",
+    "is_final_status",
     "parse_order",
     "parse_state",
     "state_to_value",
@@ -92,6 +93,14 @@
     }
 
 
+def is_final_status(status: Any) -> bool:
+    """Return whether the status of an order names an outcome."""
+    return isinstance(status, dict) and status.get("state") in (
+        STATUS_NAMES[Stage.COMPLETED],
+        STATUS_NAMES[Stage.ROLLED_BACK],
+    )
+
+
 def state_to_value(state: RolloutState) -> dict[str, Any]:
     """Return the stored form of a state."""
     order = state.order
