Start without a wait where no version is in doubt

A started node accepted no calls until a peer or the store had told it the roll-outs, or 2 s had passed, and it asked for the first time after 0.2 s. Without any order, or with peers of the release before, a start was later than without roll-outs. The node now waits only if upstreams of a service have several versions, and asks as soon as it knows a peer. A service that comes into doubt after that gets no calls until the answer.

--- a/lentilsill/daemon/blackboard.py
+++ b/lentilsill/daemon/blackboard.py
@@ -48,9 +48,9 @@
         Whether the node accepts calls; whether it is shutting down.
     is_refusing_callers : bool
         Whether a node that is draining has begun to refuse callers.
-    awaits_rollouts : bool
-        Whether a started node does not know the orders of roll-outs yet; it accepts no
-        calls until then. Written by the roll-outs controller.
+    services_in_doubt : frozenset of str
+        Services of which a started node must not choose a version yet, as it does not
+        know the roll-outs. Empty without roll-outs.
     calls_end_at_s : float
         Time of the monotonic clock at which a node that is draining ends the calls
         that are still in progress, as its process ends soon after.
@@ -69,7 +69,7 @@
     ready: bool = False
     draining: bool = False
     is_refusing_callers: bool = False
-    awaits_rollouts: bool = False
+    services_in_doubt: frozenset[str] = frozenset()
     calls_end_at_s: float = math.inf
     store_era: int | None = None
     dump_parts: dict[str, Callable[[], Any]] = field(default_factory=dict)
--- a/lentilsill/daemon/controllers/readiness.py
+++ b/lentilsill/daemon/controllers/readiness.py
@@ -64,7 +64,7 @@
 
     def _check(self) -> None:
         board = self._ctx.board
-        if board.ready or board.awaits_rollouts:
+        if board.ready or board.services_in_doubt:
             return
         elapsed_s = self._ctx.now() - self._started_at
         if self._ctx.cfg.documents == "bundle" and not board.snapshot.documents:
--- a/lentilsill/daemon/controllers/rollout_calls.py
+++ b/lentilsill/daemon/controllers/rollout_calls.py
@@ -44,10 +44,14 @@
     def filters(
         self, service: str, progress: CallProgress
     ) -> tuple[VersionFilter | None, ...]:
-        """Return what the next attempt of a call may use, the preferred one first."""
+        """Return what the next attempt of a call may use, the preferred one first.
+
+        The result is empty if a started node does not know yet which version may be
+        used.
+        """
         rollout = self._find(service)
         if rollout is None:
-            return (None,)
+            return () if service in self._ctx.board.services_in_doubt else (None,)
         order = rollout.state.order
         target = VersionFilter(order.target_version, True)
         others = VersionFilter(order.target_version, False)
--- a/lentilsill/daemon/controllers/rollouts.py
+++ b/lentilsill/daemon/controllers/rollouts.py
@@ -31,6 +31,7 @@
 from .destination import DestinationController
 from .membership import MembershipController
 from .rollout_calls import RolloutCalls, rollout_now
+from .rollout_start import RolloutStart
 
 __all__ = ["FEATURE", "RolloutsController"]
 
@@ -41,12 +42,6 @@
 # to be read may be old.
 MAX_TICK_GAP_S = 1.0
 DISTRUST_S = 0.5
-# A started node asks peers for the states until one that knows them has answered. It
-# would send calls to a version that was rolled back before. When all nodes start, the
-# answers of the first ones that have read the store spread in a few rounds.
-REQUEST_INTERVAL_S = 0.2
-MAX_REQUESTS = 10
-REQUESTED_PEERS = 2
 MAX_REASON_CHARS = 300
 # Identity in the last message of an answer to a request for states.
 END_OF_STATES = "end"
@@ -79,8 +74,7 @@
         self.store_read_at = -math.inf
         self._ticked_at = rollout_now()
         self._distrusted_until = -math.inf
-        self._is_informed = False
-        ctx.board.awaits_rollouts = True
+        self._start = RolloutStart(ctx, membership)
         self._logged: dict[str, tuple[str, Stage, bool]] = {}
 
     @property
@@ -96,7 +90,7 @@
         ctx.board.dump_parts["rollouts"] = self._dump
         self._destination.is_retired = self._calls.is_retired
         ctx.spawn(self._run())
-        ctx.spawn(self._request_states())
+        self._start.start()
 
     def state(self, service: str) -> RolloutState | None:
         """Return the state of the roll-out of a service, or None."""
@@ -120,9 +114,8 @@
             self._announce(service)
 
     def mark_informed(self) -> None:
-        """Record that this node knows all roll-outs, and accept calls."""
-        self._is_informed = True
-        self._ctx.board.awaits_rollouts = False
+        """Record that this node knows all roll-outs."""
+        self._start.mark_informed()
 
     def forget_stored(self, service: str) -> None:
         """Record that the store has no state of a service."""
@@ -182,15 +175,6 @@
             self._membership.ranked()[:DECIDERS_PER_DOMAIN],
         )
 
-    async def _request_states(self) -> None:
-        for _ in range(MAX_REQUESTS):
-            await asyncio.sleep(REQUEST_INTERVAL_S)
-            if self._is_informed:
-                return
-            for address in self._membership.random_peer_addresses(REQUESTED_PEERS):
-                self._ctx.links.send(address, CONTROL, wire.RolloutReport(""))
-        self._ctx.board.awaits_rollouts = False
-
     # Messages
 
     def _report_to_deciders(
@@ -225,7 +209,7 @@
         if not message.service:
             if message.identity == END_OF_STATES:
                 self.mark_informed()
-            elif self._is_informed:
+            elif self._start.is_informed:
                 for known in self._calls.rollouts.values():
                     link.send(self._to_state(known))
                 link.send(wire.RolloutReport("", END_OF_STATES))
--- a/lentilsill/daemon/controllers/tests/test_rollout_calls.py
+++ b/lentilsill/daemon/controllers/tests/test_rollout_calls.py
@@ -118,6 +118,13 @@
         calls.record_start(progress, make_candidate("v1"))
         self.assertEqual(calls.count_others("slots", "v2"), 0)
 
+    def test_started_node_holds_back_calls_of_services_in_doubt(self):
+        """Guards against calls to a version that was rolled back before a restart."""
+        self.ctx.board.services_in_doubt = frozenset({"slots", "other"})
+        self.assertEqual(self.calls.filters("other", self.make_progress()), ())
+        self.assertEqual(self.calls.filters("third", self.make_progress()), (None,))
+        self.assertNotEqual(self.calls.filters("slots", self.make_progress()), ())
+
     def test_rolled_back_version_gets_no_calls(self):
         """Guards against calls to a version that nodes have rolled back."""
         state = self.rollout.state.advance(Stage.ROLLED_BACK, "bad")
