Close gaps in the completion and the exposure of roll-outs

`completed` could be stored while a call could still reach an old upstream: - A node that is cut off or suspended for longer than the suspect time counts as dead, and nothing waits for it. Its old upstreams now take no calls from the begin of the shift until it hears a decider again. - A decider that was suspended counted the confirmations that it read afterwards as recent. They no longer count within 0.5 s after a suspension. - A node that knew no others of its domain confirmed for the whole domain, and its report replaced that of the others. All recent reporters must confirm now. - A node restarted during the shift did not keep to its confirmation, which deciders count for 1.2 s. It now refuses calls to its old upstreams for 2 s. - A node that had confirmed still used an old upstream if it found no other.

A node that learned of an order before it knew its peers took all extra calls, 25 of 50, for itself. It lowers its part as it learns of more nodes.

The model's 6 tests and the 2 tests with whole nodes pass; exposure and the times to complete stay within their bounds there.

--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -299,8 +299,7 @@
     async def _make_attempt(
         self, progress: CallProgress, candidate: Candidate, only_if_free: bool = False
     ) -> CallResult:
-        upstream = candidate.upstream
-        selector = self.selector
+        upstream, selector = candidate.upstream, self.selector
         started_at = self.ctx.now()
         selector.record_start(upstream, started_at)
         failed = False
@@ -316,8 +315,7 @@
                     Attempt(candidate, reply.result, reply.load, now - started_at)
                 )
             selector.record_end(upstream, now, failed, (now - started_at) * 1000)
-            result = None if reply is None else reply.result
-            self.rollouts.record_end(progress, candidate, result, now - started_at)
+            self.rollouts.record_end(progress, candidate, reply, now - started_at)
         if reply.late is not None:
             progress.late_replies.add(reply.late)
         if reply.load >= 0:
--- a/lentilsill/daemon/controllers/rollout_calls.py
+++ b/lentilsill/daemon/controllers/rollout_calls.py
@@ -1,23 +1,28 @@
 """Calls of this node while versions of services are rolled out."""
 
+import math
 import time
 from collections import defaultdict
 
 from lentilsill.daemon.context import Context
 from lentilsill.membership import UpstreamRecord
-from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
+from lentilsill.outcomes import Answer, Outcome, Refused
 from lentilsill.rollouts import NodeRollout, ServiceRollout, VersionChoice
 from lentilsill.routing import Candidate, VersionFilter, version_of
 
 from .call_progress import MIN_FAILED_STATUS, CallProgress
+from .peer_attempts import Reply
 from .reasons import BUSY, CONNECTION_LOST, CRASHED, CRASHED_IN_TRIAL
 
-__all__ = ["RolloutCalls", "rollout_now"]
+__all__ = ["MAX_TICK_GAP_S", "RolloutCalls", "rollout_now"]
 
 # Slow start of upstreams; the platform's are cold for 3 s after their start.
 WARM_AFTER_S = 4.0
 # An attempt that ends without an answer this close to the deadline was slow.
 DEADLINE_MARGIN_S = 0.1
+# After a longer gap between ticks, the process was suspended, and heartbeats that wait
+# to be read may be old.
+MAX_TICK_GAP_S = 1.0
 # An upstream or host that dies loses many calls at once, whatever its version.
 LOST_REASONS = frozenset({CONNECTION_LOST, CRASHED, CRASHED_IN_TRIAL})
 
@@ -31,13 +36,16 @@
     """Chooses the versions that calls may go to, and counts calls and answers.
 
     Does nothing unless the settings enable roll-outs. `rollouts` holds the roll-outs
-    by service; the roll-outs controller writes it.
+    by service, `ticked_at` is the time of the last tick, and `resumed_at` that of the
+    first one after a suspension; the roll-outs controller writes them.
     """
 
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
         self._is_enabled = ctx.cfg.rollouts is not None
         self.rollouts: dict[str, ServiceRollout] = {}
+        self.ticked_at = rollout_now()
+        self.resumed_at = -math.inf
         # Attempts without a result by service and version.
         self._in_flight: dict[tuple[str, str], int] = defaultdict(int)
 
@@ -87,10 +95,10 @@
         self,
         progress: CallProgress,
         candidate: Candidate,
-        result: CallResult | None,
+        reply: Reply | None,
         duration_s: float,
     ) -> None:
-        """Record the end of an attempt; the result is None if it was cancelled."""
+        """Record the end of an attempt; the reply is None if it was cancelled."""
         if not self._is_enabled:
             return
         service, version = _service(progress), candidate.version
@@ -102,7 +110,7 @@
             return
         is_target = version == rollout.state.order.target_version
         is_failure = False
-        match result:
+        match None if reply is None else reply.result:
             case Answer(status=status):
                 is_failure = status >= MIN_FAILED_STATUS
             case Refused(outcome=Outcome.NOT_RUN, reason=reason, arrived=arrived):
@@ -125,12 +133,27 @@
 
     def is_retired(self, record: UpstreamRecord) -> bool:
         """Return whether an upstream of this node takes no calls any more."""
-        rollout = self._find(record.service)
-        return (
-            rollout is not None
-            and version_of(record) != rollout.state.order.target_version
-            and rollout.refuses_others(rollout_now())
-        )
+        found = self.rollouts.get(record.service)
+        if found is None or found.rollout is None:
+            return False
+        rollout, now = found.rollout, rollout_now()
+        if version_of(record) == rollout.state.order.target_version:
+            return False
+        if rollout.refuses_others(now):
+            return True
+        return found.may_be_completed(now) and self._may_be_evicted(rollout, now)
+
+    def _may_be_evicted(self, rollout: NodeRollout, now: float) -> bool:
+        """Return whether the other nodes of the domain may take this one for dead.
+
+        They do not wait for its confirmation then. The other nodes of a domain that is
+        cut off as a whole are in reach, and its old upstreams go on.
+        """
+        was_suspended = rollout.heard_at < self.resumed_at
+        if was_suspended or now - self.ticked_at > MAX_TICK_GAP_S:
+            return True
+        board = self._ctx.board
+        return not board.members.keys() - board.suspects - {self._ctx.cfg.node}
 
     def count_others(self, service: str, version: str) -> int:
         """Return the attempts without a result at other versions of a service."""
--- a/lentilsill/daemon/controllers/rollouts.py
+++ b/lentilsill/daemon/controllers/rollouts.py
@@ -30,7 +30,7 @@
 
 from .destination import DestinationController
 from .membership import MembershipController
-from .rollout_calls import RolloutCalls, rollout_now
+from .rollout_calls import MAX_TICK_GAP_S, RolloutCalls, rollout_now
 from .rollout_start import RolloutStart
 
 __all__ = ["FEATURE", "RolloutsController"]
@@ -38,9 +38,7 @@
 FEATURE = "rollouts"
 DECIDERS_PER_DOMAIN = 2
 TICK_INTERVAL_S = 0.25
-# After a longer gap between ticks, the process was suspended, and heartbeats that wait
-# to be read may be old.
-MAX_TICK_GAP_S = 1.0
+# Messages that are read this soon after a suspension may be from before or during it.
 DISTRUST_S = 0.5
 MAX_REASON_CHARS = 300
 # Identity in the last message of an answer to a request for states.
@@ -72,8 +70,6 @@
         self._destination = destination
         self.store: Callable[[RolloutState], None] = lambda state: None
         self.store_read_at = -math.inf
-        self._ticked_at = rollout_now()
-        self._distrusted_until = -math.inf
         self._start = RolloutStart(ctx, membership)
         self._logged: dict[str, tuple[str, Stage, bool]] = {}
 
@@ -129,9 +125,9 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             now = rollout_now()
-            if now - self._ticked_at > MAX_TICK_GAP_S:
-                self._distrusted_until = now + DISTRUST_S
-            self._ticked_at = now
+            if now - self._calls.ticked_at > MAX_TICK_GAP_S:
+                self._calls.resumed_at = now
+            self._calls.ticked_at = now
             for service, rollout in list(self._calls.rollouts.items()):
                 self._tick(service, rollout, now)
 
@@ -173,6 +169,7 @@
             in_flight,
             self.store_read_at,
             self._membership.ranked()[:DECIDERS_PER_DOMAIN],
+            {*board.members, *board.remote_nodes, self._ctx.cfg.node},
         )
 
     # Messages
@@ -224,17 +221,21 @@
         if state is not None and state.order.identity != message.identity:
             link.send(self._to_state(rollout))
             return
+        now = rollout_now()
+        is_old = self._may_be_old(now)
         report = NodeReport(
             message.source,
             message.identity,
             stage,
-            message.has_confirmed,
+            message.has_confirmed and not is_old,
             message.rows,
         )
+        # The counts of an old report hold; it does not show who is in reach.
+        heard_at = -math.inf if is_old else now
         if message.is_domain:
-            rollout.add_domain_report(report, rollout_now())
+            rollout.add_domain_report(report, heard_at, link.hello.node)
         elif link.hello.domain == self._ctx.cfg.domain:
-            rollout.add_report(report, rollout_now())
+            rollout.add_report(report, heard_at)
 
     def _on_state(self, link: Link, message: wire.RolloutState) -> None:
         stage = _parse_stage(message.stage)
@@ -270,8 +271,7 @@
                 self._longest_call_s(service),
             )
         now = rollout_now()
-        if now - self._ticked_at > MAX_TICK_GAP_S or now < self._distrusted_until:
-            is_heartbeat = False
+        is_heartbeat = is_heartbeat and not self._may_be_old(now)
         board = self._ctx.board
         nodes = {*board.members, *board.remote_nodes}
         is_new = rollout.learn(state, now, age_s, nodes, is_heartbeat)
@@ -279,6 +279,12 @@
             self._log_state(rollout.state)
         return is_new
 
+    def _may_be_old(self, now: float) -> bool:
+        """Return whether a message that is read now may have waited for long."""
+        calls = self._calls
+        is_resumed = now < calls.resumed_at + DISTRUST_S
+        return is_resumed or now - calls.ticked_at > MAX_TICK_GAP_S
+
     def _announce(self, service: str) -> None:
         """Send the state to all nodes of the domain, and to some of each other one."""
         rollout = self._calls.rollouts[service]
--- a/lentilsill/daemon/controllers/tests/test_rollout_calls.py
+++ b/lentilsill/daemon/controllers/tests/test_rollout_calls.py
@@ -7,9 +7,11 @@
 
 from lentilsill.daemon.blackboard import Blackboard
 from lentilsill.daemon.context import Context
+from lentilsill.daemon.controllers.peer_attempts import Reply
 from lentilsill.daemon.controllers.reasons import BUSY, CRASHED, not_run_refusal
 from lentilsill.daemon.controllers.rollout_calls import RolloutCalls, rollout_now
 from lentilsill.daemon.tests.builders import node_settings
+from lentilsill.membership import NodeRecord, NodeState, UpstreamRecord, UpstreamState
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.rollouts import (
     ExposureLimits,
@@ -64,7 +66,8 @@
         progress = self.make_progress(**fields)
         candidate = make_candidate(version)
         self.calls.record_start(progress, candidate)
-        self.calls.record_end(progress, candidate, result, 0.05)
+        reply = None if result is None else Reply(result)
+        self.calls.record_end(progress, candidate, reply, 0.05)
 
     def counts(self, upstream: str = "u-v2") -> tuple[int, int]:
         found = self.rollout.evidence.counts.get((upstream, "get"))
@@ -100,7 +103,7 @@
         self.calls.record_start(progress, old)
         self.assertEqual(self.calls.count_others("slots", "v2"), 1)
         self.assertEqual(self.calls.count_others("slots", "v1"), 0)
-        self.calls.record_end(progress, old, Answer(200, (), b""), 0.01)
+        self.calls.record_end(progress, old, Reply(Answer(200, (), b"")), 0.01)
         self.assertEqual(self.calls.count_others("slots", "v2"), 0)
         self.assertEqual(self.counts(""), (0, 1))
 
@@ -118,6 +121,31 @@
         calls.record_start(progress, make_candidate("v1"))
         self.assertEqual(calls.count_others("slots", "v2"), 0)
 
+    def test_cut_off_node_retires_old_upstreams(self):
+        """Guards against `completed` without a node that still calls old upstreams.
+
+        The other nodes take a node for dead that is cut off or suspended.
+        """
+        now = rollout_now()
+        record = UpstreamRecord(
+            "u", "slots", "", 1, (("version", "v1"),), UpstreamState.READY
+        )
+        board = self.ctx.board
+        board.members = {
+            "n2": NodeRecord("n2", "d", "i", 1, 1, "", "", NodeState.READY)
+        }
+        self.rollout.heard_at = now - 3
+        board.suspects = frozenset({"n2"})
+        self.assertFalse(self.calls.is_retired(record), "before the shift")
+        self.calls.rollouts["slots"]._started_at = now - 25
+        self.assertTrue(self.calls.is_retired(record), "cut off")
+        board.suspects = frozenset()
+        self.assertFalse(self.calls.is_retired(record), "whole domain cut off")
+        self.calls.resumed_at = now
+        self.assertTrue(self.calls.is_retired(record), "suspended")
+        self.rollout.heard_at = now
+        self.assertFalse(self.calls.is_retired(record), "heard again")
+
     def test_started_node_holds_back_calls_of_services_in_doubt(self):
         """Guards against calls to a version that was rolled back before a restart."""
         self.ctx.board.services_in_doubt = frozenset({"slots", "other"})
--- a/lentilsill/rollouts/coordination.py
+++ b/lentilsill/rollouts/coordination.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from .decider import Decider, NodeReport
+from .decider import Decider, NodeReport, shift_after_s
 from .exposure import ExposureLimit, extra_calls
 from .model import ExposureLimits, RolloutState, Stage, newest_state
 from .node_rollout import NodeRollout
@@ -27,6 +27,8 @@
 # Complete reports repair those that were lost, or that a new decider has not received.
 FULL_REPORT_INTERVAL_S = 3.0
 STORE_RETRY_S = 0.4
+# Nodes learn of an order, and hence of its age, at slightly different times.
+AGE_MARGIN_S = 1.0
 # Times after which a node without heartbeats, and a decider without contact to other
 # domains or the store, stop the exposure, as shares of the time for a roll-back. A node
 # of a domain that is cut off stops after both.
@@ -52,6 +54,8 @@
         When the last successful read of the store began.
     deciders : tuple of str
         The first-ranked nodes of the own domain, to which the node reports.
+    nodes : collection of str
+        All known nodes of all domains.
     """
 
     members: Collection[str]
@@ -60,6 +64,7 @@
     others_in_flight: int
     store_read_at: float = float("-inf")
     deciders: tuple[str, ...] = ()
+    nodes: Collection[str] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +125,8 @@
         # A final stage that takes effect once it is stored.
         self._outcome: RolloutState | None = None
         self._stored: RolloutState | None = None
+        # Number of nodes among which the extra calls are divided.
+        self._sharing_nodes = 0
         self._started_at = 0.0
         self._reported_at = float("-inf")
         self._full_report_at = float("-inf")
@@ -139,6 +146,19 @@
         """Return the time since the order, in seconds."""
         return now - self._started_at
 
+    def may_be_completed(self, now: float) -> bool:
+        """Return whether `completed` may be stored without this node's knowledge.
+
+        It may be if the shift can have begun since the node heard from a decider, and
+        the other nodes of the domain take this one for dead.
+        """
+        rollout = self.rollout
+        if rollout is None or rollout.state.is_outcome or rollout.is_leased(now):
+            return False
+        order = rollout.state.order
+        shift_after = shift_after_s(order.duration_s, self._longest_call_s)
+        return self.age_s(now) >= shift_after - AGE_MARGIN_S
+
     def learn(
         self,
         found: RolloutState,
@@ -156,6 +176,7 @@
             return False
         is_new = known is None or known.order.identity != found.order.identity
         if is_new:
+            self._sharing_nodes = len({*members, self._node})
             extra = extra_calls(self._limits, self._node, members, found.order.identity)
             self.rollout = NodeRollout(
                 found,
@@ -194,16 +215,19 @@
         if self.decider is not None:
             self.decider.add_node_report(report, now)
 
-    def add_domain_report(self, report: NodeReport, now: float) -> None:
-        """Record the report of another domain."""
+    def add_domain_report(
+        self, report: NodeReport, now: float, reporter: str = ""
+    ) -> None:
+        """Record the report of a node about its domain, another one."""
         if self.decider is not None:
-            self.decider.add_domain_report(report, now)
+            self.decider.add_domain_report(report, now, reporter)
 
     def tick(self, now: float, view: View) -> list[Action]:
         """Return what to do now; to be called several times a second."""
         rollout = self.rollout
         if rollout is None or rollout.state.stage is Stage.WITHDRAWN:
             return []
+        self._share_extra_calls(rollout, view.nodes)
         actions: list[Action] = []
         is_final = rollout.state.is_outcome
         interval_s = FINAL_REPORT_INTERVAL_S if is_final else REPORT_INTERVAL_S
@@ -218,6 +242,19 @@
         actions += self._decide(rollout, self.decider, now, view)
         return actions
 
+    def _share_extra_calls(self, rollout: NodeRollout, nodes: Collection[str]) -> None:
+        """Lower this node's part of the extra calls when more nodes are known.
+
+        A node that has just started knows few others, and would take most of the calls
+        for itself.
+        """
+        if len(nodes) <= self._sharing_nodes:
+            return
+        self._sharing_nodes = len(nodes)
+        identity = rollout.state.order.identity
+        extra = extra_calls(self._limits, self._node, nodes, identity)
+        rollout.limit.extra = min(rollout.limit.extra, extra)
+
     def _make_report(self, rollout: NodeRollout, now: float, view: View) -> NodeReport:
         all_rows = now - self._full_report_at >= FULL_REPORT_INTERVAL_S
         if all_rows or view.deciders != self._deciders:
--- a/lentilsill/rollouts/decider.py
+++ b/lentilsill/rollouts/decider.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .evidence import AnswerCounts, EvidenceRow, EvidenceTable, Key, find_fault
 from .model import RolloutState, Stage
@@ -83,6 +83,8 @@
         self._shift_after_s = shift_after_s(state.order.duration_s, longest_call_s)
         self._nodes: dict[str, _Source] = {}
         self._domains: dict[str, _Source] = {}
+        # Times of reports without a confirmation, by domain and reporter.
+        self._unconfirmed_at: dict[str, dict[str, float]] = {}
         self._snapshots: deque[tuple[float, dict[Key, AnswerCounts]]] = deque()
         self._judged_at = float("-inf")
         self._fault = ""
@@ -93,8 +95,23 @@
         """Record the report of a node of the own domain."""
         self._add(self._nodes, report, now, self._domain_totals, self._totals)
 
-    def add_domain_report(self, report: NodeReport, now: float) -> None:
-        """Record the report of another domain."""
+    def add_domain_report(
+        self, report: NodeReport, now: float, reporter: str = ""
+    ) -> None:
+        """Record the report of a node about its domain, another one.
+
+        A node that has just started, or is cut off from its domain, may take itself for
+        the whole domain. Its confirmation does not hold against a recent report of
+        another node without one.
+        """
+        unconfirmed = self._unconfirmed_at.setdefault(report.source, {})
+        if report.has_confirmed:
+            unconfirmed.pop(reporter, None)
+        else:
+            unconfirmed[reporter] = now
+        latest = max(unconfirmed.values(), default=float("-inf"))
+        if now - latest <= CONFIRMATION_VALID_S:
+            report = replace(report, has_confirmed=False)
         self._add(self._domains, report, now, self._totals)
 
     def _add(
--- a/lentilsill/rollouts/exposure.py
+++ b/lentilsill/rollouts/exposure.py
@@ -40,7 +40,8 @@
     """Counts a node's calls of a service, and limits those to the target version.
 
     If each node keeps its limit, the sum over all nodes is at most the share of all
-    calls plus the extra calls, without any agreement between nodes.
+    calls plus the extra calls, without any agreement between nodes. `extra` is this
+    node's part of the latter.
 
     Examples
     --------
@@ -51,7 +52,7 @@
 
     def __init__(self, share: float, extra: int) -> None:
         self._share = SHARE_IN_USE * share
-        self._extra = extra
+        self.extra = extra
         self.sent = 0
         self.exposed = 0
 
@@ -61,7 +62,7 @@
         While its upstreams warm up, only the extra calls may.
         """
         share = 0.0 if is_warming_up else self._share
-        return self.exposed + 1 <= share * (self.sent + 1) + self._extra
+        return self.exposed + 1 <= share * (self.sent + 1) + self.extra
 
     def record_sent(self, is_target: bool) -> None:
         """Count a call that is sent to an upstream of the service."""
--- a/lentilsill/rollouts/node_rollout.py
+++ b/lentilsill/rollouts/node_rollout.py
@@ -77,6 +77,10 @@
         self.evidence = EvidenceTable()
         if self.state.stage is Stage.COMPLETED:
             self.completed_at = self.learned_at
+        if self.state.stage is Stage.SHIFTING:
+            # The node may have confirmed before its process was restarted, and deciders
+            # may still count that.
+            self.confirmed_at = self.learned_at
 
     def merge(self, found: RolloutState, now: float) -> bool:
         """Apply a state of the same order; return whether it changed this one."""
@@ -98,7 +102,7 @@
         Further attempts of a call go to the other versions while the target version is
         on trial.
         """
-        is_leased = now - self.heard_at < self.lease_s
+        is_leased = self.is_leased(now)
         match self.stage_at(now):
             case Stage.WITHDRAWN:
                 return VersionChoice.ANY
@@ -108,8 +112,9 @@
             case Stage.ROLLED_BACK:
                 return VersionChoice.OTHERS
             case Stage.SHIFTING:
-                is_chosen = rng.random() < self._shifted_share(now)
-                if is_chosen and (is_leased or self.is_promised(now)):
+                if self.is_promised(now):
+                    return VersionChoice.TARGET
+                if is_leased and rng.random() < self._shifted_share(now):
                     return VersionChoice.PREFER_TARGET
                 return VersionChoice.PREFER_OTHERS
         is_warming_up = now - self.learned_at < WARM_UP_S
@@ -119,6 +124,10 @@
             return VersionChoice.CANARIES
         return VersionChoice.OTHERS
 
+    def is_leased(self, now: float) -> bool:
+        """Return whether a heartbeat of a decider is recent."""
+        return now - self.heard_at < self.lease_s
+
     def is_promised(self, now: float) -> bool:
         """Return whether the node has promised to use no other version."""
         return now - self.confirmed_at < PROMISE_S
@@ -150,7 +159,7 @@
             self.others_used_at = now
         # The promise of a node that has learned of a roll-back must end.
         is_shifting = self.state.stage is Stage.SHIFTING
-        is_leased = now - self.heard_at < self.lease_s
+        is_leased = self.is_leased(now)
         if not (is_shifting and is_leased and self._shifted_share(now) >= 1):
             return False
         if now - self.others_used_at < SETTLE_S:
--- a/lentilsill/rollouts/tests/rollout_model.py
+++ b/lentilsill/rollouts/tests/rollout_model.py
@@ -271,7 +271,8 @@
                     for to in [n for n in self.nodes if n.domain != node.domain]:
                         if self.is_decider(to):
                             receive = to.rollout.add_domain_report
-                            self.send(node, to, partial(receive, report, self.now))
+                            deliver = partial(receive, report, self.now, node.name)
+                            self.send(node, to, deliver)
 
     # Store
 
--- a/lentilsill/rollouts/tests/test_rollouts.py
+++ b/lentilsill/rollouts/tests/test_rollouts.py
@@ -5,13 +5,18 @@
 from dataclasses import replace
 
 from lentilsill.rollouts import (
+    Decider,
     EvidenceTable,
     ExposureLimit,
+    ExposureLimits,
+    NodeReport,
     NodeRollout,
     Order,
     RolloutState,
+    ServiceRollout,
     Stage,
     VersionChoice,
+    View,
     find_fault,
     newest_state,
 )
@@ -67,10 +72,17 @@
         self.assertFalse(node.confirm(3.1, 0))
         self.assertTrue(node.confirm(3.5, 0))
         node.merge(STATE.advance(Stage.ROLLED_BACK, "bad"), 3.6)
-        self.assertIs(node.choose(3.7, rng), VersionChoice.PREFER_TARGET)
+        self.assertIs(node.choose(3.7, rng), VersionChoice.TARGET)
         self.assertFalse(node.confirm(4.0, 0))
         self.assertIs(node.choose(5.6, rng), VersionChoice.OTHERS)
 
+    def test_node_restarted_in_the_shift_keeps_its_confirmation(self):
+        """Guards against calls to its own old upstreams while `completed` is stored."""
+        node, rng = make_node(STATE.advance(Stage.SHIFTING, "")), random.Random(1)
+        self.assertTrue(node.refuses_others(node.learned_at + 1.5))
+        self.assertIs(node.choose(node.learned_at + 1.5, rng), VersionChoice.TARGET)
+        self.assertFalse(node.refuses_others(node.learned_at + 2.5))
+
     def test_later_version_without_an_order_gets_calls_after_a_completion(self):
         """Guards against an old order that keeps calls from every other version."""
         completed = replace(STATE, stage=Stage.COMPLETED, is_stored=True)
@@ -82,6 +94,32 @@
         self.assertFalse(node.refuses_others(70.0))
 
 
+class ServiceTests(unittest.TestCase):
+    def test_extra_calls_are_shared_with_nodes_that_are_found_later(self):
+        """Guards against restarted nodes that each take all extra calls."""
+        service = ServiceRollout("n0", "d", ExposureLimits(0.1, 50.0, 5.0), 1.0)
+        service.learn(STATE, 0.0, 5.0, [])
+        assert service.rollout is not None
+        self.assertEqual(service.rollout.limit.extra, 25)
+        nodes = [f"n{i}" for i in range(25)]
+        service.tick(0.2, View(nodes, (), False, 0, nodes=nodes))
+        service.tick(0.4, View(nodes, (), False, 0, nodes=nodes[:1]))
+        self.assertEqual(service.rollout.limit.extra, 1)
+
+    def test_node_alone_does_not_confirm_for_its_domain(self):
+        """Guards against `completed` by the report of a node that knows no others."""
+        state = STATE.advance(Stage.SHIFTING, "")
+        decider = Decider(state, 1.0)
+        place = ((), ("e",), 1.0)
+        first = NodeReport("e", ORDER.identity, Stage.SHIFTING, False)
+        decider.add_domain_report(first, 0.9, "n1")
+        alone = replace(first, has_confirmed=True)
+        decider.add_domain_report(alone, 1.0, "n2")
+        self.assertIn("e", decider.describe_wait(state, 25.0, *place))
+        decider.add_domain_report(alone, 1.0, "n1")
+        self.assertEqual(decider.describe_wait(state, 25.0, *place), "")
+
+
 class EvidenceTests(unittest.TestCase):
     def table(self, *groups: tuple[str, int, int, float]) -> EvidenceTable:
         """Return the counts of (upstream, answers, failures, duration in ms)."""
