Start after one read of the store if there are no orders

A started node waited for the states and then for the orders. An empty list of orders alone shows that no version is rolled out, so it is enough.

--- a/lentilsill/daemon/controllers/rollout_store.py
+++ b/lentilsill/daemon/controllers/rollout_store.py
@@ -99,7 +99,8 @@
                 since = None
                 await asyncio.sleep(RANK_CHECK_INTERVAL_S)
                 continue
-            if kind == ORDERS_KIND:
+            if kind == ORDERS_KIND and not self._has_states.is_set():
+                await self._look_for_orders()
                 # Without its stored state, an order would start anew.
                 await self._has_states.wait()
             started_at = rollout_now()
@@ -132,6 +133,12 @@
             else:
                 await self._wait_after(error, backoff)
 
+    async def _look_for_orders(self) -> None:
+        """Spare a started node the wait for the states if there are no orders."""
+        match await self._api.list(ORDERS_KIND):
+            case Ok(listing) if not listing.objects:
+                self._rollouts.mark_informed()
+
     async def _wait_after(self, error: PlatformError, backoff: Backoff) -> None:
         self._record_error(error)
         delay_s = backoff.next_delay()
--- a/lentilsill/daemon/controllers/tests/test_rollout_store.py
+++ b/lentilsill/daemon/controllers/tests/test_rollout_store.py
@@ -5,6 +5,8 @@
 import socket
 import unittest
 from dataclasses import replace
+from typing import Any
+from unittest.mock import patch
 
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -14,6 +16,7 @@
 from lentilsill.daemon.controllers.rollout_store import RolloutStoreController
 from lentilsill.daemon.tests.builders import node_settings
 from lentilsill.platform import HttpObjectApi
+from lentilsill.platform.rollouts import STATES_KIND
 from lentilsill.rollouts import RolloutState, Stage, newest_state
 from lentilsill.versioning import EMPTY_SNAPSHOT
 from lentilsill.wire import PeerLinks
@@ -171,6 +174,19 @@
         )
         self.assertTrue(rollouts.is_informed)
 
+    async def test_node_is_informed_by_an_empty_list_of_orders(self) -> None:
+        """Guards against a start that takes two reads of a slow store."""
+        rollouts = self.start()
+        list_objects = self.api.list
+
+        async def list_without_states(kind: str) -> Any:
+            if kind == STATES_KIND:
+                await asyncio.Event().wait()
+            return await list_objects(kind)
+
+        with patch.object(self.api, "list", list_without_states):
+            await wait_for(lambda: rollouts.is_informed)
+
     async def test_store_that_lost_a_state_gets_it_again(self) -> None:
         """Guards against an outcome that only nodes remember."""
         self.write("rollouts", SPEC)
