Let the share rise again at nodes restarted in the shift

A node that was restarted in the shift sent all its calls to the target version for 2 s, to keep to a confirmation from before. If all nodes restart, none then has answers of the other versions to compare with. The share rises as at the other nodes again; a node that restarts within 1.2 s after its confirmation is open.

--- a/lentilsill/rollouts/node_rollout.py
+++ b/lentilsill/rollouts/node_rollout.py
@@ -77,10 +77,6 @@
         self.evidence = EvidenceTable()
         if self.state.stage is Stage.COMPLETED:
             self.completed_at = self.learned_at
-        if self.state.stage is Stage.SHIFTING:
-            # The node may have confirmed before its process was restarted, and deciders
-            # may still count that.
-            self.confirmed_at = self.learned_at
 
     def merge(self, found: RolloutState, now: float) -> bool:
         """Apply a state of the same order; return whether it changed this one."""
--- a/lentilsill/rollouts/tests/test_rollout_model.py
+++ b/lentilsill/rollouts/tests/test_rollout_model.py
@@ -36,6 +36,9 @@
         """Guards against early good answers that hide later bad ones."""
         for since_s in (15.0, 22.0, 24.0):
             self.check(Load(9, bad=Badness(failing=0.3, since_s=since_s)))
+        # Restarted nodes have no counts of the other versions, and need new ones.
+        load = Load(69, 110.0, 16.0, restarted_at=10.5)
+        self.check(replace(load, bad=Badness(failing=0.3, since_s=10.0)))
         self.check(Load(9, bad=Badness(slow=0.4, since_s=12.0)))
 
     def test_bad_version_is_rolled_back_during_faults(self):
