--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -48,6 +48,7 @@
     SUSPECTED,
     not_run_refusal,
 )
+from .rollout_calls import RolloutCalls
 from .suspects import refuse_suspect
 
 __all__ = ["EntryController"]
@@ -82,7 +83,8 @@
         self.call_ages = CallAges()
         self.in_flight = 0
         self._attempt_ids = itertools.count(1)
-        self._placer = AttemptPlacer(ctx, self.selector)
+        self.rollouts = RolloutCalls(ctx)
+        self._placer = AttemptPlacer(ctx, self.selector, self.rollouts)
         self.admission = CallAdmission(ctx, destination.integration.headers)
         self._budgets = CallBudgets(ctx)
         self._limits = CallLimits(ctx)
@@ -306,12 +308,12 @@
     async def _make_attempt(
         self, progress: CallProgress, candidate: Candidate, only_if_free: bool = False
     ) -> CallResult:
-        upstream = candidate.upstream
-        selector = self.selector
+        upstream, selector = candidate.upstream, self.selector
         started_at = self.ctx.now()
         selector.record_start(upstream, started_at)
         failed = False
         reply: Reply | None = None
+        self.rollouts.record_start(progress, candidate)
         try:
             reply = await self._send(progress, candidate, only_if_free)
             failed = is_upstream_failure(reply.result)
@@ -322,6 +324,7 @@
                     Attempt(candidate, reply.result, reply.load, now - started_at)
                 )
             selector.record_end(upstream, now, failed, (now - started_at) * 1000)
+            self.rollouts.record_end(progress, candidate, reply, now - started_at)
         if reply.late is not None:
             progress.late_replies.add(reply.late)
         if reply.load >= 0:
--- a/lentilsill/platform/settings_file.py
+++ b/lentilsill/platform/settings_file.py
@@ -96,6 +96,17 @@
     return frozenset(name.strip() for name in names)
 
 
+def _rollout_settings(fields: Mapping[str, str]) -> dict[str, Any] | None:
+    """Return the section on roll-outs, or None if the platform asks for none."""
+    if "rollout" not in _contracts(fields):
+        return None
+    return {
+        "exposed_share": float(fields["bounds.expose_share"]),
+        "exposed_calls": float(fields["bounds.expose_slack"]),
+        "rollback_s": float(fields["bounds.rollback_ms"]) / 1000,
+    }
+
+
 def _node_settings(fields: Mapping[str, str]) -> dict[str, Any]:
     ip = fields["ip"]
     first_port = fields["internal_ports"].split(",")[0]
@@ -135,4 +146,5 @@
             "drain_take_s": DRAIN_ACCEPT_S,
             "drain_bound_s": float(fields["bounds.grace_s"]) - EXIT_MARGIN_S,
         },
+        "rollouts": _rollout_settings(fields),
     }
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -26,12 +26,14 @@
     Release,
     StoreOutcome,
 )
+from .rollout_messages import RolloutReport, RolloutState
 
 __all__ = [
     "CALLS",
     "CONTROL",
     "MAX_MESSAGE_BYTES",
     "PROTOCOL_VERSION",
+    "REQUIRED_FEATURES",
     "Answer",
     "Applied",
     "Busy",
@@ -57,6 +59,8 @@
     "Records",
     "Refusal",
     "Release",
+    "RolloutReport",
+    "RolloutState",
     "StoreOutcome",
     "Summary",
     "WireError",
@@ -308,8 +312,16 @@
     ClaimReply,
     StoreOutcome,
     Release,
+    RolloutReport,
+    RolloutState,
 ]
 
+# Features of `Hello` without which a peer can't read a message.
+REQUIRED_FEATURES: dict[type, str] = {
+    RolloutReport: "rollouts",
+    RolloutState: "rollouts",
+}
+
 _TYPE_BY_NUMBER: dict[int, Any] = {
     message_type.__struct_config__.tag: message_type
     for message_type in get_args(Message)
