Add quotas of organisations over all nodes as a pure package

Cause: an organisation's calls must stay within its quota summed over all nodes, also while nodes are cut off from each other, without agreement between nodes and without a write to the store per call.

Change: each node lends its share of the quotas to one allocator per shard for a lease, allocators fill token buckets in proportion to the shares that they hold, and nodes ask for tokens and hold a few ahead. A seeded model with messages, cuts, kills, suspended nodes, joins, late messages and moving callers counts the calls of the fullest window.

--- a/harness/imports.py
+++ b/harness/imports.py
@@ -17,6 +17,7 @@
     "retries",
     "outcomes",
     "quarantine",
+    "quotas",
     "drain",
     "status",
 )
--- /dev/null
+++ b/lentilsill/quotas/bounds.py
@@ -0,0 +1,55 @@
+"""The bound on an organisation's calls, and how its excess is divided."""
+
+from dataclasses import dataclass
+
+from lentilsill.documents import Quota
+
+__all__ = ["HELD_S", "QuotaBounds"]
+
+# Granted tokens are valid for this time at most.
+MAX_GRANT_S = 0.25
+# Tokens that are held for an organisation with few calls are valid for this time.
+HELD_S = 2.0
+# Part of the excess that tokens held by nodes may use. At most two allocators hand out
+# tokens at the same full share within a window, one after the other.
+HELD_SHARE = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaBounds:
+    """Excess over an organisation's quota that all nodes together may cause.
+
+    In any window of `window_s` seconds, at most
+    ``(rate_per_s * window_s + burst) * (1 + excess_share) + excess_calls`` calls run.
+
+    Examples
+    --------
+    >>> bounds = QuotaBounds(window_s=5.0, excess_share=0.1, excess_calls=20.0)
+    >>> round(bounds.max_calls(Quota(100.0, 50.0)), 6)
+    625.0
+    >>> bounds.grant_s
+    0.25
+    """
+
+    window_s: float = 5.0
+    excess_share: float = 0.1
+    excess_calls: float = 20.0
+
+    @property
+    def grant_s(self) -> float:
+        """Time for which a granted token is valid.
+
+        Tokens granted before a window may be used in it; they take at most half of the
+        share of the excess.
+        """
+        return min(MAX_GRANT_S, self.excess_share * self.window_s / 2)
+
+    def max_calls(self, quota: Quota) -> float:
+        """Return the largest number of calls in a window."""
+        allowed = quota.rate_per_s * self.window_s + quota.burst
+        return allowed * (1 + self.excess_share) + self.excess_calls
+
+    def max_held(self, rate_per_s: float, burst: float) -> float:
+        """Return how many tokens one allocator may have handed out to be held."""
+        allowed = rate_per_s * self.window_s + burst
+        return HELD_SHARE * (allowed * self.excess_share + self.excess_calls)
--- /dev/null
+++ b/lentilsill/quotas/buckets.py
@@ -0,0 +1,119 @@
+"""Token bucket of one organisation at its allocator."""
+
+import math
+from collections import deque
+from random import Random
+
+from .bounds import HELD_S, QuotaBounds
+from .messages import Ask, Grant
+from .pledges import PledgeTable
+
+__all__ = ["Bucket"]
+
+# A denied node is told to come back after this time at most.
+MAX_WAIT_S = 1.0
+# Nodes that are told to come back for one token. A node asks again at its next call
+# after that time, so with one node per token most tokens would wait for their node.
+NODES_PER_TOKEN = 2
+# Tokens beyond those that calls wait for are granted above this share of the capacity.
+RESERVE_SHARE = 0.5
+# A bucket that can't hold one token loses its content when nobody asks for this many
+# times the time that a token takes.
+IDLE_TOKENS = 1.5
+
+
+class Bucket:
+    """Tokens that an allocator may grant, for its share of the quota.
+
+    It starts with what has been filled since the allocator last lost a pledge. A share
+    of the burst below one token can't be granted; such a bucket holds one token, is
+    filled from a random level, and does not keep it while nobody asks, so that many
+    nodes that are cut off alone don't all have a token at the same time.
+    """
+
+    def __init__(
+        self, ask: Ask, version: int, pledges: PledgeTable, rng: Random, now: float
+    ) -> None:
+        self.rate_per_s = ask.rate_per_s
+        self.burst = ask.burst
+        self.version = version
+        self._pledges = pledges
+        self._rng = rng
+        self._filled_s = pledges.filled_at_loss_s
+        self._level = 0.0
+        self._asked_at = -math.inf
+        self._next_token_at = now
+        self._held: deque[tuple[float, int]] = deque()
+        self._held_count = 0
+
+    def set_quota(self, ask: Ask, version: int) -> None:
+        """Apply the quota of a newer version of the configuration."""
+        self.version = version
+        if (ask.rate_per_s, ask.burst) == (self.rate_per_s, self.burst):
+            return
+        self.refill()
+        self.rate_per_s, self.burst = ask.rate_per_s, ask.burst
+        self.refill()
+
+    @property
+    def capacity(self) -> float:
+        """Largest number of tokens at the current share."""
+        share = self._pledges.share
+        return max(1.0, self.burst * share) if share else 0.0
+
+    @property
+    def level(self) -> float:
+        """Tokens as of the last call of `refill`."""
+        return self._level
+
+    def refill(self) -> None:
+        """Add the tokens filled since the last call, and drop those over the capacity.
+
+        It must be called before the share grows again after a loss of pledges.
+        """
+        filled_s = self._pledges.filled_s
+        added = self.rate_per_s * (filled_s - self._filled_s)
+        self._filled_s = filled_s
+        self._level = min(self.capacity, self._level + added)
+
+    def grant(self, ask: Ask, bounds: QuotaBounds, now: float) -> Grant:
+        """Take tokens out of the bucket."""
+        self.refill()
+        self._lose_idle_content(now)
+        rate = self.rate_per_s * self._pledges.share
+        count = min(ask.needed, int(self._level))
+        self._level -= count
+        if count < ask.needed:
+            return Grant(count, 0, self._wait_ms(rate, ask.needed - count, now))
+        spare = int(self._level - RESERVE_SHARE * self.capacity)
+        soon = max(0, min(ask.soon, spare))
+        held = max(0, min(ask.held, spare - soon, self._held_room(bounds, now)))
+        self._level -= soon + held
+        if held:
+            self._held.append((now + HELD_S, held))
+            self._held_count += held
+        return Grant(count + soon, held, 0)
+
+    def _lose_idle_content(self, now: float) -> None:
+        share = self._pledges.share
+        idle_s = now - self._asked_at
+        self._asked_at = now
+        if not share or self.burst * share >= 1.0:
+            return
+        if idle_s * self.rate_per_s * share > IDLE_TOKENS:
+            self._level = self._rng.random()
+
+    def _held_room(self, bounds: QuotaBounds, now: float) -> int:
+        while self._held and self._held[0][0] <= now:
+            self._held_count -= self._held.popleft()[1]
+        limit = bounds.max_held(self.rate_per_s, self.burst) * self._pledges.share
+        return int(limit) - self._held_count
+
+    def _wait_ms(self, rate_per_s: float, missing: int, now: float) -> int:
+        """Return when a denied node may ask again; each one is given its own time."""
+        if rate_per_s <= 0.0:
+            return round(MAX_WAIT_S * 1000)
+        first_at = now + max(0.0, 1.0 - self._level) / rate_per_s
+        at = max(first_at, min(self._next_token_at, now + MAX_WAIT_S))
+        self._next_token_at = at + 1.0 / (NODES_PER_TOKEN * rate_per_s)
+        return max(1, math.ceil((at - now) * 1000))
--- /dev/null
+++ b/lentilsill/quotas/client.py
@@ -0,0 +1,352 @@
+"""A node's use of allocators: pledges, requests for tokens, and the tokens it has."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from lentilsill.documents import Organisation
+
+from .bounds import QuotaBounds
+from .messages import Ask, GrantReply, Pledge, TokenRequest
+from .peers import ANSWER_TIMEOUT_S, AllocatorState, Peer
+from .shards import AllocatorRanking, shard_of
+from .tokens import OrganisationTokens
+
+__all__ = ["LEASE_S", "Outgoing", "QuotaClient"]
+
+# How long a pledge lasts, in systems of up to `NODES_PER_LEASE_S` nodes. An allocator
+# gets a request per node and third of a lease, so larger systems use longer ones.
+LEASE_S = 1.0
+NODES_PER_LEASE_S = 200
+# A renewal echoes the time stamp of the one before; it must arrive before the pledge of
+# that one ends, also when the timer is late.
+RENEW_SHARE = 0.35
+# Pledges are sent along with other requests after this share of the lease.
+PIGGYBACK_SHARE = 0.2
+# A node that returns with the first rank gets the pledges after this time.
+MOVE_DELAY_S = 1.0
+# Waiting time that a caller is told when no allocator answers.
+NO_ALLOCATOR_WAIT_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A request to `node`; `instance` is the process that it is meant for, if known."""
+
+    node: str
+    instance: str
+    request: TokenRequest
+
+
+@dataclass(slots=True)
+class _ShardState:
+    """Where the node's pledge for one shard is.
+
+    It may be valid at `holder` (node, instance) until `free_at`.
+    """
+
+    holder: tuple[str, str] | None = None
+    free_at: float = 0.0
+    pledged_at: float = 0.0
+    withdrawal_seq: int = -1
+    chosen: str = ""
+    chosen_at: float = 0.0
+
+
+@dataclass(slots=True)
+class _Pending:
+    node: str
+    sent_at: float
+    asks: list[tuple[OrganisationTokens, Ask]] = field(default_factory=list)
+
+
+class QuotaClient:
+    """Takes tokens for the calls of one node.
+
+    The controller calls `poll` after calls that found no token and at least every
+    0.1 s, sends what it returns, and passes on replies and failures. Times are in
+    seconds of a clock that counts suspended time.
+    """
+
+    def __init__(
+        self, own_node: str, shard_count: int, bounds: QuotaBounds, started_at: float
+    ) -> None:
+        self.own_node = own_node
+        self.bounds = bounds
+        self.node_count = 1
+        self.version = 0
+        self.organisations: dict[str, OrganisationTokens] = {}
+        self.ranking = AllocatorRanking({own_node: 0}, [own_node], own_node)
+        self._shard_count = shard_count
+        self._started_at = started_at
+        self._shards: dict[int, _ShardState] = {}
+        self._peers: dict[str, Peer] = defaultdict(Peer)
+        self._pending: dict[int, _Pending] = {}
+        self._low: set[OrganisationTokens] = set()
+        self._recent: set[OrganisationTokens] = set()
+        self._seq = 0
+
+    @property
+    def lease_s(self) -> float:
+        """How long a pledge lasts."""
+        return max(LEASE_S, self.node_count / NODES_PER_LEASE_S)
+
+    @property
+    def has_requests(self) -> bool:
+        """Whether `poll` has tokens to request."""
+        return bool(self._low)
+
+    def set_organisations(
+        self, organisations: Mapping[str, Organisation] | None, version: int
+    ) -> None:
+        """Apply the organisations of a version of the configuration."""
+        self.version = version
+        known: dict[str, OrganisationTokens] = {}
+        for name, organisation in (organisations or {}).items():
+            quota = organisation.quota
+            if quota is None:
+                continue
+            tokens = self.organisations.get(name)
+            if tokens is None:
+                shard = shard_of(name, self._shard_count)
+                tokens = OrganisationTokens(name, quota, shard)
+            elif quota != tokens.quota:
+                if (quota.rate_per_s, quota.burst) < (
+                    tokens.quota.rate_per_s,
+                    tokens.quota.burst,
+                ):
+                    tokens.drop_all()
+                tokens.quota = quota
+            known[name] = tokens
+        for name, tokens in self.organisations.items():
+            if name not in known:
+                self._low.discard(tokens)
+                self._recent.discard(tokens)
+        self.organisations = known
+        for shard in {tokens.shard for tokens in known.values()}:
+            self._shards.setdefault(shard, _ShardState())
+
+    def take(self, tokens: OrganisationTokens, now: float) -> float | None:
+        """Take a token: 0 if taken, None if it has to be asked for, else the wait."""
+        self._recent.add(tokens)
+        if tokens.take(now):
+            if tokens.is_low(now):
+                self._low.add(tokens)
+            return 0.0
+        if now < tokens.denied_until:
+            return tokens.denied_until - now
+        self._low.add(tokens)
+        return None
+
+    def wait_s(self, tokens: OrganisationTokens, now: float) -> float:
+        """Return after which time a call that got no token should be repeated."""
+        if now < tokens.denied_until:
+            return tokens.denied_until - now
+        state = self._shards.get(tokens.shard)
+        if state is None or state.free_at <= now:
+            return NO_ALLOCATOR_WAIT_S
+        return state.free_at - now
+
+    def poll(self, now: float) -> list[Outgoing]:
+        """Return the requests to send now."""
+        self._expire(now)
+        self._check_recent(now)
+        pledges: dict[str, list[Pledge]] = defaultdict(list)
+        contacts: set[str] = set()
+        for shard, state in self._shards.items():
+            self._choose(shard, state, contacts, now)
+            self._pledge(shard, state, pledges, contacts, now)
+        asks = self._collect_asks(now)
+        self._add_pledges(pledges, asks, now)
+        return [
+            self._make_request(node, pledges.get(node, []), asks.get(node, []), now)
+            for node in sorted({*pledges, *asks, *contacts})
+        ]
+
+    def on_reply(
+        self, node: str, instance: str, reply: GrantReply, now: float
+    ) -> list[OrganisationTokens]:
+        """Add granted tokens; return the organisations that the reply is about."""
+        pending = self._pending.get(reply.seq)
+        if pending is None or pending.node != node:
+            return []
+        del self._pending[reply.seq]
+        self.on_instance(node, instance)
+        self._peers[node].record_reply(instance, reply.stamp_us, now)
+        for state in self._shards.values():
+            if state.withdrawal_seq == reply.seq and state.holder == (node, instance):
+                state.holder = None
+        for (tokens, ask), grant in zip(pending.asks, reply.grants, strict=False):
+            tokens.end_ask(ask)
+            tokens.add(grant, pending.sent_at, self.bounds.grant_s, now)
+        return [tokens for tokens, _ in pending.asks]
+
+    def on_instance(self, node: str, instance: str) -> None:
+        """Record which process of `node` runs; pledges to an earlier one have ended."""
+        for state in self._shards.values():
+            if state.holder and state.holder[0] == node and state.holder[1] != instance:
+                state.holder = None
+
+    def on_unreachable(self, node: str, is_gone: bool, now: float) -> None:
+        """Record that `node` can't be reached; its process is gone if `is_gone`."""
+        self._peers[node].record_silence(now)
+        for seq in [s for s, p in self._pending.items() if p.node == node]:
+            self._give_up(seq)
+        if is_gone:
+            self._peers[node].instance = ""
+            self.on_instance(node, "")
+
+    def allocators(self) -> dict[int, str]:
+        """Return the chosen allocator of each shard in use, empty if there is none."""
+        return {shard: state.chosen for shard, state in self._shards.items()}
+
+    def _expire(self, now: float) -> None:
+        # Requests are in the order in which they were sent.
+        for seq, pending in list(self._pending.items()):
+            if now - pending.sent_at < ANSWER_TIMEOUT_S:
+                break
+            peer = self._peers[pending.node]
+            if peer.replied_at <= pending.sent_at:
+                peer.record_silence(now)
+            self._give_up(seq)
+
+    def _give_up(self, seq: int) -> None:
+        pending = self._pending.pop(seq)
+        for tokens, ask in pending.asks:
+            tokens.end_ask(ask)
+            if tokens.waiting:
+                self._low.add(tokens)
+
+    def _check_recent(self, now: float) -> None:
+        idle = [tokens for tokens in self._recent if not tokens.is_recent(now)]
+        self._recent.difference_update(idle)
+        self._low.update(tokens for tokens in self._recent if tokens.is_low(now))
+
+    def _choose(
+        self, shard: int, state: _ShardState, contacts: set[str], now: float
+    ) -> None:
+        """Choose the first candidate that answers, and contact those before it.
+
+        While the pledge has no allocator, candidates that have not been contacted
+        before get some time to answer before a lower one is chosen.
+        """
+        is_usable = self._peers[state.chosen].state is AllocatorState.UP
+        chosen = ""
+        is_waiting = has_silent = False
+        for node in self.ranking.candidates(shard):
+            peer = self._peers[node]
+            if peer.state is AllocatorState.UP:
+                chosen = "" if is_waiting else node
+                break
+            if peer.should_contact(now):
+                contacts.add(node)
+            has_silent |= peer.state is AllocatorState.DOWN
+            if peer.state is AllocatorState.UNKNOWN and not is_usable:
+                is_waiting = True
+                if not has_silent:
+                    break
+        if chosen == state.chosen:
+            return
+        if is_usable and now - state.chosen_at < MOVE_DELAY_S:
+            return
+        state.chosen, state.chosen_at = chosen, now
+
+    def _pledge(
+        self,
+        shard: int,
+        state: _ShardState,
+        pledges: dict[str, list[Pledge]],
+        contacts: set[str],
+        now: float,
+    ) -> None:
+        """Pledge to the chosen allocator, renew, or withdraw from another one."""
+        if state.holder is not None and now >= state.free_at:
+            state.holder = None
+        if not state.chosen or now - self._started_at < self.lease_s:
+            # Pledges of this node's earlier process may still be valid.
+            return
+        peer = self._peers[state.chosen]
+        if state.holder is None:
+            if now - peer.stamped_at < RENEW_SHARE * self.lease_s:
+                state.holder = (state.chosen, peer.instance)
+                state.withdrawal_seq = -1
+                pledges[state.chosen].append(self._make_pledge(shard, state, now))
+            else:
+                contacts.add(state.chosen)
+        elif state.holder == (state.chosen, peer.instance):
+            if (
+                now - state.pledged_at >= RENEW_SHARE * self.lease_s
+                and state.withdrawal_seq < 0
+            ):
+                pledges[state.chosen].append(self._make_pledge(shard, state, now))
+        else:
+            node = state.holder[0]
+            is_up = self._peers[node].state is AllocatorState.UP
+            if is_up and state.withdrawal_seq not in self._pending:
+                pledges[node].append(Pledge(shard, 0, 0))
+
+    def _make_pledge(self, shard: int, state: _ShardState, now: float) -> Pledge:
+        peer = self._peers[state.chosen]
+        state.pledged_at = now
+        state.free_at = max(state.free_at, peer.stamped_at + self.lease_s)
+        return Pledge(shard, peer.stamp_us, round(self.lease_s * 1000))
+
+    def _collect_asks(
+        self, now: float
+    ) -> dict[str, list[tuple[OrganisationTokens, Ask]]]:
+        asks: dict[str, list[tuple[OrganisationTokens, Ask]]] = defaultdict(list)
+        for tokens in sorted(self._low, key=lambda tokens: tokens.name):
+            node = self._allocator_of(tokens)
+            if not node:
+                continue
+            self._low.discard(tokens)
+            ask = tokens.make_ask(now)
+            if ask is not None:
+                asks[node].append((tokens, ask))
+        return asks
+
+    def _allocator_of(self, tokens: OrganisationTokens) -> str:
+        state = self._shards[tokens.shard]
+        nodes = (state.holder[0] if state.holder else "", state.chosen)
+        for node in nodes:
+            if node and self._peers[node].state is AllocatorState.UP:
+                return node
+        return ""
+
+    def _add_pledges(
+        self, pledges: dict[str, list[Pledge]], asks: Iterable[str], now: float
+    ) -> None:
+        """Renew pledges early with requests that are sent anyway."""
+        nodes = {*pledges, *asks}
+        for shard, state in self._shards.items():
+            node = state.chosen
+            if (
+                node in nodes
+                and state.holder == (node, self._peers[node].instance)
+                and state.withdrawal_seq < 0
+                and now - state.pledged_at >= PIGGYBACK_SHARE * self.lease_s
+            ):
+                pledges[node].append(self._make_pledge(shard, state, now))
+
+    def _make_request(
+        self,
+        node: str,
+        pledges: list[Pledge],
+        asks: list[tuple[OrganisationTokens, Ask]],
+        now: float,
+    ) -> Outgoing:
+        self._seq += 1
+        for pledge in pledges:
+            if not pledge.lease_ms:
+                self._shards[pledge.shard].withdrawal_seq = self._seq
+        self._pending[self._seq] = _Pending(node, now, asks)
+        peer = self._peers[node]
+        peer.is_asked = True
+        request = TokenRequest(
+            self._seq,
+            self.node_count,
+            self.version,
+            tuple(pledges),
+            tuple(ask for _, ask in asks),
+        )
+        return Outgoing(node, peer.instance, request)
--- /dev/null
+++ b/lentilsill/quotas/peers.py
@@ -0,0 +1,59 @@
+"""What a node knows of the allocators that it talks to."""
+
+import math
+from dataclasses import dataclass
+from enum import Enum, auto
+
+__all__ = ["AllocatorState", "Peer"]
+
+# A request that is not answered within this time shows that the allocator is out of
+# reach. Replies normally take a few ms.
+ANSWER_TIMEOUT_S = 0.3
+RETRY_S = 1.0
+
+
+class AllocatorState(Enum):
+    """Whether an allocator answers."""
+
+    UNKNOWN = auto()
+    UP = auto()
+    DOWN = auto()
+
+
+@dataclass(slots=True)
+class Peer:
+    """One allocator.
+
+    `stamp_us` is the last time stamp of the process `instance`, which arrived at
+    `stamped_at`.
+    """
+
+    state: AllocatorState = AllocatorState.UNKNOWN
+    instance: str = ""
+    stamp_us: int = 0
+    stamped_at: float = 0.0
+    replied_at: float = -math.inf
+    retry_at: float = 0.0
+    # Whether a request without a reply is under way.
+    is_asked: bool = False
+
+    def record_reply(self, instance: str, stamp_us: int, now: float) -> None:
+        """Record a reply."""
+        if instance != self.instance or stamp_us >= self.stamp_us:
+            self.stamp_us, self.stamped_at = stamp_us, now
+        self.instance = instance
+        self.replied_at = now
+        self.state = AllocatorState.UP
+        self.is_asked = False
+
+    def record_silence(self, now: float) -> None:
+        """Record that a request was not answered or could not be sent."""
+        self.state = AllocatorState.DOWN
+        self.retry_at = now + RETRY_S
+        self.is_asked = False
+
+    def should_contact(self, now: float) -> bool:
+        """Return whether to find out if the allocator answers."""
+        if self.is_asked or self.state is AllocatorState.UP:
+            return False
+        return self.state is AllocatorState.UNKNOWN or now >= self.retry_at
--- /dev/null
+++ b/lentilsill/quotas/tests/quota_plays.py
@@ -0,0 +1,168 @@
+"""Plays of the quota model: load, a fault, and what callers used of their quotas.
+
+``python -m lentilsill.quotas.tests.quota_plays 9 66 194`` prints all of them.
+"""
+
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lentilsill.documents import Quota
+
+from .quota_model import QuotaModel
+
+__all__ = ["FAULTS", "QUOTAS", "PlayResult", "play"]
+
+QUOTAS = {
+    "large": Quota(100.0, 50.0),
+    "middle": Quota(20.0, 10.0),
+    "small": Quota(2.0, 5.0),
+    "bursty": Quota(60.0, 200.0),
+}
+FAULT_AT_S = 12.0
+END_S = 28.0
+
+
+def no_fault(model: QuotaModel) -> None:
+    pass
+
+
+def cut_domain(model: QuotaModel) -> None:
+    model.groups[0] = 1
+    model.after(8, model.groups.clear)
+
+
+def cut_all_domains(model: QuotaModel) -> None:
+    model.groups.update({0: 1, 1: 2, 2: 3})
+    model.after(6, model.groups.clear)
+
+
+def cut_every_node(model: QuotaModel) -> None:
+    model.groups.update({name: i + 1 for i, name in enumerate(model.nodes)})
+    model.after(8, model.groups.clear)
+
+
+def flapping_cut(model: QuotaModel) -> None:
+    for i in range(8):
+        model.after(2.0 * i, lambda: model.groups.update({0: 1}))
+        model.after(2.0 * i + 1.0, model.groups.clear)
+
+
+def _allocators(model: QuotaModel) -> set[str]:
+    nodes = [node for node in model.nodes.values() if node.is_alive]
+    return {name for node in nodes for name in node.client.allocators().values()}
+
+
+def _kill_allocators(model: QuotaModel) -> None:
+    for name in sorted(_allocators(model) & set(model.nodes)):
+        if model.nodes[name].is_alive:
+            model.kill(name, 0.7)
+
+
+def kill_allocators_repeatedly(model: QuotaModel) -> None:
+    for i in range(5):
+        model.after(2.0 * i, lambda: _kill_allocators(model))
+
+
+def lose_allocators(model: QuotaModel) -> None:
+    for name in sorted(_allocators(model)):
+        model.kill(name)
+
+
+def kill_most(model: QuotaModel) -> None:
+    for name in list(model.nodes):
+        if model.rng.random() < 0.7:
+            model.kill(name, model.rng.uniform(0.7, 1.7))
+
+
+def kill_all(model: QuotaModel) -> None:
+    for name in list(model.nodes):
+        model.kill(name, model.rng.uniform(0.7, 1.7))
+
+
+def suspend_half(model: QuotaModel) -> None:
+    for name in [*model.nodes][::2]:
+        model.suspend(name, model.rng.uniform(0.1, 4.0))
+    for name in sorted(_allocators(model)):
+        model.suspend(name, 4.0)
+
+
+def late_messages(model: QuotaModel) -> None:
+    model.late_share = 0.1
+
+
+def join(model: QuotaModel) -> None:
+    """Start a third more nodes, which know the directory."""
+    known = len(model.nodes)
+    for i in range(known // 3):
+        model.start(f"new{i}", i % 3, at=model.now + model.rng.uniform(0.0, 1.0))
+
+
+FAULTS: dict[str, Callable[[QuotaModel], None]] = {
+    fault.__name__: fault
+    for fault in (
+        no_fault,
+        cut_domain,
+        cut_all_domains,
+        cut_every_node,
+        flapping_cut,
+        kill_allocators_repeatedly,
+        lose_allocators,
+        kill_most,
+        kill_all,
+        suspend_half,
+        late_messages,
+        join,
+    )
+}
+
+
+@dataclass(frozen=True)
+class PlayResult:
+    """Calls of the fullest window as a share of the bound, and of the rate used.
+
+    `used` is from 1 s after the fault began, `used_after` from 10 s after that, when
+    faults that end are over.
+    """
+
+    excess: dict[str, float]
+    used: dict[str, float]
+    used_after: dict[str, float]
+
+
+def play(fault: str, node_count: int, seed: int, is_burst: bool) -> PlayResult:
+    """Play a fault at 12 s; callers call all nodes.
+
+    They do so from the start, or only from the fault on: such a burst meets full
+    buckets, so that the fullest window has the whole burst.
+    """
+    model = QuotaModel(seed, node_count, QUOTAS)
+    if is_burst:
+        model.run_until(FAULT_AT_S - 0.1)
+    for name, quota in QUOTAS.items():
+        model.add_callers(name, 4 * quota.rate_per_s + 20.0, [*model.nodes])
+    model.run_until(FAULT_AT_S + model.rng.uniform(0.0, 0.2))
+    FAULTS[fault](model)
+    model.run_until(END_S)
+
+    def used(start: float) -> dict[str, float]:
+        return {n: model.used(n, q, start, END_S) for n, q in QUOTAS.items()}
+
+    excess = {name: model.excess(name, quota) for name, quota in QUOTAS.items()}
+    return PlayResult(excess, used(FAULT_AT_S + 1.0), used(FAULT_AT_S + 10.0))
+
+
+def main(node_counts: list[int]) -> None:
+    """Print the results of all plays, by fault and load."""
+    for node_count in node_counts:
+        for fault in FAULTS:
+            for is_burst in (False, True):
+                result = play(fault, node_count, 1, is_burst)
+                rows = (result.excess, result.used, result.used_after)
+                values = [f"{v:.2f}" for row in rows for v in row.values()]
+                load = "burst" if is_burst else "steady"
+                print(node_count, fault, load, *values)
+
+
+if __name__ == "__main__":
+    main([int(arg) for arg in sys.argv[1:]])
