Refuse calls of organisations that are over their quota

Cause: nothing called the quota package, so an organisation could send as many calls as it liked.

Change: a controller connects the quota client and allocator to the links for calls (messages 50 and 51, feature 'quotas', sent only to peers that name it). CallAdmission takes a token for calls of an organisation that has a quota; a call that ends as not run returns it, and a drain waits for calls that wait for one. The section 'quotas' of the settings turns it on; the platform's settings do so where 'contracts' has 'quota'. A call whose token comes within 50 ms waits for it instead of being refused.

Result: three nodes on loopback serve the whole quota of an organisation whose callers call one of them, and no more; after the loss of the allocator another one is used within 2.5 s.

--- a/lentilsill/daemon/blackboard.py
+++ b/lentilsill/daemon/blackboard.py
@@ -41,6 +41,12 @@
     remote_nodes : dict
         Records of the nodes of other domains, from their summaries, by node name.
         Written by the membership controller.
+    remote_totals : dict
+        Number of ready upstreams of each other domain, which may be more than those of
+        the nodes in `remote_nodes`. Written by the membership controller.
+    directory_entries : int
+        Number of entries that the directory had when it was last read. Written by the
+        directory controller.
     suspects : frozenset of str
         Names of nodes in `members` and `remote_nodes` that are suspect.
         Written by the membership controller.
@@ -62,6 +68,8 @@
     upstreams: dict[str, UpstreamRecord] = field(default_factory=dict)
     members: dict[str, NodeRecord] = field(default_factory=dict)
     remote_nodes: dict[str, NodeRecord] = field(default_factory=dict)
+    remote_totals: dict[str, int] = field(default_factory=dict)
+    directory_entries: int = 0
     suspects: frozenset[str] = frozenset()
     ready: bool = False
     draining: bool = False
--- a/lentilsill/daemon/controllers/call_admission.py
+++ b/lentilsill/daemon/controllers/call_admission.py
@@ -3,9 +3,11 @@
 from dataclasses import dataclass
 
 from lentilsill.daemon.context import Context
-from lentilsill.daemon.interfaces import CallRequest
-from lentilsill.documents import Route
-from lentilsill.outcomes import Refused
+from lentilsill.daemon.interfaces import CallRequest, Quotas
+from lentilsill.documents import Organisation, Route
+from lentilsill.outcomes import Outcome, Refused
+
+from .reasons import OVER_QUOTA
 
 __all__ = ["Admission", "CallAdmission"]
 
@@ -38,7 +40,36 @@
 
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
+        # `running_node` sets it if the settings ask for quotas.
+        self.quotas: Quotas | None = None
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of calls that wait for their admission."""
+        return self.quotas.waiting_count if self.quotas is not None else 0
 
     async def admit(self, req: CallRequest, route: Route) -> Admission | Refused:
         """Return the admitted call, or its refusal."""
-        return Admission(req, route.priority)
+        organisation = self._find_organisation(req, route)
+        if organisation is None:
+            return Admission(req, route.priority)
+        if self.quotas is not None and organisation.quota is not None:
+            wait_s = await self.quotas.take(organisation)
+            if wait_s is not None:
+                # A call with a request key may have run before, through another node.
+                outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
+                return Refused(outcome, OVER_QUOTA, wait_s)
+        return Admission(req, route.priority, organisation.name)
+
+    def give_back(self, admission: Admission) -> None:
+        """Return the token of an admitted call that was not run."""
+        if self.quotas is None or not admission.organisation:
+            return
+        organisations = self._ctx.board.snapshot.organisations or {}
+        organisation = organisations.get(admission.organisation)
+        if organisation is not None and organisation.quota is not None:
+            self.quotas.give_back(organisation)
+
+    def _find_organisation(self, req: CallRequest, route: Route) -> Organisation | None:
+        """Return the caller's organisation; callers don't identify themselves yet."""
+        return None
--- a/lentilsill/daemon/controllers/directory.py
+++ b/lentilsill/daemon/controllers/directory.py
@@ -165,6 +165,7 @@
         match await self._api.list(DIRECTORY_KIND, stale=stale):
             case Ok(listing):
                 self._last_error = ""
+                self._ctx.board.directory_entries = len(listing.objects)
                 node = self._ctx.links.identity.node
                 for obj in listing.objects:
                     if obj.name == node:
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -81,7 +81,7 @@
         self.in_flight = 0
         self._attempt_ids = itertools.count(1)
         self._placer = AttemptPlacer(ctx, self.selector)
-        self._admission = CallAdmission(ctx)
+        self.admission = CallAdmission(ctx)
         self._budgets = CallBudgets(ctx)
         self._limits = CallLimits(ctx)
         self._leaving_nodes: dict[str, str] = {}
@@ -131,7 +131,7 @@
             return _refused(req, NO_ROUTE)
         if self.in_flight >= self.ctx.cfg.calls.max_calls:
             return _refused(req, OVERLOADED)
-        admission = await self._admission.admit(req, route)
+        admission = await self.admission.admit(req, route)
         if isinstance(admission, Refused):
             return admission
         req = admission.req
@@ -142,6 +142,7 @@
             fingerprint = call_fingerprint(req, names.caller_service)
         refused = refuse_suspect(self.guard, fingerprint)
         if refused is not None:
+            self.admission.give_back(admission)
             # The quarantine shows that a request with this key has run before.
             outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
             return replace(refused, outcome=outcome)
@@ -182,6 +183,8 @@
             return result
         finally:
             self.in_flight -= 1
+            if isinstance(result, Refused) and result.outcome is Outcome.NOT_RUN:
+                self.admission.give_back(progress.admission)
             report_call(self.ctx, progress, result)
 
     async def _run_claimed(self, progress: CallProgress) -> CallResult:
--- a/lentilsill/daemon/controllers/summaries.py
+++ b/lentilsill/daemon/controllers/summaries.py
@@ -303,6 +303,11 @@
             if summary.domain != self._ctx.cfg.domain
             for record in summary.nodes
         }
+        board.remote_totals = {
+            summary.domain: sum(total[1] for total in summary.totals)
+            for summary in self._table.all()
+            if summary.domain != self._ctx.cfg.domain
+        }
         board.notify(Topic.MEMBERS)
 
 
--- /dev/null
+++ b/lentilsill/daemon/controllers/tests/test_quotas.py
@@ -0,0 +1,162 @@
+"""Quotas between nodes on loopback."""
+
+import asyncio
+import time
+import unittest
+from dataclasses import replace
+from types import MappingProxyType
+from unittest import mock
+
+from lentilsill.daemon.blackboard import Topic
+from lentilsill.daemon.controllers.quotas import QuotaController
+from lentilsill.daemon.controllers.reasons import NO_UPSTREAM, OVER_QUOTA
+from lentilsill.documents import Organisation, Quota
+from lentilsill.outcomes import Answer, Outcome, Refused
+from lentilsill.settings import QuotaSettings
+from lentilsill.wire import CALLS
+from lentilsill.wire.messages import QuotaRequest
+
+from .call_builders import FakeNode, FakeUpstream, make_request, wait_for
+
+QUOTA = Quota(40.0, 10.0)
+LIMITED = Organisation("limited", frozenset(), None, QUOTA)
+FREE = Organisation("free", frozenset())
+
+
+class QuotaNode(FakeNode):
+    """Node whose callers are all of the limited organisation."""
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.quotas = QuotaController(self.ctx, QuotaSettings())
+        self.quotas.start()
+        self.entry.admission.quotas = self.quotas
+
+
+class QuotaTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.upstream = FakeUpstream()
+        self.addCleanup(self.upstream.stop)
+        self.nodes = [self.start_node(f"n{i}") for i in range(3)]
+        self.nodes[0].add_upstream("w", self.upstream.port)
+        self.join(self.nodes)
+
+    def start_node(self, name, node_type=QuotaNode):
+        node = node_type(name)
+        self.addCleanup(node.close)
+        board = node.ctx.board
+        organisations = MappingProxyType({o.name: o for o in (LIMITED, FREE)})
+        board.snapshot = replace(board.snapshot, organisations=organisations)
+        board.notify(Topic.IN_FORCE)
+        find = mock.patch.object(
+            node.entry.admission, "_find_organisation", lambda req, route: LIMITED
+        )
+        find.start()
+        self.addCleanup(find.stop)
+        return node
+
+    def join(self, nodes):
+        for node in nodes:
+            node.set_members(*(other.record() for other in nodes))
+            node.ctx.board.notify(Topic.MEMBERS)
+
+    async def wait_for_shares(self, share):
+        """Wait until one node holds this share of the limited organisation's quota."""
+        shard = self.nodes[0].quotas.client.organisations["limited"].shard
+
+        def held():
+            shares = [node.quotas.allocator.share(shard) for node in self.nodes]
+            return max(shares) > share - 0.01
+
+        await wait_for(held)
+
+    async def call_for(self, node, seconds):
+        """Make 300 calls a second for some time, and return their results."""
+        calls = []
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            calls.append(asyncio.ensure_future(node.entry.handle(make_request())))
+            await asyncio.sleep(1 / 300)
+        return await asyncio.gather(*calls)
+
+    def allocator_of(self, node):
+        client = node.quotas.client
+        return client.allocators()[client.organisations["limited"].shard]
+
+    async def test_calls_at_one_node_use_the_whole_quota_and_no_more(self):
+        """Guards against shares per node, and against calls beyond the quota."""
+        await self.wait_for_shares(1.0)
+        results = await self.call_for(self.nodes[1], 2.0)
+        served = [r for r in results if isinstance(r, Answer)]
+        allowed = QUOTA.rate_per_s * 2.0 + QUOTA.burst
+        self.assertLessEqual(len(served), allowed * 1.1 + 20)
+        self.assertGreaterEqual(len(served), QUOTA.rate_per_s * 2.0 * 0.9)
+        refused = [r for r in results if isinstance(r, Refused)]
+        self.assertEqual({r.reason for r in refused}, {OVER_QUOTA})
+        self.assertEqual({r.outcome for r in refused}, {Outcome.NOT_RUN})
+        self.assertTrue(all(0 < r.retry_after_s <= 1.5 for r in refused))
+        self.assertEqual(self.nodes[1].quotas.waiting_count, 0)
+
+    async def test_another_node_allocates_when_the_first_is_gone(self):
+        """Guards against an organisation that is refused after the loss of one node."""
+        await self.wait_for_shares(1.0)
+        lost = next(n for n in self.nodes if n.ctx.cfg.node == self.allocator_of(n))
+        self.nodes.remove(lost)
+        lost.close()
+        started_at = time.monotonic()
+        await self.wait_for_shares(2 / 3)
+        self.assertLess(time.monotonic() - started_at, 2.5)
+        caller = next(n for n in self.nodes if n.ctx.cfg.node != self.allocator_of(n))
+        await wait_for(lambda: self.allocator_of(caller) != lost.ctx.cfg.node)
+        wait_s = await caller.quotas.take(LIMITED)
+        self.assertLess(wait_s or 0.0, 0.5)
+
+    async def test_call_that_was_not_run_returns_its_token(self):
+        """Guards against a quota used up by calls that no upstream ran."""
+        await self.wait_for_shares(1.0)
+        node = self.nodes[2]
+        records = [replace(other.record(), upstreams=()) for other in self.nodes]
+        node.set_members(*records)
+        for _ in range(30):
+            result = await node.entry.handle(make_request())
+            self.assertEqual(result.reason, NO_UPSTREAM)
+
+    async def test_organisation_without_a_quota_sends_nothing(self):
+        """Guards against costs for calls that are not limited."""
+        node = self.nodes[1]
+        self.assertIsNone(await node.quotas.take(FREE))
+        self.assertFalse(node.quotas.client.has_requests)
+
+    async def test_peers_without_the_feature_get_no_requests(self):
+        """Guards against a message that a node of an earlier release can't read.
+
+        It would close the link, with the calls on it.
+        """
+        old = self.start_node("old", FakeNode)
+        received = []
+        old.ctx.links.on(QuotaRequest, lambda link, message: received.append(message))
+        node = self.nodes[0]
+        self.join([node, old])
+        await node.ctx.links.connect(old.ctx.cfg.peer_address, CALLS)
+        await wait_for(lambda: self.allocator_of(node) == node.ctx.cfg.node)
+        self.assertEqual(received, [])
+        self.assertEqual(old.ctx.links._make_hello(CALLS).features, ())
+
+    async def test_cancelled_call_stops_waiting(self):
+        """Guards against a drain that waits for callers who have left."""
+        node = self.nodes[1]
+        call = asyncio.ensure_future(node.entry.handle(make_request()))
+        await wait_for(lambda: node.quotas.waiting_count == 1)
+        self.assertEqual(node.entry.admission.waiting_count, 1)
+        call.cancel()
+        await asyncio.wait([call])
+        self.assertEqual(node.quotas.waiting_count, 0)
+        self.assertEqual(node.quotas.client.organisations["limited"].waiting, 0)
+
+    async def test_dump_names_allocators_and_shares(self):
+        """Guards against a refusal whose reason operators can't look up."""
+        await self.wait_for_shares(1.0)
+        await self.nodes[1].quotas.take(LIMITED)
+        dump = self.nodes[1].ctx.board.dump_parts["quotas"]()
+        self.assertEqual(dump["nodes"], 3)
+        self.assertEqual(dump["organisations"][0]["name"], "limited")
--- a/lentilsill/daemon/interfaces.py
+++ b/lentilsill/daemon/interfaces.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from lentilsill.documents import Organisation
 from lentilsill.outcomes import CallResult
 from lentilsill.quarantine import Run
 from lentilsill.wire.messages import Delta
@@ -15,6 +16,7 @@
     "IssuedKeys",
     "KeyClaims",
     "KeyGranted",
+    "Quotas",
 ]
 
 
@@ -146,3 +148,17 @@
     def record_answer(self, fingerprint: str) -> None:
         """Record that a call of this node was answered."""
         ...
+
+
+class Quotas(Protocol):
+    """Quotas of organisations over all nodes."""
+
+    waiting_count: int
+
+    async def take(self, organisation: Organisation) -> float | None:
+        """Take a token for a call; return None, or the seconds until there are more."""
+        ...
+
+    def give_back(self, organisation: Organisation) -> None:
+        """Return the token of a call that was not run."""
+        ...
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -32,6 +32,7 @@
 from .controllers.membership import MembershipController
 from .controllers.platform_watch import PlatformWatchController
 from .controllers.quarantine import QuarantineController
+from .controllers.quotas import QuotaController
 from .controllers.readiness import ReadinessController
 from .controllers.status import StatusController
 from .integration import DEFAULT_INTEGRATION, Integration
@@ -40,6 +41,8 @@
 
 # Longest time for which a peer that does not read delays the exit.
 FLUSH_TIMEOUT_S = 1.0
+# First-ranked nodes that exchange summaries with other domains.
+GATEWAYS = 2
 
 
 def make_context(cfg: NodeSettings) -> Context:
@@ -69,7 +72,10 @@
     membership = _start_control_plane(ctx, api, integration)
     entry, destination, claims = _start_call_path(ctx, api, membership, integration)
     ctx.in_flight = lambda: (
-        entry.in_flight + destination.in_flight_total + claims.count_unfinished()
+        entry.in_flight
+        + entry.admission.waiting_count
+        + destination.in_flight_total
+        + claims.count_unfinished()
     )
     load_report = LoadReportController(ctx, destination)
     load_report.start()
@@ -151,6 +157,12 @@
         ctx, quarantine, claims.store_orphaned_result, integration
     )
     entry = EntryController(ctx, destination, claims, quarantine)
+    if ctx.cfg.quotas is not None:
+        quotas = QuotaController(
+            ctx, ctx.cfg.quotas, lambda: membership.ranked()[:GATEWAYS]
+        )
+        quotas.start()
+        entry.admission.quotas = quotas
     for controller in (quarantine, claims, destination, entry):
         controller.start()
     return entry, destination, claims
--- a/lentilsill/daemon/reload.py
+++ b/lentilsill/daemon/reload.py
@@ -31,6 +31,7 @@
         "extra_admin_addresses",
         "documents",
         "platform",
+        "quotas",
         "statsd",
     }
 )
--- a/lentilsill/platform/settings_file.py
+++ b/lentilsill/platform/settings_file.py
@@ -90,6 +90,21 @@
     return float(fields.get("limits.link_mbps") or 0) or None
 
 
+def _quotas(fields: Mapping[str, str]) -> dict[str, float] | None:
+    """Return the section on quotas, or None if the platform asks for none."""
+    contracts = (name.strip() for name in fields.get("contracts", "").split(","))
+    if "quota" not in contracts:
+        return None
+    names = {
+        "window_s": "bounds.quota_window_s",
+        "excess_share": "bounds.quota_over",
+        "excess_calls": "bounds.quota_slack",
+    }
+    return {
+        name: float(fields[field]) for name, field in names.items() if field in fields
+    }
+
+
 def _node_settings(fields: Mapping[str, str]) -> dict[str, Any]:
     ip = fields["ip"]
     first_port = fields["internal_ports"].split(",")[0]
@@ -112,6 +127,7 @@
         "link_mbps": _link_mbps(fields),
         "documents": "bundle",
         "directory": True,
+        "quotas": _quotas(fields),
         "distribution": {
             "in_force_s": float(fields["bounds.config_apply_ms"]) / 1000,
         },
--- a/lentilsill/platform/tests/test_translation.py
+++ b/lentilsill/platform/tests/test_translation.py
@@ -9,6 +9,7 @@
 from lentilsill.platform.configuration import decode_configuration
 from lentilsill.platform.reports import parse_report, parse_start_ms
 from lentilsill.platform.settings_file import parse_platform_settings
+from lentilsill.settings import QuotaSettings
 
 from .builders import configuration, report, settings_text
 
@@ -91,6 +92,18 @@
         self.assertLess(cfg.calls.drain_bound_s, 6.0)
         self.assertEqual(cfg.platform.watch_timeout_s, 1.5)
 
+    def test_quotas_apply_only_where_the_platform_asks_for_them(self):
+        """Guards against quotas with other bounds, and ones that nobody asked for."""
+        bounds = {"bounds.quota_window_s": "4", "bounds.quota_slack": "30"}
+        cfg = parse_platform_settings(
+            settings_text(contracts="status, quota", **bounds)
+        )
+        expected = QuotaSettings(window_s=4.0, excess_share=0.1, excess_calls=30.0)
+        self.assertEqual(cfg.quotas, expected)
+        for contracts in (None, "status", "quotas"):
+            text = settings_text(contracts=contracts, **bounds)
+            self.assertIsNone(parse_platform_settings(text).quotas)
+
     def test_missing_and_invalid_fields_are_named(self):
         """Guards against a node that starts although a field is missing or invalid."""
         for text, place in (
--- a/lentilsill/quotas/allocator.py
+++ b/lentilsill/quotas/allocator.py
@@ -1,5 +1,6 @@
 """Allocator of the tokens of shards, in the memory of one node."""
 
+from math import isfinite
 from random import Random
 
 from .bounds import QuotaBounds
@@ -12,6 +13,8 @@
 
 MAX_ORGANISATIONS = 20_000
 MAX_LEASE_S = 60.0
+# Answer to a request that can't be granted at any time.
+INVALID_WAIT_MS = 1000
 # Requests of a process are remembered this long, so that a late one changes nothing.
 SEQ_RETENTION_S = 2 * MAX_LEASE_S
 
@@ -76,6 +79,19 @@
         """Number of buckets."""
         return sum(map(len, self._buckets))
 
+    def dump(self) -> list[dict[str, object]]:
+        """Return the shards whose pledges this node holds."""
+        return [
+            {
+                "shard": shard,
+                "share": round(table.share, 4),
+                "pledges": len(table),
+                "organisations": len(self._buckets[shard]),
+            }
+            for shard, table in enumerate(self._pledges)
+            if len(table)
+        ]
+
     def _apply(self, instance: str, pledge: Pledge, weight: float, now: float) -> None:
         if not 0 <= pledge.shard < len(self._pledges):
             return
@@ -98,13 +114,15 @@
             bucket.refill()
 
     def _grant(self, ask: Ask, version: int, now: float) -> Grant:
+        if not _is_valid(ask):
+            return Grant(0, 0, INVALID_WAIT_MS)
         shard = shard_of(ask.organisation, len(self._pledges))
         self.advance(shard, now)
         buckets = self._buckets[shard]
         bucket = buckets.get(ask.organisation)
         if bucket is None:
             if len(buckets) * len(self._buckets) >= MAX_ORGANISATIONS:
-                return Grant(0, 0, 1000)
+                return Grant(0, 0, INVALID_WAIT_MS)
             bucket = Bucket(ask, version, self._pledges[shard], self._rng, now)
             buckets[ask.organisation] = bucket
         elif version > bucket.version:
@@ -117,3 +135,9 @@
         self._pruned_at = now
         oldest = now - SEQ_RETENTION_S
         self._last_seqs = {k: v for k, v in self._last_seqs.items() if v[1] >= oldest}
+
+
+def _is_valid(ask: Ask) -> bool:
+    quota = (ask.rate_per_s, ask.burst)
+    counts = (ask.needed, ask.soon, ask.held)
+    return all(isfinite(value) and value >= 0 for value in (*quota, *counts))
--- a/lentilsill/quotas/bounds.py
+++ b/lentilsill/quotas/bounds.py
@@ -8,6 +8,9 @@
 
 # Granted tokens are valid for this time at most.
 MAX_GRANT_S = 0.25
+# Shorter ones would expire on their way; without a share of the excess, these take part
+# of the excess calls.
+MIN_GRANT_S = 0.05
 # Tokens that are held for an organisation with few calls are valid for this time.
 HELD_S = 2.0
 # Part of the excess that tokens held by nodes may use. At most two allocators hand out
@@ -42,7 +45,8 @@
         Tokens granted before a window may be used in it; they take at most half of the
         share of the excess.
         """
-        return min(MAX_GRANT_S, self.excess_share * self.window_s / 2)
+        grant_s = self.excess_share * self.window_s / 2
+        return min(MAX_GRANT_S, max(MIN_GRANT_S, grant_s))
 
     def max_calls(self, quota: Quota) -> float:
         """Return the largest number of calls in a window."""
--- a/lentilsill/quotas/client.py
+++ b/lentilsill/quotas/client.py
@@ -76,7 +76,7 @@
         self.node_count = 1
         self.version = 0
         self.organisations: dict[str, OrganisationTokens] = {}
-        self.ranking = AllocatorRanking({own_node: 0}, [own_node], own_node)
+        self.ranking = AllocatorRanking({own_node: 0}, {}, own_node)
         self._shard_count = shard_count
         self._started_at = started_at
         self._shards: dict[int, _ShardState] = {}
@@ -138,6 +138,11 @@
         self._low.add(tokens)
         return None
 
+    def ask_again(self, tokens: OrganisationTokens) -> None:
+        """Ask with the next `poll`, as calls still wait after a denial."""
+        if tokens.waiting and self.organisations.get(tokens.name) is tokens:
+            self._low.add(tokens)
+
     def wait_s(self, tokens: OrganisationTokens, now: float) -> float:
         """Return after which time a call that got no token should be repeated."""
         if now < tokens.denied_until:
@@ -187,11 +192,16 @@
             if state.holder and state.holder[0] == node and state.holder[1] != instance:
                 state.holder = None
 
+    def on_restart(self, node: str, instance: str) -> None:
+        """Record that a request found another process at `node`, and was not sent."""
+        self.on_instance(node, instance)
+        self._peers[node] = Peer()
+        self._give_up_all(node)
+
     def on_unreachable(self, node: str, is_gone: bool, now: float) -> None:
         """Record that `node` can't be reached; its process is gone if `is_gone`."""
         self._peers[node].record_silence(now)
-        for seq in [s for s, p in self._pending.items() if p.node == node]:
-            self._give_up(seq)
+        self._give_up_all(node)
         if is_gone:
             self._peers[node].instance = ""
             self.on_instance(node, "")
@@ -200,6 +210,13 @@
         """Return the chosen allocator of each shard in use, empty if there is none."""
         return {shard: state.chosen for shard, state in self._shards.items()}
 
+    def dump(self, now: float) -> list[dict[str, object]]:
+        """Return the organisations that have made calls recently."""
+        return [
+            tokens.dump(now)
+            for tokens in sorted(self._recent, key=lambda tokens: tokens.name)
+        ]
+
     def _expire(self, now: float) -> None:
         # Requests are in the order in which they were sent.
         for seq, pending in list(self._pending.items()):
@@ -210,6 +227,10 @@
                 peer.record_silence(now)
             self._give_up(seq)
 
+    def _give_up_all(self, node: str) -> None:
+        for seq in [s for s, p in self._pending.items() if p.node == node]:
+            self._give_up(seq)
+
     def _give_up(self, seq: int) -> None:
         pending = self._pending.pop(seq)
         for tokens, ask in pending.asks:
@@ -230,7 +251,7 @@
         While the pledge has no allocator, candidates that have not been contacted
         before get some time to answer before a lower one is chosen.
         """
-        is_usable = self._peers[state.chosen].state is AllocatorState.UP
+        is_usable = self._is_up(state.chosen)
         chosen = ""
         is_waiting = has_silent = False
         for node in self.ranking.candidates(shard):
@@ -281,8 +302,7 @@
                 pledges[state.chosen].append(self._make_pledge(shard, state, now))
         else:
             node = state.holder[0]
-            is_up = self._peers[node].state is AllocatorState.UP
-            if is_up and state.withdrawal_seq not in self._pending:
+            if self._is_up(node) and state.withdrawal_seq not in self._pending:
                 pledges[node].append(Pledge(shard, 0, 0))
 
     def _make_pledge(self, shard: int, state: _ShardState, now: float) -> Pledge:
@@ -291,6 +311,10 @@
         state.free_at = max(state.free_at, peer.stamped_at + self.lease_s)
         return Pledge(shard, peer.stamp_us, round(self.lease_s * 1000))
 
+    def _is_up(self, node: str) -> bool:
+        peer = self._peers.get(node)
+        return peer is not None and peer.state is AllocatorState.UP
+
     def _collect_asks(
         self, now: float
     ) -> dict[str, list[tuple[OrganisationTokens, Ask]]]:
@@ -309,7 +333,7 @@
         state = self._shards[tokens.shard]
         nodes = (state.holder[0] if state.holder else "", state.chosen)
         for node in nodes:
-            if node and self._peers[node].state is AllocatorState.UP:
+            if self._is_up(node):
                 return node
         return ""
 
--- a/lentilsill/quotas/pledges.py
+++ b/lentilsill/quotas/pledges.py
@@ -102,7 +102,7 @@
         self._advanced_to = max(now, self._advanced_to)
 
     def _sum_up(self) -> None:
-        self.share = min(1.0, sum(p.weight for p in self._pledges.values()))
+        self.share = min(1.0, sum((p.weight for p in self._pledges.values()), 0.0))
         self._next_expiry = min(
             (p.expires_at for p in self._pledges.values()), default=0
         )
--- a/lentilsill/quotas/shards.py
+++ b/lentilsill/quotas/shards.py
@@ -1,7 +1,7 @@
 """Shards of organisations, and the ranking of the nodes that allocate them."""
 
 import heapq
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 import xxhash
 
@@ -28,24 +28,25 @@
     Parameters
     ----------
     link_mbps : mapping of str to int
-        Rate of the network link of each live node, 0 when it is not known.
-    own_domain : iterable of str
-        Live nodes of the own domain.
+        Rate of the network link of each node that all nodes know, 0 when the rate is
+        not known.
+    own_domain : mapping of str to int
+        The same for all live nodes of the own domain.
     own_node : str
         The node itself is its last candidate.
 
     Examples
     --------
-    >>> ranking = AllocatorRanking({"a": 10, "b": 1000}, ["a"], "a")
+    >>> ranking = AllocatorRanking({"a": 10, "b": 1000}, {"a": 10}, "a")
     >>> ranking.candidates(0)
     ('b', 'a')
     """
 
     def __init__(
-        self, link_mbps: Mapping[str, int], own_domain: Iterable[str], own_node: str
+        self, link_mbps: Mapping[str, int], own_domain: Mapping[str, int], own_node: str
     ) -> None:
         self._link_mbps = link_mbps
-        self._own_domain = tuple(own_domain)
+        self._own_domain = own_domain
         self._own_node = own_node
         self._candidates: dict[int, tuple[str, ...]] = {}
 
@@ -59,9 +60,9 @@
             self._candidates[shard] = found
         return found
 
-    def _best(self, shard: int, nodes: Iterable[str], count: int) -> list[str]:
+    def _best(self, shard: int, link_mbps: Mapping[str, int], count: int) -> list[str]:
         def rank(node: str) -> tuple[int, int, str]:
             weight = xxhash.xxh64_intdigest(f"quota {shard}\0{node}".encode())
-            return (-self._link_mbps.get(node, 0).bit_length(), -weight, node)
+            return (-link_mbps[node].bit_length(), -weight, node)
 
-        return heapq.nsmallest(count, nodes, key=rank)
+        return heapq.nsmallest(count, link_mbps, key=rank)
--- a/lentilsill/quotas/tests/quota_model.py
+++ b/lentilsill/quotas/tests/quota_model.py
@@ -14,6 +14,7 @@
     AllocatorRanking,
     GrantReply,
     NodeCount,
+    OrganisationTokens,
     QuotaBounds,
     QuotaClient,
     TokenRequest,
@@ -177,7 +178,9 @@
         if names != node.seen_names:
             node.seen_names = names
             node.client.ranking = AllocatorRanking(
-                dict.fromkeys(names, 0), domains[str(node.domain)], node.name
+                dict.fromkeys(names, 0),
+                dict.fromkeys(domains[str(node.domain)], 0),
+                node.name,
             )
         node.client.node_count = node.counted.value(self.now)
 
@@ -261,10 +264,17 @@
             while waiting and tokens.take_for_waiting(self.now):
                 self._admit(tokens.name, waiting.popleft())
             if waiting and self.now < tokens.denied_until:
-                self.denied[tokens.name] += waiting
-                waiting.clear()
+                while len(waiting) > tokens.kept_waiting(self.now):
+                    self.denied[tokens.name].append(waiting.pop())
+                if waiting:
+                    wait_s = tokens.denied_until - self.now
+                    self.after(wait_s, partial(self._ask_again, node, tokens))
             tokens.waiting = len(waiting)
 
+    def _ask_again(self, node: ModelNode, tokens: OrganisationTokens) -> None:
+        node.client.ask_again(tokens)
+        self._flush_soon(node)
+
     # Calls
 
     def add_callers(
--- a/lentilsill/quotas/tokens.py
+++ b/lentilsill/quotas/tokens.py
@@ -16,6 +16,8 @@
 RATE_TIME_S = 1.0
 # A token is held for an organisation that has made a call within this time.
 HOLD_AFTER_USE_S = 10.0
+# A call whose token comes within this time waits for it instead of being refused.
+SHORT_WAIT_S = 0.05
 
 
 class OrganisationTokens:
@@ -94,6 +96,13 @@
             self._held.append([sent_at + HELD_S, grant.held])
         self.denied_until = now + grant.wait_ms / 1000 if grant.wait_ms else -math.inf
 
+    def kept_waiting(self, now: float) -> int:
+        """Return how many of the calls that wait go on doing so after a denial.
+
+        A denied node is given the time of one token.
+        """
+        return 1 if self.denied_until - now <= SHORT_WAIT_S else 0
+
     def drop_all(self) -> None:
         """Drop all tokens, as the quota has been lowered."""
         self._soon.clear()
@@ -126,6 +135,19 @@
         for i, count in enumerate((ask.needed, ask.soon, ask.held)):
             self._asked[i] -= count
 
+    def dump(self, now: float) -> dict[str, object]:
+        """Return the state of the organisation at this node."""
+        return {
+            "name": self.name,
+            "rate_per_s": self.quota.rate_per_s,
+            "burst": self.quota.burst,
+            "tokens": sum(int(n) for at, n in (*self._soon, *self._held) if at > now),
+            "waiting": self.waiting,
+            "denied_ms": max(0, round((self.denied_until - now) * 1000))
+            if now < self.denied_until
+            else 0,
+        }
+
     def _missing(self, now: float) -> tuple[int, int]:
         """Return the numbers of tokens to request ahead, soon to be used and held."""
         if now < self.denied_until or not self.is_recent(now):
--- a/lentilsill/settings/__init__.py
+++ b/lentilsill/settings/__init__.py
@@ -8,6 +8,7 @@
     MembershipSettings,
     NodeSettings,
     PlatformSettings,
+    QuotaSettings,
     StatsdSettings,
 )
 
@@ -18,6 +19,7 @@
     "MembershipSettings",
     "NodeSettings",
     "PlatformSettings",
+    "QuotaSettings",
     "StatsdSettings",
     "load_settings",
     "parse_settings",
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -11,6 +11,7 @@
     "MembershipSettings",
     "NodeSettings",
     "PlatformSettings",
+    "QuotaSettings",
     "StatsdSettings",
 ]
 
@@ -191,6 +192,31 @@
     )
 
 
+class QuotaSettings(_Section):
+    """Quotas of organisations over all nodes; without this section, none apply.
+
+    In any window, the calls of an organisation that run are at most
+    (rate * window_s + burst) * (1 + excess_share) + excess_calls.
+    """
+
+    window_s: float = Field(
+        default=5.0, gt=0, description="Time over which calls are counted"
+    )
+    excess_share: float = Field(
+        default=0.1, ge=0, description="Calls over the quota, as a share of it"
+    )
+    excess_calls: float = Field(
+        default=20.0, ge=0, description="Calls over the quota, in addition"
+    )
+    shards: int = Field(
+        default=8,
+        ge=1,
+        le=64,
+        description="Groups of organisations, each with an allocator of its own; all "
+        "nodes must have the same number",
+    )
+
+
 class StatsdSettings(_Section):
     """Statsd server for metrics; without this section, none are sent."""
 
@@ -252,4 +278,5 @@
     membership: MembershipSettings = MembershipSettings()
     calls: CallSettings = CallSettings()
     keys: KeySettings = KeySettings()
+    quotas: QuotaSettings | None = None
     statsd: StatsdSettings | None = None
--- a/lentilsill/wire/call_messages.py
+++ b/lentilsill/wire/call_messages.py
@@ -18,6 +18,8 @@
     "OutcomeReply",
     "Ping",
     "Pong",
+    "QuotaGrant",
+    "QuotaRequest",
     "Refusal",
     "Release",
     "StoreOutcome",
@@ -202,3 +204,32 @@
 
     request_key: str
     attempt: str
+
+
+class QuotaRequest(msgspec.Struct, frozen=True, array_like=True, tag=50):
+    """Shares of quotas that the sender lends, and its request for tokens.
+
+    `seq` increases with each request of the sender's process. `node_count` is the
+    number of nodes that the sender knows, and `version` that of its configuration. Rows
+    of `pledges` are (shard, time stamp of the receiver in us, lease in ms), and those
+    of `asks` (organisation, calls a second, burst, tokens needed now, tokens to be used
+    soon, tokens to be held). Sent only to peers with the feature `quotas`.
+    """
+
+    seq: int
+    node_count: int
+    version: int
+    pledges: tuple[tuple[int, int, int], ...] = ()
+    asks: tuple[tuple[str, float, float, int, int, int], ...] = ()
+
+
+class QuotaGrant(msgspec.Struct, frozen=True, array_like=True, tag=51):
+    """Answer to the `QuotaRequest` with this `seq`.
+
+    `stamp_us` is the time of the sender's clock in us. `grants` has a row (tokens,
+    tokens to be held, ms until there are more) for each row of `asks`.
+    """
+
+    seq: int
+    stamp_us: int
+    grants: tuple[tuple[int, int, int], ...] = ()
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -92,6 +92,8 @@
         self.port = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closed = False
+        # Features that controllers with handlers for their messages have added.
+        self.features: set[str] = set()
         # The controller that sends calls over the links sets this callback.
         self.is_awaiting_answer: Callable[[Link], bool] = lambda link: False
         # Era of the revisions of peers that know no eras; None if that is not known.
@@ -288,6 +290,7 @@
             me.peer_address,
             (COMPRESSION,),
             has_eras=True,
+            features=tuple(sorted(self.features)),
         )
 
     async def _dial(self, address: str, purpose: str) -> Link:
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -22,6 +22,8 @@
     OutcomeReply,
     Ping,
     Pong,
+    QuotaGrant,
+    QuotaRequest,
     Refusal,
     Release,
     StoreOutcome,
@@ -54,6 +56,8 @@
     "Pong",
     "Probe",
     "ProbeAck",
+    "QuotaGrant",
+    "QuotaRequest",
     "Records",
     "Refusal",
     "Release",
@@ -308,6 +312,8 @@
     ClaimReply,
     StoreOutcome,
     Release,
+    QuotaRequest,
+    QuotaGrant,
 ]
 
 _TYPE_BY_NUMBER: dict[int, Any] = {
