Replace silent links to allocators

Cause: the detection of silent links covers calls only. A link that carries only requests for tokens could stay silent, and its allocator out of reach.

--- a/lentilsill/daemon/controllers/quotas.py
+++ b/lentilsill/daemon/controllers/quotas.py
@@ -265,6 +265,18 @@
                 self._ask_itself(outgoing)
             else:
                 self._send(outgoing)
+        for node in self.client.take_silent():
+            self._check_link(node)
+
+    def _check_link(self, node: str) -> None:
+        """Close the link of an allocator that does not answer if the link is silent.
+
+        The detection of silent links covers only calls.
+        """
+        record = self._find(node)
+        link = record and self._ctx.links.find(record.peer_address, CALLS)
+        if link:
+            self._ctx.links.checks.start(link, lambda: None)
 
     def _ask_itself(self, outgoing: Outgoing) -> None:
         instance = self._ctx.links.identity.instance
--- a/lentilsill/daemon/controllers/tests/test_quotas.py
+++ b/lentilsill/daemon/controllers/tests/test_quotas.py
@@ -16,7 +16,13 @@
 from lentilsill.wire import CALLS
 from lentilsill.wire.messages import QuotaRequest
 
-from .call_builders import FakeNode, FakeUpstream, make_request, wait_for
+from .call_builders import (
+    BlackholeRelay,
+    FakeNode,
+    FakeUpstream,
+    make_request,
+    wait_for,
+)
 
 QUOTA = Quota(40.0, 10.0)
 LIMITED = Organisation("limited", frozenset(), None, QUOTA)
@@ -111,6 +117,26 @@
         wait_s = await caller.quotas.take(LIMITED)
         self.assertLess(wait_s or 0.0, 0.5)
 
+    async def test_silent_link_to_the_allocator_is_replaced(self):
+        """Guards against an allocator that is out of reach while new links work."""
+        await self.wait_for_shares(1.0)
+        name = self.allocator_of(self.nodes[0])
+        caller = next(n for n in self.nodes if n.ctx.cfg.node != name)
+        allocator = next(n for n in self.nodes if n.ctx.cfg.node == name)
+        relay = BlackholeRelay(allocator.port)
+        self.addCleanup(relay.stop)
+        address = f"127.0.0.1:{relay.port}"
+        records = [n.record(address if n is allocator else "") for n in self.nodes]
+        caller.set_members(*records)
+        caller.ctx.board.notify(Topic.MEMBERS)
+        links = caller.ctx.links
+        await wait_for(lambda: links.find(address, CALLS) is not None)
+        silent_link = links.find(address, CALLS)
+        relay.blackhole()
+        await wait_for(lambda: self.allocator_of(caller) != name)
+        await wait_for(lambda: self.allocator_of(caller) == name)
+        self.assertIsNot(links.find(address, CALLS), silent_link)
+
     async def test_call_that_was_not_run_returns_its_token(self):
         """Guards against a quota used up by calls that no upstream ran."""
         await self.wait_for_shares(1.0)
--- a/lentilsill/quotas/client.py
+++ b/lentilsill/quotas/client.py
@@ -8,7 +8,7 @@
 
 from .bounds import QuotaBounds
 from .messages import Ask, GrantReply, Pledge, TokenRequest
-from .peers import ANSWER_TIMEOUT_S, AllocatorState, Peer
+from .peers import ANSWER_TIMEOUT_S, AllocatorState, Peer, PledgeState
 from .shards import AllocatorRanking, shard_of
 from .tokens import OrganisationTokens
 
@@ -38,21 +38,6 @@
     request: TokenRequest
 
 
-@dataclass(slots=True)
-class _ShardState:
-    """Where the node's pledge for one shard is.
-
-    It may be valid at `holder` (node, instance) until `free_at`.
-    """
-
-    holder: tuple[str, str] | None = None
-    free_at: float = 0.0
-    pledged_at: float = 0.0
-    withdrawal_seq: int = -1
-    chosen: str = ""
-    chosen_at: float = 0.0
-
-
 @dataclass(slots=True)
 class _Pending:
     node: str
@@ -80,11 +65,12 @@
         self.ranking = AllocatorRanking({own_node: 0}, {}, own_node)
         self._shard_count = shard_count
         self._started_at = started_at
-        self._shards: dict[int, _ShardState] = {}
+        self._shards: dict[int, PledgeState] = {}
         self._peers: dict[str, Peer] = defaultdict(Peer)
         self._pending: dict[int, _Pending] = {}
         self._low: set[OrganisationTokens] = set()
         self._recent: set[OrganisationTokens] = set()
+        self._silent: list[str] = []
         self._seq = 0
 
     @property
@@ -121,7 +107,7 @@
                 break
             if organisation.quota is not None:
                 shard = shard_of(organisation.name, self._shard_count)
-                self._shards.setdefault(shard, _ShardState())
+                self._shards.setdefault(shard, PledgeState())
 
     def find(self, name: str) -> OrganisationTokens | None:
         """Return the tokens of an organisation, None if it has no quota.
@@ -181,6 +167,11 @@
             for node in sorted({*pledges, *asks, *contacts})
         ]
 
+    def take_silent(self) -> list[str]:
+        """Return the nodes that have not answered since the last call."""
+        silent, self._silent = self._silent, []
+        return silent
+
     def on_reply(
         self, node: str, instance: str, reply: GrantReply, now: float
     ) -> list[OrganisationTokens]:
@@ -238,6 +229,7 @@
             peer = self._peers[pending.node]
             if peer.replied_at <= pending.sent_at:
                 peer.record_silence(now)
+                self._silent.append(pending.node)
             self._give_up(seq)
 
     def _give_up_all(self, node: str) -> None:
@@ -262,7 +254,7 @@
         self._recent.discard(tokens)
 
     def _choose(
-        self, shard: int, state: _ShardState, contacts: set[str], now: float
+        self, shard: int, state: PledgeState, contacts: set[str], now: float
     ) -> None:
         """Choose the first candidate that answers, and contact those before it.
 
@@ -293,7 +285,7 @@
     def _pledge(
         self,
         shard: int,
-        state: _ShardState,
+        state: PledgeState,
         pledges: dict[str, list[Pledge]],
         contacts: set[str],
         now: float,
@@ -323,7 +315,7 @@
             if self._is_up(node) and state.withdrawal_seq not in self._pending:
                 pledges[node].append(Pledge(shard, 0, 0))
 
-    def _make_pledge(self, shard: int, state: _ShardState, now: float) -> Pledge:
+    def _make_pledge(self, shard: int, state: PledgeState, now: float) -> Pledge:
         peer = self._peers[state.chosen]
         state.pledged_at = now
         state.free_at = max(state.free_at, peer.stamped_at + self.lease_s)
--- a/lentilsill/quotas/peers.py
+++ b/lentilsill/quotas/peers.py
@@ -1,10 +1,10 @@
-"""What a node knows of the allocators that it talks to."""
+"""What a node knows of its allocators, and where its pledges are."""
 
 import math
 from dataclasses import dataclass
 from enum import Enum, auto
 
-__all__ = ["AllocatorState", "Peer"]
+__all__ = ["ANSWER_TIMEOUT_S", "AllocatorState", "Peer", "PledgeState"]
 
 # A request that is not answered within this time shows that the allocator is out of
 # reach. Replies normally take a few ms.
@@ -57,3 +57,18 @@
         if self.is_asked or self.state is AllocatorState.UP:
             return False
         return self.state is AllocatorState.UNKNOWN or now >= self.retry_at
+
+
+@dataclass(slots=True)
+class PledgeState:
+    """Where the node's pledge for one shard is.
+
+    It may be valid at `holder` (node, instance) until `free_at`.
+    """
+
+    holder: tuple[str, str] | None = None
+    free_at: float = 0.0
+    pledged_at: float = 0.0
+    withdrawal_seq: int = -1
+    chosen: str = ""
+    chosen_at: float = 0.0
