Test when a share of the quotas may change its allocator

Calls that wait for a token did not count against 'max_calls'.

Change: tests of the client check when a pledge goes to another allocator. Calls that wait for a token count against 'max_calls'.

--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -129,7 +129,8 @@
         route = self._route_index(document).match(req.method, req.path)
         if route is None:
             return _refused(req, NO_ROUTE)
-        if self.in_flight >= self.ctx.cfg.calls.max_calls:
+        in_flight = self.in_flight + self.admission.waiting_count
+        if in_flight >= self.ctx.cfg.calls.max_calls:
             return _refused(req, OVERLOADED)
         admission = await self.admission.admit(req, route)
         if isinstance(admission, Refused):
--- /dev/null
+++ b/lentilsill/quotas/tests/test_client.py
@@ -0,0 +1,88 @@
+"""Where a node pledges its share, and when."""
+
+import unittest
+
+from lentilsill.documents import Organisation, Quota
+from lentilsill.quotas import (
+    AllocatorRanking,
+    GrantReply,
+    Outgoing,
+    QuotaBounds,
+    QuotaClient,
+)
+
+ORGANISATION = Organisation("a", frozenset(), None, Quota(10.0, 20.0))
+STEP_S = 0.05
+
+
+class PledgeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.silent: set[str] = set()
+        self.pledged: list[tuple[float, str]] = []
+        self.stamped_at: dict[str, float] = {}
+        self.client = QuotaClient("me", 1, QuotaBounds(), 0.0)
+        self.client.ranking = AllocatorRanking({"first": 9, "next": 1}, {}, "me")
+        self.client.set_organisations({"a": ORGANISATION}, 1)
+
+    def run_until(self, end: float) -> None:
+        while self.now < end:
+            self.now += STEP_S
+            for outgoing in self.client.poll(self.now):
+                self.answer(outgoing)
+
+    def answer(self, outgoing: Outgoing) -> None:
+        node, request = outgoing.node, outgoing.request
+        if any(pledge.lease_ms for pledge in request.pledges):
+            self.pledged.append((self.now, node))
+        if node not in self.silent:
+            self.stamped_at[node] = self.now
+            reply = GrantReply(request.seq, int(self.now * 1e6))
+            self.client.on_reply(node, f"i-{node}", reply, self.now)
+
+    def pledged_to(self, node: str, start: float) -> list[float]:
+        return [at for at, to in self.pledged if to == node and at > start]
+
+    def test_a_started_process_waits_for_one_lease(self) -> None:
+        """Pledges of the process before it may be valid elsewhere."""
+        self.run_until(3.0)
+        self.assertGreaterEqual(self.pledged_to("first", 0.0)[0], 1.0)
+
+    def test_the_next_allocator_gets_the_share_when_the_lease_has_ended(self) -> None:
+        """Two allocators that hold one share would grant it twice."""
+        self.run_until(3.0)
+        self.silent.add("first")
+        lost_at = self.now
+        self.run_until(6.0)
+        # The last pledge, which may have arrived, echoes the last time stamp.
+        ended_at = self.stamped_at["first"] + 1.0
+        taken = self.pledged_to("next", lost_at)[0]
+        self.assertGreaterEqual(taken, ended_at)
+        self.assertLessEqual(taken, ended_at + 2 * STEP_S)
+
+    def test_no_pledge_overlaps_another(self) -> None:
+        """An allocator that comes back must not get what the other one has."""
+        self.run_until(3.0)
+        self.silent.add("first")
+        self.run_until(6.0)
+        self.silent.clear()
+        self.run_until(10.0)
+        self.assertTrue(self.pledged_to("first", 6.0))
+        after_return = self.pledged_to("first", 6.0)[0]
+        self.assertEqual(self.pledged_to("next", after_return), [])
+
+    def test_a_process_that_is_gone_frees_the_share_at_once(self) -> None:
+        """The restart of an allocator must not cost a whole lease."""
+        self.run_until(3.0)
+        self.silent.add("first")
+        self.client.on_unreachable("first", True, self.now)
+        self.run_until(3.4)
+        self.assertTrue(self.pledged_to("next", 3.0))
+
+    def test_an_unreachable_process_keeps_the_share_for_its_lease(self) -> None:
+        """A closed link does not show that the process is gone."""
+        self.run_until(3.0)
+        self.silent.add("first")
+        self.client.on_unreachable("first", False, self.now)
+        self.run_until(3.4)
+        self.assertFalse(self.pledged_to("next", 3.0))
