--- a/lentilsill/daemon/controllers/quotas.py
+++ b/lentilsill/daemon/controllers/quotas.py
@@ -93,7 +93,7 @@
     def start(self) -> None:
         """Register the message handlers and start to lend and to renew."""
         ctx = self._ctx
-        ctx.links.features.add(FEATURE)
+        ctx.links.features += (FEATURE,)
         ctx.links.on(QuotaRequest, self._on_request)
         ctx.links.on(QuotaGrant, self._on_grant)
         ctx.board.subscribe(Topic.IN_FORCE, self._apply_organisations)
@@ -125,9 +125,9 @@
         self._log.record_denial(tokens.name, wait_s)
         return wait_s
 
-    def give_back(self, organisation: Organisation) -> None:
+    def give_back(self, organisation: str) -> None:
         """Return the token of a call that was not run."""
-        tokens = self.client.organisations.get(organisation.name)
+        tokens = self.client.organisations.get(organisation)
         if tokens is not None:
             tokens.give_back(self._now())
             self._ctx.count("quotas.given_back")
--- a/lentilsill/daemon/controllers/tests/test_quotas.py
+++ b/lentilsill/daemon/controllers/tests/test_quotas.py
@@ -5,12 +5,11 @@
 import unittest
 from dataclasses import replace
 from types import MappingProxyType
-from unittest import mock
 
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.controllers.quotas import QuotaController
 from lentilsill.daemon.controllers.reasons import NO_UPSTREAM, OVER_QUOTA
-from lentilsill.documents import Organisation, Quota
+from lentilsill.documents import Organisation, Quota, key_digest
 from lentilsill.outcomes import Answer, Outcome, Refused
 from lentilsill.settings import QuotaSettings
 from lentilsill.wire import CALLS
@@ -25,15 +24,22 @@
 )
 
 QUOTA = Quota(40.0, 10.0)
-LIMITED = Organisation("limited", frozenset(), None, QUOTA)
+KEY = "k-limited"
+LIMITED = Organisation("limited", (key_digest(KEY.encode()),), None, QUOTA)
 FREE = Organisation("free", frozenset())
 
 
+def make_limited_request():
+    """Build a request of a caller of the limited organisation."""
+    return replace(make_request(), headers=(("Authorization", f"Bearer {KEY}"),))
+
+
 class QuotaNode(FakeNode):
     """Node whose callers are all of the limited organisation."""
 
     def __init__(self, name):
         super().__init__(name)
+        self.ctx.cfg = self.ctx.cfg.model_copy(update={"organisations": True})
         self.quotas = QuotaController(self.ctx, QuotaSettings())
         self.quotas.start()
         self.entry.admission.quotas = self.quotas
@@ -54,11 +60,6 @@
         organisations = MappingProxyType({o.name: o for o in (LIMITED, FREE)})
         board.snapshot = replace(board.snapshot, organisations=organisations)
         board.notify(Topic.IN_FORCE)
-        find = mock.patch.object(
-            node.entry.admission, "_find_organisation", lambda req, route: LIMITED
-        )
-        find.start()
-        self.addCleanup(find.stop)
         return node
 
     def join(self, nodes):
@@ -81,7 +82,9 @@
         calls = []
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            calls.append(asyncio.ensure_future(node.entry.handle(make_request())))
+            calls.append(
+                asyncio.ensure_future(node.entry.handle(make_limited_request()))
+            )
             await asyncio.sleep(1 / 300)
         return await asyncio.gather(*calls)
 
@@ -144,7 +147,7 @@
         records = [replace(other.record(), upstreams=()) for other in self.nodes]
         node.set_members(*records)
         for _ in range(30):
-            result = await node.entry.handle(make_request())
+            result = await node.entry.handle(make_limited_request())
             self.assertEqual(result.reason, NO_UPSTREAM)
 
     async def test_organisation_without_a_quota_sends_nothing(self):
@@ -171,7 +174,7 @@
     async def test_cancelled_call_stops_waiting(self):
         """Guards against a drain that waits for callers who have left."""
         node = self.nodes[1]
-        call = asyncio.ensure_future(node.entry.handle(make_request()))
+        call = asyncio.ensure_future(node.entry.handle(make_limited_request()))
         await wait_for(lambda: node.quotas.waiting_count == 1)
         self.assertEqual(node.entry.admission.waiting_count, 1)
         call.cancel()
--- a/lentilsill/daemon/interfaces.py
+++ b/lentilsill/daemon/interfaces.py
@@ -67,7 +67,12 @@
 
     @property
     def bundle_version(self) -> int:
-        """Version of the bundle, to which patches apply; 0 without a bundle."""
+        """Version of the bundle; 0 without a bundle."""
+        ...
+
+    @property
+    def patch_base(self) -> int:
+        """Version of the bundle to which patches of peers apply; 0 if there is none."""
         ...
 
     def lacks_patch_base(self, delta: Delta) -> bool:
@@ -159,6 +164,6 @@
         """Take a token for a call; return None, or the seconds until there are more."""
         ...
 
-    def give_back(self, organisation: Organisation) -> None:
-        """Return the token of a call that was not run."""
+    def give_back(self, organisation: str) -> None:
+        """Return the token of a call that was proved not run."""
         ...
--- a/lentilsill/platform/settings_file.py
+++ b/lentilsill/platform/settings_file.py
@@ -90,10 +90,15 @@
     return float(fields.get("limits.link_mbps") or 0) or None
 
 
+def _contracts(fields: Mapping[str, str]) -> frozenset[str]:
+    """Return the names of the parts that the platform expects of the nodes."""
+    names = fields.get("contracts", "").split(",")
+    return frozenset(name.strip() for name in names)
+
+
 def _quotas(fields: Mapping[str, str]) -> dict[str, float] | None:
     """Return the section on quotas, or None if the platform asks for none."""
-    contracts = (name.strip() for name in fields.get("contracts", "").split(","))
-    if "quota" not in contracts:
+    if "quota" not in _contracts(fields):
         return None
     names = {
         "window_s": "bounds.quota_window_s",
@@ -127,6 +132,7 @@
         "link_mbps": _link_mbps(fields),
         "documents": "bundle",
         "directory": True,
+        "organisations": "tenants" in _contracts(fields),
         "quotas": _quotas(fields),
         "distribution": {
             "in_force_s": float(fields["bounds.config_apply_ms"]) / 1000,
