Fill buckets at a smaller share only up to its capacity

The share of an allocator grew without its buckets being refilled first, and a bucket that was made after that began with all that had been filled since the last loss of a pledge, up to the capacity of the larger share. After a partition, nodes that had used their burst on their side found it a second time at the allocator of the side that had made no calls.

Buckets are refilled before the share grows, and a new bucket begins with what has been filled since the share last changed in either direction.

The new test failed before.

--- a/lentilsill/quotas/allocator.py
+++ b/lentilsill/quotas/allocator.py
@@ -102,6 +102,9 @@
         if lease_s <= 0:
             has_lost = table.remove(instance, now)
         elif now - lease_s < stamped_at <= now:
+            if table.weight_of(instance) != weight:
+                # What was filled at a smaller share must not exceed its capacity.
+                self._clip(pledge.shard)
             has_lost = table.put(instance, stamped_at + lease_s, weight, now)
         else:
             return
@@ -109,7 +112,7 @@
             self._clip(pledge.shard)
 
     def _clip(self, shard: int) -> None:
-        """Drop the tokens over the capacity while the share is at its lowest."""
+        """Drop the tokens over the capacity of the current share."""
         for bucket in self._buckets[shard].values():
             bucket.refill()
 
--- a/lentilsill/quotas/buckets.py
+++ b/lentilsill/quotas/buckets.py
@@ -25,7 +25,7 @@
 class Bucket:
     """Tokens that an allocator may grant, for its share of the quota.
 
-    It starts with what has been filled since the allocator last lost a pledge. A share
+    It starts with what has been filled since the allocator's share last changed. A share
     of the burst below one token can't be granted; such a bucket holds one token, is
     filled from a random level, and does not keep it while nobody asks, so that many
     nodes that are cut off alone don't all have a token at the same time.
@@ -39,7 +39,7 @@
         self.version = version
         self._pledges = pledges
         self._rng = rng
-        self._filled_s = pledges.filled_at_loss_s
+        self._filled_s = pledges.filled_at_change_s
         self._level = 0.0
         self._asked_at = -math.inf
         self._next_token_at = now
@@ -69,7 +69,8 @@
     def refill(self) -> None:
         """Add the tokens filled since the last call, and drop those over the capacity.
 
-        It must be called before the share grows again after a loss of pledges.
+        It must be called before the share grows, as the capacity of the smaller share
+        applies until then, and after the share has become smaller.
         """
         filled_s = self._pledges.filled_s
         added = self.rate_per_s * (filled_s - self._filled_s)
--- a/lentilsill/quotas/pledges.py
+++ b/lentilsill/quotas/pledges.py
@@ -44,8 +44,8 @@
         self._next_expiry = 0.0
         self.share = 0.0
         self.filled_s = 0.0
-        # Value of `filled_s` when a pledge was last lost.
-        self.filled_at_loss_s = 0.0
+        # Value of `filled_s` when the share last changed.
+        self.filled_at_change_s = 0.0
 
     def __len__(self) -> int:
         return len(self._pledges)
@@ -65,13 +65,14 @@
         self.filled_s += elapsed_s * self.share
         self._advanced_to = now
         if has_lost:
-            self.filled_at_loss_s = self.filled_s
+            self.filled_at_change_s = self.filled_s
         return has_lost
 
     def put(self, holder: str, expires_at: float, weight: float, now: float) -> bool:
         """Add or renew a pledge; return whether the share has become smaller.
 
-        `advance` must have been called before.
+        `advance` must have been called before. All buckets must have been refilled
+        before a pledge of another weight than `weight_of` the holder.
         """
         held = self._pledges.get(holder)
         if held is not None and held.weight == weight:
@@ -83,10 +84,13 @@
         self._pledges[holder] = _HeldPledge(expires_at, weight)
         self._sum_up()
         self._add_rest(min(old_share, self.share), now)
-        if self.share >= old_share:
-            return False
-        self.filled_at_loss_s = self.filled_s
-        return True
+        self.filled_at_change_s = self.filled_s
+        return self.share < old_share
+
+    def weight_of(self, holder: str) -> float:
+        """Return the share that a holder has pledged, 0 without a pledge."""
+        held = self._pledges.get(holder)
+        return 0.0 if held is None else held.weight
 
     def remove(self, holder: str, now: float) -> bool:
         """Withdraw a pledge; return whether there was one."""
@@ -94,7 +98,7 @@
             return False
         self._sum_up()
         self._add_rest(self.share, now)
-        self.filled_at_loss_s = self.filled_s
+        self.filled_at_change_s = self.filled_s
         return True
 
     def _add_rest(self, share: float, now: float) -> None:
--- a/lentilsill/quotas/tests/test_allocator.py
+++ b/lentilsill/quotas/tests/test_allocator.py
@@ -1,6 +1,7 @@
 """Pledges and grants of one allocator."""
 
 import unittest
+from itertools import count
 from random import Random
 
 from lentilsill.documents import Quota
@@ -60,6 +61,32 @@
         self.pledge(3, 5.0, 5.0)
         self.assertEqual(self.send(4, 5.01, needed=5).grants[0].granted, 0)
 
+    def test_tokens_filled_at_a_small_share_do_not_exceed_its_capacity(self) -> None:
+        """Nodes that move from a full allocator must not find their burst here again.
+
+        After a partition that lasted long enough to fill the bucket, the burst of the
+        nodes that were cut off could be used twice in one window.
+        """
+        for has_bucket in (False, True):
+            allocator = Allocator(1, QuotaBounds(), Random(1), 0.0)
+            seqs = count()
+
+            def send(instance: str, now: float, needed: int) -> int:
+                pledge = Pledge(SHARD, int(now * 1e6), 1000)
+                asks = (ASK._replace(needed=needed),)
+                request = TokenRequest(
+                    next(seqs), 2, 1, (pledge,), asks if needed else ()
+                )
+                reply = allocator.handle(instance, request, 2, now)
+                return sum(grant.granted for grant in reply.grants)
+
+            for i in range(100):
+                send("i", 0.1 * i, needed=int(has_bucket and i == 0))
+            send("j", 10.0, needed=0)
+            with self.subTest(has_bucket=has_bucket):
+                # Half of the burst, and what is filled in 0.1 s.
+                self.assertLessEqual(send("j", 10.1, needed=20), 11)
+
     def test_denied_nodes_are_given_different_times(self) -> None:
         self.pledge(1, 0.0, 0.0)
         waits = [self.send(i, 0.01, needed=1).grants[0].wait_ms for i in range(2, 6)]
