Limit denials by the whole quota while the share is small

A denied node was told when the current share of the allocator gives a token. With the first of 66 pledges that is 11.4 s for an organisation with 5 calls/s, and the node answered 429 for that time although the other pledges arrived a moment later. Without any pledge all nodes got the same 1 s. An organisation with a burst below one token was refused at each call after a pause, since its bucket was set back to less than one token.

A denial now ends after 1 s, or when the whole quota gives a token if that is later; without pledges, after 0.15 to 0.45 s, drawn for each node. The order of nodes starts again when the share changes. Buckets lose what they hold only below half of the share.

--- a/lentilsill/quotas/buckets.py
+++ b/lentilsill/quotas/buckets.py
@@ -10,8 +10,13 @@
 
 __all__ = ["Bucket"]
 
-# A denied node is told to come back after this time at most.
+# A denied node is told to come back after this time at most, or later if the whole
+# quota gives no token until then. A small share may grow meanwhile, as nodes move to
+# another allocator within some tenths of a second.
 MAX_WAIT_S = 1.0
+# Without pledges, as at the start of the system or after the loss of an allocator, a
+# denied node is told to come back after these times, drawn for each node.
+NO_SHARE_WAIT_S = (0.15, 0.45)
 # Nodes that are told to come back for one token. A node asks again at its next call
 # after that time, so with one node per token most tokens would wait for their node.
 NODES_PER_TOKEN = 2
@@ -25,10 +30,11 @@
 class Bucket:
     """Tokens that an allocator may grant, for its share of the quota.
 
-    It starts with what has been filled since the allocator's share last changed. A share
-    of the burst below one token can't be granted; such a bucket holds one token, is
-    filled from a random level, and does not keep it while nobody asks, so that many
-    nodes that are cut off alone don't all have a token at the same time.
+    It starts with what has been filled since the allocator's share last changed. A
+    share of the burst below one token can't be granted; such a bucket holds one token.
+    Below half of the quotas, it is filled from a random level and does not keep its
+    token while nobody asks, so that many nodes that are cut off alone don't all have
+    one at the same time.
     """
 
     def __init__(
@@ -43,6 +49,8 @@
         self._level = 0.0
         self._asked_at = -math.inf
         self._next_token_at = now
+        # Share of which `_next_token_at` was reckoned.
+        self._waited_share = 0.0
         self._held: deque[tuple[float, int]] = deque()
         self._held_count = 0
 
@@ -85,7 +93,7 @@
         count = min(ask.needed, int(self._level))
         self._level -= count
         if count < ask.needed:
-            return Grant(count, 0, self._wait_ms(rate, ask.needed - count, now))
+            return Grant(count, 0, self._wait_ms(rate, now))
         spare = int(self._level - RESERVE_SHARE * self.capacity)
         soon = max(0, min(ask.soon, spare))
         held = max(0, min(ask.held, spare - soon, self._held_room(bounds, now)))
@@ -99,7 +107,8 @@
         share = self._pledges.share
         idle_s = now - self._asked_at
         self._asked_at = now
-        if not share or self.burst * share >= 1.0:
+        if share >= 0.5 or not share or self.burst * share >= 1.0:
+            # At most two allocators have half of the share.
             return
         if idle_s * self.rate_per_s * share > IDLE_TOKENS:
             self._level = self._rng.random()
@@ -110,11 +119,16 @@
         limit = bounds.max_held(self.rate_per_s, self.burst) * self._pledges.share
         return int(limit) - self._held_count
 
-    def _wait_ms(self, rate_per_s: float, missing: int, now: float) -> int:
+    def _wait_ms(self, rate_per_s: float, now: float) -> int:
         """Return when a denied node may ask again; each one is given its own time."""
         if rate_per_s <= 0.0:
-            return round(MAX_WAIT_S * 1000)
-        first_at = now + max(0.0, 1.0 - self._level) / rate_per_s
-        at = max(first_at, min(self._next_token_at, now + MAX_WAIT_S))
+            return math.ceil(self._rng.uniform(*NO_SHARE_WAIT_S) * 1000)
+        if self._waited_share != self._pledges.share:
+            self._waited_share = self._pledges.share
+            self._next_token_at = now
+        missing = max(0.0, 1.0 - self._level)
+        latest_at = now + max(MAX_WAIT_S, missing / self.rate_per_s)
+        first_at = now + missing / rate_per_s
+        at = min(latest_at, max(first_at, self._next_token_at))
         self._next_token_at = at + 1.0 / (NODES_PER_TOKEN * rate_per_s)
         return max(1, math.ceil((at - now) * 1000))
--- a/lentilsill/quotas/tests/test_allocator.py
+++ b/lentilsill/quotas/tests/test_allocator.py
@@ -1,7 +1,7 @@
 """Pledges and grants of one allocator."""
 
 import unittest
-from itertools import count
+from dataclasses import replace
 from random import Random
 
 from lentilsill.documents import Quota
@@ -27,6 +27,15 @@
     def pledge(self, seq: int, now: float, stamped_at: float) -> None:
         self.send(seq, now, Pledge(SHARD, int(stamped_at * 1e6), 1000))
 
+    def send_of_two(self, instance: str, seq: int, now: float, needed: int = 0):
+        """Send the pledge of one of two nodes, and return what it is granted."""
+        pledge = Pledge(SHARD, int(now * 1e6), 1000)
+        request = TokenRequest(seq, 2, 1, (pledge,), (ASK._replace(needed=needed),))
+        if not needed:
+            request = replace(request, asks=())
+        reply = self.allocator.handle(instance, request, 2, now)
+        return reply.grants[0] if needed else None
+
     def test_it_begins_empty(self) -> None:
         """A restart of the allocator must not allow a new burst."""
         self.pledge(1, 0.0, 0.0)
@@ -68,24 +77,41 @@
         nodes that were cut off could be used twice in one window.
         """
         for has_bucket in (False, True):
-            allocator = Allocator(1, QuotaBounds(), Random(1), 0.0)
-            seqs = count()
-
-            def send(instance: str, now: float, needed: int) -> int:
-                pledge = Pledge(SHARD, int(now * 1e6), 1000)
-                asks = (ASK._replace(needed=needed),)
-                request = TokenRequest(
-                    next(seqs), 2, 1, (pledge,), asks if needed else ()
-                )
-                reply = allocator.handle(instance, request, 2, now)
-                return sum(grant.granted for grant in reply.grants)
-
+            self.setUp()
             for i in range(100):
-                send("i", 0.1 * i, needed=int(has_bucket and i == 0))
-            send("j", 10.0, needed=0)
+                self.send_of_two("i", i, 0.1 * i, needed=int(has_bucket and i == 0))
+            self.send_of_two("j", 0, 10.0)
             with self.subTest(has_bucket=has_bucket):
                 # Half of the burst, and what is filled in 0.1 s.
-                self.assertLessEqual(send("j", 10.1, needed=20), 11)
+                grant = self.send_of_two("j", 1, 10.1, needed=20)
+                self.assertLessEqual(grant.granted, 11)
+
+    def test_denial_ends_soon_while_the_share_is_small(self) -> None:
+        """An organisation must not be refused for long after its allocator is lost.
+
+        The first pledges at the next one give a token only after many seconds.
+        """
+        no_share = self.allocator.handle("n", TokenRequest(0, 66, 1, (), (ASK,)), 66, 0)
+        self.assertLess(no_share.grants[0].wait_ms, 500)
+        for i in range(66):
+            pledge = Pledge(SHARD, 0, 1000)
+            request = TokenRequest(1, 66, 1, (pledge,), (ASK,))
+            grant = self.allocator.handle(f"n{i}", request, 66, 0.2 + 0.01 * i).grants[
+                0
+            ]
+            self.assertLessEqual(grant.wait_ms, 1000)
+
+    def test_quota_without_a_burst_grants_single_tokens(self) -> None:
+        """An organisation that stays below its rate must not be refused each time."""
+        allocator = Allocator(1, QuotaBounds(), Random(1), 0.0)
+        granted = 0
+        for i in range(100):
+            now = 0.1 * i
+            asks = (Ask("a", 1.0, 0.0, 1, 0, 0),) if i % 20 == 19 else ()
+            pledges = (Pledge(SHARD, int(now * 1e6), 1000),)
+            reply = allocator.handle("i", TokenRequest(i, 1, 1, pledges, asks), 1, now)
+            granted += sum(grant.granted for grant in reply.grants)
+        self.assertEqual(granted, 5)
 
     def test_denied_nodes_are_given_different_times(self) -> None:
         self.pledge(1, 0.0, 0.0)
