Let calls wait for tokens no longer than their deadline

A call waited up to 0.1 s for a token whatever time its caller had left, so that callers with shorter deadlines were gone when it was refused or sent. All callers that a node refused during one denial were told the same time, at which the node has one token, and came back together. A denial from a quota that has been raised since went on for the seconds it had left.

The wait is limited to the call's deadline. Refused callers are told times that differ by 1/rate, at most 0.5 s after the first. A changed quota ends the denial.

--- a/lentilsill/daemon/controllers/call_admission.py
+++ b/lentilsill/daemon/controllers/call_admission.py
@@ -96,7 +96,8 @@
                 return refuse_call(req, UNKNOWN_KEY)
             return Admission(replace(req, headers=tuple(headers)), route.priority)
         if self.quotas is not None and organisation.quota is not None:
-            wait_s = await self.quotas.take(organisation)
+            deadline_ms = min(route.deadline_ms, req.deadline_ms or route.deadline_ms)
+            wait_s = await self.quotas.take(organisation, deadline_ms / 1000)
             if wait_s is not None:
                 return refuse_call(req, OVER_QUOTA, wait_s)
         # Header values are sent in Latin-1; the bytes on the connection are UTF-8.
--- a/lentilsill/daemon/controllers/quotas.py
+++ b/lentilsill/daemon/controllers/quotas.py
@@ -104,9 +104,10 @@
 
     # Calls
 
-    async def take(self, organisation: Organisation) -> float | None:
+    async def take(self, organisation: Organisation, deadline_s: float) -> float | None:
         """Take a token for a call; return None, or the seconds until there are more.
 
+        It waits for the token no longer than `deadline_s`, the rest of the call's time.
         A call whose organisation has no quota needs no token.
         """
         if organisation.quota is None:
@@ -119,7 +120,7 @@
         if client.has_requests:
             self._flush_soon()
         if wait_s is None:
-            wait_s = await self._wait(tokens)
+            wait_s = await self._wait(tokens, min(MAX_WAIT_S, deadline_s))
         if not wait_s:
             return None
         self._log.record_denial(tokens.name, wait_s)
@@ -132,7 +133,7 @@
             tokens.give_back(self._now())
             self._ctx.count("quotas.given_back")
 
-    async def _wait(self, tokens: OrganisationTokens) -> float | None:
+    async def _wait(self, tokens: OrganisationTokens, limit_s: float) -> float | None:
         """Wait for a token; return None with one, else the seconds to wait."""
         fut: asyncio.Future[float | None] = asyncio.get_running_loop().create_future()
         waiting = self._waiting[tokens.name]
@@ -141,7 +142,7 @@
         self.waiting_count += 1
         started_at = self._ctx.now()
         deadline = self._ctx.deadlines.add(
-            MAX_WAIT_S, partial(self._end_wait, tokens, fut)
+            limit_s, partial(self._end_wait, tokens, fut)
         )
         try:
             return await fut
@@ -183,7 +184,7 @@
             while len(waiting) > tokens.kept_waiting(now):
                 fut = waiting.pop()
                 if not fut.done():
-                    fut.set_result(wait_s)
+                    fut.set_result(tokens.refuse(tokens.denied_until, now))
             if waiting:
                 loop = asyncio.get_running_loop()
                 loop.call_later(wait_s, self._ask_again, tokens)
--- a/lentilsill/daemon/interfaces.py
+++ b/lentilsill/daemon/interfaces.py
@@ -160,8 +160,11 @@
 
     waiting_count: int
 
-    async def take(self, organisation: Organisation) -> float | None:
-        """Take a token for a call; return None, or the seconds until there are more."""
+    async def take(self, organisation: Organisation, deadline_s: float) -> float | None:
+        """Take a token for a call; return None, or the seconds until there are more.
+
+        It waits for the token no longer than `deadline_s`.
+        """
         ...
 
     def give_back(self, organisation: str) -> None:
--- a/lentilsill/quotas/client.py
+++ b/lentilsill/quotas/client.py
@@ -133,7 +133,7 @@
                 self._low.add(tokens)
             return 0.0
         if now < tokens.denied_until:
-            return tokens.denied_until - now
+            return tokens.refuse(tokens.denied_until, now)
         self._low.add(tokens)
         return None
 
@@ -145,11 +145,11 @@
     def wait_s(self, tokens: OrganisationTokens, now: float) -> float:
         """Return after which time a call that got no token should be repeated."""
         if now < tokens.denied_until:
-            return tokens.denied_until - now
+            return tokens.refuse(tokens.denied_until, now)
         state = self._shards.get(tokens.shard)
         if state is None or state.free_at <= now:
-            return NO_ALLOCATOR_WAIT_S
-        return state.free_at - now
+            return tokens.refuse(now + NO_ALLOCATOR_WAIT_S, now)
+        return tokens.refuse(state.free_at, now)
 
     def poll(self, now: float) -> list[Outgoing]:
         """Return the requests to send now."""
--- a/lentilsill/quotas/tokens.py
+++ b/lentilsill/quotas/tokens.py
@@ -20,6 +20,10 @@
 HOLD_RETRY_S = 5.0
 # A call whose token comes within this time waits for it instead of being refused.
 SHORT_WAIT_S = 0.05
+# Callers that are refused in one denial are told times that are spread over this time
+# at most. The denied node is given the time of one token, so if all of them came back
+# then, they would be refused again.
+MAX_SPREAD_S = 0.5
 
 
 class OrganisationTokens:
@@ -34,6 +38,7 @@
         "_held",
         "_hold_at",
         "_rate",
+        "_refused",
         "_soon",
         "_taken",
         "_used_at",
@@ -50,6 +55,8 @@
         self.shard = shard
         self.waiting = 0
         self.denied_until = -math.inf
+        # Calls refused since the last reply.
+        self._refused = 0
         # Rows of [time of expiry, tokens].
         self._soon: deque[list[float]] = deque()
         self._held: deque[list[float]] = deque()
@@ -103,6 +110,17 @@
         if grant.held:
             self._held.append([sent_at + HELD_S, grant.held])
         self.denied_until = now + grant.wait_ms / 1000 if grant.wait_ms else -math.inf
+        self._refused = 0
+
+    def refuse(self, until: float, now: float) -> float:
+        """Return the seconds after which the caller of a refused call may come back.
+
+        The first one may do so at `until`, the others later, at the quota's rate.
+        """
+        rate = self.quota.rate_per_s
+        spread_s = min(MAX_SPREAD_S, self._refused / rate) if rate > 0 else MAX_SPREAD_S
+        self._refused += 1
+        return until - now + spread_s
 
     def kept_waiting(self, now: float) -> int:
         """Return how many of the calls that wait go on doing so after a denial.
@@ -112,8 +130,13 @@
         return 1 if self.denied_until - now <= SHORT_WAIT_S else 0
 
     def set_quota(self, quota: Quota) -> None:
-        """Apply another quota; tokens of one that was higher are dropped."""
+        """Apply another quota; tokens of one that was higher are dropped.
+
+        A denial ends with the quota that it was for.
+        """
         old, self.quota = self.quota, quota
+        if quota != old:
+            self.denied_until = -math.inf
         if quota.rate_per_s < old.rate_per_s or quota.burst < old.burst:
             self._soon.clear()
             self._held.clear()
