Count the directory's entries while a domain is unknown

A process that restarted while its domain was cut off forgot the entries of the directory after 10 s and then counted only the nodes of its own domain, whereas processes that ran before count the others for 60 s. A process whose directory had not been read counted itself only, pledged the whole quota to itself after 1 s, and looked at the directory's entries again only after a change of members or 5 s.

The entries now count for 60 s while a domain has no known node, a process pledges nothing until its directory has been read (10 s at most), and a change in the number of entries is applied within 0.5 s. Nodes that don't pledge can still request tokens.

--- a/lentilsill/daemon/blackboard.py
+++ b/lentilsill/daemon/blackboard.py
@@ -44,9 +44,9 @@
     remote_totals : dict
         Number of ready upstreams of each other domain, which may be more than those of
         the nodes in `remote_nodes`. Written by the membership controller.
-    directory_entries : int
-        Number of entries that the directory had when it was last read. Written by the
-        directory controller.
+    directory_entries : int or None
+        Number of entries that the directory had when it was last read, None before.
+        Written by the directory controller.
     suspects : frozenset of str
         Names of nodes in `members` and `remote_nodes` that are suspect.
         Written by the membership controller.
@@ -69,7 +69,7 @@
     members: dict[str, NodeRecord] = field(default_factory=dict)
     remote_nodes: dict[str, NodeRecord] = field(default_factory=dict)
     remote_totals: dict[str, int] = field(default_factory=dict)
-    directory_entries: int = 0
+    directory_entries: int | None = None
     suspects: frozenset[str] = frozenset()
     ready: bool = False
     draining: bool = False
--- a/lentilsill/daemon/controllers/quotas.py
+++ b/lentilsill/daemon/controllers/quotas.py
@@ -79,7 +79,9 @@
         started_at = now()
         self.client = QuotaClient(node, cfg.shards, bounds, started_at)
         self.allocator = Allocator(cfg.shards, bounds, ctx.rng, started_at)
-        self._node_count = NodeCount(started_at)
+        self._node_count = NodeCount(
+            started_at, ctx.cfg.directory, {*ctx.cfg.domains, ctx.cfg.domain}
+        )
         self._waiting: dict[str, deque[asyncio.Future[float | None]]] = defaultdict(
             deque
         )
@@ -217,9 +219,14 @@
         now = self._now()
         if now - self._viewed_at < VIEW_INTERVAL_S:
             return
-        if not self._has_member_changes and now - self._counted_at < COUNT_INTERVAL_S:
-            return
         board, cfg = self._ctx.board, self._ctx.cfg
+        counted = self._node_count
+        has_changes = (
+            self._has_member_changes
+            or counted.directory_entries != board.directory_entries
+        )
+        if not has_changes and now - self._counted_at < COUNT_INTERVAL_S:
+            return
         self._viewed_at = self._counted_at = now
         domains: dict[str, set[str]] = defaultdict(set)
         domains[cfg.domain].add(cfg.node)
@@ -230,10 +237,10 @@
             for name, record in board.members.items()
             if record.state == NodeState.LEAVING
         }
-        counted = self._node_count
         counted.directory_entries = board.directory_entries
         counted.observe(domains, board.remote_totals, leaving, now)
         self.client.node_count = counted.value(now)
+        self.client.may_pledge = counted.is_known(now)
         self._ctx.gauge("quotas.nodes", self.client.node_count)
         if self._has_member_changes:
             self._has_member_changes = False
--- a/lentilsill/quotas/client.py
+++ b/lentilsill/quotas/client.py
@@ -59,6 +59,8 @@
         self.own_node = own_node
         self.bounds = bounds
         self.node_count = 1
+        # Whether the node count is known; pledges of too large shares are prevented.
+        self.may_pledge = True
         self.version = 0
         self.organisations: dict[str, OrganisationTokens] = {}
         self._configured: Mapping[str, Organisation] = {}
@@ -293,8 +295,9 @@
         """Pledge to the chosen allocator, renew, or withdraw from another one."""
         if state.holder is not None and now >= state.free_at:
             state.holder = None
-        if not state.chosen or now - self._started_at < self.lease_s:
-            # Pledges of this node's earlier process may still be valid.
+        # In its first lease, pledges of this node's earlier process may still be valid.
+        has_waited = now - self._started_at >= self.lease_s
+        if not (state.chosen and has_waited and self.may_pledge):
             return
         peer = self._peers[state.chosen]
         if state.holder is None:
--- a/lentilsill/quotas/node_count.py
+++ b/lentilsill/quotas/node_count.py
@@ -1,6 +1,6 @@
 """Number of nodes that share the quotas."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 __all__ = ["NodeCount"]
 
@@ -13,7 +13,17 @@
     """Counts the nodes known within the last 60 s.
 
     A node that has been cut off still uses its share of the quotas, so a node that is
-    no longer seen goes on counting for that time. Times are in seconds.
+    no longer seen goes on counting for that time. A process that starts while its
+    domain is cut off can't have seen the others, so for the same time the entries of
+    the directory count instead while a domain is unknown. Times are in seconds.
+
+    Parameters
+    ----------
+    started_at : float
+    uses_directory : bool
+        Whether the directory will be read.
+    domains : collection of str
+        Names of all domains.
 
     Examples
     --------
@@ -27,12 +37,21 @@
     (4, 1)
     """
 
-    def __init__(self, started_at: float) -> None:
+    def __init__(
+        self,
+        started_at: float,
+        uses_directory: bool = False,
+        domains: Collection[str] = (),
+    ) -> None:
         self._started_at = started_at
+        self._uses_directory = uses_directory
+        self._domains = frozenset(domains)
+        self._has_unknown_domain = False
         self._seen_at: dict[str, float] = {}
         # Nodes of a domain that are counted there but not named, and when.
         self._unnamed: dict[str, dict[int, float]] = {}
-        self.directory_entries = 0
+        # None before the directory was read.
+        self.directory_entries: int | None = None
 
     def observe(
         self,
@@ -45,6 +64,7 @@
 
         Nodes that announced that they leave hand out no tokens any more.
         """
+        self._has_unknown_domain = not self._domains <= nodes_by_domain.keys()
         for domain, names in nodes_by_domain.items():
             self._seen_at.update(dict.fromkeys(names, now))
             unnamed = totals.get(domain, 0) - len(names)
@@ -53,6 +73,12 @@
         for name in leaving:
             self._seen_at.pop(name, None)
 
+    def is_known(self, now: float) -> bool:
+        """Return False if a started node has not read the directory yet."""
+        if not self._uses_directory or self.directory_entries is not None:
+            return True
+        return now - self._started_at >= START_S
+
     def value(self, now: float) -> int:
         """Return the number of nodes, at least 1."""
         oldest = now - RETENTION_S
@@ -62,6 +88,7 @@
             fresh = {count: at for count, at in seen.items() if at >= oldest}
             self._unnamed[domain] = fresh
             total += max(fresh, default=0)
-        if now - self._started_at < START_S:
-            total = max(total, self.directory_entries)
+        floor_s = RETENTION_S if self._has_unknown_domain else START_S
+        if now - self._started_at < floor_s:
+            total = max(total, self.directory_entries or 0)
         return max(1, total)
--- a/lentilsill/quotas/tests/test_client.py
+++ b/lentilsill/quotas/tests/test_client.py
@@ -6,6 +6,7 @@
 from lentilsill.quotas import (
     AllocatorRanking,
     GrantReply,
+    NodeCount,
     Outgoing,
     QuotaBounds,
     QuotaClient,
@@ -86,3 +87,31 @@
         self.client.on_unreachable("first", False, self.now)
         self.run_until(3.4)
         self.assertFalse(self.pledged_to("next", 3.0))
+
+
+class NodeCountTest(unittest.TestCase):
+    def test_process_that_starts_in_a_cut_off_domain_counts_the_directory(self) -> None:
+        """Processes that restart during a partition must not use the whole quota."""
+        counted = NodeCount(0.0, uses_directory=True, domains={"lahore", "multan"})
+        counted.directory_entries = 9
+        counted.observe({"lahore": {"a", "b"}}, {}, set(), 30.0)
+        self.assertEqual(counted.value(30.0), 9)
+        counted.observe({"lahore": {"a", "b"}, "multan": {"c"}}, {}, set(), 31.0)
+        self.assertEqual(counted.value(31.0), 3)
+
+    def test_nothing_is_pledged_before_the_directory_is_read(self) -> None:
+        """Nodes that all restart must not take themselves for the only one."""
+        counted = NodeCount(0.0, uses_directory=True)
+        counted.observe({"lahore": {"a"}}, {}, set(), 2.0)
+        self.assertFalse(counted.is_known(2.0))
+        client = QuotaClient("a", 1, QuotaBounds(), 0.0)
+        client.set_organisations({"a": ORGANISATION}, 1)
+        client.may_pledge = False
+        for i in range(20, 40):
+            for outgoing in client.poll(0.1 * i):
+                self.assertEqual(outgoing.request.pledges, ())
+                reply = GrantReply(outgoing.request.seq, 100_000 * i)
+                client.on_reply("a", "i-a", reply, 0.1 * i)
+        counted.directory_entries = 9
+        self.assertTrue(counted.is_known(2.0))
+        self.assertEqual(counted.value(2.0), 9)
