Hold fewer tokens ahead for organisations with few calls

Tokens to be held were granted from the upper half of a bucket. With callers at all nodes most of them expire unused, so that calls within the quota were refused. They are now granted above 0.7 of the capacity.

Model, 66 nodes, rate and burst of 5, calls at 0.6 of the rate: 0.2% of the calls refused instead of 2.6% with 30 organisations at all nodes, 0.1% instead of 0.7% at one tenth of the nodes; 0.6% instead of 2.6% with 74 of them beside one with 279 calls/s, where an ideal bucket refuses 0.6%. The share of calls with a token at hand falls from 6% to 4%, and from 46% to 22% at one tenth of the nodes.

--- a/lentilsill/quotas/buckets.py
+++ b/lentilsill/quotas/buckets.py
@@ -25,6 +25,10 @@
 NODES_PER_TOKEN = 2
 # Tokens beyond those that calls wait for are granted above this share of the capacity.
 RESERVE_SHARE = 0.5
+# Most tokens to be held expire unused when callers are spread over all nodes. Granting
+# them above half of the capacity had 2.6% of the calls refused at 0.6 of the rate, with
+# a rate and burst of 5 at 66 nodes; above 0.7, it was 0.2%.
+HELD_RESERVE_SHARE = 0.7
 # A bucket that can't hold one token loses its content when nobody asks for this many
 # times the time that a token takes.
 IDLE_TOKENS = 1.5
@@ -109,7 +113,8 @@
             return Grant(count, 0, self._wait_ms(rate, now))
         spare = int(self._level - RESERVE_SHARE * self.capacity)
         soon = max(0, min(ask.soon, spare))
-        held = max(0, min(ask.held, spare - soon, self._held_room(bounds, now)))
+        spare = int(self._level - soon - HELD_RESERVE_SHARE * self.capacity)
+        held = max(0, min(ask.held, spare, self._held_room(bounds, now)))
         self._level -= soon + held
         if held:
             self._held.append((now + HELD_S, held))
