--- a/lentilsill/quotas/client.py
+++ b/lentilsill/quotas/client.py
@@ -206,7 +206,7 @@
 
     def on_unreachable(self, node: str, is_gone: bool, now: float) -> None:
         """Record that `node` can't be reached; its process is gone if `is_gone`."""
-        self._peers[node].record_silence(now)
+        self._peers[node].record_silence(now, is_gone)
         self._give_up_all(node)
         if is_gone:
             self._peers[node].instance = ""
--- a/lentilsill/quotas/peers.py
+++ b/lentilsill/quotas/peers.py
@@ -54,9 +54,14 @@
         self.state = AllocatorState.UP
         self.is_asked = False
 
-    def record_silence(self, now: float) -> None:
-        """Record that a request was not answered or could not be sent."""
-        if self.state is AllocatorState.UP:
+    def record_silence(self, now: float, is_gone: bool = False) -> None:
+        """Record that a request was not answered or could not be sent.
+
+        A process that is gone (`is_gone`) is soon replaced by another one.
+        """
+        if is_gone:
+            self.retry_s = RETRY_S
+        elif self.state is AllocatorState.UP:
             is_stable = now - self.up_since >= STABLE_S
             self.retry_s = RETRY_S if is_stable else min(2 * self.retry_s, MAX_RETRY_S)
         self.state = AllocatorState.DOWN
