--- a/harness/imports.py
+++ b/harness/imports.py
@@ -18,6 +18,7 @@
     "outcomes",
     "quarantine",
     "rollouts",
+    "quotas",
     "drain",
     "status",
 )
--- a/lentilsill/daemon/controllers/call_admission.py
+++ b/lentilsill/daemon/controllers/call_admission.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
-from typing import Any, Protocol
+from typing import Any
 
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.integration import HeaderNames
-from lentilsill.daemon.interfaces import CallRequest
+from lentilsill.daemon.interfaces import CallRequest, Quotas
 from lentilsill.documents import Organisation, Route, key_digest
 from lentilsill.outcomes import CallResult, Outcome, Refused
 from lentilsill.wire.messages import Call
@@ -14,7 +14,7 @@
 from .call_results import refuse_call
 from .reasons import OVER_QUOTA, UNKNOWN_KEY
 
-__all__ = ["Admission", "CallAdmission", "QuotaGate", "upstream_headers"]
+__all__ = ["Admission", "CallAdmission", "upstream_headers"]
 
 Header = tuple[str, str]
 
@@ -45,18 +45,6 @@
     weight: float = 0.0
 
 
-class QuotaGate(Protocol):
-    """Tokens for the calls of organisations that have a quota."""
-
-    async def take(self, organisation: Organisation) -> float | None:
-        """Take a token; None if there was one, otherwise the seconds to wait."""
-        ...
-
-    def give_back(self, organisation: str) -> None:
-        """Take back the token of a call that was proved not run."""
-        ...
-
-
 class CallAdmission:
     """Decides whether a call of this node's callers may be sent to an upstream.
 
@@ -68,7 +56,7 @@
     """
 
     def __init__(self, ctx: Context, header_names: HeaderNames) -> None:
-        self.quotas: QuotaGate | None = None
+        self.quotas: Quotas | None = None
         self._ctx = ctx
         self._header_name = header_names.organisation
         self._own_header = header_names.organisation.lower()
@@ -76,6 +64,11 @@
         self._by_digest: dict[str, Organisation] = {}
         ctx.board.dump_parts["organisations"] = self._dump
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of calls that wait for their admission."""
+        return self.quotas.waiting_count if self.quotas is not None else 0
+
     async def admit(self, req: CallRequest, route: Route) -> Admission | Refused:
         """Return the admitted call, or its refusal."""
         if not self._ctx.cfg.organisations:
@@ -103,7 +96,8 @@
                 return refuse_call(req, UNKNOWN_KEY)
             return Admission(replace(req, headers=tuple(headers)), route.priority)
         if self.quotas is not None and organisation.quota is not None:
-            wait_s = await self.quotas.take(organisation)
+            deadline_ms = min(route.deadline_ms, req.deadline_ms or route.deadline_ms)
+            wait_s = await self.quotas.take(organisation, deadline_ms / 1000)
             if wait_s is not None:
                 return refuse_call(req, OVER_QUOTA, wait_s)
         # Header values are sent in Latin-1; the bytes on the connection are UTF-8.
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -133,7 +133,8 @@
         route = self._route_index(document).match(req.method, req.path)
         if route is None:
             return refuse_call(req, NO_ROUTE, STARTUP_RETRY_S)
-        if self.in_flight >= self.ctx.cfg.calls.max_calls:
+        in_flight = self.in_flight + self.admission.waiting_count
+        if in_flight >= self.ctx.cfg.calls.max_calls:
             return refuse_call(req, OVERLOADED, STARTUP_RETRY_S)
         admission = await self.admission.admit(req, route)
         if isinstance(admission, Refused):
--- a/lentilsill/daemon/controllers/tests/test_call_admission.py
+++ b/lentilsill/daemon/controllers/tests/test_call_admission.py
@@ -44,10 +44,12 @@
 class FakeQuotas:
     """Quota of two calls that waits for 0.5 s."""
 
+    waiting_count = 0
+
     def __init__(self):
         self.tokens = 2
 
-    async def take(self, organisation):
+    async def take(self, organisation, deadline_s):
         self.tokens -= 1
         return None if self.tokens >= 0 else 0.5
 
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -34,6 +34,7 @@
 from .controllers.membership import MembershipController
 from .controllers.platform_watch import PlatformWatchController
 from .controllers.quarantine import QuarantineController
+from .controllers.quotas import QuotaController
 from .controllers.readiness import ReadinessController
 from .controllers.rollout_store import RolloutStoreController
 from .controllers.rollouts import FEATURE as ROLLOUTS_FEATURE, RolloutsController
@@ -44,6 +45,8 @@
 
 # Longest time for which a peer that does not read delays the exit.
 FLUSH_TIMEOUT_S = 1.0
+# First-ranked nodes that exchange summaries with other domains.
+GATEWAYS = 2
 
 
 def make_context(cfg: NodeSettings) -> Context:
@@ -79,7 +82,10 @@
     membership = _start_control_plane(ctx, api, integration)
     entry, destination, claims = _start_call_path(ctx, api, membership, integration)
     ctx.in_flight = lambda: (
-        entry.in_flight + destination.in_flight_total + claims.count_unfinished()
+        entry.in_flight
+        + entry.admission.waiting_count
+        + destination.in_flight_total
+        + claims.count_unfinished()
     )
     _start_rollouts(ctx, api, membership, entry, destination)
     load_report = LoadReportController(ctx, destination)
@@ -179,6 +185,12 @@
         ctx, quarantine, claims.store_orphaned_result, integration
     )
     entry = EntryController(ctx, destination, claims, quarantine)
+    if ctx.cfg.quotas is not None:
+        quotas = QuotaController(
+            ctx, ctx.cfg.quotas, lambda: membership.ranked()[:GATEWAYS]
+        )
+        quotas.start()
+        entry.admission.quotas = quotas
     for controller in (quarantine, claims, destination, entry):
         controller.start()
     return entry, destination, claims
--- a/lentilsill/daemon/reload.py
+++ b/lentilsill/daemon/reload.py
@@ -32,6 +32,7 @@
         "documents",
         "organisations",
         "platform",
+        "quotas",
         "statsd",
     }
 )
--- a/lentilsill/platform/settings_file.py
+++ b/lentilsill/platform/settings_file.py
@@ -107,6 +107,20 @@
     }
 
 
+def _quotas(fields: Mapping[str, str]) -> dict[str, float] | None:
+    """Return the section on quotas, or None if the platform asks for none."""
+    if "quota" not in _contracts(fields):
+        return None
+    names = {
+        "window_s": "bounds.quota_window_s",
+        "excess_share": "bounds.quota_over",
+        "excess_calls": "bounds.quota_slack",
+    }
+    return {
+        name: float(fields[field]) for name, field in names.items() if field in fields
+    }
+
+
 def _node_settings(fields: Mapping[str, str]) -> dict[str, Any]:
     ip = fields["ip"]
     first_port = fields["internal_ports"].split(",")[0]
@@ -130,6 +144,7 @@
         "documents": "bundle",
         "directory": True,
         "organisations": "tenants" in _contracts(fields),
+        "quotas": _quotas(fields),
         "distribution": {
             "in_force_s": float(fields["bounds.config_apply_ms"]) / 1000,
         },
--- a/lentilsill/settings/__init__.py
+++ b/lentilsill/settings/__init__.py
@@ -8,6 +8,7 @@
     MembershipSettings,
     NodeSettings,
     PlatformSettings,
+    QuotaSettings,
     RolloutSettings,
     StatsdSettings,
 )
@@ -19,6 +20,7 @@
     "MembershipSettings",
     "NodeSettings",
     "PlatformSettings",
+    "QuotaSettings",
     "RolloutSettings",
     "StatsdSettings",
     "load_settings",
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -22,6 +22,8 @@
     OutcomeReply,
     Ping,
     Pong,
+    QuotaGrant,
+    QuotaRequest,
     Refusal,
     Release,
     StoreOutcome,
@@ -56,6 +58,8 @@
     "Pong",
     "Probe",
     "ProbeAck",
+    "QuotaGrant",
+    "QuotaRequest",
     "Records",
     "Refusal",
     "Release",
@@ -314,6 +318,8 @@
     Release,
     RolloutReport,
     RolloutState,
+    QuotaRequest,
+    QuotaGrant,
 ]
 
 # Features of `Hello` without which a peer can't read a message.
