Read the slots of an upstream from the third figure of its load header

Cause: after a restart of the node alone, a health check gives the slots of the upstream. The last figure of the load header was taken for them. On deployments whose header has a fourth figure, the pace of the host in percent, an upstream of 8 slots was announced with up to 250.

Change: `parse_server_load` reads each figure by its place. A missing or malformed figure does not affect the others, and further ones are ignored.

Result: the new test reads nine headers; 6 of them gave wrong slots before.

--- a/lentilsill/daemon/controllers/discovery.py
+++ b/lentilsill/daemon/controllers/discovery.py
@@ -13,8 +13,8 @@
 
 from lentilsill.daemon.announcements import MAX_SLOTS, Announcements
 from lentilsill.daemon.context import Context
-from lentilsill.daemon.header_numbers import parse_count
 from lentilsill.daemon.integration import Integration
+from lentilsill.daemon.server_load import parse_server_load
 from lentilsill.membership import Announcement, UpstreamRecord, UpstreamState
 from lentilsill.outcomes import Answer, Refused
 
@@ -100,8 +100,8 @@
     ) -> Announcement | None:
         header_names = self._integration.headers
         upstream = headers.get(header_names.upstream, "")
-        load_fields = headers.get(header_names.load, "").split(",")
-        slots = min(parse_count(load_fields[-1]) or 1, MAX_SLOTS)
+        load = parse_server_load(headers.get(header_names.load, ""))
+        slots = min(load.slots or 1, MAX_SLOTS)
         if not upstream:
             return None
         service = self._ctx.cfg.host_service
--- a/lentilsill/daemon/integration.py
+++ b/lentilsill/daemon/integration.py
@@ -35,7 +35,8 @@
     answer_digest : str
         A successful answer without it is not accepted as the upstream's.
     load : str
-        Running and waiting calls of the upstream, and its slots.
+        Running and waiting calls of the upstream, its slots, and the time that work
+        takes on its host at the moment, in percent of the usual time.
     upstream : str
         Id of the upstream, in its answer to a health check.
     limit : tuple of str
--- a/lentilsill/daemon/tests/test_discovery.py
+++ b/lentilsill/daemon/tests/test_discovery.py
@@ -39,10 +39,10 @@
         board = Blackboard(EMPTY_SNAPSHOT)
         self.ctx = Context(cfg, board, links, None, random.Random(1))
         announcements = Announcements(self.ctx)
-        discovery = UpstreamDiscovery(
+        self.discovery = UpstreamDiscovery(
             self.ctx, announcements, Integration(HEADER_NAMES)
         )
-        self.run_checks = lambda: discovery._run(address)
+        self.run_checks = lambda: self.discovery._run(address)
 
     async def test_healthy_upstream_is_announced(self):
         """Guards against calls that are refused until the next announcement."""
@@ -50,6 +50,26 @@
         await self.run_checks()
         self.assertEqual(self.ctx.board.upstreams["i-7"].slots, 8)
 
+    async def test_slots_are_read_from_headers_with_any_number_of_figures(self):
+        """Guards against the pace of the host that is taken for the number of slots:
+        the last figure was read, and headers with four figures gave 250 slots."""
+        for load, slots in (
+            (b"1,0,8", 8),
+            (b"1,0,8,250", 8),
+            (b"1, 0, 8, 250", 8),
+            (b",,8,x", 8),
+            (b"1,0,8,250,3", 8),
+            (b"1,0,x,250", 1),
+            (b"1,0", 1),
+            (b"1,0,,250", 1),
+            (b"", 1),
+        ):
+            with self.subTest(load=load):
+                self.server.answer = HEALTHY.replace(b"1,0,8", load)
+                announcement = await self.discovery._check(self.server.address)
+                assert announcement is not None
+                self.assertEqual(announcement.record.slots, slots)
+
     async def test_leaving_or_failing_upstream_is_not_announced(self):
         """Guards against calls to a leaving upstream after a restart of its node."""
         self.server.answer = HEALTHY.replace(b"200 OK", b"503 Unavailable")
