Choose upstreams by how busy they are, with calls.even_load

Cause: a node knows the load of upstreams from the answers to its own calls, as an expected time, which is the same for an idle upstream and one with a single free slot. The fastest upstreams were filled first, others stayed idle, and calls left a full domain only when they were late anyway.

Change: with the setting, answers and refusals carry the calls per slot (`busy_percent`, last field, -1 from other nodes). `EvenSelector` takes the best of three by the estimated busy share and the expected time; a report gives way to the average of its domain within about the time of an answer. While the local domain is nearly full, calls probe a clearly less busy domain, and never wait there. The destination multiplies the time that it reports by the pace of its host, the fourth figure of the load header.

Without the setting nothing changes but one byte per answer.

--- a/lentilsill/admission/__init__.py
+++ b/lentilsill/admission/__init__.py
@@ -7,6 +7,7 @@
 
 from .ages import CallAges
 from .notice import Notice, newer_notice
+from .pace import HostPace
 from .queue import AdmissionQueue, Refuse, Start
 from .rate_limit import RateLimiter, parse_limit
 from .usage import KindUsage, SlotUsage, UsageReport
@@ -14,6 +15,7 @@
 __all__ = [
     "AdmissionQueue",
     "CallAges",
+    "HostPace",
     "KindUsage",
     "Notice",
     "RateLimiter",
--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -102,6 +102,11 @@
         """Number of calls that run or wait."""
         return len(self._running) + len(self._waiting)
 
+    @property
+    def busy_share(self) -> float:
+        """Calls that run or wait, per slot; above 1 while calls wait."""
+        return self.call_count / max(1, self.slots)
+
     @property
     def waiting(self) -> int:
         """Number of calls that wait."""
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -1,7 +1,6 @@
 """Execution of calls on the upstreams of this node."""
 
 import asyncio
-import math
 from collections.abc import Callable, Iterator
 
 from lentilsill.admission import AdmissionQueue, Refuse, Start
@@ -101,16 +100,16 @@
         local = self._upstreams.get(upstream)
         return local.queue.call_count if local else 0
 
-    def expected_time_ms(self, call: Call) -> int:
-        """Return the time in ms that another call of this kind is expected to take."""
+    def load_figures(self, call: Call) -> tuple[int, int]:
+        """Return what another call of this kind can expect at its upstream.
+
+        The figures are the expected time in ms, and the calls that run or wait in
+        percent of the slots, which is -1 without the setting `calls.even_load`.
+        """
         local = self._upstreams.get(call.upstream)
-        if local is None:
-            return 0
+        is_even = self.ctx.cfg.calls.even_load
         now = self.ctx.now()
-        expected_s = local.queue.expected_time_s(
-            now, call.priority, call_kind(call), objective_at(call, now, math.inf)
-        )
-        return round(expected_s * 1000)
+        return (0, -1) if local is None else local.load_figures(call, now, is_even)
 
     def notice_row(self, call: Call) -> NoticeRow | None:
         """Return what the upstream of a call last said, if it ever restricted calls."""
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -14,11 +14,7 @@
 from lentilsill.documents import ServiceDocument
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.retries import decide_hedge, decide_retry
-from lentilsill.routing import (
-    Candidate,
-    RouteIndex,
-    Selector,
-)
+from lentilsill.routing import Candidate, EvenSelector, RouteIndex, Selector
 from lentilsill.wire import CALLS, Link
 from lentilsill.wire.messages import Call, GoAway
 
@@ -76,7 +72,8 @@
         self.guard = guard
         self.peers = PeerCalls(ctx)
         LinkLog(ctx, self.peers.count_calls, destination.served_calls.count_calls)
-        self.selector = Selector(ctx.cfg.domain, ctx.rng)
+        select = EvenSelector if ctx.cfg.calls.even_load else Selector
+        self.selector = select(ctx.cfg.domain, ctx.rng)
         self.call_ages = CallAges()
         self.in_flight = 0
         self._attempt_ids = itertools.count(1)
@@ -320,7 +317,8 @@
         if reply.late is not None:
             progress.late_replies.add(reply.late)
         if reply.load >= 0:
-            selector.record_report(upstream, reply.load, self.ctx.now(), progress.kind)
+            report = (reply.load, self.ctx.now(), progress.kind, reply.busy_percent)
+            selector.record_report(upstream, *report)
         if isinstance(reply.result, Refused) and not (failed or is_busy(reply.result)):
             hold_s = reply.result.retry_after_s
             selector.record_refusal(upstream, self.ctx.now(), hold_s)
@@ -358,7 +356,7 @@
             )
         execution = Execution(call, progress.deadline, None, progress.fingerprint)
         result = await self.destination.execute(execution)
-        return Reply(result, self.destination.expected_time_ms(call))
+        return Reply(result, *self.destination.load_figures(call))
 
     def _attempt_with_hedge(
         self, progress: CallProgress, candidate: Candidate, delay_s: float
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -1,15 +1,18 @@
 """An upstream of this node, and the calls that it runs."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import xxhash
+from tornado.httputil import HTTPHeaders
 
-from lentilsill.admission import AdmissionQueue
+from lentilsill.admission import AdmissionQueue, HostPace
 from lentilsill.daemon.held_bytes import HeldBytes
 from lentilsill.daemon.integration import Integration
 from lentilsill.daemon.interfaces import CallRequest, CrashGuard
+from lentilsill.daemon.server_load import parse_server_load
 from lentilsill.membership import UpstreamRecord
 from lentilsill.outcomes import Refused
 from lentilsill.quarantine import Run
@@ -110,10 +113,25 @@
             record.address, post_reuse_s, integration, on_closed, held_bytes
         )
         self.notices = UpstreamNotices(record.upstream, integration.headers, on_leaving)
-        self.client.on_answer_head = self.notices.record_answer
+        self.pace = HostPace()
+        self._load_header = integration.headers.load
+        self.client.on_answer_head = self._record_answer
         can_start = None if guard is None else self._can_start
         self.queue = AdmissionQueue(max(1, record.slots), 0, can_start)
 
+    def load_figures(self, call: Call, now: float, is_even: bool) -> tuple[int, int]:
+        """Return the expected time in ms and the busy percentage for a new call.
+
+        Without `is_even`, the pace of the host is not used, and the latter is -1.
+        """
+        expected_ms = 1000 * self.queue.expected_time_s(
+            now, call.priority, call_kind(call), objective_at(call, now, math.inf)
+        )
+        if not is_even:
+            return round(expected_ms), -1
+        expected_ms *= self.pace.factor(now)
+        return round(expected_ms), round(100 * self.queue.busy_share)
+
     def record_start(self, execution: Execution) -> None:
         """Count a call as running, and determine whether it is a trial."""
         is_alone = not (self.running or self.lost_runs)
@@ -136,6 +154,14 @@
         lost, self.lost_runs = self.lost_runs, []
         return (*lost, *(execution.run for execution in self.running))
 
+    def _record_answer(self, headers: HTTPHeaders, heard_at: float, now: float) -> None:
+        self.notices.record_answer(headers, heard_at, now)
+        text = headers.get(self._load_header) if self._load_header else None
+        if text is not None:
+            percent = parse_server_load(text).pace_percent
+            if percent is not None:
+                self.pace.record(percent, heard_at)
+
     def _can_start(self, execution, running) -> bool:
         assert self.guard is not None
         # A call that starts while a crash check is pending would be in flight at the
--- a/lentilsill/daemon/controllers/peer_attempts.py
+++ b/lentilsill/daemon/controllers/peer_attempts.py
@@ -26,6 +26,8 @@
     ----------
     load : int
         Expected time in ms that the destination node reported, or -1.
+    busy_percent : int
+        Calls at the upstream in percent of its slots as its node reported, or -1.
     late : asyncio.Future or None
         After the link of an idempotent call was lost: the result that the destination
         node still has for it. Whoever stops waiting for it cancels it.
@@ -33,6 +35,7 @@
 
     result: CallResult
     load: int = -1
+    busy_percent: int = -1
     late: "asyncio.Future[Reply] | None" = None
 
 
@@ -47,10 +50,11 @@
     fut: asyncio.Future[Reply]
     upstream: str
     has_lost_link: bool = False
+    busy_percent: int = -1
 
     def settle(self, result: CallResult, load: int = -1) -> None:
         if not self.fut.done():
-            self.fut.set_result(Reply(result, load))
+            self.fut.set_result(Reply(result, load, self.busy_percent))
 
     def settle_as_lost(self) -> None:
         """Report the loss of the link; a result can still arrive at the new future."""
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -204,10 +204,11 @@
     def _find_ended(
         self, link: Link, message: AnswerMessage | Refusal
     ) -> PeerAttempt | None:
-        """Return the attempt that a message ends; record the notice in it."""
+        """Return the attempt that a message ends; record what it says of the load."""
         attempt = self._find(link, message.call_id)
         if attempt is not None:
             self._notices.record(attempt.upstream, message.notice, self.ctx.now())
+            attempt.busy_percent = message.busy_percent
         return attempt
 
     def _on_answer(self, link: Link, message) -> None:
--- a/lentilsill/daemon/controllers/placement.py
+++ b/lentilsill/daemon/controllers/placement.py
@@ -5,7 +5,13 @@
 from lentilsill.daemon.context import Context
 from lentilsill.documents import RouteTarget
 from lentilsill.retries import SlotProbeRecord, decide_probe
-from lentilsill.routing import CallProfile, Candidate, Selector, choose_target
+from lentilsill.routing import (
+    MIN_EVEN_FOUND_SHARE,
+    CallProfile,
+    Candidate,
+    Selector,
+    choose_target,
+)
 
 from .call_progress import CallProgress
 
@@ -41,7 +47,12 @@
     def __init__(self, ctx: Context, selector: Selector) -> None:
         self._ctx = ctx
         self._selector = selector
-        self._slot_probes = SlotProbeRecord()
+        self._is_even = ctx.cfg.calls.even_load
+        self._slot_probes = (
+            SlotProbeRecord(MIN_EVEN_FOUND_SHARE)
+            if self._is_even
+            else SlotProbeRecord()
+        )
 
     def record_slot_probe(self, progress: CallProgress, had_free_slot: bool) -> None:
         """Record whether the probed upstream had a free slot."""
@@ -112,7 +123,12 @@
         )
         if candidate is None:
             return None
-        is_probing = bool(can_probe) and candidate.upstream in local_upstreams
+        # With even load, calls cross to another domain only into free slots.
+        is_probing = bool(can_probe) and (
+            self._is_even or candidate.upstream in local_upstreams
+        )
+        if is_probing and candidate.upstream not in local_upstreams:
+            self._ctx.count("calls.cross_probe")
         return Placement(target, candidate, is_probing)
 
     def _is_probing_worthwhile(self, progress: CallProgress) -> bool:
--- a/lentilsill/daemon/controllers/served_calls.py
+++ b/lentilsill/daemon/controllers/served_calls.py
@@ -40,7 +40,7 @@
 
     async def execute(self, execution: Execution) -> CallResult: ...
 
-    def expected_time_ms(self, call: Call) -> int: ...
+    def load_figures(self, call: Call) -> tuple[int, int]: ...
 
     def notice_row(self, call: Call) -> NoticeRow | None: ...
 
@@ -109,9 +109,9 @@
                 self._send_result(execution.link, call, result)
 
     def _send_result(self, link: Link, call: Call, result: CallResult) -> None:
-        expected_ms = self._executor.expected_time_ms(call)
+        expected_ms, busy_percent = self._executor.load_figures(call)
         notice = self._executor.notice_row(call)
-        self._send(link, call.call_id, expected_ms, result, notice)
+        self._send(link, call.call_id, expected_ms, result, notice, busy_percent)
 
     def _send(
         self,
@@ -120,6 +120,7 @@
         expected_ms: int,
         result: CallResult,
         notice: NoticeRow | None = None,
+        busy_percent: int = -1,
     ) -> None:
         match result:
             case Answer(status, headers, body):
@@ -132,6 +133,7 @@
                         len(body),
                         expected_ms,
                         notice,
+                        busy_percent,
                     )
                 )
             case Refused(outcome, reason, retry_after_s, arrived):
@@ -144,6 +146,7 @@
                         retry_after_s,
                         arrived,
                         notice,
+                        busy_percent,
                     )
                 )
 
--- a/lentilsill/daemon/controllers/tests/call_builders.py
+++ b/lentilsill/daemon/controllers/tests/call_builders.py
@@ -134,7 +134,12 @@
     """Node with only the controllers of the call path."""
 
     def __init__(
-        self, name: str, silent_link_s: float = 1.0, port: int = 0, guard=None
+        self,
+        name: str,
+        silent_link_s: float = 1.0,
+        port: int = 0,
+        guard=None,
+        even_load: bool = False,
     ) -> None:
         self.port = port or free_port()
         cfg = NodeSettings.model_validate(
@@ -146,7 +151,7 @@
                 "caller_address": f"{HOST}:1",
                 "admin_address": f"{HOST}:1",
                 "platform": {"url": "http://127.0.0.1:1"},
-                "calls": {"silent_link_s": silent_link_s},
+                "calls": {"silent_link_s": silent_link_s, "even_load": even_load},
             }
         )
         links = PeerLinks(Identity(name, f"i-{name}", "lahore", cfg.peer_address), HOST)
--- a/lentilsill/platform/settings_file.py
+++ b/lentilsill/platform/settings_file.py
@@ -31,6 +31,8 @@
 WATCH_TIMEOUT_SHARE = 0.5
 # The process is killed at the end of its grace period; the margin is for closing links.
 EXIT_MARGIN_S = 1.0
+# Where these parts of the contract are in force, upstreams state their load.
+EVEN_LOAD_CONTRACTS = {"health", "pool"}
 
 
 def load_platform_settings(path: str) -> NodeSettings:
@@ -90,6 +92,11 @@
     return float(fields.get("limits.link_mbps") or 0) or None
 
 
+def _contracts(fields: Mapping[str, str]) -> set[str]:
+    """Return the names of the parts of the platform's contract that are in force."""
+    return {name.strip() for name in fields.get("contracts", "").split(",")}
+
+
 def _node_settings(fields: Mapping[str, str]) -> dict[str, Any]:
     ip = fields["ip"]
     first_port = fields["internal_ports"].split(",")[0]
@@ -124,6 +131,7 @@
             "retry_ratio": float(fields["bounds.retry_budget_ratio"]),
             "retry_window_s": float(fields["bounds.budget_window_s"]),
             "retry_allowance": float(fields["bounds.budget_slack"]),
+            "even_load": _contracts(fields) >= EVEN_LOAD_CONTRACTS,
             "drain_min_s": DRAIN_MIN_S,
             "drain_take_s": DRAIN_ACCEPT_S,
             "drain_bound_s": float(fields["bounds.grace_s"]) - EXIT_MARGIN_S,
--- a/lentilsill/platform/tests/test_translation.py
+++ b/lentilsill/platform/tests/test_translation.py
@@ -91,6 +91,17 @@
         self.assertLess(cfg.calls.drain_bound_s, 6.0)
         self.assertEqual(cfg.platform.watch_timeout_s, 1.5)
 
+    def test_even_load_needs_both_parts_of_the_contract(self):
+        """Guards against a choice by load figures where upstreams state none."""
+        for contracts, expected in (
+            (None, False),
+            ("health", False),
+            ("pool,health,tenants", True),
+            ("health, pool", True),
+        ):
+            cfg = parse_platform_settings(settings_text(contracts=contracts))
+            self.assertIs(cfg.calls.even_load, expected)
+
     def test_missing_and_invalid_fields_are_named(self):
         """Guards against a node that starts although a field is missing or invalid."""
         for text, place in (
--- a/lentilsill/retries/slot_probes.py
+++ b/lentilsill/retries/slot_probes.py
@@ -16,7 +16,8 @@
 class SlotProbeRecord:
     """Tracks, by kind of call, the share of slot probes that found a free slot.
 
-    It stops most probes at loads at which all slots are always taken.
+    It stops most probes at loads at which fewer than `min_found_share` of them find a
+    free slot.
 
     Examples
     --------
@@ -29,7 +30,8 @@
     True
     """
 
-    def __init__(self) -> None:
+    def __init__(self, min_found_share: float = MIN_FOUND_SHARE) -> None:
+        self._min_found_share = min_found_share
         self._found_shares: dict[str, float] = {}
 
     def add_result(self, kind: str, found: bool) -> None:
@@ -47,6 +49,6 @@
         `draw` is a random number from 0 to below 1.
         """
         return (
-            self._found_shares.get(kind, 1.0) >= MIN_FOUND_SHARE
+            self._found_shares.get(kind, 1.0) >= self._min_found_share
             or draw < EXPLORATION_SHARE
         )
--- a/lentilsill/routing/__init__.py
+++ b/lentilsill/routing/__init__.py
@@ -5,13 +5,16 @@
 """
 
 from .candidates import Candidate, build_candidates, is_leaving
+from .even import MIN_EVEN_FOUND_SHARE, EvenSelector
 from .load import CallProfile
 from .match import RouteIndex, choose_target, match_route
 from .selector import Selector
 
 __all__ = [
+    "MIN_EVEN_FOUND_SHARE",
     "CallProfile",
     "Candidate",
+    "EvenSelector",
     "RouteIndex",
     "Selector",
     "build_candidates",
--- /dev/null
+++ b/lentilsill/routing/even.py
@@ -0,0 +1,237 @@
+"""Selection that keeps the load of upstreams even although reports of it are old.
+
+The busy share of an upstream is the number of its running and waiting calls per slot.
+"""
+
+import math
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from lentilsill.membership import NodeRecord
+from lentilsill.versioning import Snapshot
+
+from .candidates import Candidate
+from .load import DEFAULT_PROFILE, CallProfile
+from .selector import DEFAULT_OBJECTIVE_MS, Selector
+
+__all__ = ["MIN_EVEN_FOUND_SHARE", "EvenSelector"]
+
+# Probes of other domains find slots at loads at which those of the local domain find
+# none. With the usual minimum, calls then took more messages than without even load.
+MIN_EVEN_FOUND_SHARE = 0.25
+# Candidates that are compared. More of them make nodes with the same reports choose the
+# same upstreams, and cost time.
+CHOICES = 3
+# Weight of the expected time, relative to the objective, against the busy share. More
+# answers are on time with a larger one, and the load is less even.
+TIME_WEIGHT = 0.3
+# Weight of the newest report in the average of a domain.
+GROUP_WEIGHT = 0.1
+# What is known of a domain loses half of its weight in this time.
+GROUP_HALF_LIFE_S = 2.0
+ASSUMED_BUSY_SHARE = 0.5
+# Time in which the calls of an upstream change, until one of its answers is known.
+DEFAULT_ANSWER_S = 0.1
+# Above this busy share of the local domain, calls queue in it now and then.
+CROSS_BUSY_SHARE = 0.8
+# Calls cross to a domain whose busy share is lower by more than the margin. The share
+# of calls that cross grows with the difference and reaches 1 at margin + range.
+CROSS_MARGIN = 0.15
+CROSS_RANGE = 0.3
+# Share of the calls that probe another domain while the local one is nearly full and
+# nothing newer is known of the other.
+EXPLORATION_SHARE = 0.03
+
+
+@dataclass(slots=True)
+class _Group:
+    """Average busy share of the upstreams of a service in one domain."""
+
+    mean: float = ASSUMED_BUSY_SHARE
+    updated_at: float = float("-inf")
+
+    def add(self, busy_share: float, now: float) -> None:
+        current = self.at(now, ASSUMED_BUSY_SHARE)
+        self.mean = current + GROUP_WEIGHT * (busy_share - current)
+        self.updated_at = now
+
+    def at(self, now: float, assumed: float) -> float:
+        """Return the average; as it ages, `assumed` replaces it."""
+        weight = 0.5 ** ((now - self.updated_at) / GROUP_HALF_LIFE_S)
+        return assumed + weight * (self.mean - assumed)
+
+
+@dataclass(slots=True)
+class _BusyReport:
+    """Busy share of one upstream, and the calls of this node outstanding then."""
+
+    group: _Group
+    busy_share: float = 0.0
+    reported_at: float = float("-inf")
+    outstanding: int = 0
+
+
+class EvenSelector(Selector):
+    """Selects upstreams by their estimated busy share, and by expected time.
+
+    The calls that an upstream ran when it reported end, and other nodes send it new
+    ones, so its busy share moves to the average of its domain within about the time of
+    an answer. Calls that this node has sent since then are added.
+
+    While the local domain is nearly full, a part of the calls probe another domain
+    for a free slot. They never wait there, and only a domain that is clearly less busy
+    is probed, so two domains can't swap their load.
+    """
+
+    def __init__(self, domain: str, rng: Random) -> None:
+        super().__init__(domain, rng)
+        self._groups: dict[tuple[str, str], _Group] = {}
+        self._busy: dict[str, _BusyReport] = {}
+
+    def update(
+        self,
+        snapshot: Snapshot,
+        nodes: Iterable[NodeRecord],
+        suspects: Iterable[str] = (),
+    ) -> None:
+        """Replace the snapshot, the nodes and the names of the suspected nodes."""
+        super().update(snapshot, nodes, suspects)
+        groups: dict[tuple[str, str], _Group] = {}
+        reports: dict[str, _BusyReport] = {}
+        for node in self._nodes:
+            for record in node.upstreams:
+                key = (node.domain, record.service)
+                group = groups.get(key)
+                if group is None:
+                    group = groups[key] = self._groups.get(key) or _Group()
+                report = self._busy.get(record.upstream)
+                if report is None or report.group is not group:
+                    report = _BusyReport(group)
+                reports[record.upstream] = report
+        self._groups, self._busy = groups, reports
+
+    def pick(
+        self,
+        service: str,
+        upstream_set: str,
+        now: float,
+        wall_ms: int,
+        tried: Collection[str] = (),
+        profile: CallProfile = DEFAULT_PROFILE,
+        probed: Collection[str] = (),
+        is_probing: bool = False,
+    ) -> Candidate | None:
+        """Choose an upstream as `Selector.pick` does, or one to probe elsewhere.
+
+        With `is_probing`, the upstream may be of another domain.
+        """
+        if is_probing:
+            group = self._groups.get((self.domain, service))
+            local_share = 0.0 if group is None else group.at(now, ASSUMED_BUSY_SHARE)
+            if local_share > CROSS_BUSY_SHARE:
+                remote = self._fresh_pool(service, upstream_set, now).remote
+                excluded = {*tried, *probed}
+                far = self._best_of_two(remote, now, wall_ms, excluded, True, profile)
+                if far is not None and self._crosses(local_share, far, now):
+                    return far
+        return super().pick(
+            service, upstream_set, now, wall_ms, tried, profile, probed, is_probing
+        )
+
+    def record_report(
+        self,
+        upstream: str,
+        expected_ms: float,
+        now: float,
+        kind: str = "",
+        busy_percent: int = -1,
+    ) -> None:
+        """Record a load report; see `Selector.record_report`."""
+        super().record_report(upstream, expected_ms, now, kind)
+        report = self._busy.get(upstream)
+        if report is None or busy_percent < 0:
+            return
+        report.busy_share = busy_percent / 100
+        report.reported_at = now
+        report.outstanding = self._load(upstream, now).outstanding
+        report.group.add(report.busy_share, now)
+
+    def dump(self, now: float) -> dict[str, dict[str, Any]]:
+        """Return the state of each upstream, with its last reported busy share."""
+        state = super().dump(now)
+        for upstream, figures in state.items():
+            report = self._busy.get(upstream)
+            if report is not None:
+                figures["busy_share"] = report.busy_share
+                average = report.group.at(now, ASSUMED_BUSY_SHARE)
+                figures["domain_busy_share"] = round(average, 2)
+        return state
+
+    def busy_share(self, candidate: Candidate, now: float) -> float:
+        """Return the estimated busy share of an upstream."""
+        load = self._load(candidate.upstream, now)
+        report = self._busy[candidate.upstream]
+        average = report.group.at(now, ASSUMED_BUSY_SHARE)
+        age_s = now - report.reported_at
+        if age_s > 0.0:
+            weight = math.exp(-age_s / (load.answer_ms / 1000 or DEFAULT_ANSWER_S))
+            share = average + weight * (report.busy_share - average)
+        else:
+            share = report.busy_share
+        sent = load.outstanding - report.outstanding
+        return share + sent / candidate.slots if sent > 0 else share
+
+    def _crosses(self, local_share: float, far: Candidate, now: float) -> bool:
+        far_share = self._busy[far.upstream].group.at(now, local_share)
+        difference = local_share - far_share
+        draw = self._rng.random()
+        return (
+            draw < EXPLORATION_SHARE or difference - CROSS_MARGIN > CROSS_RANGE * draw
+        )
+
+    def _best_of_two(
+        self,
+        group: list[Candidate],
+        now: float,
+        wall_ms: int,
+        tried: Collection[str],
+        is_strict: bool,
+        profile: CallProfile,
+    ) -> Candidate | None:
+        """Return the best of about `CHOICES` random candidates."""
+        count = len(group)
+        if is_strict and count > CHOICES:
+            # Offsets from the first draw; only they can be the same, which costs less
+            # time than a sample without repetition.
+            first = int(self._rng.random() * count)
+            drawn = {first}
+            for _ in range(CHOICES - 1):
+                offset = 1 + int(self._rng.random() * (count - 1))
+                drawn.add((first + offset) % count)
+            usable = [
+                c
+                for c in map(group.__getitem__, drawn)
+                if self._is_usable(c, now, tried, is_strict)
+            ]
+            if usable:
+                return self._best(usable, now, wall_ms, profile)
+        usable = [c for c in group if self._is_usable(c, now, tried, is_strict)]
+        if len(usable) > CHOICES:
+            usable = self._rng.sample(usable, CHOICES)
+        return self._best(usable, now, wall_ms, profile)
+
+    def _best(
+        self, group: list[Candidate], now: float, wall_ms: int, profile: CallProfile
+    ) -> Candidate | None:
+        if len(group) < 2:
+            return group[0] if group else None
+        time_weight = TIME_WEIGHT / (profile.objective_ms or DEFAULT_OBJECTIVE_MS)
+        return min(
+            group,
+            key=lambda c: (
+                self.busy_share(c, now)
+                + time_weight * self._score(c, now, wall_ms, profile)
+            ),
+        )
--- a/lentilsill/routing/selector.py
+++ b/lentilsill/routing/selector.py
@@ -252,9 +252,18 @@
         self._load(upstream, now).refusing_until = now + hold_s
 
     def record_report(
-        self, upstream: str, expected_ms: float, now: float, kind: str = ""
+        self,
+        upstream: str,
+        expected_ms: float,
+        now: float,
+        kind: str = "",
+        busy_percent: int = -1,
     ) -> None:
-        """Record a load report: how long a new call is expected to take there."""
+        """Record a load report: how long a new call is expected to take there.
+
+        `busy_percent` is the number of calls there in percent of the slots, or -1. This
+        selection doesn't use it.
+        """
         self._load(upstream, now).record_report(expected_ms, now, kind)
         key = (self._domains.get(upstream, ""), kind)
         typical = self._typical_times.get(key)
--- /dev/null
+++ b/lentilsill/routing/tests/test_even_load.py
@@ -0,0 +1,105 @@
+"""Replays of a simulated load, with the policy of `calls.even_load` and without it."""
+
+import random
+import unittest
+
+from bench.load_model import DEPLOYMENTS
+from bench.load_policies import EvenPolicy
+from bench.load_simulation import LoadSimulation, Policy
+from lentilsill.membership import NodeRecord
+from lentilsill.routing import CallProfile, EvenSelector
+from lentilsill.routing.tests.builders import make_document, make_node
+from lentilsill.versioning import Snapshot
+
+OLD_MS = 10**9
+PROFILE = CallProfile(200, "read")
+
+
+def replay(deployment: str, policy: Policy) -> dict[str, float]:
+    """Return the figures of 10 s of a deployment's load, with a seed."""
+    simulation = LoadSimulation(DEPLOYMENTS[deployment], policy, 11, 10.0)
+    return simulation.run().summary()
+
+
+class EvenLoadTests(unittest.TestCase):
+    def test_load_is_more_even_with_fewer_messages(self):
+        """Guards against upstreams that are overloaded in turn while others are idle,
+        on loads with slow, cold and shared hosts and waves of demand by domain. The
+        bound on the ratio of busiest to mean fails with the policy off."""
+        for deployment, service in (("C", "front"), ("D", "first")):
+            with self.subTest(deployment=deployment):
+                off, on = replay(deployment, Policy()), replay(deployment, EvenPolicy())
+                in_domain = f"ratio {service} in domain"
+                self.assertLess(on[in_domain], 1.3)
+                self.assertGreater(off[in_domain], 1.3)
+                self.assertLess(on[f"ratio {service}"], 0.92 * off[f"ratio {service}"])
+                self.assertLess(on["messages"], off["messages"])
+                self.assertLess(on["needless_waits"], 0.9 * off["needless_waits"])
+                self.assertGreater(on["on_time"], off["on_time"] - 0.002)
+
+
+class EvenSelectorTests(unittest.TestCase):
+    def selector(self, *nodes: NodeRecord) -> EvenSelector:
+        selector = EvenSelector("lahore", random.Random(1))
+        selector.update(Snapshot({"slots": make_document()}, 1), nodes)
+        return selector
+
+    def far_share(self, selector: EvenSelector, now: float) -> float:
+        """Return the share of the probes that go to the other domain."""
+        picks = [
+            selector.pick("slots", "all", now, OLD_MS, (), PROFILE, (), True)
+            for _ in range(1000)
+        ]
+        return sum(c is not None and c.domain != "lahore" for c in picks) / 1000
+
+    def report(self, selector: EvenSelector, name: str, percent: int) -> None:
+        for _ in range(50):
+            selector.record_report(f"w-{name}", 50.0, 0.0, "read", percent)
+
+    def test_less_busy_upstream_is_preferred_until_its_report_is_old(self):
+        """Guards against a herd on an upstream that was idle when it reported."""
+        selector = self.selector(make_node("a"), make_node("b"), make_node("c"))
+        for name, percent in (("a", 10), ("b", 90), ("c", 90)):
+            selector.record_report(f"w-{name}", 50.0, 0.0, "read", percent)
+        candidates = {c.upstream: c for c in selector._pool("slots", "all").candidates}
+        idle, busy = candidates["w-a"], candidates["w-b"]
+        self.assertAlmostEqual(selector.busy_share(idle, 0.0), 0.1)
+        self.assertAlmostEqual(selector.busy_share(busy, 0.0), 0.9)
+        difference = selector.busy_share(busy, 2.0) - selector.busy_share(idle, 2.0)
+        self.assertLess(difference, 0.01)
+        pick = selector.pick("slots", "all", 0.0, OLD_MS, (), PROFILE)
+        self.assertEqual(pick, idle)
+        for _ in range(6):
+            selector.record_start("w-a", 0.0)
+        self.assertAlmostEqual(selector.busy_share(idle, 0.0), 1.1)
+
+    def test_full_domain_probes_a_free_one_until_that_is_full_too(self):
+        """Guards against callers that wait in a full domain, against domains that swap
+        their load, and against a domain that is avoided for good."""
+        selector = self.selector(make_node("a"), make_node("b", "multan"))
+        self.report(selector, "a", 60)
+        self.report(selector, "b", 10)
+        self.assertEqual(self.far_share(selector, 0.0), 0.0)
+        self.report(selector, "a", 110)
+        self.assertGreater(self.far_share(selector, 0.0), 0.9)
+        self.report(selector, "b", 110)
+        self.assertLess(self.far_share(selector, 0.0), 0.06)
+        self.assertGreater(self.far_share(selector, 0.0), 0.0)
+
+    def test_call_waits_only_in_its_domain(self):
+        """Guards against a queue in another domain for a call without a free slot."""
+        selector = self.selector(make_node("a"), make_node("b", "multan"))
+        self.report(selector, "a", 110)
+        self.report(selector, "b", 10)
+        probed = {"w-a", "w-b"}
+        pick = selector.pick("slots", "all", 0.0, OLD_MS, (), PROFILE, probed)
+        assert pick is not None
+        self.assertEqual(pick.node, "a")
+
+    def test_upstream_that_reports_no_busy_share_is_used(self):
+        """Guards against calls that are refused during an upgrade, when the nodes of
+        the older release report no busy share."""
+        selector = self.selector(make_node("a"), make_node("b"))
+        selector.record_report("w-a", 10.0, 0.0, "read")
+        pick = selector.pick("slots", "all", 0.0, OLD_MS, (), PROFILE)
+        self.assertIsNotNone(pick)
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -149,6 +149,11 @@
         description="Time after which a stopping node refuses calls from callers; "
         "if unset, calls are accepted until none is in flight",
     )
+    even_load: bool = Field(
+        default=False,
+        description="Whether nodes report how busy upstreams are and choose by it, "
+        "also in other domains; otherwise by expected time",
+    )
     retry_ratio: float | None = Field(
         default=None,
         ge=0,
--- a/lentilsill/wire/call_messages.py
+++ b/lentilsill/wire/call_messages.py
@@ -89,6 +89,8 @@
 
     `load` is the time in ms that a new call is expected to take at that upstream.
     `notice` is what the upstream last said, if it ever restricted its calls.
+    `busy_percent` is the number of calls that run or wait there, in percent of its
+    slots; negative if the sender doesn't report it.
     """
 
     call_id: int
@@ -98,14 +100,15 @@
     body_length: int
     load: int
     notice: NoticeRow | None = None
+    busy_percent: int = -1
 
 
 class Refusal(msgspec.Struct, frozen=True, array_like=True, tag=22):
     """End of a call without an answer; `outcome` is a value of `outcomes.Outcome`.
 
     `retry_after_s` is the time after which the call may succeed, or 0 when it is not
-    known. `arrived` states that the call was sent to the upstream. `notice` is as in
-    `Answer`.
+    known. `arrived` states that the call was sent to the upstream. `notice` and
+    `busy_percent` are as in `Answer`.
     """
 
     call_id: int
@@ -115,6 +118,7 @@
     retry_after_s: float = 0.0
     arrived: bool = False
     notice: NoticeRow | None = None
+    busy_percent: int = -1
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=23):
