Describe even load and its figures, and draw the experiment's output

Cause: the choice of a policy needs the figures of each one considered.

The policies "free share" and "old reports" of the experiment cross domains as the built one does; they queued there before.

--- a/bench/even_load.py
+++ b/bench/even_load.py
@@ -1,10 +1,11 @@
 """Compares policies for the choice of upstreams by simulated loads of deployments.
 
 Prints a JSON line for each figure, deployment and policy: the mean over the seeds. With
-``--plot``, it draws the figures of a policy comparison instead.
+``--plot FILE``, it draws the lines of an earlier run instead.
 """
 
 import argparse
+import json
 from collections import defaultdict
 from collections.abc import Iterable
 from concurrent.futures import ProcessPoolExecutor
@@ -36,15 +37,15 @@
     return simulation.run().summary()
 
 
-def draw(rows: Iterable[tuple[str, str, dict[str, float]]]) -> list[str]:
+def draw(lines: Iterable[str]) -> list[str]:
     """Return the lines of a plot with a bar per deployment, figure and policy."""
+    series: dict[tuple[str, str], dict[str, float]] = defaultdict(dict)
+    for row in map(json.loads, lines):
+        if row["measure"].split()[0] in PLOTTED:
+            key = (row["deployment"], row["measure"])
+            series[key][row["policy"]] = row["value"]
     output: list[str] = []
-    by_measure: dict[tuple[str, str], dict[str, float]] = defaultdict(dict)
-    for deployment, policy, figures in rows:
-        for measure, value in figures.items():
-            if measure.split()[0] in PLOTTED:
-                by_measure[deployment, measure][policy] = value
-    for (deployment, measure), values in by_measure.items():
+    for (deployment, measure), values in series.items():
         output.append(f"{deployment} {measure}")
         largest = max(values.values()) or 1.0
         for policy, value in values.items():
@@ -56,36 +57,32 @@
 def main() -> None:
     """Run the simulations that the arguments select."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--plot", action="store_true")
+    parser.add_argument("--plot", metavar="FILE")
     parser.add_argument("--policies", nargs="+", default=list(POLICIES))
     parser.add_argument("--deployments", nargs="+", default=list(DEPLOYMENTS))
     parser.add_argument("--seeds", nargs="+", type=int, default=SEEDS)
     parser.add_argument("--duration-s", type=float, default=DURATION_S)
     parser.add_argument("--load", type=float, default=1.0, help="factor of the load")
     args = parser.parse_args()
+    if args.plot:
+        with open(args.plot, encoding="utf-8") as file:
+            print("\n".join(draw(file)))
+        return
     pairs = [(d, p) for d in args.deployments for p in args.policies]
-    jobs = [
-        (*pair, args.load, s, args.duration_s) for pair in pairs for s in args.seeds
+    jobs: list[Job] = [
+        (*pair, args.load, seed, args.duration_s)
+        for pair in pairs
+        for seed in args.seeds
     ]
-    figures: dict[tuple[str, str], list[dict[str, float]]] = defaultdict(list)
     with ProcessPoolExecutor(PROCESSES) as pool:
-        for job, result in zip(jobs, pool.map(run_once, jobs), strict=True):
-            figures[job[0], job[1]].append(result)
-    rows = []
-    for (deployment, policy), results in figures.items():
-        means = {
-            name: sum(r.get(name, 0.0) for r in results) / len(results)
-            for name in results[0]
-        }
-        rows.append((deployment, policy, means))
-    if args.plot:
-        print("\n".join(draw(rows)))
-        return
-    for deployment, policy, means in rows:
-        labels = {"deployment": deployment, "policy": policy, "load": args.load}
-        for name, value in means.items():
-            unit = UNITS.get(name, "ratio" if name.startswith("ratio") else "share")
-            emit(name, value, unit, **labels)
+        results = pool.map(run_once, jobs)
+        for deployment, policy in pairs:
+            figures = [next(results) for _ in args.seeds]
+            labels = {"deployment": deployment, "policy": policy, "load": args.load}
+            for name in figures[0]:
+                mean = sum(f.get(name, 0.0) for f in figures) / len(figures)
+                unit = UNITS.get(name, "ratio" if name.startswith("ratio") else "share")
+                emit(name, mean, unit, **labels)
 
 
 if __name__ == "__main__":
--- a/bench/load_policies.py
+++ b/bench/load_policies.py
@@ -78,9 +78,8 @@
         return self._rng.choices(usable, weights)[0]
 
 
-class _FreeSharePolicy(_LocalEvenPolicy):
+class _FreeSharePolicy(EvenPolicy):
     name = "free share"
-    uses_pace = False
 
     def make_selector(
         self, domain: str, rng: Random, simulation: LoadSimulation
@@ -95,7 +94,7 @@
         return self._busy[candidate.upstream].busy_share
 
 
-class _OldReportPolicy(_LocalEvenPolicy):
+class _OldReportPolicy(EvenPolicy):
     name = "old reports"
 
     def make_selector(
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -152,7 +152,7 @@
     even_load: bool = Field(
         default=False,
         description="Whether nodes report how busy upstreams are and choose by it, "
-        "also in other domains; otherwise by expected time",
+        "also in other domains; otherwise by expected time. Read at the start",
     )
     retry_ratio: float | None = Field(
         default=None,
