Send answers in the earlier form without even load

Cause: the field busy_percent was part of every Answer and Refusal, so nodes without calls.even_load sent other bytes than the release before. Change: PlainAnswer and PlainRefusal are the forms without the field; nodes without the setting send them, and all nodes receive them as Answer and Refusal with the default.

--- a/lentilsill/daemon/controllers/served_calls.py
+++ b/lentilsill/daemon/controllers/served_calls.py
@@ -21,6 +21,8 @@
     NoticeRow,
     OutcomeQuery,
     OutcomeReply,
+    PlainAnswer,
+    PlainRefusal,
     Refusal,
 )
 
@@ -124,30 +126,27 @@
     ) -> None:
         match result:
             case Answer(status, headers, body):
+                length = len(body)
+                answer = (call_id, status, headers, body, length, expected_ms, notice)
                 link.send(
-                    AnswerMessage(
-                        call_id,
-                        status,
-                        headers,
-                        body,
-                        len(body),
-                        expected_ms,
-                        notice,
-                        busy_percent,
-                    )
+                    PlainAnswer(*answer)
+                    if busy_percent < 0
+                    else AnswerMessage(*answer, busy_percent)
                 )
             case Refused(outcome, reason, retry_after_s, arrived):
+                refusal = (
+                    call_id,
+                    outcome.value,
+                    reason,
+                    expected_ms,
+                    retry_after_s,
+                    arrived,
+                    notice,
+                )
                 link.send(
-                    Refusal(
-                        call_id,
-                        outcome.value,
-                        reason,
-                        expected_ms,
-                        retry_after_s,
-                        arrived,
-                        notice,
-                        busy_percent,
-                    )
+                    PlainRefusal(*refusal)
+                    if busy_percent < 0
+                    else Refusal(*refusal, busy_percent)
                 )
 
     def _refuse(self, link: Link, call: Call, reason: str) -> None:
--- a/lentilsill/daemon/controllers/tests/test_even_load.py
+++ b/lentilsill/daemon/controllers/tests/test_even_load.py
@@ -1,10 +1,16 @@
 """Nodes report how busy their upstreams are, and use the pace of the host."""
 
 import unittest
+from unittest.mock import patch
 
 from lentilsill.daemon.integration import HeaderNames, Integration
 from lentilsill.outcomes import Answer
-from lentilsill.wire.messages import Call
+from lentilsill.wire.messages import (
+    Answer as AnswerMessage,
+    Call,
+    PlainAnswer,
+    encode,
+)
 
 from .call_builders import FakeNode, FakeUpstream, make_request
 
@@ -51,6 +57,11 @@
         self.assertEqual(self.load_figures()[1], -1)
         upstreams = self.near.ctx.board.dump_parts["entry"]()["upstreams"]
         self.assertNotIn("busy_share", upstreams["w1"])
+        with patch("lentilsill.wire.link.encode", wraps=encode) as encoded:
+            await self.call(self.near)
+        sent = [type(call.args[0]) for call in encoded.call_args_list]
+        self.assertIn(PlainAnswer, sent)
+        self.assertNotIn(AnswerMessage, sent)
 
     async def test_pace_of_the_host_counts_in_the_reported_time(self):
         """Guards against calls that are sent to a host while its work takes longer,
--- a/lentilsill/wire/call_messages.py
+++ b/lentilsill/wire/call_messages.py
@@ -17,6 +17,8 @@
     "OutcomeQuery",
     "OutcomeReply",
     "Ping",
+    "PlainAnswer",
+    "PlainRefusal",
     "Pong",
     "Refusal",
     "Release",
@@ -84,13 +86,12 @@
     organisation_weight: float = 0.0
 
 
-class Answer(msgspec.Struct, frozen=True, array_like=True, tag=21):
+class PlainAnswer(msgspec.Struct, frozen=True, array_like=True, tag=21):
     """The upstream's answer; `body_length` is checked against `body`.
 
     `load` is the time in ms that a new call is expected to take at that upstream.
-    `notice` is what the upstream last said, if it ever restricted its calls.
-    `busy_percent` is the number of calls that run or wait there, in percent of its
-    slots; negative if the sender doesn't report it.
+    `notice` is what the upstream last said, if it ever restricted its calls. Nodes
+    without `calls.even_load` send this form, and all of them receive `Answer`.
     """
 
     call_id: int
@@ -100,15 +101,25 @@
     body_length: int
     load: int
     notice: NoticeRow | None = None
+
+
+class Answer(PlainAnswer, frozen=True, array_like=True, tag=21):
+    """Answer with the load of the upstream.
+
+    `busy_percent` is the number of calls that run or wait there, in percent of its
+    slots; negative if the sender doesn't report it.
+    """
+
     busy_percent: int = -1
 
 
-class Refusal(msgspec.Struct, frozen=True, array_like=True, tag=22):
+class PlainRefusal(msgspec.Struct, frozen=True, array_like=True, tag=22):
     """End of a call without an answer; `outcome` is a value of `outcomes.Outcome`.
 
     `retry_after_s` is the time after which the call may succeed, or 0 when it is not
-    known. `arrived` states that the call was sent to the upstream. `notice` and
-    `busy_percent` are as in `Answer`.
+    known. `arrived` states that the call was sent to the upstream. `notice` is as in
+    `PlainAnswer`. Nodes without `calls.even_load` send this form, and all of them
+    receive `Refusal`.
     """
 
     call_id: int
@@ -118,6 +129,11 @@
     retry_after_s: float = 0.0
     arrived: bool = False
     notice: NoticeRow | None = None
+
+
+class Refusal(PlainRefusal, frozen=True, array_like=True, tag=22):
+    """Refusal with the load of the upstream; `busy_percent` is as in `Answer`."""
+
     busy_percent: int = -1
 
 
--- a/lentilsill/wire/dispatch.py
+++ b/lentilsill/wire/dispatch.py
@@ -19,7 +19,7 @@
     Delta,
     DeltaRequest,
     Digest,
-    Message,
+    SentMessage,
     WireError,
     decode,
 )
@@ -107,7 +107,7 @@
             link.close(LinkCloseReason.FAILED)
         return count
 
-    def _dispatch(self, message: Message) -> None:
+    def _dispatch(self, message: SentMessage) -> None:
         handler = self._handlers.get(type(message))
         if handler is None:
             raise WireError(f"unexpected message {type(message).__name__}")
--- a/lentilsill/wire/eras.py
+++ b/lentilsill/wire/eras.py
@@ -8,12 +8,20 @@
 
 from msgspec.structs import replace
 
-from .messages import Applied, Delta, DeltaRequest, Digest, Message, Probe, ProbeAck
+from .messages import (
+    Applied,
+    Delta,
+    DeltaRequest,
+    Digest,
+    Probe,
+    ProbeAck,
+    SentMessage,
+)
 
 __all__ = ["map_positions"]
 
 
-def map_positions(message: Message, convert: Callable[[int], int]) -> Message:
+def map_positions(message: SentMessage, convert: Callable[[int], int]) -> SentMessage:
     """Return a message with all positions of the store's history converted.
 
     Examples
--- a/lentilsill/wire/link.py
+++ b/lentilsill/wire/link.py
@@ -12,7 +12,7 @@
 
 from .compression import Compressor
 from .eras import map_positions
-from .messages import Hello, Message, encode
+from .messages import Hello, SentMessage, encode
 from .streams import ProtocolStream
 
 __all__ = ["Identity", "Link", "LinkCloseReason", "LinkError", "Traffic"]
@@ -101,7 +101,7 @@
         """
         return self.is_open and not self.stream.is_open_without_input()
 
-    def send(self, message: Message) -> bool:
+    def send(self, message: SentMessage) -> bool:
         """Queue a message; return False if the stream is closed or the buffer full."""
         if not self.hello.has_eras:
             message = map_positions(message, revision_of)
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -21,6 +21,8 @@
     OutcomeQuery,
     OutcomeReply,
     Ping,
+    PlainAnswer,
+    PlainRefusal,
     Pong,
     Refusal,
     Release,
@@ -51,12 +53,15 @@
     "OutcomeQuery",
     "OutcomeReply",
     "Ping",
+    "PlainAnswer",
+    "PlainRefusal",
     "Pong",
     "Probe",
     "ProbeAck",
     "Records",
     "Refusal",
     "Release",
+    "SentMessage",
     "StoreOutcome",
     "Summary",
     "WireError",
@@ -310,6 +315,9 @@
     Release,
 ]
 
+# Messages as they are sent; those without a last field are received with its default.
+SentMessage = Message | PlainAnswer | PlainRefusal
+
 _TYPE_BY_NUMBER: dict[int, Any] = {
     message_type.__struct_config__.tag: message_type
     for message_type in get_args(Message)
