--- a/lentilsill/daemon/controllers/bundle.py
+++ b/lentilsill/daemon/controllers/bundle.py
@@ -25,7 +25,7 @@
     supersedes,
 )
 from lentilsill.wire.features import ORGANISATIONS
-from lentilsill.wire.messages import Delta, DocumentRow, Message, PatchRow
+from lentilsill.wire.messages import Delta, DocumentRow, PatchRow, SentMessage
 
 __all__ = ["BundleController"]
 
@@ -131,7 +131,7 @@
         row: PatchRow = (self._name, newest, held, patch.text_hash, patch.parts)
         return Delta(base, base, False, (), patches=(row,))
 
-    def _without_organisations(self, message: Message) -> Message:
+    def _without_organisations(self, message: SentMessage) -> SentMessage:
         """Return a message for a peer whose texts lack the organisations.
 
         It gets no patches: its text of a version need not be this node's text without
--- a/lentilsill/daemon/controllers/placement.py
+++ b/lentilsill/daemon/controllers/placement.py
@@ -6,6 +6,7 @@
 from lentilsill.documents import RouteTarget
 from lentilsill.retries import SlotProbeRecord, decide_probe
 from lentilsill.routing import (
+    MIN_EVEN_FOUND_SHARE,
     CallProfile,
     Candidate,
     Selector,
@@ -140,8 +141,15 @@
         )
         if candidate is None:
             return None
-        is_probing = bool(can_probe) and candidate.upstream in local_upstreams
+        # With even load, calls cross to another domain only into free slots.
+        is_probing = bool(can_probe) and (
+            selector.has_busy_reports or candidate.upstream in local_upstreams
+        )
+        if is_probing and candidate.upstream not in local_upstreams:
+            self._ctx.count("calls.cross_probe")
         return Placement(target, candidate, is_probing)
 
     def _is_probing_worthwhile(self, progress: CallProgress) -> bool:
+        if self._selector.has_busy_reports:
+            self._slot_probes.min_found_share = MIN_EVEN_FOUND_SHARE
         return self._slot_probes.is_worthwhile(progress.kind, self._ctx.rng.random())
--- a/lentilsill/daemon/controllers/served_calls.py
+++ b/lentilsill/daemon/controllers/served_calls.py
@@ -21,6 +21,8 @@
     NoticeRow,
     OutcomeQuery,
     OutcomeReply,
+    PlainAnswer,
+    PlainRefusal,
     Refusal,
 )
 
@@ -40,7 +42,7 @@
 
     async def execute(self, execution: Execution) -> CallResult: ...
 
-    def expected_time_ms(self, call: Call) -> int: ...
+    def load_figures(self, call: Call) -> tuple[int, int]: ...
 
     def notice_row(self, call: Call) -> NoticeRow | None: ...
 
@@ -109,9 +111,9 @@
                 self._send_result(execution.link, call, result)
 
     def _send_result(self, link: Link, call: Call, result: CallResult) -> None:
-        expected_ms = self._executor.expected_time_ms(call)
+        expected_ms, busy_percent = self._executor.load_figures(call)
         notice = self._executor.notice_row(call)
-        self._send(link, call.call_id, expected_ms, result, notice)
+        self._send(link, call.call_id, expected_ms, result, notice, busy_percent)
 
     def _send(
         self,
@@ -120,31 +122,31 @@
         expected_ms: int,
         result: CallResult,
         notice: NoticeRow | None = None,
+        busy_percent: int = -1,
     ) -> None:
         match result:
             case Answer(status, headers, body):
+                length = len(body)
+                answer = (call_id, status, headers, body, length, expected_ms, notice)
                 link.send(
-                    AnswerMessage(
-                        call_id,
-                        status,
-                        headers,
-                        body,
-                        len(body),
-                        expected_ms,
-                        notice,
-                    )
+                    PlainAnswer(*answer)
+                    if busy_percent < 0
+                    else AnswerMessage(*answer, busy_percent)
                 )
             case Refused(outcome, reason, retry_after_s, arrived):
+                refusal = (
+                    call_id,
+                    outcome.value,
+                    reason,
+                    expected_ms,
+                    retry_after_s,
+                    arrived,
+                    notice,
+                )
                 link.send(
-                    Refusal(
-                        call_id,
-                        outcome.value,
-                        reason,
-                        expected_ms,
-                        retry_after_s,
-                        arrived,
-                        notice,
-                    )
+                    PlainRefusal(*refusal)
+                    if busy_percent < 0
+                    else Refusal(*refusal, busy_percent)
                 )
 
     def _refuse(self, link: Link, call: Call, reason: str) -> None:
--- a/lentilsill/platform/tests/test_translation.py
+++ b/lentilsill/platform/tests/test_translation.py
@@ -114,6 +114,17 @@
             cfg = parse_platform_settings(settings_text(contracts=contracts))
             self.assertEqual(cfg.organisations, expected)
 
+    def test_even_load_needs_both_parts_of_the_contract(self):
+        """Guards against a choice by load figures where upstreams state none."""
+        for contracts, expected in (
+            (None, False),
+            ("health", False),
+            ("pool,health,tenants", True),
+            ("health, pool", True),
+        ):
+            cfg = parse_platform_settings(settings_text(contracts=contracts))
+            self.assertIs(cfg.calls.even_load, expected)
+
     def test_missing_and_invalid_fields_are_named(self):
         """Guards against a node that starts although a field is missing or invalid."""
         for text, place in (
--- a/lentilsill/routing/__init__.py
+++ b/lentilsill/routing/__init__.py
@@ -5,14 +5,17 @@
 """
 
 from .candidates import Candidate, build_candidates, is_leaving, version_of
+from .even import MIN_EVEN_FOUND_SHARE, EvenSelector
 from .load import CallProfile
 from .match import RouteIndex, choose_target, match_route
 from .selector import Selector
 from .versions import VersionFilter
 
 __all__ = [
+    "MIN_EVEN_FOUND_SHARE",
     "CallProfile",
     "Candidate",
+    "EvenSelector",
     "RouteIndex",
     "Selector",
     "VersionFilter",
--- a/lentilsill/wire/call_messages.py
+++ b/lentilsill/wire/call_messages.py
@@ -17,6 +17,8 @@
     "OutcomeQuery",
     "OutcomeReply",
     "Ping",
+    "PlainAnswer",
+    "PlainRefusal",
     "Pong",
     "QuotaGrant",
     "QuotaRequest",
@@ -86,11 +88,12 @@
     organisation_weight: float = 0.0
 
 
-class Answer(msgspec.Struct, frozen=True, array_like=True, tag=21):
+class PlainAnswer(msgspec.Struct, frozen=True, array_like=True, tag=21):
     """The upstream's answer; `body_length` is checked against `body`.
 
     `load` is the time in ms that a new call is expected to take at that upstream.
-    `notice` is what the upstream last said, if it ever restricted its calls.
+    `notice` is what the upstream last said, if it ever restricted its calls. Nodes
+    without `calls.even_load` send this form, and all of them receive `Answer`.
     """
 
     call_id: int
@@ -102,12 +105,23 @@
     notice: NoticeRow | None = None
 
 
-class Refusal(msgspec.Struct, frozen=True, array_like=True, tag=22):
+class Answer(PlainAnswer, frozen=True, array_like=True, tag=21):
+    """Answer with the load of the upstream.
+
+    `busy_percent` is the number of calls that run or wait there, in percent of its
+    slots; negative if the sender doesn't report it.
+    """
+
+    busy_percent: int = -1
+
+
+class PlainRefusal(msgspec.Struct, frozen=True, array_like=True, tag=22):
     """End of a call without an answer; `outcome` is a value of `outcomes.Outcome`.
 
     `retry_after_s` is the time after which the call may succeed, or 0 when it is not
     known. `arrived` states that the call was sent to the upstream. `notice` is as in
-    `Answer`.
+    `PlainAnswer`. Nodes without `calls.even_load` send this form, and all of them
+    receive `Refusal`.
     """
 
     call_id: int
@@ -119,6 +133,12 @@
     notice: NoticeRow | None = None
 
 
+class Refusal(PlainRefusal, frozen=True, array_like=True, tag=22):
+    """Refusal with the load of the upstream; `busy_percent` is as in `Answer`."""
+
+    busy_percent: int = -1
+
+
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=23):
     """The caller no longer waits for the call."""
 
--- a/lentilsill/wire/link.py
+++ b/lentilsill/wire/link.py
@@ -12,7 +12,7 @@
 
 from .compression import Compressor
 from .eras import map_positions
-from .messages import REQUIRED_FEATURES, Hello, Message, encode
+from .messages import REQUIRED_FEATURES, Hello, SentMessage, encode
 from .streams import ProtocolStream
 
 __all__ = ["Identity", "Link", "LinkCloseReason", "LinkError", "Traffic"]
@@ -78,7 +78,7 @@
     last_received_s: float
     traffic: Traffic
     on_close: list[Callable[["Link"], None]] = field(default_factory=list)
-    adapters: list[Callable[[Message], Message]] = field(default_factory=list)
+    adapters: list[Callable[[SentMessage], SentMessage]] = field(default_factory=list)
     compressor: Compressor | None = None
     last_sent_s: float = 0.0
     is_closed: bool = False
@@ -103,7 +103,7 @@
         """
         return self.is_open and not self.stream.is_open_without_input()
 
-    def send(self, message: Message) -> bool:
+    def send(self, message: SentMessage) -> bool:
         """Queue a message; return False if the stream is closed or the buffer full.
 
         A message that the peer can't read is not sent either.
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -32,6 +32,7 @@
     Message,
     Ping,
     Pong,
+    SentMessage,
     WireError,
     encode,
 )
@@ -97,7 +98,7 @@
         # What this node reads beyond the first release, as sent in `Hello`, and by the
         # same names the functions that convert messages for peers without it.
         self.features: tuple[str, ...] = ()
-        self.adapters: dict[str, Callable[[Message], Message]] = {}
+        self.adapters: dict[str, Callable[[SentMessage], SentMessage]] = {}
         # Era of the revisions of peers that know no eras; None if that is not known.
         self.era_of_old_peers: Callable[[], int | None] = lambda: 0
 
--- a/lentilsill/wire/messages.py
+++ b/lentilsill/wire/messages.py
@@ -21,6 +21,8 @@
     OutcomeQuery,
     OutcomeReply,
     Ping,
+    PlainAnswer,
+    PlainRefusal,
     Pong,
     QuotaGrant,
     QuotaRequest,
@@ -55,6 +57,8 @@
     "OutcomeQuery",
     "OutcomeReply",
     "Ping",
+    "PlainAnswer",
+    "PlainRefusal",
     "Pong",
     "Probe",
     "ProbeAck",
@@ -65,6 +69,7 @@
     "Release",
     "RolloutReport",
     "RolloutState",
+    "SentMessage",
     "StoreOutcome",
     "Summary",
     "WireError",
@@ -328,6 +333,9 @@
     RolloutState: "rollouts",
 }
 
+# Messages as they are sent; those without a last field are received with its default.
+SentMessage = Message | PlainAnswer | PlainRefusal
+
 _TYPE_BY_NUMBER: dict[int, Any] = {
     message_type.__struct_config__.tag: message_type
     for message_type in get_args(Message)
