Count an era of thousands of digits as the latest known one

Python converts no text of more than 4,300 digits to an integer, so `StoreEras.read` raised ValueError on an era of 5,000 digits and the read of the store ended. The length of the text is now checked first; the answer counts for the latest known era, as the docstring says.

--- a/lentilsill/platform/eras.py
+++ b/lentilsill/platform/eras.py
@@ -10,6 +10,9 @@
 
 ERA_HEADER = "Store-Era"
 MAX_LOGGED_CHARS = 40
+# Python refuses to convert texts of more than 4,300 digits to integers. Leading zeros
+# are allowed up to this length.
+MAX_ERA_CHARS = 40
 
 log = structlog.get_logger()
 
@@ -36,8 +39,8 @@
     def read(self, headers: Mapping[str, str]) -> int:
         """Return the era of an answer, and remember it if it is the latest."""
         text = headers.get(ERA_HEADER, "").strip()
-        is_readable = text.isascii() and text.isdecimal() and int(text) <= MAX_ERA
-        if not is_readable:
+        is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_ERA_CHARS
+        if not is_number or int(text) > MAX_ERA:
             if text and not self._has_logged:
                 self._has_logged = True
                 log.warning("store_era_unreadable", value=text[:MAX_LOGGED_CHARS])
--- a/lentilsill/platform/tests/test_eras.py
+++ b/lentilsill/platform/tests/test_eras.py
@@ -15,6 +15,7 @@
     HttpObjectApi,
     Unavailable,
 )
+from lentilsill.platform.eras import StoreEras
 from lentilsill.versioning import era_of, make_position
 from standins.platform import Platform, make_app
 from standins.store import Store
@@ -154,3 +155,18 @@
         self.assertEqual(result, Err(Conflict(current)))
         result = await self.api.put("service", "a", {"x": 2}, current)
         self.assertEqual(result, Ok(make_position(2, 2)))
+
+
+class EraTests(unittest.TestCase):
+    def test_era_of_many_digits_counts_as_the_latest_one(self):
+        """Guards against a ValueError of the conversion, which ended the read. Python
+        converts no text of more than 4,300 digits."""
+        eras = StoreEras()
+        eras.read({"Store-Era": "7"})
+        for text in ("9" * 41, "9" * 5000, "0" * 5000 + "3"):
+            self.assertEqual(eras.read({"Store-Era": text}), 7)
+        self.assertEqual(eras.latest, 7)
+
+    def test_era_with_leading_zeros_is_read(self):
+        """Guards against a limit on the length that rejects eras in range."""
+        self.assertEqual(StoreEras().read({"Store-Era": "0000000003"}), 3)
