Send a call that no upstream was reached with to another one

The trace shows that the call was matched with revision 16 of its document, waited for the claim of its request key, and then looked for upstreams of a set that revision 20, in force since, has as leaving. The selector knows only the documents in force, so the call found none. The same happens between two attempts, and when the node of the upstreams has the change before the entry node. In addition, refusals that reached no upstream counted towards the limit of four placements and each took a token of the retry budget once one attempt had arrived.

Change: before each attempt, a call takes the targets that its route has in the documents in force. If an upstream that refused a call as leaving is still a candidate, the call waits up to 0.5 s, and at most half of its remaining time, for the change. Upstreams that were not reached, unless they had no room, don't count as placements, and a granted attempt that reached none leaves its token to the next one. A refusal because all upstreams leave has a time of retry.

--- a/lentilsill/daemon/controllers/call_progress.py
+++ b/lentilsill/daemon/controllers/call_progress.py
@@ -1,16 +1,19 @@
 """State of a call in progress, and the metrics and log line of its end."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import CallRequest
 from lentilsill.documents import Route, RouteTarget, ServiceDocument
-from lentilsill.outcomes import Answer, CallResult, Refused
+from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
+from lentilsill.retries import decide_retry
 from lentilsill.routing import Candidate
 
 from .call_admission import Admission
+from .call_results import is_overload
 from .late_replies import LateReplies
+from .reasons import CRASHED, LEAVING
 
 __all__ = ["Attempt", "CallProgress", "report_call"]
 
@@ -58,7 +61,8 @@
     arrival_count : int
         Number of attempts that reached an upstream.
     last_upstream : str
-        Upstream chosen last. The second attempt of a hedge does not set it.
+        Upstream that an attempt reached last. The second attempt of a hedge does not
+        set it.
     target : RouteTarget or None
         Weighted target of the route that the call was assigned to.
     claim_attempt : str
@@ -67,6 +71,15 @@
         Whether an upstream died while it ran the call.
     overload_count : int
         Number of attempts that were refused because of overload.
+    unreached_upstreams : set of str
+        Upstreams whose nodes refused the call, without those that had no room for it.
+    leaving_upstreams : set of str
+        Upstreams whose nodes refused the call because they leave.
+    retry_tokens : int
+        Number of attempts that the retry budget has granted.
+    view_wait_ends_at : float or None
+        Time until which the call waits for changes that its node does not know yet;
+        None if it has not waited.
     age_s : float
         Estimated time from the caller's first try to `started_at`.
     busy_upstreams : set of str
@@ -94,6 +107,10 @@
     claim_attempt: str = ""
     is_suspect: bool = False
     overload_count: int = 0
+    unreached_upstreams: set[str] = field(default_factory=set)
+    leaving_upstreams: set[str] = field(default_factory=set)
+    retry_tokens: int = 0
+    view_wait_ends_at: float | None = None
     age_s: float = 0.0
     busy_upstreams: set[str] = field(default_factory=set)
     is_in_retry_budget: bool = False
@@ -105,6 +122,58 @@
         """Service and route; calls of one kind take about the same time."""
         return f"{self.document.service}/{self.route.name}"
 
+    @property
+    def needs_retry_token(self) -> bool:
+        """Whether another arrival at an upstream has to be granted by the budget.
+
+        A granted attempt that reached no upstream leaves its token to the next one.
+        """
+        return self.arrival_count > self.retry_tokens
+
+    def record_reply(self, upstream: str, result: CallResult) -> None:
+        """Record the result of an attempt, also of one of two hedged attempts."""
+        match result:
+            case Refused(outcome=Outcome.NOT_RUN, arrived=False, reason=reason):
+                if not is_overload(result):
+                    self.unreached_upstreams.add(upstream)
+                if reason == LEAVING:
+                    self.leaving_upstreams.add(upstream)
+
+    def record_attempt(self, upstream: str, result: CallResult) -> None:
+        """Record the result with which the call goes on, except busy slot probes."""
+        self.tried_upstreams.add(upstream)
+        match result:
+            case Answer():
+                self.arrival_count += 1
+                self.last_upstream = upstream
+            case Refused(reason=reason, arrived=arrived):
+                self.overload_count += is_overload(result)
+                self.is_suspect |= reason == CRASHED
+                if arrived:
+                    self.arrival_count += 1
+                    self.last_upstream = upstream
+
+    def may_retry(self, result: CallResult, now: float) -> bool:
+        """Return whether the call may have another attempt after this result."""
+        return decide_retry(
+            result,
+            self.route.idempotent,
+            self.arrival_count,
+            self.route.retry.max_attempts,
+            self.deadline - now,
+            len(self.tried_upstreams - self.unreached_upstreams),
+            self.overload_count,
+        )
+
+    def set_targets(
+        self, document: ServiceDocument, targets: tuple[RouteTarget, ...]
+    ) -> None:
+        """Take the targets from a newer document; the other properties stay."""
+        self.document = document
+        self.route = replace(self.route, targets=targets)
+        if self.target not in targets:
+            self.target = None
+
     def objective_ms(self, now: float) -> int:
         """Return the remaining latency objective, or 0 for a route without one.
 
--- a/lentilsill/daemon/controllers/call_results.py
+++ b/lentilsill/daemon/controllers/call_results.py
@@ -1,10 +1,18 @@
 """Classification of the results of attempts."""
 
+from dataclasses import replace
+
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 
-from .reasons import BUSY, RATE_LIMITED, UNREACHABLE
+from .reasons import BUSY, LEAVING, RATE_LIMITED, STARTUP_RETRY_S, UNREACHABLE
 
-__all__ = ["is_busy", "is_overload", "is_upstream_failure", "worse_refusal"]
+__all__ = [
+    "is_busy",
+    "is_overload",
+    "is_upstream_failure",
+    "with_retry_after",
+    "worse_refusal",
+]
 
 
 def is_upstream_failure(result: CallResult) -> bool:
@@ -39,3 +47,13 @@
     if worst is None or order.index(result.outcome) >= order.index(worst.outcome):
         return result
     return worst
+
+
+def with_retry_after(refusal: Refused | None) -> Refused | None:
+    """Return the last refusal of a call, with the time of a retry if upstreams leave.
+
+    Others are started in their place in most cases.
+    """
+    if refusal is None or refusal.reason != LEAVING:
+        return refusal
+    return replace(refusal, retry_after_s=STARTUP_RETRY_S)
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -11,14 +11,9 @@
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import CallRequest, CrashGuard, KeyClaims, KeyGranted
 from lentilsill.daemon.link_log import LinkLog
-from lentilsill.documents import ServiceDocument
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
-from lentilsill.retries import decide_hedge, decide_retry
-from lentilsill.routing import (
-    Candidate,
-    RouteIndex,
-    Selector,
-)
+from lentilsill.retries import decide_hedge
+from lentilsill.routing import Candidate, Selector
 from lentilsill.wire import CALLS, Link
 from lentilsill.wire.messages import Call, GoAway
 
@@ -26,7 +21,7 @@
 from .call_budgets import CallBudgets
 from .call_limits import ATTEMPT_END_GRACE_S, CallLimits
 from .call_progress import Attempt, CallProgress, report_call
-from .call_results import is_busy, is_overload, is_upstream_failure, worse_refusal
+from .call_results import is_busy, is_upstream_failure, with_retry_after, worse_refusal
 from .destination import DestinationController
 from .hedging import run_hedged
 from .local_upstream import Execution, call_fingerprint, request_fingerprint
@@ -46,6 +41,8 @@
     SUSPECTED,
     not_run_refusal,
 )
+from .route_indexes import RouteIndexes
+from .stale_view import ViewChanges
 from .suspects import refuse_suspect
 
 __all__ = ["EntryController"]
@@ -53,6 +50,7 @@
 # A call whose attempts lost this many upstreams may be what crashes them. The
 # quarantine of one domain does not stop attempts in another.
 MAX_LOST_UPSTREAMS = 2
+NO_UPSTREAM_REFUSAL = not_run_refusal(NO_UPSTREAM, STARTUP_RETRY_S)
 
 
 class EntryController:
@@ -84,8 +82,9 @@
         self._admission = CallAdmission(ctx)
         self._budgets = CallBudgets(ctx)
         self._limits = CallLimits(ctx)
+        self._view = ViewChanges(ctx)
         self._leaving_nodes: dict[str, str] = {}
-        self._indexes: dict[str, RouteIndex] = {}
+        self._routes = RouteIndexes()
         ctx.links.on(GoAway, self._on_go_away)
         for topic in (Topic.IN_FORCE, Topic.MEMBERS, Topic.UPSTREAMS):
             ctx.board.subscribe(topic, self.refresh)
@@ -99,11 +98,7 @@
     def refresh(self) -> None:
         """Apply changes of documents and members."""
         board = self.ctx.board
-        self._indexes = {
-            name: index
-            for name, index in self._indexes.items()
-            if board.snapshot.find_routes(name) is index.document
-        }
+        self._routes.forget_replaced(board.snapshot)
         nodes = [*board.members.values(), *board.remote_nodes.values()]
         instances = {node.node: node.instance for node in nodes}
         self._leaving_nodes = {
@@ -114,6 +109,7 @@
         self.selector.update(
             board.snapshot, nodes, {*board.suspects, *self._leaving_nodes}
         )
+        self._view.notify()
 
     async def handle(self, req: CallRequest) -> CallResult:
         """Run the call; a failure is returned as its result, never raised."""
@@ -126,7 +122,7 @@
         document = board.snapshot.find_routes(req.service)
         if document is None:
             return _refused(req, NO_ROUTE)
-        route = self._route_index(document).match(req.method, req.path)
+        route = self._routes.match(document, req)
         if route is None:
             return _refused(req, NO_ROUTE)
         if self.in_flight >= self.ctx.cfg.calls.max_calls:
@@ -166,12 +162,6 @@
         run = self._run_claimed(progress)
         return await asyncio.shield(self.ctx.spawn(self._run_and_report(progress, run)))
 
-    def _route_index(self, document: ServiceDocument) -> RouteIndex:
-        index = self._indexes.get(document.service)
-        if index is None or index.document is not document:
-            index = self._indexes[document.service] = RouteIndex(document)
-        return index
-
     async def _run_and_report(
         self, progress: CallProgress, run: Coroutine[Any, Any, CallResult]
     ) -> CallResult:
@@ -229,12 +219,15 @@
                 refused = refuse_suspect(self.guard, progress.fingerprint)
                 if refused is not None:
                     return failure or worse_refusal(refusal, refused)
+            self._update_targets(progress)
             is_suspect = progress.is_suspect or self._is_suspect(progress)
             placement = self._placer.choose(progress, now, is_suspect)
             if placement is None:
-                return (
-                    failure or refusal or not_run_refusal(NO_UPSTREAM, STARTUP_RETRY_S)
-                )
+                if failure is None and await self._view.wait_for_change(
+                    progress, self.selector.is_candidate
+                ):
+                    continue
+                return failure or with_retry_after(refusal) or NO_UPSTREAM_REFUSAL
             candidate = placement.candidate
             if failure is not None and not self.selector.has_lower_failure_share(
                 candidate.upstream, progress.last_upstream, now
@@ -244,11 +237,10 @@
             if not progress.is_in_retry_budget:
                 progress.is_in_retry_budget = True
                 budget.add_call(now)
-            if progress.arrival_count and not budget.take_attempt(now):
-                return (
-                    failure or refusal or not_run_refusal(NO_UPSTREAM, STARTUP_RETRY_S)
-                )
-            progress.last_upstream = candidate.upstream
+            if progress.needs_retry_token:
+                if not budget.take_attempt(now):
+                    return failure or refusal or NO_UPSTREAM_REFUSAL
+                progress.retry_tokens += 1
             hedge_delay_s = decide_hedge(
                 route.hedge, route.idempotent, progress.deadline - now
             )
@@ -263,9 +255,8 @@
             if is_busy(result):
                 progress.busy_upstreams.add(candidate.upstream)
                 continue
-            progress.tried_upstreams.add(candidate.upstream)
+            progress.record_attempt(candidate.upstream, result)
             if isinstance(result, Answer):
-                progress.arrival_count += 1
                 if self.guard is not None:
                     self.guard.record_answer(progress.fingerprint)
                 if route.objective_ms:
@@ -276,24 +267,25 @@
                 failure = result
             else:
                 refusal = worse_refusal(refusal, result)
-                progress.arrival_count += result.arrived
-                progress.overload_count += is_overload(result)
                 lost_upstreams += result.reason in (CONNECTION_LOST, CRASHED)
-                progress.is_suspect |= result.reason == CRASHED
                 if result.reason in (CRASHED_IN_TRIAL, SUSPECTED):
                     return failure or refusal
-            if lost_upstreams >= MAX_LOST_UPSTREAMS or not decide_retry(
-                result,
-                route.idempotent,
-                progress.arrival_count,
-                route.retry.max_attempts,
-                progress.deadline - self.ctx.now(),
-                len(progress.tried_upstreams),
-                progress.overload_count,
-            ):
-                return (
-                    failure or refusal or not_run_refusal(NO_UPSTREAM, STARTUP_RETRY_S)
-                )
+            may_retry = progress.may_retry(result, self.ctx.now())
+            if lost_upstreams >= MAX_LOST_UPSTREAMS or not may_retry:
+                return failure or refusal or NO_UPSTREAM_REFUSAL
+
+    def _update_targets(self, progress: CallProgress) -> None:
+        """Give the call the targets that its route has in the documents in force.
+
+        The selector knows only upstream sets of these documents. A call that kept the
+        targets of an earlier version would find no upstream after a change.
+        """
+        document = self.ctx.board.snapshot.find_routes(progress.req.service)
+        if document is None or document is progress.document:
+            return
+        route = self._routes.match(document, progress.req)
+        if route is not None:
+            progress.set_targets(document, route.targets)
 
     def _is_suspect(self, progress: CallProgress) -> bool:
         return self.guard is not None and self.guard.is_suspect(progress.fingerprint)
@@ -313,6 +305,7 @@
         finally:
             now = self.ctx.now()
             if reply is not None and not is_busy(reply.result):
+                progress.record_reply(upstream, reply.result)
                 progress.ended_attempts.append(
                     Attempt(candidate, reply.result, reply.load, now - started_at)
                 )
--- a/lentilsill/retries/decide.py
+++ b/lentilsill/retries/decide.py
@@ -9,8 +9,7 @@
 # one more where a single upstream is left. Each probe costs the call two messages.
 MAX_SLOT_PROBES = 2
 
-# Refusals of attempts that reached no upstream cost little, but a caller must not wait
-# until all upstreams of a fleet have refused its call.
+# Placements that reached an upstream, or that an upstream without room refused.
 MAX_PLACEMENTS = 4
 # Upstreams are tried in the order of their expected time. When two have no room, a
 # third seldom has, and each attempt costs the upstreams time.
@@ -32,6 +31,8 @@
     A call that is not idempotent is retried only after ``not_run``, an idempotent one
     also after an answer that reports a failure. The call was sent to `choices`
     upstreams; `arrivals` of them received it, and `overloaded` had no room for it.
+    Upstreams whose nodes refused it for another reason than overload are not counted:
+    such a refusal costs the upstream nothing and says nothing about the others.
 
     Examples
     --------
--- a/lentilsill/routing/selector.py
+++ b/lentilsill/routing/selector.py
@@ -113,6 +113,14 @@
         """Return whether any upstream of the set accepts calls."""
         return bool(self._pool(service, upstream_set).candidates)
 
+    def is_candidate(self, upstream: str) -> bool:
+        """Return whether the upstream accepts calls, as far as this node knows."""
+        return any(
+            candidate.upstream == upstream
+            for pool in self._pools.values()
+            for candidate in pool.candidates
+        )
+
     def pick(
         self,
         service: str,
