Resolve calls on silent links and at unreachable nodes sooner

Cause: a link was probed after four mean answer times, up to 1 s, and the wait for the probe takes 0.25 s more, which together is longer than deadlines of 1 to 1.5 s where calls queue. An attempt waited for a new link until its deadline. In both cases calls that had reached no upstream ended as unknown.

Change: the probe comes at the latest after 0.15 of the call's time limit. When it has no answer for 50 ms, a second link is dialed; if the peer answers there only, this link replaces the silent one, and the outcomes of its calls are queried there. Those that have not arrived are fenced by the query and go to another upstream without a token of the retry budget. An attempt waits for a link for 0.3 of its time and at most 0.4 s after the dial began. No probe is sent while bytes of the link are unread. The watch over silent links moves from `peer_calls.py` to a module of its own.

--- a/lentilsill/daemon/controllers/peer_attempts.py
+++ b/lentilsill/daemon/controllers/peer_attempts.py
@@ -16,6 +16,9 @@
 # The link of a long call is probed each time the age of the call doubles, not at a
 # fixed interval.
 PROBE_AFTER_SHARE_OF_AGE = 0.5
+# A call that waits in a queue takes longer than the mean. Its link is probed early
+# enough that most of its time is left when a dead link is found.
+PROBE_AFTER_SHARE_OF_LIMIT = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +41,7 @@
 
 @dataclass(eq=False, slots=True)
 class PeerAttempt:
-    """An attempt that was sent over a link."""
+    """An attempt that was sent over a link; `limit_s` was left when it was sent."""
 
     call_id: int
     link: Link
@@ -46,6 +49,7 @@
     sent_at: float
     fut: asyncio.Future[Reply]
     upstream: str
+    limit_s: float
     has_lost_link: bool = False
 
     def settle(self, result: CallResult, load: int = -1) -> None:
@@ -63,12 +67,16 @@
 
 @dataclass(slots=True)
 class Peer:
-    """Outstanding attempts at one address in the order of their call ids."""
+    """Outstanding attempts at one address in the order of their call ids.
+
+    `replaced_link` is a silent link while another one is dialed beside it.
+    """
 
     outstanding: dict[int, PeerAttempt] = field(default_factory=dict)
     probed_link: Link | None = None
     probed_at: float = 0.0
     mean_answer_s: float = 0.0
+    replaced_link: Link | None = None
 
     def record_answer_time(self, answer_s: float) -> None:
         """Update the moving average; the first answer time sets it."""
@@ -76,8 +84,16 @@
             self.mean_answer_s = answer_s
         self.mean_answer_s += ANSWER_TIME_WEIGHT * (answer_s - self.mean_answer_s)
 
-    def probe_after_s(self, age_s: float, max_silence_s: float) -> float:
-        """Return the silence after which the link of a call of this age is probed."""
+    def probe_after_s(
+        self, age_s: float, max_silence_s: float, limit_s: float
+    ) -> float:
+        """Return the silence after which the link of a call of this age is probed.
+
+        `limit_s` is the time limit of the call.
+        """
+        max_silence_s = min(
+            max_silence_s, max(MIN_PROBE_AFTER_S, PROBE_AFTER_SHARE_OF_LIMIT * limit_s)
+        )
         if not self.mean_answer_s:
             return max_silence_s
         typical_s = max(
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -21,12 +21,12 @@
     Cancel,
     OutcomeQuery,
     OutcomeReply,
-    Ping,
     Refusal,
 )
 
 from .peer_attempts import Peer, PeerAttempt, Reply
 from .reasons import UNREACHABLE, not_run_refusal
+from .silent_links import SilentLinks
 from .upstream_notices import HeardNotices
 
 __all__ = ["PeerCalls"]
@@ -34,15 +34,10 @@
 # The destination node enforces the deadline. The timeout here leaves time to receive
 # its refusal, which is more precise.
 DEADLINE_GRACE_S = 0.02
-# The peer node answers a `Ping` itself. The wait covers a short stall of its event
-# loop: to close the link for such a stall would only fail calls.
-MAX_PING_WAIT_S = 0.25
-PING_WAIT_SHARE = 0.5
-MIN_CHECK_INTERVAL_S = 0.02
-# While calls are outstanding, links are checked when the next one may have been
-# silent for too long, and at least this often. The link of a call that is sent before
-# that check needs its own check only later.
-MAX_CHECK_INTERVAL_S = 0.1
+# An attempt waits for a new link for this share of its remaining time and at most this
+# long; it can then go to another upstream. A reachable peer answers within a few ms.
+MAX_CONNECT_WAIT_S = 0.4
+CONNECT_WAIT_SHARE = 0.3
 MAX_RECONNECTS = 3
 RECONNECT_PAUSE_S = 0.1
 
@@ -53,13 +48,12 @@
     def __init__(self, ctx: Context) -> None:
         self.ctx = ctx
         self.links = ctx.links
-        self.silent_link_s = ctx.cfg.calls.silent_link_s
         self._ids = itertools.count(1)
         self._peers: dict[str, Peer] = {}
         self._notices = HeardNotices()
-        # Addresses with outstanding calls; the others need no check for silence.
-        self._active_addresses: set[str] = set()
-        self._active_event = asyncio.Event()
+        self._silent_links = SilentLinks(ctx, self._peers, self._move_attempts)
+        # Start and task of each dial that attempts wait for, by address.
+        self._dials: dict[str, tuple[float, asyncio.Task[Link | LinkError]]] = {}
         ctx.links.on(AnswerMessage, self._on_answer)
         ctx.links.on(Refusal, self._on_refusal)
         ctx.links.on(OutcomeReply, self._on_outcome_reply)
@@ -68,7 +62,7 @@
 
     def start(self) -> None:
         """Start the task that closes silent links."""
-        self.ctx.spawn(self._close_silent_links())
+        self.ctx.spawn(self._silent_links.run())
 
     @property
     def outstanding(self) -> int:
@@ -84,11 +78,10 @@
         link = self.links.find(address, CALLS)
         if link is None:
             try:
-                link = await asyncio.wait_for(
-                    self.links.connect(address, CALLS), deadline - self.ctx.now()
-                )
+                link = await self._connect(address, deadline)
             except (LinkError, TimeoutError) as exc:
-                return Reply(not_run_refusal(f"{UNREACHABLE}{exc}"))
+                reason = str(exc) or "no connection in time"
+                return Reply(not_run_refusal(f"{UNREACHABLE}{reason}"))
         now = self.ctx.now()
         remaining_s = deadline - now
         if remaining_s <= 0:
@@ -100,7 +93,13 @@
         call_id = next(self._ids)
         oldest = next(iter(peer.outstanding), call_id)
         attempt = PeerAttempt(
-            call_id, link, call.idempotent, now, loop.create_future(), call.upstream
+            call_id,
+            link,
+            call.idempotent,
+            now,
+            loop.create_future(),
+            call.upstream,
+            remaining_s,
         )
         message = Call(
             call_id,
@@ -129,8 +128,7 @@
         if not link.send(message):
             return Reply(not_run_refusal(f"{UNREACHABLE}link to {address} is closed"))
         peer.outstanding[call_id] = attempt
-        self._active_addresses.add(address)
-        self._active_event.set()
+        self._silent_links.watch(address)
         deadlines = self.ctx.deadlines
         entry = deadlines.add(
             remaining_s + DEADLINE_GRACE_S, lambda: self._end_overdue(attempt)
@@ -152,6 +150,36 @@
             else:
                 end(attempt.fut)
 
+    async def _connect(self, address: str, deadline: float) -> Link:
+        """Return a link; raise TimeoutError while the peer does not answer.
+
+        The dial goes on. Attempts that come later wait only for what is left of the
+        time of the first one, so that a peer that was cut off delays few calls.
+        """
+        now = self.ctx.now()
+        started_at, dial = self._dials.get(address) or (now, None)
+        if dial is None:
+            dial = self.ctx.spawn(self._dial(address))
+            self._dials[address] = (now, dial)
+        wait_s = min(
+            CONNECT_WAIT_SHARE * (deadline - now), started_at + MAX_CONNECT_WAIT_S - now
+        )
+        done, _ = await asyncio.wait([dial], timeout=max(0.0, wait_s))
+        if not done:
+            raise TimeoutError
+        link = dial.result()
+        if isinstance(link, LinkError):
+            raise link
+        return link
+
+    async def _dial(self, address: str) -> Link | LinkError:
+        try:
+            return await self.links.connect(address, CALLS)
+        except LinkError as exc:
+            return exc
+        finally:
+            del self._dials[address]
+
     def _end(
         self,
         peer: Peer,
@@ -292,6 +320,23 @@
         if not link.send(OutcomeQuery(own_instance, tuple(ids))):
             self._on_link_closed(link)
 
+    def _move_attempts(self, silent: Link, link: Link) -> None:
+        """Query the outcomes of the calls of a silent link over a new one.
+
+        Calls that have not arrived are fenced by that and can be sent elsewhere.
+        """
+        peer = self._peers.get(silent.address)
+        attempts = peer.outstanding.values() if peer is not None else ()
+        ids = []
+        for attempt in attempts:
+            if attempt.link is silent and not attempt.fut.done():
+                attempt.link = link
+                attempt.sent_at = self.ctx.now()
+                ids.append(attempt.call_id)
+        own_instance = self.links.identity.instance
+        if ids and not link.send(OutcomeQuery(own_instance, tuple(ids))):
+            self._on_link_closed(link)
+
     async def _reconnect(self, address: str) -> Link | None:
         for _ in range(MAX_RECONNECTS):
             try:
@@ -299,63 +344,3 @@
             except LinkError:
                 await asyncio.sleep(RECONNECT_PAUSE_S)
         return None
-
-    async def _close_silent_links(self) -> None:
-        min_interval_s = min(MIN_CHECK_INTERVAL_S, self.silent_link_s / 5)
-        max_interval_s = min(MAX_CHECK_INTERVAL_S, self.silent_link_s / 5)
-        while True:
-            if not self._active_addresses:
-                self._forget_closed_peers()
-                self._active_event.clear()
-            await self._active_event.wait()
-            now = self.ctx.now()
-            next_check_at = now + max_interval_s
-            for address in list(self._active_addresses):
-                peer = self._peers[address]
-                if peer.outstanding:
-                    next_check_at = min(
-                        next_check_at, self._probe_if_silent(address, peer, now)
-                    )
-                else:
-                    self._active_addresses.discard(address)
-            await asyncio.sleep(max(min_interval_s, next_check_at - now))
-
-    def _forget_closed_peers(self) -> None:
-        """Drop the state of peers to which there is no link any more."""
-        for address in list(self._peers):
-            if self.links.find(address, CALLS) is None:
-                del self._peers[address]
-
-    def _probe_if_silent(self, address: str, peer: Peer, now: float) -> float:
-        """Probe the link of the oldest attempt if it is silent.
-
-        Closes the link when the probe isn't answered in time. Returns when to check
-        again.
-        """
-        on_open_links = (a for a in peer.outstanding.values() if a.link.is_open)
-        oldest = next(on_open_links, None)
-        if oldest is None:
-            # The outcomes of all calls are queried over a link that is being opened.
-            return now + MAX_CHECK_INTERVAL_S
-        link = oldest.link
-        last_heard_at = max(link.last_received_s, oldest.sent_at)
-        age_s = now - oldest.sent_at
-        ping_wait_s = min(MAX_PING_WAIT_S, self.silent_link_s * PING_WAIT_SHARE)
-        probe_after_s = peer.probe_after_s(age_s, self.silent_link_s)
-        if now - last_heard_at < probe_after_s:
-            peer.probed_link = None
-            return last_heard_at + probe_after_s
-        is_answered = link.last_received_s > peer.probed_at
-        if peer.probed_link is not link or is_answered:
-            peer.probed_link = link
-            peer.probed_at = now
-            link.send(Ping(oldest.call_id))
-        if now - peer.probed_at >= ping_wait_s:
-            if link.has_unread_input():
-                return now
-            peer.probed_link = None
-            self.ctx.count("calls.silent_link")
-            if self.links.find(address, CALLS) is link:
-                self.links.disconnect(address, CALLS)
-            link.close()
-        return peer.probed_at + ping_wait_s
--- a/lentilsill/daemon/controllers/tests/test_silent_links.py
+++ b/lentilsill/daemon/controllers/tests/test_silent_links.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import unittest
+from typing import Any
 
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.membership import UpstreamRecord, UpstreamState
-from lentilsill.outcomes import Answer
+from lentilsill.outcomes import Answer, Outcome
+from lentilsill.retries import RetryBudget
 
 from .call_builders import (
     HOST,
     BlackholeRelay,
     FakeNode,
     FakeUpstream,
+    FreezableRelay,
     make_request,
     wait_for,
 )
@@ -119,3 +122,112 @@
         self.assertEqual([r for r in results if not isinstance(r, Answer)], [])
         runs = [path for up in upstreams for path in up.seen if path in paths]
         self.assertEqual(sorted(runs), sorted(paths))
+
+
+class SilentLinkTimeTests(unittest.IsolatedAsyncioTestCase):
+    """Calls of 1 s from `near` to `far`, behind a relay, or to `other`."""
+
+    async def asyncSetUp(self):
+        self.upstreams = [FakeUpstream(), FakeUpstream()]
+        self.near, self.far, self.other = (
+            FakeNode(name) for name in ("near", "far", "other")
+        )
+        for upstream in self.upstreams:
+            self.addCleanup(upstream.stop)
+        for node in (self.near, self.far, self.other):
+            self.addCleanup(node.close)
+        self.far.add_upstream("w1", self.upstreams[0].port)
+        self.other.add_upstream("w2", self.upstreams[1].port)
+
+    def put_behind(self, relay):
+        self.addCleanup(relay.stop)
+        self.behind_relay = self.far.record(f"{HOST}:{relay.port}")
+        self.near.set_members(self.behind_relay)
+
+    async def call(self, method="POST", path="/a", deadline_ms=1000):
+        return await self.near.entry.handle(
+            make_request(method, path, deadline_ms=deadline_ms)
+        )
+
+    async def make_slow_call(self):
+        """Make a call of 0.3 s; the entry node takes this for the usual time."""
+        gate = self.upstreams[0].gates["/usual"] = asyncio.Event()
+        asyncio.get_running_loop().call_later(0.3, gate.set)
+        self.assertIsInstance(await self.call(path="/usual"), Answer)
+
+    async def call_on_silent_link(self, method):
+        """Make a call over a link that has just become silent."""
+        relay = BlackholeRelay(self.far.ctx.links.port)
+        self.put_behind(relay)
+        await self.make_slow_call()
+        relay.blackhole()
+        call = asyncio.ensure_future(self.call(method, "/silent"))
+        await wait_for(lambda: self.near.entry.peers.outstanding)
+        self.near.set_members(self.behind_relay, self.other.record())
+        async with asyncio.timeout(0.6):
+            return await call
+
+    async def test_call_that_did_not_arrive_goes_elsewhere_in_time(self):
+        """Guards against calls that wait on a silent link until their deadline."""
+        for method in ("GET", "POST"):
+            with self.subTest(method):
+                result = await self.call_on_silent_link(method)
+                self.assertIsInstance(result, Answer)
+
+    async def test_call_that_did_not_arrive_takes_no_retry_token(self):
+        """Guards against a retry of an idempotent call before it is known that its
+        attempt reached no upstream, which costs the budget."""
+        budget = RetryBudget(0.0)
+        budgets: Any = self.near.entry._budgets
+        budgets.for_retries = lambda progress, service: budget
+        self.assertIsInstance(await self.call_on_silent_link("GET"), Answer)
+
+    async def test_running_call_is_answered_over_the_new_link(self):
+        """Guards against a second execution when only the link is dead."""
+        relay = BlackholeRelay(self.far.ctx.links.port)
+        self.put_behind(relay)
+        gate = self.upstreams[0].gates["/slow"] = asyncio.Event()
+        call = asyncio.ensure_future(self.call(path="/slow"))
+        await wait_for(lambda: self.upstreams[0].seen)
+        relay.blackhole()
+        await asyncio.sleep(0.3)
+        gate.set()
+        async with asyncio.timeout(0.4):
+            self.assertIsInstance(await call, Answer)
+        self.assertEqual(self.upstreams[0].seen, ["/slow"])
+
+    async def test_link_of_a_stalled_node_is_kept(self):
+        """Guards against a node that stalls for 0.2 s and loses its links by that."""
+        relay = FreezableRelay(self.far.ctx.links.port)
+        self.put_behind(relay)
+        self.assertIsInstance(await self.call(), Answer)
+        relay.freeze()
+        call = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.2)
+        relay.resume()
+        self.assertIsInstance(await call, Answer)
+        self.assertNotIn(b"silent_link", self.near.ctx.metrics.text())
+
+    async def test_node_that_answers_no_new_link_delays_a_call_little(self):
+        """Guards against a call that waits until its deadline for a connection to a
+        node that was cut off; it reached no upstream and got 504."""
+        relay = FreezableRelay(self.far.ctx.links.port)
+        self.put_behind(relay)
+        relay.freeze()
+        call = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.05)
+        self.near.set_members(self.behind_relay, self.other.record())
+        async with asyncio.timeout(0.5):
+            self.assertIsInstance(await call, Answer)
+
+    async def test_later_calls_do_not_wait_for_the_same_dial_again(self):
+        """Guards against each call to a node that was cut off waiting for itself."""
+        relay = FreezableRelay(self.far.ctx.links.port)
+        self.put_behind(relay)
+        relay.freeze()
+        loop = asyncio.get_running_loop()
+        await self.call(deadline_ms=3000)
+        started_at = loop.time()
+        result = await self.call(deadline_ms=3000)
+        self.assertEqual(result.outcome, Outcome.NOT_RUN)
+        self.assertLess(loop.time() - started_at, 0.1)
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -142,6 +142,22 @@
                 del self._dialed[key]
             raise
 
+    async def dial_second(self, address: str, purpose: str) -> Link:
+        """Open a link beside the one to `address`, which stays in use.
+
+        Raises
+        ------
+        LinkError
+            As for `connect`.
+        """
+        return await self._dial(address, purpose)
+
+    def replace(self, address: str, purpose: str, link: Link) -> None:
+        """Make `link` the one that `connect` and `find` return for `address`."""
+        fut: asyncio.Future[Link] = asyncio.get_running_loop().create_future()
+        fut.set_result(link)
+        self._dialed[address, purpose] = fut
+
     def find(self, address: str, purpose: str) -> Link | None:
         """Return the open dialed link to `address`, or None."""
         fut = self._dialed.get((address, purpose))
