Refuse a waiting call when its time no longer suffices

Cause: a call that waits in a destination's queue was refused at its deadline, so that the refusal reached the caller after it, and the entry node may have ended the call as unknown 20 ms after the deadline.

Change: the call is refused, as not run and with a time of retry, when the mean time of its kind no longer fits before its deadline. At most half of its time is reserved for that.

--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -24,6 +24,10 @@
 FULL_LOAD_SHARE = 0.9
 
 
+# Share of the remaining time of a waiting call that is reserved for its run.
+MAX_RUN_SHARE = 0.5
+
+
 # Reported to callers until the first call of an upstream has ended; about the service
 # time of a typical call.
 DEFAULT_RETRY_AFTER_S = 0.1
@@ -201,6 +205,16 @@
         )
         return service_time_s + ahead_s / max(1, self.slots) + self._first_start_s
 
+    def latest_start_s(self, remaining_s: float, kind: str = "") -> float:
+        """Return the time in seconds after which a call is not worth starting.
+
+        `remaining_s` is left until its deadline. Its caller then learns of the refusal
+        before the deadline. At least half of the time can be spent waiting, as some
+        calls take less time than the mean.
+        """
+        service_time_s = self.service_times.expected_s(kind)
+        return remaining_s - min(service_time_s, MAX_RUN_SHARE * remaining_s)
+
     def finished(self, call: Hashable, now: float) -> list[Action]:
         """Record the end of a running call, and start calls that wait."""
         started = self._running.pop(call, None)
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -22,6 +22,7 @@
     call_fingerprint,
     call_kind,
     objective_at,
+    upstream_headers,
 )
 from .reasons import (
     BUSY,
@@ -237,9 +238,11 @@
         loop = asyncio.get_running_loop()
         execution.admission = loop.create_future()
         self._apply(actions)
+        queue = local.queue
+        reason = "expected time exceeds the deadline"
         timer = self.ctx.deadlines.add(
-            execution.deadline - now,
-            lambda: self.drop_waiting(execution, "deadline passed"),
+            queue.latest_start_s(execution.deadline - now, call_kind(execution.call)),
+            lambda: self.drop_waiting(execution, reason, queue.service_times.mean_s),
         )
         try:
             return await execution.admission
@@ -254,7 +257,7 @@
         call = execution.call
         remaining_s = execution.deadline - self.ctx.now()
         local.record_start(execution)
-        headers = self._headers(call, remaining_s)
+        headers = upstream_headers(self.integration.headers, call, _ms(remaining_s))
         timer = self.ctx.deadlines.add(
             remaining_s, execution.exchange.abort_at_deadline
         )
@@ -308,15 +311,6 @@
                     return Refused(outcome, reason, arrived=True)
         return result
 
-    def _headers(self, call: Call, remaining_s: float) -> list[tuple[str, str]]:
-        names = self.integration.headers
-        headers = [*call.headers, (names.deadline_ms, str(_ms(remaining_s)))]
-        if call.request_key:
-            headers.append((names.request_key, call.request_key))
-        if names.target_upstream:
-            headers.append((names.target_upstream, call.upstream))
-        return headers
-
     def _track_crash(
         self, local: LocalUpstream, execution: Execution, result: CallResult | None
     ) -> None:
@@ -374,12 +368,14 @@
                 case Refuse(reason=reason, retry_after_s=retry_after_s):
                     fut.set_result(not_run_refusal(reason, retry_after_s))
 
-    def drop_waiting(self, execution: Execution, reason: str) -> bool:
+    def drop_waiting(
+        self, execution: Execution, reason: str, retry_after_s: float = 0.0
+    ) -> bool:
         """Refuse a call that waits for a slot; False if it isn't waiting."""
         local = self._upstreams.get(execution.call.upstream)
         if local is None or not local.queue.cancel(execution):
             return False
-        self._apply([Refuse(execution, reason)])
+        self._apply([Refuse(execution, reason, retry_after_s)])
         return True
 
     def _dump(self) -> dict[str, object]:
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -8,7 +8,7 @@
 
 from lentilsill.admission import AdmissionQueue
 from lentilsill.daemon.held_bytes import HeldBytes
-from lentilsill.daemon.integration import Integration
+from lentilsill.daemon.integration import HeaderNames, Integration
 from lentilsill.daemon.interfaces import CallRequest, CrashGuard
 from lentilsill.membership import UpstreamRecord
 from lentilsill.outcomes import Refused
@@ -27,6 +27,7 @@
     "call_kind",
     "objective_at",
     "request_fingerprint",
+    "upstream_headers",
 ]
 
 
@@ -155,3 +156,15 @@
 def objective_at(call: Call, now: float, default: float) -> float:
     """Return the time by which a call that arrives now meets its objective."""
     return now + call.objective_ms / 1000 if call.objective_ms else default
+
+
+def upstream_headers(
+    names: HeaderNames, call: Call, remaining_ms: int
+) -> list[tuple[str, str]]:
+    """Return the headers of the call with those that the upstream gets in addition."""
+    headers = [*call.headers, (names.deadline_ms, str(remaining_ms))]
+    if call.request_key:
+        headers.append((names.request_key, call.request_key))
+    if names.target_upstream:
+        headers.append((names.target_upstream, call.upstream))
+    return headers
--- a/lentilsill/daemon/controllers/tests/test_call_faults.py
+++ b/lentilsill/daemon/controllers/tests/test_call_faults.py
@@ -15,7 +15,7 @@
     make_request,
     wait_for,
 )
-from lentilsill.outcomes import Answer, Outcome
+from lentilsill.outcomes import Answer, Outcome, Refused
 
 
 class QuarantineAll:
@@ -239,3 +239,34 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class WaitingCallTests(unittest.IsolatedAsyncioTestCase):
+    async def test_caller_learns_before_its_deadline_that_its_call_can_not_run(self):
+        """Guards against a refusal that is sent at the deadline and arrives after it.
+
+        The upstream took 0.3 s for the first calls, and then holds all six slots.
+        """
+        upstream = FakeUpstream()
+        self.addCleanup(upstream.stop)
+        node = FakeNode("near")
+        self.addCleanup(node.close)
+        node.add_upstream("w1", upstream.port)
+        node.set_members(node.record())
+        loop = asyncio.get_running_loop()
+        usual = upstream.gates["/usual"] = asyncio.Event()
+        loop.call_later(0.3, usual.set)
+        await node.entry.handle(make_request(path="/usual"))
+        held = upstream.gates["/held"] = asyncio.Event()
+        self.addCleanup(held.set)
+        for _ in range(6):
+            call = node.entry.handle(make_request(path="/held"))
+            self.addCleanup(asyncio.ensure_future(call).cancel)
+        await wait_for(lambda: upstream.seen.count("/held") == 6)
+        started_at = loop.time()
+        waiting = await node.entry.handle(make_request(deadline_ms=1000))
+        assert isinstance(waiting, Refused)
+        self.assertIs(waiting.outcome, Outcome.NOT_RUN)
+        self.assertGreater(waiting.retry_after_s, 0.0)
+        self.assertLess(loop.time() - started_at, 0.9)
+        self.assertGreater(loop.time() - started_at, 0.5)
