Share the slots of an upstream between organisations

Cause: an organisation that sends several times its usual load takes slots and queues from the callers of all others.

Change: with `calls.fair_shares`, the admission queue divides the slot time that organisations used in the last seconds max-min fairly, by weight where all have one. Of one priority, calls of organisations above their share start after the others and are shed first; the plan applies within both groups. Calls without an organisation are never above a share. The adapter sets it where `contracts` has `tenants`; it is off otherwise. A metric, a log event and the state dump show it. The actions of the queue move to a module of their own.

--- a/lentilsill/admission/__init__.py
+++ b/lentilsill/admission/__init__.py
@@ -5,15 +5,18 @@
 deadline it ends without an answer. Calls of one kind have similar service times.
 """
 
+from .actions import Refuse, Start
 from .ages import CallAges
 from .notice import Notice, newer_notice
-from .queue import AdmissionQueue, Refuse, Start
+from .queue import AdmissionQueue
 from .rate_limit import RateLimiter, parse_limit
+from .shares import FairShares
 from .usage import KindUsage, SlotUsage, UsageReport
 
 __all__ = [
     "AdmissionQueue",
     "CallAges",
+    "FairShares",
     "KindUsage",
     "Notice",
     "RateLimiter",
--- a/lentilsill/admission/plan.py
+++ b/lentilsill/admission/plan.py
@@ -1,7 +1,7 @@
 """Order in which waiting calls start."""
 
 import heapq
-from collections.abc import Hashable, Iterable
+from collections.abc import Container, Hashable, Iterable
 from dataclasses import dataclass
 from itertools import groupby
 
@@ -32,6 +32,8 @@
         Order of arrival.
     offered_at : float
         Time of arrival on the same clock, in seconds.
+    organisation : str
+        Organisation of the caller, empty without one.
     """
 
     call: Hashable
@@ -43,10 +45,15 @@
     kind: str
     arrival_number: int
     offered_at: float = 0.0
+    organisation: str = ""
 
 
 def plan_starts(
-    waiting: Iterable[WaitingCall], now: float, wait_s: float, slots: int
+    waiting: Iterable[WaitingCall],
+    now: float,
+    wait_s: float,
+    slots: int,
+    above_share: Container[int] = (),
 ) -> list[WaitingCall]:
     """Order calls so that as many as possible are answered within their objective.
 
@@ -62,6 +69,9 @@
     the slot completes several of them in that time. The first call is expected to
     start `wait_s` after `now`.
 
+    Of one priority, calls whose arrival numbers are in `above_share` come after the
+    others, and the rules above hold within both groups.
+
     Examples
     --------
     >>> long = WaitingCall("long", 9.0, 0.5, 0, 0.4, 0.4, "", 9)
@@ -71,10 +81,14 @@
     """
     order: list[WaitingCall] = []
     slot_share = 1.0 / max(1, slots)
+
+    def group_key(call: WaitingCall) -> tuple[int, bool]:
+        return call.priority, call.arrival_number in above_share
+
     ranked = sorted(
-        waiting, key=lambda w: (w.priority, w.objective_at, w.arrival_number)
+        waiting, key=lambda w: (*group_key(w), w.objective_at, w.arrival_number)
     )
-    for _, group in groupby(ranked, key=lambda w: w.priority):
+    for _, group in groupby(ranked, key=group_key):
         on_time: dict[int, WaitingCall] = {}
         late: list[WaitingCall] = []
         # Heap of the calls that are on time so far, the longest first.
--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -4,12 +4,14 @@
 from dataclasses import dataclass
 from typing import Any
 
+from .actions import Action, Refuse, Start
 from .offered_load import OfferedLoad
 from .plan import LATE_ANSWER_VALUE, WaitingCall, plan_starts
 from .service_times import ServiceTimes
+from .shares import FairShares, cost_s
 from .usage import SlotUsage
 
-__all__ = ["AdmissionQueue", "Refuse", "Start"]
+__all__ = ["AdmissionQueue"]
 
 
 # The slack of a call is the time to its objective minus its expected service time. At
@@ -34,26 +36,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Start:
-    """The call starts now."""
+class _Running:
+    """A running call; `charged_s` is the slot time charged to its organisation."""
 
-    call: Hashable
-
-
-@dataclass(frozen=True, slots=True)
-class Refuse:
-    """The call is refused; it was not run.
-
-    `retry_after_s` is the time until the queue is expected to have room for the call;
-    0 when that is unknown.
-    """
-
-    call: Hashable
-    reason: str
-    retry_after_s: float = 0.0
-
-
-Action = Start | Refuse
+    began: float
+    kind: str
+    organisation: str
+    charged_s: float
 
 
 class AdmissionQueue:
@@ -70,6 +59,10 @@
     whether the call can start now; it is called again after each finished call. Calls
     behind one that can't start wait too.
 
+    With `fair_shares`, organisations share the slots (see `FairShares`): of one
+    priority, the calls of organisations above their share start last and are refused
+    first.
+
     Examples
     --------
     >>> queue = AdmissionQueue(slots=1, queue_limit=1)
@@ -88,16 +81,17 @@
         slots: int,
         queue_limit: int,
         can_start: Callable[[Hashable, Collection[Hashable]], bool] | None = None,
+        fair_shares: bool = False,
     ) -> None:
         self.slots = slots
         self.queue_limit = queue_limit
         self.draining = False
         self.service_times = ServiceTimes()
         self.usage = SlotUsage()
+        self.shares = FairShares() if fair_shares else None
         self._offered_load = OfferedLoad()
         self._can_start = can_start
-        # Start time and kind of each running call.
-        self._running: dict[Hashable, tuple[float, str]] = {}
+        self._running: dict[Hashable, _Running] = {}
         self._waiting: dict[Hashable, WaitingCall] = {}
         self._arrival_count = 0
 
@@ -131,10 +125,13 @@
         priority: int = 0,
         objective_at: float | None = None,
         kind: str = "",
+        organisation: str = "",
+        weight: float = 0.0,
     ) -> list[Action]:
         """Offer a new call; it waits if no action is returned for it.
 
-        Calls of one `kind` have similar service times.
+        Calls of one `kind` have similar service times. `organisation` is that of the
+        caller, with its weight in the division of the slots; 0 if it has none.
         """
         if self.draining:
             return [Refuse(call, "upstream is leaving")]
@@ -144,12 +141,14 @@
         service_time_s = self.service_times.expected_s(kind)
         if now + service_time_s <= objective:
             self._offered_load.add(now, priority, service_time_s)
+        if self.shares is not None:
+            self.shares.offer(organisation, weight, now)
         if (
             len(self._running) < self.slots
             and not self._waiting
             and self._is_startable(call)
         ):
-            self._start(call, kind, now, 0.0, objective)
+            self._start(call, kind, now, 0.0, objective, organisation)
             return [Start(call)]
         self._arrival_count += 1
         # Without a limit on the margin, all calls with a tight objective would count as
@@ -169,6 +168,7 @@
             kind,
             self._arrival_count,
             now,
+            organisation,
         )
         self._waiting[call] = waiting
         return [*self._shed_load(now), *self.advance(now)]
@@ -179,27 +179,35 @@
         priority: int = 0,
         kind: str = "",
         objective_at: float = float("inf"),
+        organisation: str = "",
     ) -> float:
         """Return the expected time in seconds from arrival to the answer.
 
         A new call overtakes less urgent calls. Unless it would itself be late here,
         it also overtakes late calls and calls whose objective is after `objective_at`.
+        It overtakes calls above their share unless it would be one of them.
         """
         service_time_s = self.service_times.expected_s(kind)
         if len(self._running) < self.slots:
             return service_time_s
         is_late = now + service_time_s > objective_at
+        above = self._find_above_share(now)
+        if above and self.shares and self.shares.has_used_share(organisation):
+            above = frozenset()
         ahead_s = sum(
             waiting.service_time_s
             for waiting in self._waiting.values()
-            if waiting.priority < priority
-            or (
-                waiting.priority == priority
-                and (
-                    is_late
-                    or now + waiting.likely_max_s
-                    <= waiting.objective_at
-                    <= objective_at
+            if waiting.arrival_number not in above
+            and (
+                waiting.priority < priority
+                or (
+                    waiting.priority == priority
+                    and (
+                        is_late
+                        or now + waiting.likely_max_s
+                        <= waiting.objective_at
+                        <= objective_at
+                    )
                 )
             )
         )
@@ -217,22 +225,29 @@
 
     def finished(self, call: Hashable, now: float) -> list[Action]:
         """Record the end of a running call, and start calls that wait."""
-        started = self._running.pop(call, None)
-        if started is not None:
-            began, kind = started
-            self.service_times.add(kind, now - began)
-            usage = self.usage.of_kind(kind)
+        run = self._running.pop(call, None)
+        if run is not None:
+            ran_s = now - run.began
+            self.service_times.add(run.kind, ran_s)
+            self._correct_share(run, ran_s, now)
+            usage = self.usage.of_kind(run.kind)
             usage.ended += 1
-            usage.ran_s += now - began
+            usage.ran_s += ran_s
             self.usage.set_running(now, len(self._running))
         return self.advance(now)
 
     def release(self, call: Hashable, now: float) -> list[Action]:
         """Free the slot of a call that started and was not sent after all."""
-        self._running.pop(call, None)
+        run = self._running.pop(call, None)
+        if run is not None:
+            self._correct_share(run, 0.0, now)
         self.usage.set_running(now, len(self._running))
         return self.advance(now)
 
+    def _correct_share(self, run: _Running, ran_s: float, now: float) -> None:
+        if self.shares is not None:
+            self.shares.correct(run.organisation, ran_s - run.charged_s, now)
+
     def cancel(self, call: Hashable) -> bool:
         """Remove a waiting call; return False if it doesn't wait."""
         return self._waiting.pop(call, None) is not None
@@ -266,8 +281,15 @@
             return 0.0
         return self.service_times.mean_s / max(1, self.slots)
 
-    def _plan(self, now: float) -> list[WaitingCall]:
-        return plan_starts(self._waiting.values(), now, self._first_start_s, self.slots)
+    def _find_above_share(self, now: float) -> frozenset[int]:
+        if self.shares is None:
+            return frozenset()
+        return self.shares.find_above(self._waiting.values(), now)
+
+    def _plan(self, now: float, above_share: frozenset[int]) -> list[WaitingCall]:
+        return plan_starts(
+            self._waiting.values(), now, self._first_start_s, self.slots, above_share
+        )
 
     def _shed_load(self, now: float) -> list[Action]:
         """Refuse waiting calls that exceed the limit or would end after their deadline.
@@ -278,7 +300,11 @@
         is_full = len(self._running) >= self.slots
         wait_s = self._first_start_s
         kept = 0
-        for waiting in self._plan(now):
+        above_share = self._find_above_share(now)
+        for waiting in self._plan(now, above_share):
+            is_above = waiting.arrival_number in above_share
+            # While calls above their share wait, those give way to late ones below it.
+            has_precedence = bool(above_share) and not is_above
             overrun_s = now + wait_s + waiting.service_time_s - waiting.deadline
             if kept >= self.queue_limit:
                 retry_after_s = (
@@ -288,7 +314,11 @@
             elif overrun_s > 0 and is_full:
                 retry_after_s = overrun_s
                 reason = "expected wait exceeds the deadline"
-            elif is_full and self._delays_on_time_calls(waiting, now):
+            elif (
+                is_full
+                and not has_precedence
+                and self._delays_on_time_calls(waiting, now)
+            ):
                 retry_after_s = max(wait_s, self.service_times.mean_s)
                 reason = "calls that can be in time fill the upstream"
             else:
@@ -297,7 +327,7 @@
                 continue
             self.cancel(waiting.call)
             self.usage.of_kind(waiting.kind).refused += 1
-            actions.append(Refuse(waiting.call, reason, retry_after_s))
+            actions.append(Refuse(waiting.call, reason, retry_after_s, is_above))
         return actions
 
     def _delays_on_time_calls(self, waiting: WaitingCall, now: float) -> bool:
@@ -323,7 +353,7 @@
             actions.append(Refuse(call, "deadline passed"))
         if not self._waiting:
             return actions
-        for waiting in self._plan(now):
+        for waiting in self._plan(now, self._find_above_share(now)):
             call = waiting.call
             if len(self._running) >= self.slots:
                 break
@@ -334,7 +364,14 @@
             else:
                 self.cancel(call)
                 waited_s = now - waiting.offered_at
-                self._start(call, waiting.kind, now, waited_s, waiting.objective_at)
+                self._start(
+                    call,
+                    waiting.kind,
+                    now,
+                    waited_s,
+                    waiting.objective_at,
+                    waiting.organisation,
+                )
                 actions.append(Start(call))
         return actions
 
@@ -345,10 +382,15 @@
         now: float,
         waited_s: float,
         objective_at: float,
+        organisation: str,
     ) -> None:
-        self._running[call] = (now, kind)
+        service_time_s = self.service_times.expected_s(kind)
+        charged_s = cost_s(service_time_s)
+        self._running[call] = _Running(now, kind, organisation, charged_s)
+        if self.shares is not None:
+            self.shares.start(organisation, charged_s, now)
         self.usage.set_running(now, len(self._running))
         usage = self.usage.of_kind(kind)
         usage.started += 1
-        usage.started_late += now + self.service_times.expected_s(kind) > objective_at
+        usage.started_late += now + service_time_s > objective_at
         usage.waited_s += waited_s
--- a/lentilsill/admission/tests/load_simulation.py
+++ b/lentilsill/admission/tests/load_simulation.py
@@ -23,7 +23,11 @@
 
 @dataclass(frozen=True)
 class Kind:
-    """Calls of one kind; `spread` is the sigma of their log-normal service times."""
+    """Calls of one kind; `spread` is the sigma of their log-normal service times.
+
+    With `callers`, that many callers make one call at a time, and `per_s` is the number
+    of calls that each starts a second while it waits for no answer.
+    """
 
     name: str
     per_s: float
@@ -32,6 +36,9 @@
     objective_s: float
     limit_s: float
     max_retries: int = 2
+    organisation: str = ""
+    weight: float = 0.0
+    callers: int = 0
 
 
 @dataclass
@@ -70,11 +77,14 @@
         speeds: tuple[float, ...],
         slots: int = 6,
         duration_s: float = 40.0,
+        fair_shares: bool = False,
     ) -> None:
         self.kinds = kinds
         self.speeds = speeds
         self.duration_s = duration_s
-        self.queues = [AdmissionQueue(slots, 12) for _ in speeds]
+        self.queues = [
+            AdmissionQueue(slots, 12, fair_shares=fair_shares) for _ in speeds
+        ]
         self.ages = CallAges()
         self.rng = random.Random(1)
         self.outcomes = {kind.name: CallerOutcomes() for kind in kinds}
@@ -83,13 +93,19 @@
     def run(self) -> dict[str, CallerOutcomes]:
         """Run the simulation and return the outcomes by kind."""
         for kind in self.kinds:
-            self._timeline.call_at(0.0, self._arrive, kind)
+            for _ in range(kind.callers or 1):
+                at = self.rng.expovariate(kind.per_s) if kind.callers else 0.0
+                self._timeline.call_at(at, self._arrive, kind)
         self._timeline.run(self.duration_s)
         return self.outcomes
 
     def _arrive(self, now: float, kind: Kind) -> None:
         self.outcomes[kind.name].calls += 1
         self._attempt(now, _Call(kind, now))
+        if not kind.callers:
+            self._schedule_next(now, kind)
+
+    def _schedule_next(self, now: float, kind: Kind) -> None:
         self._timeline.call_at(
             now + self.rng.expovariate(kind.per_s), self._arrive, kind
         )
@@ -102,7 +118,9 @@
         objective_at = now + call.kind.objective_s - age_s
 
         def expected_s(index: int) -> float:
-            return self.queues[index].expected_time_s(now, 0, name, objective_at)
+            return self.queues[index].expected_time_s(
+                now, 0, name, objective_at, call.kind.organisation
+            )
 
         order = sorted(range(len(self.queues)), key=expected_s)
         call.untried = order[:UPSTREAMS_PER_ATTEMPT]
@@ -110,8 +128,16 @@
 
     def _offer(self, now: float, call: _Call, objective_at: float) -> None:
         index = call.untried.pop(0)
+        kind = call.kind
         actions = self.queues[index].offer(
-            call, now, call.deadline, 0, objective_at, call.kind.name
+            call,
+            now,
+            call.deadline,
+            0,
+            objective_at,
+            kind.name,
+            kind.organisation,
+            kind.weight,
         )
         self._apply(now, index, actions)
 
@@ -143,6 +169,11 @@
             self._timeline.call_at(now + pause_s, self._attempt, call)
         else:
             outcome.failed += 1
+            self._end_for_caller(now, call)
+
+    def _end_for_caller(self, now: float, call: _Call) -> None:
+        if call.kind.callers:
+            self._schedule_next(now, call.kind)
 
     def _end(self, now: float, index: int, call: _Call) -> None:
         outcome = self.outcomes[call.kind.name]
@@ -152,4 +183,5 @@
             outcome.on_time += 1
         else:
             outcome.late += 1
+        self._end_for_caller(now, call)
         self._apply(now, index, self.queues[index].finished(call, now))
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -23,6 +23,7 @@
     call_kind,
     objective_at,
     upstream_headers,
+    whole_ms,
 )
 from .reasons import (
     BUSY,
@@ -37,6 +38,7 @@
     not_run_refusal,
 )
 from .served_calls import ServedCalls
+from .share_log import ShareLog, dump_upstream
 from .suspects import refuse_suspect
 from .unacknowledged_results import StoreOrphanedResult
 from .upstream_connection_log import UpstreamConnectionLog
@@ -67,6 +69,7 @@
         self.ctx = ctx
         self.integration = integration
         self.guard = guard
+        self._share_log = ShareLog(ctx)
         self._connection_log = UpstreamConnectionLog(ctx)
         self.served_calls = ServedCalls(ctx, self, store_orphaned_result)
         self._upstreams: dict[str, LocalUpstream] = {}
@@ -104,12 +107,16 @@
 
     def expected_time_ms(self, call: Call) -> int:
         """Return the time in ms that another call of this kind is expected to take."""
+        now = self.ctx.now()
         local = self._upstreams.get(call.upstream)
         if local is None:
             return 0
-        now = self.ctx.now()
         expected_s = local.queue.expected_time_s(
-            now, call.priority, call_kind(call), objective_at(call, now, math.inf)
+            now,
+            call.priority,
+            call_kind(call),
+            objective_at(call, now, math.inf),
+            call.organisation,
         )
         return round(expected_s * 1000)
 
@@ -162,6 +169,7 @@
                 self._connection_log.record,
                 self._on_leaving,
                 self.ctx.answer_bytes,
+                self.ctx.cfg.calls.fair_shares,
             )
             self._upstreams[upstream] = local
             local.record = record
@@ -213,6 +221,8 @@
             call.priority,
             objective_at(call, now, execution.deadline),
             call_kind(call),
+            call.organisation,
+            call.organisation_weight,
         )
         if len(actions) != 1 or actions[0] != Start(execution):
             refused = await self._wait(local, execution, actions, now)
@@ -257,7 +267,7 @@
         call = execution.call
         remaining_s = execution.deadline - self.ctx.now()
         local.record_start(execution)
-        headers = upstream_headers(self.integration.headers, call, _ms(remaining_s))
+        headers = upstream_headers(self.integration.headers, call, remaining_s)
         timer = self.ctx.deadlines.add(
             remaining_s, execution.exchange.abort_at_deadline
         )
@@ -289,7 +299,7 @@
                 reason=result.reason,
                 running=len(local.running),
                 work=local.queue.call_count,
-                time_limit_ms=_ms(remaining_s),
+                time_limit_ms=whole_ms(remaining_s),
             )
         match result:
             case Refused(outcome=Outcome.NOT_RUN, reason=reason):
@@ -359,13 +369,14 @@
 
     def _apply(self, actions: list) -> None:
         for action in actions:
-            fut = action.call.admission
-            if fut is None or fut.done():
+            execution = action.call
+            if (fut := execution.admission) is None or fut.done():
                 continue
             match action:
                 case Start():
                     fut.set_result(None)
                 case Refuse(reason=reason, retry_after_s=retry_after_s):
+                    self._share_log.record_refusal(execution.call, action)
                     fut.set_result(not_run_refusal(reason, retry_after_s))
 
     def drop_waiting(
@@ -382,11 +393,7 @@
         return {
             "records": len(self.served_calls.ledger),
             "upstreams": {
-                name: {"running": len(local.running), "work": local.queue.call_count}
+                name: dump_upstream(local, self.ctx.now())
                 for name, local in self._upstreams.items()
             },
         }
-
-
-def _ms(seconds: float) -> int:
-    return max(0, int(seconds * 1000))
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -28,6 +28,7 @@
     "objective_at",
     "request_fingerprint",
     "upstream_headers",
+    "whole_ms",
 ]
 
 
@@ -100,6 +101,7 @@
         on_closed: OnUpstreamClosed = ignore_upstream_close,
         on_leaving: Callable[[str, int], None] = lambda upstream, started_ms: None,
         held_bytes: HeldBytes | None = None,
+        fair_shares: bool = False,
     ) -> None:
         self.record = record
         self.guard = guard
@@ -113,7 +115,7 @@
         self.notices = UpstreamNotices(record.upstream, integration.headers, on_leaving)
         self.client.on_answer_head = self.notices.record_answer
         can_start = None if guard is None else self._can_start
-        self.queue = AdmissionQueue(max(1, record.slots), 0, can_start)
+        self.queue = AdmissionQueue(max(1, record.slots), 0, can_start, fair_shares)
 
     def record_start(self, execution: Execution) -> None:
         """Count a call as running, and determine whether it is a trial."""
@@ -159,12 +161,23 @@
 
 
 def upstream_headers(
-    names: HeaderNames, call: Call, remaining_ms: int
+    names: HeaderNames, call: Call, remaining_s: float
 ) -> list[tuple[str, str]]:
     """Return the headers of the call with those that the upstream gets in addition."""
-    headers = [*call.headers, (names.deadline_ms, str(remaining_ms))]
+    headers = [*call.headers, (names.deadline_ms, str(whole_ms(remaining_s)))]
     if call.request_key:
         headers.append((names.request_key, call.request_key))
     if names.target_upstream:
         headers.append((names.target_upstream, call.upstream))
     return headers
+
+
+def whole_ms(seconds: float) -> int:
+    """Return a time in whole ms, at least 0.
+
+    Examples
+    --------
+    >>> whole_ms(0.0019), whole_ms(-1.0)
+    (1, 0)
+    """
+    return max(0, int(seconds * 1000))
--- a/lentilsill/platform/settings_file.py
+++ b/lentilsill/platform/settings_file.py
@@ -127,5 +127,6 @@
             "drain_min_s": DRAIN_MIN_S,
             "drain_take_s": DRAIN_ACCEPT_S,
             "drain_bound_s": float(fields["bounds.grace_s"]) - EXIT_MARGIN_S,
+            "fair_shares": "tenants" in fields.get("contracts", "").split(","),
         },
     }
--- a/lentilsill/platform/tests/test_translation.py
+++ b/lentilsill/platform/tests/test_translation.py
@@ -81,6 +81,13 @@
 
 
 class SettingsTests(unittest.TestCase):
+    def test_organisations_share_slots_where_the_contracts_have_them(self):
+        """Guards against a feature that is on where the platform has no tenants."""
+        for contracts, is_on in (("health,tenants", True), ("pool,tenants2", False)):
+            cfg = parse_platform_settings(settings_text(contracts=contracts))
+            self.assertIs(cfg.calls.fair_shares, is_on)
+        self.assertFalse(parse_platform_settings(settings_text()).calls.fair_shares)
+
     def test_fields_are_translated(self):
         """Guards against a node that serves at another address than configured."""
         cfg = parse_platform_settings(settings_text(new_field="x"))
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -165,6 +165,11 @@
         description="Attempts per window that all nodes together may send in "
         "addition to retry_ratio",
     )
+    fair_shares: bool = Field(
+        default=False,
+        description="Whether organisations share the slots of an upstream: when "
+        "calls wait, those of organisations above their share start last",
+    )
 
 
 class KeySettings(_Section):
