--- a/lentilsill/daemon/controllers/bundle.py
+++ b/lentilsill/daemon/controllers/bundle.py
@@ -5,12 +5,13 @@
 
 import structlog
 import xxhash
+from msgspec import structs
 from result import Err, Ok, Result
 
 from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.distribution import PatchError, TextPatch, TextVersions
-from lentilsill.documents import Bundle, BundleReader
+from lentilsill.documents import Bundle, BundleReader, without_organisations
 from lentilsill.findings import Findings
 from lentilsill.versioning import (
     HeldVersion,
@@ -23,7 +24,8 @@
     revision_of,
     supersedes,
 )
-from lentilsill.wire.messages import Delta, DocumentRow, PatchRow
+from lentilsill.wire.features import ORGANISATIONS
+from lentilsill.wire.messages import Delta, DocumentRow, Message, PatchRow
 
 __all__ = ["BundleController"]
 
@@ -47,6 +49,9 @@
         self.in_force: Bundle | None = None
         self._name = ""
         self._versions = TextVersions()
+        # Whether a patch of the newest version did not fit: peers have another text of
+        # it, as releases may translate a version differently.
+        self._has_other_text = False
         self._reader = BundleReader()
         self._rejected: RejectedVersion | None = None
         # Number that the author of the newest version gave; None if it is rejected.
@@ -54,7 +59,11 @@
         # Text in force, which differs from the newest one if that is rejected.
         self._in_force_text = ""
         self._in_force_since = 0.0
+        # Newest text that was sent without organisations, and what was sent.
+        self._plain_text = ("", "")
         ctx.board.dump_parts["documents"] = self.dump
+        if ctx.cfg.organisations:
+            ctx.links.adapters[ORGANISATIONS] = self._without_organisations
 
     @property
     def content_hash(self) -> int:
@@ -73,6 +82,11 @@
         """Newest known revision, valid or not."""
         return self._versions.version
 
+    @property
+    def patch_base(self) -> int:
+        """Version to which patches of peers apply; 0 if peers have another text."""
+        return 0 if self._has_other_text else self.bundle_version
+
     def merge(self, delta: Delta) -> Delta | None:
         """Apply a newer bundle; return the delta to forward, or None if not newer."""
         version_before = self.bundle_version
@@ -94,8 +108,8 @@
 
     def lacks_patch_base(self, delta: Delta) -> bool:
         """Return whether the delta has a patch of a bundle that this node lacks."""
-        newest = self.bundle_version
-        return any(row[1] > newest and row[2] != newest for row in delta.patches)
+        newest, base = self.bundle_version, self.patch_base
+        return any(row[1] > newest and row[2] != base for row in delta.patches)
 
     def delta_since(self, base: int, held: int = 0) -> Delta:
         """Return the bundle if it has changed after revision `base`.
@@ -117,6 +131,28 @@
         row: PatchRow = (self._name, newest, held, patch.text_hash, patch.parts)
         return Delta(base, base, False, (), patches=(row,))
 
+    def _without_organisations(self, message: Message) -> Message:
+        """Return a message for a peer whose texts lack the organisations.
+
+        It gets no patches: its text of a version need not be this node's text without
+        the organisations, since another release may translate other parts differently.
+        """
+        if not isinstance(message, Delta):
+            return message
+        rows = message.rows
+        if message.patches:
+            rows = self._newest_rows() + self._in_force_rows()
+        plain_rows = tuple(
+            (name, version, is_deleted, self._make_plain(text))
+            for name, version, is_deleted, text in rows
+        )
+        return structs.replace(message, rows=plain_rows, patches=())
+
+    def _make_plain(self, text: str) -> str:
+        if text != self._plain_text[0]:
+            self._plain_text = (text, without_organisations(text))
+        return self._plain_text[1]
+
     def _is_from_store_behind(self, delta: Delta) -> bool:
         """Return whether a listing shows a copy that is behind what was read before."""
         theirs, mine = delta.complete_as_of, self.complete_as_of
@@ -138,6 +174,7 @@
             has_same_text = text == self._versions.text
             self._name = name
             self._versions.keep(version, text)
+            self._has_other_text = False
             if has_same_text:
                 self._adopt_revision(version)
             else:
@@ -172,6 +209,7 @@
             try:
                 text = self._versions.patched(TextPatch(parts, text_hash))
             except PatchError as exc:
+                self._has_other_text = True
                 self.ctx.count("documents.bad_patches")
                 log.warning(
                     "patch_rejected", service=name, version=version, error=str(exc)
--- a/lentilsill/daemon/controllers/call_results.py
+++ b/lentilsill/daemon/controllers/call_results.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from lentilsill.daemon.interfaces import CallRequest
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 
 from .reasons import BUSY, LEAVING, RATE_LIMITED, STARTUP_RETRY_S, UNREACHABLE
@@ -10,6 +11,7 @@
     "is_busy",
     "is_overload",
     "is_upstream_failure",
+    "refuse_call",
     "with_retry_after",
     "worse_refusal",
 ]
@@ -57,3 +59,13 @@
     if refusal is None or refusal.reason != LEAVING:
         return refusal
     return replace(refusal, retry_after_s=STARTUP_RETRY_S)
+
+
+def refuse_call(req: CallRequest, reason: str, retry_after_s: float = 0.0) -> Refused:
+    """Refuse a call before its first attempt.
+
+    A call with a request key may have run before through another node. Only the
+    replicas of the key know, so its outcome is ``unknown``.
+    """
+    outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
+    return Refused(outcome, reason, retry_after_s)
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -16,6 +16,7 @@
 from lentilsill.wire import CALLS
 from lentilsill.wire.messages import Call, GoAway, NoticeRow
 
+from .call_admission import forwarded_headers
 from .local_upstream import (
     Execution,
     LocalUpstream,
@@ -267,10 +268,11 @@
         call = execution.call
         remaining_s = execution.deadline - self.ctx.now()
         local.record_start(execution)
-        headers = upstream_headers(self.integration.headers, call, remaining_s)
-        timer = self.ctx.deadlines.add(
-            remaining_s, execution.exchange.abort_at_deadline
-        )
+        names = self.integration.headers
+        forwarded = forwarded_headers(self.ctx, names, call)
+        headers = upstream_headers(names, call, forwarded, remaining_s)
+        abort = execution.exchange.abort_at_deadline
+        timer = self.ctx.deadlines.add(remaining_s, abort)
         result: CallResult | None = None
         try:
             result = await local.client.send(
@@ -360,9 +362,8 @@
 
     def _is_closed_to_calls(self, local: LocalUpstream) -> bool:
         board, record = self.ctx.board, local.record
-        if board.draining or record.state is not UpstreamState.READY:
-            return True
-        if local.notices.is_leaving:
+        is_ready = record.state is UpstreamState.READY and not local.notices.is_leaving
+        if board.draining or not is_ready:
             return True
         document = board.snapshot.documents.get(record.service)
         return document is not None and is_leaving(document, record)
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -21,7 +21,13 @@
 from .call_budgets import CallBudgets
 from .call_limits import ATTEMPT_END_GRACE_S, CallLimits
 from .call_progress import Attempt, CallProgress, report_call
-from .call_results import is_busy, is_upstream_failure, with_retry_after, worse_refusal
+from .call_results import (
+    is_busy,
+    is_upstream_failure,
+    refuse_call,
+    with_retry_after,
+    worse_refusal,
+)
 from .destination import DestinationController
 from .hedging import run_hedged
 from .local_upstream import Execution, call_fingerprint, request_fingerprint
@@ -79,7 +85,7 @@
         self.in_flight = 0
         self._attempt_ids = itertools.count(1)
         self._placer = AttemptPlacer(ctx, self.selector)
-        self._admission = CallAdmission(ctx)
+        self.admission = CallAdmission(ctx, destination.integration.headers)
         self._budgets = CallBudgets(ctx)
         self._limits = CallLimits(ctx)
         self._view = ViewChanges(ctx)
@@ -116,18 +122,18 @@
         now = self.ctx.now()
         board = self.ctx.board
         if not board.ready:
-            return _refused(req, NOT_READY)
+            return refuse_call(req, NOT_READY, STARTUP_RETRY_S)
         if board.is_refusing_callers:
-            return _refused(req, NODE_LEAVING)
+            return refuse_call(req, NODE_LEAVING, STARTUP_RETRY_S)
         document = board.snapshot.find_routes(req.service)
         if document is None:
-            return _refused(req, NO_ROUTE)
+            return refuse_call(req, NO_ROUTE, STARTUP_RETRY_S)
         route = self._routes.match(document, req)
         if route is None:
-            return _refused(req, NO_ROUTE)
+            return refuse_call(req, NO_ROUTE, STARTUP_RETRY_S)
         if self.in_flight >= self.ctx.cfg.calls.max_calls:
-            return _refused(req, OVERLOADED)
-        admission = await self._admission.admit(req, route)
+            return refuse_call(req, OVERLOADED, STARTUP_RETRY_S)
+        admission = await self.admission.admit(req, route)
         if isinstance(admission, Refused):
             return admission
         req = admission.req
@@ -140,7 +146,9 @@
         if refused is not None:
             # The quarantine shows that a request with this key has run before.
             outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
-            return replace(refused, outcome=outcome)
+            refused = replace(refused, outcome=outcome)
+            self.admission.record_end(admission, refused)
+            return refused
         deadline_s = route.deadline_ms / 1000
         if req.deadline_ms > 0:
             deadline_s = min(deadline_s, req.deadline_ms / 1000)
@@ -172,6 +180,7 @@
             return result
         finally:
             self.in_flight -= 1
+            self.admission.record_end(progress.admission, result)
             report_call(self.ctx, progress, result)
 
     async def _run_claimed(self, progress: CallProgress) -> CallResult:
@@ -382,13 +391,3 @@
             "outstanding": self.peers.outstanding,
             "upstreams": self.selector.dump(self.ctx.now()),
         }
-
-
-def _refused(req: CallRequest, reason: str) -> Refused:
-    """Refuse a call before its first attempt.
-
-    A call with a request key may have run before through another node. Only the
-    replicas of the key know, so its outcome is ``unknown``.
-    """
-    outcome = Outcome.UNKNOWN if req.request_key else Outcome.NOT_RUN
-    return Refused(outcome, reason, STARTUP_RETRY_S)
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -1,7 +1,7 @@
 """An upstream of this node, and the calls that it runs."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import xxhash
@@ -161,10 +161,13 @@
 
 
 def upstream_headers(
-    names: HeaderNames, call: Call, remaining_s: float
+    names: HeaderNames,
+    call: Call,
+    forwarded: Iterable[tuple[str, str]],
+    remaining_s: float,
 ) -> list[tuple[str, str]]:
-    """Return the headers of the call with those that the upstream gets in addition."""
-    headers = [*call.headers, (names.deadline_ms, str(whole_ms(remaining_s)))]
+    """Return the forwarded headers with those that the upstream gets in addition."""
+    headers = [*forwarded, (names.deadline_ms, str(whole_ms(remaining_s)))]
     if call.request_key:
         headers.append((names.request_key, call.request_key))
     if names.target_upstream:
--- a/lentilsill/daemon/controllers/tests/test_fair_shares.py
+++ b/lentilsill/daemon/controllers/tests/test_fair_shares.py
@@ -21,7 +21,7 @@
         self.near, self.far = FakeNode("near"), FakeNode("far")
         for node in (self.near, self.far):
             self.addCleanup(node.close)
-        admission: Any = self.near.entry._admission
+        admission: Any = self.near.entry.admission
 
         async def admit(req, route):
             organisation = req.path.split("/")[1]
