Dial fewer links beside silent ones

A second link was dialed at each check while the peer refused it, and each time that the event loop of the peer stalled for 50 ms. On a host with little processor time, the handshakes of all entry nodes add to the stall.

There is now one second dial for each probe, and none for 2 s after one that was not needed. Meanwhile, a silent link is closed after 0.25 s as before.

Two new tests count dials. Without the change they fail with 3 dials for 2 stalls instead of 2, and with 4 dials at a refusing peer instead of at most 3.

--- a/lentilsill/daemon/controllers/peer_attempts.py
+++ b/lentilsill/daemon/controllers/peer_attempts.py
@@ -69,7 +69,8 @@
 class Peer:
     """Outstanding attempts at one address in the order of their call ids.
 
-    `second_dial` opens a link beside a silent one.
+    `second_dial` opens a link beside a silent one. There is none before
+    `no_second_dial_before`, and no further one for the same probe if it has failed.
     """
 
     outstanding: dict[int, PeerAttempt] = field(default_factory=dict)
@@ -77,6 +78,16 @@
     probed_at: float = 0.0
     mean_answer_s: float = 0.0
     second_dial: asyncio.Task[Link] | None = None
+    has_second_dial_failed: bool = False
+    no_second_dial_before: float = 0.0
+
+    def may_dial_second(self, now: float) -> bool:
+        """Return whether a link may be dialed beside a silent one."""
+        return (
+            self.second_dial is None
+            and not self.has_second_dial_failed
+            and now >= self.no_second_dial_before
+        )
 
     def record_answer_time(self, answer_s: float) -> None:
         """Update the moving average; the first answer time sets it."""
--- a/lentilsill/daemon/controllers/silent_links.py
+++ b/lentilsill/daemon/controllers/silent_links.py
@@ -24,6 +24,10 @@
 # Answers of the old link that the peer sent before those of the new one can still be on
 # their way for this time.
 SETTLE_S = 0.02
+# After a second link that was not needed, the peer's event loop stalls, and handshakes
+# of all its entry nodes would slow it further. Meanwhile, a silent link is closed after
+# the wait for a probe.
+SECOND_DIAL_PAUSE_S = 2.0
 MIN_CHECK_INTERVAL_S = 0.02
 # While calls are outstanding, links are checked when the next one may have been
 # silent for too long, and at least this often. The link of a call that is sent before
@@ -112,6 +116,7 @@
         if peer.probed_link is not link or is_answered:
             peer.probed_link = link
             peer.probed_at = now
+            peer.has_second_dial_failed = False
             link.send(Ping(oldest.call_id))
         unanswered_s = now - peer.probed_at
         if unanswered_s >= ping_wait_s:
@@ -125,7 +130,7 @@
         dial_after_s = min(DIAL_AFTER_S, PING_WAIT_SHARE * ping_wait_s)
         if unanswered_s < dial_after_s:
             return peer.probed_at + dial_after_s
-        if link.is_open and peer.second_dial is None:
+        if link.is_open and peer.may_dial_second(now):
             peer.second_dial = self.links.dial_second(address, CALLS)
             self.ctx.spawn(self._replace(address, peer, link, peer.second_dial))
         return peer.probed_at + ping_wait_s
@@ -139,6 +144,7 @@
             new_link = await dial
             await asyncio.sleep(SETTLE_S)
         except LinkError:
+            peer.has_second_dial_failed = True
             return
         finally:
             peer.second_dial = None
@@ -148,6 +154,8 @@
         has_answered = link.last_received_s > probed_at or link.has_unread_input()
         is_current = link.is_open and self.links.find(address, CALLS) is link
         is_same_process = new_link.hello.instance == link.hello.instance
+        if has_answered:
+            peer.no_second_dial_before = self.ctx.now() + SECOND_DIAL_PAUSE_S
         if has_answered or not (is_current and is_same_process):
             new_link.close(LinkCloseReason.IDLE)
             return
--- a/lentilsill/daemon/controllers/tests/test_silent_links.py
+++ b/lentilsill/daemon/controllers/tests/test_silent_links.py
@@ -231,3 +231,33 @@
         result = await self.call(deadline_ms=3000)
         self.assertEqual(result.outcome, Outcome.NOT_RUN)
         self.assertLess(loop.time() - started_at, 0.1)
+
+    @property
+    def dials(self):
+        return self.near.ctx.links.traffic["calls"].dials
+
+    async def test_node_that_stalls_again_gets_no_second_link(self):
+        """Guards against handshakes that slow a host which has too little time."""
+        relay = FreezableRelay(self.far.ctx.links.port)
+        self.put_behind(relay)
+        self.assertIsInstance(await self.call(), Answer)
+        for _ in range(2):
+            relay.freeze()
+            call = asyncio.ensure_future(self.call())
+            await asyncio.sleep(0.2)
+            relay.resume()
+            self.assertIsInstance(await call, Answer)
+            await asyncio.sleep(0.1)
+        self.assertEqual(self.dials, 2)
+
+    async def test_second_link_that_is_refused_is_not_dialed_again(self):
+        """Guards against a dial at each check of a silent link."""
+        relay = BlackholeRelay(self.far.ctx.links.port)
+        self.put_behind(relay)
+        self.assertIsInstance(await self.call(), Answer)
+        relay.blackhole()
+        relay.stop()
+        call = asyncio.ensure_future(self.call())
+        self.addCleanup(call.cancel)
+        await wait_for(lambda: b"silent_link" in self.near.ctx.metrics.text())
+        self.assertLessEqual(self.dials, 3)
