Let a call leave a target that it did not reach

A call keeps the weighted target that it was assigned to. When all upstreams of that target refused it as leaving or could not be reached, it was refused although another target of its route had upstreams. It now goes to another target, unless an upstream received it or had no room for it.

Refusals of upstreams at their own limit on calls a second no longer count as unreached: a call that all upstreams refused for that reason was sent to the whole fleet. They count as placements, of which there are at most four.

Two new tests fail without the change: the call ends with "upstream is leaving", and 8 upstreams are tried instead of 4.

--- a/lentilsill/daemon/controllers/call_progress.py
+++ b/lentilsill/daemon/controllers/call_progress.py
@@ -130,11 +130,19 @@
         """
         return self.arrival_count > self.retry_tokens
 
+    @property
+    def is_unreached(self) -> bool:
+        """Whether no attempt reached an upstream or was refused for lack of room."""
+        has_probed = bool(self.busy_upstreams)
+        return not has_probed and self.tried_upstreams <= self.unreached_upstreams
+
     def record_reply(self, upstream: str, result: CallResult) -> None:
         """Record the result of an attempt, also of one of two hedged attempts."""
         match result:
             case Refused(outcome=Outcome.NOT_RUN, arrived=False, reason=reason):
-                if not is_overload(result):
+                # Upstreams at their own limit count, so that a call that all of them
+                # refuse does not send messages to the whole fleet.
+                if not result.is_overload:
                     self.unreached_upstreams.add(upstream)
                 if reason == LEAVING:
                     self.leaving_upstreams.add(upstream)
--- a/lentilsill/daemon/controllers/placement.py
+++ b/lentilsill/daemon/controllers/placement.py
@@ -57,7 +57,9 @@
         choose the same upstream for a request that is a suspect.
         """
         if progress.target is not None:
-            return self._choose_for(progress, progress.target, now, is_suspect)
+            placement = self._choose_for(progress, progress.target, now, is_suspect)
+            if placement is not None or not progress.is_unreached:
+                return placement
         targets = progress.route.targets
         while targets:
             target = choose_target(targets, self._ctx.rng)
--- a/lentilsill/daemon/controllers/tests/test_unreached_refusals.py
+++ b/lentilsill/daemon/controllers/tests/test_unreached_refusals.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from types import MappingProxyType
 
+from lentilsill.daemon.controllers.reasons import RATE_LIMITED, not_run_refusal
 from lentilsill.daemon.interfaces import KeyGranted
 from lentilsill.documents import RouteTarget, ServiceDocument, UpstreamSet
 from lentilsill.membership import UpstreamRecord, UpstreamState
@@ -173,3 +174,37 @@
         result = await call
         self.assertEqual((result.status, result.body), (200, b"/a"))
         self.assertFalse(budget.take_attempt())
+
+    async def test_call_leaves_a_target_that_it_did_not_reach(self):
+        """Guards against a refusal while another target of the route has upstreams. A
+        route with weighted targets assigns each call to one of them."""
+        self.add_upstream("w1", "1")
+        self.add_upstream("w2", "2")
+        document = make_release(1, "old")
+        targets = tuple(RouteTarget("slots", name, 1) for name in ("old", "new"))
+        routes = tuple(replace(route, targets=targets) for route in document.routes)
+        document = replace(document, routes=routes)
+        for node in (self.near, self.far):
+            self.put_in_force(node, document)
+        self.near.set_members(self.far.record())
+        self.add_upstream("w1", "1", state=UpstreamState.LEAVING)
+        for number in range(12):
+            result = await self.call(path=f"/p{number}")
+            self.assertIsInstance(result, Answer)
+
+    async def test_upstreams_at_their_own_limit_are_not_all_tried(self):
+        """Guards against messages to the whole fleet for each call when all upstreams
+        are at their own limit."""
+        names = [f"w{number}" for number in range(8)]
+        for name in names:
+            self.add_upstream(name)
+        self.near.set_members(self.far.record())
+        refused = []
+
+        async def refuse(execution):
+            refused.append(execution.call.upstream)
+            return not_run_refusal(RATE_LIMITED, 0.05)
+
+        self.far.destination.execute = refuse
+        await self.call()
+        self.assertEqual(len(refused), 4)
