Deliver a late answer to a call that waits for a newer view

While a call waited up to 0.5 s for changes of routes and upstreams, an answer that arrived after its link was lost was delivered only after the wait, or another attempt was started first. The wait now ends with the answer.

No test covers this order of events.

--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -232,10 +232,15 @@
             is_suspect = progress.is_suspect or self._is_suspect(progress)
             placement = self._placer.choose(progress, now, is_suspect)
             if placement is None:
-                if failure is None and await self._view.wait_for_change(
-                    progress, self.selector.is_candidate
-                ):
-                    continue
+                if failure is None:
+                    change = self._view.wait_for_change(
+                        progress, self.selector.is_candidate
+                    )
+                    changed = await progress.late_replies.run(change)
+                    if isinstance(changed, Answer):
+                        return changed
+                    if changed:
+                        continue
                 return failure or with_retry_after(refusal) or NO_UPSTREAM_REFUSAL
             candidate = placement.candidate
             if failure is not None and not self.selector.has_lower_failure_share(
--- a/lentilsill/daemon/controllers/late_replies.py
+++ b/lentilsill/daemon/controllers/late_replies.py
@@ -2,9 +2,9 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, TypeVar
 
-from lentilsill.outcomes import Answer, CallResult
+from lentilsill.outcomes import Answer
 
 from .call_results import is_upstream_failure
 from .peer_attempts import Reply
@@ -15,6 +15,8 @@
 # stalled; if the peer is dead, its caller has time to try again.
 WAIT_SHARE = 0.5
 
+T = TypeVar("T")
+
 
 class LateReplies:
     """Results that destination nodes may still have for one call.
@@ -31,8 +33,8 @@
         """Add the late result of an attempt."""
         self._pending.add(late)
 
-    async def run(self, attempt: Coroutine[Any, Any, CallResult]) -> CallResult:
-        """Run another attempt, and cancel it if a late answer comes first."""
+    async def run(self, attempt: Coroutine[Any, Any, T]) -> T | Answer:
+        """Run another attempt or a wait, and cancel it if a late answer comes first."""
         if not self._pending:
             return await attempt
         task = asyncio.ensure_future(attempt)
@@ -43,7 +45,7 @@
 
     async def first_answer(
         self,
-        task: asyncio.Task[CallResult] | None = None,
+        task: asyncio.Task[Any] | None = None,
         deadline_s: float = 0.0,
     ) -> Answer | None:
         """Wait for a late answer; None once there can be none or `task` has ended.
