--- a/lentilsill/daemon/controllers/tests/test_call_faults.py
+++ b/lentilsill/daemon/controllers/tests/test_call_faults.py
@@ -237,10 +237,6 @@
         self.assertTrue(link.is_open)
 
 
-if __name__ == "__main__":
-    unittest.main()
-
-
 class WaitingCallTests(unittest.IsolatedAsyncioTestCase):
     async def test_caller_learns_before_its_deadline_that_its_call_can_not_run(self):
         """Guards against a refusal that is sent at the deadline and arrives after it.
@@ -270,3 +266,7 @@
         self.assertGreater(waiting.retry_after_s, 0.0)
         self.assertLess(loop.time() - started_at, 0.9)
         self.assertGreater(loop.time() - started_at, 0.5)
+
+
+if __name__ == "__main__":
+    unittest.main()
