Test that a late answer ends the wait for a newer view

The test covers the order of events that the change of the wait left without one. It times out with the entry controller as it was before that change.

--- a/lentilsill/daemon/controllers/tests/test_silent_links.py
+++ b/lentilsill/daemon/controllers/tests/test_silent_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from typing import Any
 
 from lentilsill.daemon.blackboard import Topic
@@ -261,3 +262,25 @@
         self.addCleanup(call.cancel)
         await wait_for(lambda: b"silent_link" in self.near.ctx.metrics.text())
         self.assertLessEqual(self.dials, 3)
+
+    async def test_late_answer_ends_the_wait_for_a_newer_view(self):
+        """Guards against an answer that has arrived and is held back for up to 0.5 s,
+        while its call waits because another upstream leaves."""
+        relay = FreezableRelay(self.far.ctx.links.port)
+        self.put_behind(relay)
+        self.assertIsInstance(await self.call(), Answer)
+        gate = self.upstreams[0].gates["/slow"] = asyncio.Event()
+        call = asyncio.ensure_future(self.call("GET", "/slow", 3000))
+        await wait_for(lambda: "/slow" in self.upstreams[0].seen)
+        self.near.set_members(self.behind_relay, self.other.record())
+        ready = self.other.ctx.board.upstreams["w2"]
+        leaving = replace(ready, state=UpstreamState.LEAVING)
+        self.other.ctx.board.upstreams["w2"] = leaving
+        self.other.destination.refresh()
+        relay.freeze()
+        metrics = self.near.ctx.metrics
+        await wait_for(lambda: b"waited_for_view" in metrics.text())
+        gate.set()
+        relay.resume()
+        async with asyncio.timeout(0.3):
+            self.assertIsInstance(await call, Answer)
