Count the arrival of either hedged attempt

If the first of two hedged attempts reached its upstream, was refused there, and a node refused the second one afterwards, the result was that no upstream was reached. The limit on attempts and the retry budget missed the arrival.

The new test fails without the change.

--- a/lentilsill/daemon/controllers/hedging.py
+++ b/lentilsill/daemon/controllers/hedging.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 from lentilsill.outcomes import Answer, CallResult, Refused
@@ -17,7 +18,10 @@
 async def run_hedged(
     attempt: AttemptRun, delay_s: float, make_second: Callable[[], AttemptRun | None]
 ) -> CallResult:
-    """Add a second attempt when the first is slow, and cancel the slower one."""
+    """Add a second attempt when the first is slow, and cancel the slower one.
+
+    A refusal counts as arrived if either attempt reached its upstream.
+    """
     first = asyncio.ensure_future(attempt)
     running = {first}
     try:
@@ -28,6 +32,7 @@
         if second is not None:
             running.add(asyncio.ensure_future(second))
         refusal: Refused | None = None
+        has_arrived = False
         while running:
             done, running = await asyncio.wait(
                 running, return_when=asyncio.FIRST_COMPLETED
@@ -36,8 +41,11 @@
                 result = task.result()
                 if isinstance(result, Answer):
                     return result
+                has_arrived |= result.arrived
                 refusal = worse_refusal(refusal, result)
-        return refusal or not_run_refusal(NO_UPSTREAM, STARTUP_RETRY_S)
+        if refusal is None:
+            return not_run_refusal(NO_UPSTREAM, STARTUP_RETRY_S)
+        return replace(refusal, arrived=has_arrived)
     finally:
         for task in running:
             task.cancel()
--- a/lentilsill/daemon/controllers/tests/test_unreached_refusals.py
+++ b/lentilsill/daemon/controllers/tests/test_unreached_refusals.py
@@ -5,11 +5,12 @@
 from dataclasses import replace
 from types import MappingProxyType
 
+from lentilsill.daemon.controllers.hedging import run_hedged
 from lentilsill.daemon.controllers.reasons import RATE_LIMITED, not_run_refusal
 from lentilsill.daemon.interfaces import KeyGranted
 from lentilsill.documents import RouteTarget, ServiceDocument, UpstreamSet
 from lentilsill.membership import UpstreamRecord, UpstreamState
-from lentilsill.outcomes import Answer, Outcome
+from lentilsill.outcomes import Answer, Outcome, Refused
 from lentilsill.retries import RetryBudget
 from lentilsill.versioning import Snapshot
 
@@ -208,3 +209,16 @@
         self.far.destination.execute = refuse
         await self.call()
         self.assertEqual(len(refused), 4)
+
+    async def test_arrival_of_one_hedged_attempt_counts(self):
+        """Guards against an arrival that the limit on attempts and the retry budget
+        miss because the other attempt was refused last, by a node."""
+
+        async def refuse(delay_s, arrived):
+            await asyncio.sleep(delay_s)
+            return Refused(Outcome.NOT_RUN, "refused", arrived=arrived)
+
+        first, second = refuse(0.03, True), refuse(0.05, False)
+        result = await run_hedged(first, 0.01, lambda: second)
+        assert isinstance(result, Refused)
+        self.assertTrue(result.arrived)
