Deliver a late answer while a hedge runs

The link of the first of two hedged attempts can be lost while the second one runs. Its result was added to the late ones, but nothing waited for it until the second attempt had ended, and the call could miss its deadline although an answer was there. A wait for late answers now notices those that are added.

--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -258,12 +258,14 @@
             hedge_delay_s = decide_hedge(
                 route.hedge, route.idempotent, progress.deadline - now
             )
-            attempt = (
-                self._make_attempt(progress, candidate, placement.only_if_free)
-                if hedge_delay_s is None or is_suspect
-                else self._attempt_with_hedge(progress, candidate, hedge_delay_s)
-            )
-            result = await progress.late_replies.run(attempt)
+            if hedge_delay_s is None or is_suspect:
+                attempt = self._make_attempt(
+                    progress, candidate, placement.only_if_free
+                )
+                result = await progress.late_replies.run(attempt)
+            else:
+                attempt = self._attempt_with_hedge(progress, candidate, hedge_delay_s)
+                result = await progress.late_replies.run(attempt, is_hedged=True)
             if placement.only_if_free:
                 self._placer.record_slot_probe(progress, not is_busy(result))
             if is_busy(result):
--- a/lentilsill/daemon/controllers/late_replies.py
+++ b/lentilsill/daemon/controllers/late_replies.py
@@ -27,15 +27,24 @@
     def __init__(self) -> None:
         self.has_answered = False
         self._pending: set[asyncio.Future[Reply]] = set()
+        # Set when a result is added while `first_answer` waits for the others.
+        self._added: asyncio.Future[None] | None = None
         self._failure: Answer | None = None
 
     def add(self, late: asyncio.Future[Reply]) -> None:
         """Add the late result of an attempt."""
         self._pending.add(late)
+        if self._added is not None and not self._added.done():
+            self._added.set_result(None)
 
-    async def run(self, attempt: Coroutine[Any, Any, T]) -> T | Answer:
-        """Run another attempt or a wait, and cancel it if a late answer comes first."""
-        if not self._pending:
+    async def run(
+        self, attempt: Coroutine[Any, Any, T], is_hedged: bool = False
+    ) -> T | Answer:
+        """Run another attempt or a wait, and cancel it if a late answer comes first.
+
+        One of two hedged attempts can add a late result while the other one runs.
+        """
+        if not (self._pending or is_hedged):
             return await attempt
         task = asyncio.ensure_future(attempt)
         try:
@@ -59,7 +68,8 @@
             waited: set[asyncio.Future[Any]] = {*self._pending}
             timeout_s = None
             if task is not None:
-                waited.add(task)
+                self._added = asyncio.get_running_loop().create_future()
+                waited |= {task, self._added}
             else:
                 timeout_s = timeout_at_s - loop.time()
             if not waited or (timeout_s is not None and timeout_s <= 0):
