--- a/lentilsill/daemon/controllers/call_admission.py
+++ b/lentilsill/daemon/controllers/call_admission.py
@@ -14,7 +14,7 @@
 from .call_results import refuse_call
 from .reasons import OVER_QUOTA, UNKNOWN_KEY
 
-__all__ = ["Admission", "CallAdmission", "upstream_headers"]
+__all__ = ["Admission", "CallAdmission", "forwarded_headers"]
 
 Header = tuple[str, str]
 
@@ -135,7 +135,7 @@
         }
 
 
-def upstream_headers(ctx: Context, names: HeaderNames, call: Call) -> Iterable[Header]:
+def forwarded_headers(ctx: Context, names: HeaderNames, call: Call) -> Iterable[Header]:
     """Return the headers of a call that its upstream may get.
 
     The entry node may have passed credentials on, since it runs an earlier release or
--- a/lentilsill/daemon/controllers/call_progress.py
+++ b/lentilsill/daemon/controllers/call_progress.py
@@ -1,16 +1,20 @@
 """State of a call in progress, and the metrics and log line of its end."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.interfaces import CallRequest
 from lentilsill.documents import Route, RouteTarget, ServiceDocument
-from lentilsill.outcomes import Answer, CallResult, Refused
+from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
+from lentilsill.retries import decide_retry
 from lentilsill.routing import Candidate
+from lentilsill.wire.messages import Call
 
 from .call_admission import Admission
+from .call_results import is_overload
 from .late_replies import LateReplies
+from .reasons import CRASHED, LEAVING
 
 __all__ = ["Attempt", "CallProgress", "report_call"]
 
@@ -58,7 +62,8 @@
     arrival_count : int
         Number of attempts that reached an upstream.
     last_upstream : str
-        Upstream chosen last. The second attempt of a hedge does not set it.
+        Upstream that an attempt reached last. The second attempt of a hedge does not
+        set it.
     target : RouteTarget or None
         Weighted target of the route that the call was assigned to.
     claim_attempt : str
@@ -67,6 +72,15 @@
         Whether an upstream died while it ran the call.
     overload_count : int
         Number of attempts that were refused because of overload.
+    unreached_upstreams : set of str
+        Upstreams whose nodes refused the call, without those that had no room for it.
+    leaving_upstreams : set of str
+        Upstreams whose nodes refused the call because they leave.
+    retry_tokens : int
+        Number of attempts that the retry budget has granted.
+    view_wait_ends_at : float or None
+        Time until which the call waits for changes that its node does not know yet;
+        None if it has not waited.
     age_s : float
         Estimated time from the caller's first try to `started_at`.
     busy_upstreams : set of str
@@ -94,6 +108,10 @@
     claim_attempt: str = ""
     is_suspect: bool = False
     overload_count: int = 0
+    unreached_upstreams: set[str] = field(default_factory=set)
+    leaving_upstreams: set[str] = field(default_factory=set)
+    retry_tokens: int = 0
+    view_wait_ends_at: float | None = None
     age_s: float = 0.0
     busy_upstreams: set[str] = field(default_factory=set)
     is_in_retry_budget: bool = False
@@ -105,6 +123,92 @@
         """Service and route; calls of one kind take about the same time."""
         return f"{self.document.service}/{self.route.name}"
 
+    @property
+    def needs_retry_token(self) -> bool:
+        """Whether another arrival at an upstream has to be granted by the budget.
+
+        A granted attempt that reached no upstream leaves its token to the next one.
+        """
+        return self.arrival_count > self.retry_tokens
+
+    @property
+    def is_unreached(self) -> bool:
+        """Whether no attempt reached an upstream or was refused for lack of room."""
+        has_probed = bool(self.busy_upstreams)
+        return not has_probed and self.tried_upstreams <= self.unreached_upstreams
+
+    def record_reply(self, upstream: str, result: CallResult) -> None:
+        """Record the result of an attempt, also of one of two hedged attempts."""
+        match result:
+            case Refused(outcome=Outcome.NOT_RUN, arrived=False, reason=reason):
+                # Upstreams at their own limit count, so that a call that all of them
+                # refuse does not send messages to the whole fleet.
+                if not result.is_overload:
+                    self.unreached_upstreams.add(upstream)
+                if reason == LEAVING:
+                    self.leaving_upstreams.add(upstream)
+
+    def record_attempt(self, upstream: str, result: CallResult) -> None:
+        """Record the result with which the call goes on, except busy slot probes."""
+        self.tried_upstreams.add(upstream)
+        match result:
+            case Answer():
+                self.arrival_count += 1
+                self.last_upstream = upstream
+            case Refused(reason=reason, arrived=arrived):
+                self.overload_count += is_overload(result)
+                self.is_suspect |= reason == CRASHED
+                if arrived:
+                    self.arrival_count += 1
+                    self.last_upstream = upstream
+
+    def may_retry(self, result: CallResult, now: float) -> bool:
+        """Return whether the call may have another attempt after this result."""
+        return decide_retry(
+            result,
+            self.route.idempotent,
+            self.arrival_count,
+            self.route.retry.max_attempts,
+            self.deadline - now,
+            len(self.tried_upstreams - self.unreached_upstreams),
+            self.overload_count,
+        )
+
+    def set_targets(
+        self, document: ServiceDocument, targets: tuple[RouteTarget, ...]
+    ) -> None:
+        """Take the targets from a newer document; the other properties stay."""
+        self.document = document
+        self.route = replace(self.route, targets=targets)
+        if self.target not in targets:
+            self.target = None
+
+    def make_call(self, upstream: str, only_if_free: bool, now: float) -> Call:
+        """Return the message for an attempt; the link fills in its id and deadline."""
+        req = self.req
+        return Call(
+            0,
+            upstream,
+            req.method,
+            req.path,
+            req.headers,
+            req.body,
+            0,
+            self.route.idempotent,
+            req.request_key,
+            req.service,
+            self.document.version,
+            attempt=self.claim_attempt,
+            attempt_id=req.attempt_id,
+            route=self.route.name,
+            priority=self.admission.priority,
+            objective_ms=self.objective_ms(now),
+            is_suspect=self.is_suspect,
+            only_if_free=only_if_free,
+            organisation=self.admission.organisation,
+            organisation_weight=self.admission.weight,
+        )
+
     def objective_ms(self, now: float) -> int:
         """Return the remaining latency objective, or 0 for a route without one.
 
--- a/lentilsill/daemon/controllers/call_results.py
+++ b/lentilsill/daemon/controllers/call_results.py
@@ -1,15 +1,18 @@
 """Classification of the results of attempts."""
 
+from dataclasses import replace
+
 from lentilsill.daemon.interfaces import CallRequest
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 
-from .reasons import BUSY, RATE_LIMITED, UNREACHABLE
+from .reasons import BUSY, LEAVING, RATE_LIMITED, STARTUP_RETRY_S, UNREACHABLE
 
 __all__ = [
     "is_busy",
     "is_overload",
     "is_upstream_failure",
     "refuse_call",
+    "with_retry_after",
     "worse_refusal",
 ]
 
@@ -48,6 +51,16 @@
     return worst
 
 
+def with_retry_after(refusal: Refused | None) -> Refused | None:
+    """Return the last refusal of a call, with the time of a retry if upstreams leave.
+
+    Others are started in their place in most cases.
+    """
+    if refusal is None or refusal.reason != LEAVING:
+        return refusal
+    return replace(refusal, retry_after_s=STARTUP_RETRY_S)
+
+
 def refuse_call(req: CallRequest, reason: str, retry_after_s: float = 0.0) -> Refused:
     """Refuse a call before its first attempt.
 
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -15,13 +15,15 @@
 from lentilsill.wire import CALLS
 from lentilsill.wire.messages import Call, GoAway, NoticeRow
 
-from .call_admission import upstream_headers
+from .call_admission import forwarded_headers
 from .local_upstream import (
     Execution,
     LocalUpstream,
     call_fingerprint,
     call_kind,
     objective_at,
+    upstream_headers,
+    whole_ms,
 )
 from .reasons import (
     BUSY,
@@ -36,6 +38,7 @@
     not_run_refusal,
 )
 from .served_calls import ServedCalls
+from .share_log import ShareLog, dump_upstream
 from .suspects import refuse_suspect
 from .unacknowledged_results import StoreOrphanedResult
 from .upstream_connection_log import UpstreamConnectionLog
@@ -66,6 +69,7 @@
         self.ctx = ctx
         self.integration = integration
         self.guard = guard
+        self._share_log = ShareLog(ctx)
         self._connection_log = UpstreamConnectionLog(ctx)
         self.served_calls = ServedCalls(ctx, self, store_orphaned_result)
         self._upstreams: dict[str, LocalUpstream] = {}
@@ -163,6 +167,7 @@
                 self._connection_log.record,
                 self._on_leaving,
                 self.ctx.answer_bytes,
+                self.ctx.cfg.calls.fair_shares,
             )
             self._upstreams[upstream] = local
             local.record = record
@@ -216,6 +221,8 @@
             call.priority,
             objective_at(call, now, execution.deadline),
             call_kind(call),
+            call.organisation,
+            call.organisation_weight,
         )
         if len(actions) != 1 or actions[0] != Start(execution):
             refused = await self._wait(local, execution, actions, now)
@@ -241,9 +248,11 @@
         loop = asyncio.get_running_loop()
         execution.admission = loop.create_future()
         self._apply(actions)
+        queue = local.queue
+        reason = "expected time exceeds the deadline"
         timer = self.ctx.deadlines.add(
-            execution.deadline - now,
-            lambda: self.drop_waiting(execution, "deadline passed"),
+            queue.latest_start_s(execution.deadline - now, call_kind(execution.call)),
+            lambda: self.drop_waiting(execution, reason, queue.service_times.mean_s),
         )
         try:
             return await execution.admission
@@ -258,10 +267,11 @@
         call = execution.call
         remaining_s = execution.deadline - self.ctx.now()
         local.record_start(execution)
-        headers = self._headers(call, remaining_s)
-        timer = self.ctx.deadlines.add(
-            remaining_s, execution.exchange.abort_at_deadline
-        )
+        names = self.integration.headers
+        forwarded = forwarded_headers(self.ctx, names, call)
+        headers = upstream_headers(names, call, forwarded, remaining_s)
+        abort = execution.exchange.abort_at_deadline
+        timer = self.ctx.deadlines.add(remaining_s, abort)
         result: CallResult | None = None
         try:
             result = await local.client.send(
@@ -290,7 +300,7 @@
                 reason=result.reason,
                 running=len(local.running),
                 work=local.queue.call_count,
-                time_limit_ms=_ms(remaining_s),
+                time_limit_ms=whole_ms(remaining_s),
             )
         match result:
             case Refused(outcome=Outcome.NOT_RUN, reason=reason):
@@ -312,16 +322,6 @@
                     return Refused(outcome, reason, arrived=True)
         return result
 
-    def _headers(self, call: Call, remaining_s: float) -> list[tuple[str, str]]:
-        names = self.integration.headers
-        forwarded = upstream_headers(self.ctx, names, call)
-        headers = [*forwarded, (names.deadline_ms, str(_ms(remaining_s)))]
-        if call.request_key:
-            headers.append((names.request_key, call.request_key))
-        if names.target_upstream:
-            headers.append((names.target_upstream, call.upstream))
-        return headers
-
     def _track_crash(
         self, local: LocalUpstream, execution: Execution, result: CallResult | None
     ) -> None:
@@ -361,41 +361,39 @@
 
     def _is_closed_to_calls(self, local: LocalUpstream) -> bool:
         board, record = self.ctx.board, local.record
-        if board.draining or record.state is not UpstreamState.READY:
-            return True
-        if local.notices.is_leaving:
+        is_ready = record.state is UpstreamState.READY and not local.notices.is_leaving
+        if board.draining or not is_ready:
             return True
         document = board.snapshot.documents.get(record.service)
         return document is not None and is_leaving(document, record)
 
     def _apply(self, actions: list) -> None:
         for action in actions:
-            fut = action.call.admission
-            if fut is None or fut.done():
+            execution = action.call
+            if (fut := execution.admission) is None or fut.done():
                 continue
             match action:
                 case Start():
                     fut.set_result(None)
                 case Refuse(reason=reason, retry_after_s=retry_after_s):
+                    self._share_log.record_refusal(execution.call, action)
                     fut.set_result(not_run_refusal(reason, retry_after_s))
 
-    def drop_waiting(self, execution: Execution, reason: str) -> bool:
+    def drop_waiting(
+        self, execution: Execution, reason: str, retry_after_s: float = 0.0
+    ) -> bool:
         """Refuse a call that waits for a slot; False if it isn't waiting."""
         local = self._upstreams.get(execution.call.upstream)
         if local is None or not local.queue.cancel(execution):
             return False
-        self._apply([Refuse(execution, reason)])
+        self._apply([Refuse(execution, reason, retry_after_s)])
         return True
 
     def _dump(self) -> dict[str, object]:
         return {
             "records": len(self.served_calls.ledger),
             "upstreams": {
-                name: {"running": len(local.running), "work": local.queue.call_count}
+                name: dump_upstream(local, self.ctx.now())
                 for name, local in self._upstreams.items()
             },
         }
-
-
-def _ms(seconds: float) -> int:
-    return max(0, int(seconds * 1000))
--- a/lentilsill/daemon/controllers/late_replies.py
+++ b/lentilsill/daemon/controllers/late_replies.py
@@ -2,9 +2,9 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, TypeVar
 
-from lentilsill.outcomes import Answer, CallResult
+from lentilsill.outcomes import Answer
 
 from .call_results import is_upstream_failure
 from .peer_attempts import Reply
@@ -15,6 +15,8 @@
 # stalled; if the peer is dead, its caller has time to try again.
 WAIT_SHARE = 0.5
 
+T = TypeVar("T")
+
 
 class LateReplies:
     """Results that destination nodes may still have for one call.
@@ -25,15 +27,24 @@
     def __init__(self) -> None:
         self.has_answered = False
         self._pending: set[asyncio.Future[Reply]] = set()
+        # Set when a result is added while `first_answer` waits for the others.
+        self._added: asyncio.Future[None] | None = None
         self._failure: Answer | None = None
 
     def add(self, late: asyncio.Future[Reply]) -> None:
         """Add the late result of an attempt."""
         self._pending.add(late)
+        if self._added is not None and not self._added.done():
+            self._added.set_result(None)
+
+    async def run(
+        self, attempt: Coroutine[Any, Any, T], is_hedged: bool = False
+    ) -> T | Answer:
+        """Run another attempt or a wait, and cancel it if a late answer comes first.
 
-    async def run(self, attempt: Coroutine[Any, Any, CallResult]) -> CallResult:
-        """Run another attempt, and cancel it if a late answer comes first."""
-        if not self._pending:
+        One of two hedged attempts can add a late result while the other one runs.
+        """
+        if not (self._pending or is_hedged):
             return await attempt
         task = asyncio.ensure_future(attempt)
         try:
@@ -43,7 +54,7 @@
 
     async def first_answer(
         self,
-        task: asyncio.Task[CallResult] | None = None,
+        task: asyncio.Task[Any] | None = None,
         deadline_s: float = 0.0,
     ) -> Answer | None:
         """Wait for a late answer; None once there can be none or `task` has ended.
@@ -57,7 +68,8 @@
             waited: set[asyncio.Future[Any]] = {*self._pending}
             timeout_s = None
             if task is not None:
-                waited.add(task)
+                self._added = asyncio.get_running_loop().create_future()
+                waited |= {task, self._added}
             else:
                 timeout_s = timeout_at_s - loop.time()
             if not waited or (timeout_s is not None and timeout_s <= 0):
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import xxhash
@@ -10,7 +10,7 @@
 
 from lentilsill.admission import AdmissionQueue, HostPace
 from lentilsill.daemon.held_bytes import HeldBytes
-from lentilsill.daemon.integration import Integration
+from lentilsill.daemon.integration import HeaderNames, Integration
 from lentilsill.daemon.interfaces import CallRequest, CrashGuard
 from lentilsill.daemon.server_load import parse_server_load
 from lentilsill.membership import UpstreamRecord
@@ -30,6 +30,8 @@
     "call_kind",
     "objective_at",
     "request_fingerprint",
+    "upstream_headers",
+    "whole_ms",
 ]
 
 
@@ -102,6 +104,7 @@
         on_closed: OnUpstreamClosed = ignore_upstream_close,
         on_leaving: Callable[[str, int], None] = lambda upstream, started_ms: None,
         held_bytes: HeldBytes | None = None,
+        fair_shares: bool = False,
     ) -> None:
         self.record = record
         self.guard = guard
@@ -117,7 +120,7 @@
         self._load_header = integration.headers.load
         self.client.on_answer_head = self._record_answer
         can_start = None if guard is None else self._can_start
-        self.queue = AdmissionQueue(max(1, record.slots), 0, can_start)
+        self.queue = AdmissionQueue(max(1, record.slots), 0, can_start, fair_shares)
 
     def load_figures(self, call: Call, now: float, is_even: bool) -> tuple[int, int]:
         """Return the expected time in ms and the busy percentage for a new call.
@@ -126,7 +129,11 @@
         is not used, and the latter is -1.
         """
         expected_ms = 1000 * self.queue.expected_time_s(
-            now, call.priority, call_kind(call), objective_at(call, now, math.inf)
+            now,
+            call.priority,
+            call_kind(call),
+            objective_at(call, now, math.inf),
+            call.organisation,
         )
         if not is_even or not self.pace.is_known:
             return round(expected_ms), -1
@@ -182,3 +189,29 @@
 def objective_at(call: Call, now: float, default: float) -> float:
     """Return the time by which a call that arrives now meets its objective."""
     return now + call.objective_ms / 1000 if call.objective_ms else default
+
+
+def upstream_headers(
+    names: HeaderNames,
+    call: Call,
+    forwarded: Iterable[tuple[str, str]],
+    remaining_s: float,
+) -> list[tuple[str, str]]:
+    """Return the forwarded headers with those that the upstream gets in addition."""
+    headers = [*forwarded, (names.deadline_ms, str(whole_ms(remaining_s)))]
+    if call.request_key:
+        headers.append((names.request_key, call.request_key))
+    if names.target_upstream:
+        headers.append((names.target_upstream, call.upstream))
+    return headers
+
+
+def whole_ms(seconds: float) -> int:
+    """Return a time in whole ms, at least 0.
+
+    Examples
+    --------
+    >>> whole_ms(0.0019), whole_ms(-1.0)
+    (1, 0)
+    """
+    return max(0, int(seconds * 1000))
--- a/lentilsill/wire/links.py
+++ b/lentilsill/wire/links.py
@@ -147,6 +147,17 @@
                 del self._dialed[key]
             raise
 
+    def dial_second(self, address: str, purpose: str) -> asyncio.Task[Link]:
+        """Open a link beside the one to `address`, which stays in use.
+
+        The task raises LinkError as `connect` does.
+        """
+        return asyncio.ensure_future(self._dial(address, purpose))
+
+    def replace(self, address: str, purpose: str, dial: asyncio.Task[Link]) -> None:
+        """Let `connect` and `find` return the link of `dial` for `address`."""
+        self._dialed[address, purpose] = dial
+
     def find(self, address: str, purpose: str) -> Link | None:
         """Return the open dialed link to `address`, or None."""
         fut = self._dialed.get((address, purpose))
