--- a/lentilsill/routing/load.py
+++ b/lentilsill/routing/load.py
@@ -1,6 +1,7 @@
 """Load and failures of upstreams as one node knows them."""
 
 from dataclasses import dataclass, field
+from typing import Any
 
 __all__ = ["DEFAULT_PROFILE", "CallProfile", "TypicalTime", "UpstreamLoad"]
 
@@ -119,6 +120,17 @@
             self.answer_ms = elapsed_ms
         self.answer_ms += ANSWER_WEIGHT * (elapsed_ms - self.answer_ms)
 
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the fields of the state dump."""
+        reports = self.reports.items()
+        return {
+            "outstanding": self.outstanding,
+            "expected_ms": {k: round(r.expected_ms, 1) for k, r in reports},
+            "report_age_s": {k: round(now - r.reported_at, 3) for k, r in reports},
+            "failure_share": round(self.failure_share, 3),
+            "ejected": now < self.ejected_until,
+        }
+
     def expected_ms(
         self, slots: int, now: float, kind: str = "", typical_ms: float = 0.0
     ) -> float:
--- a/lentilsill/routing/selector.py
+++ b/lentilsill/routing/selector.py
@@ -278,22 +278,7 @@
 
     def dump(self, now: float) -> dict[str, dict[str, Any]]:
         """Return the state of each upstream for the state dump."""
-        return {
-            upstream: {
-                "outstanding": load.outstanding,
-                "expected_ms": {
-                    kind: round(report.expected_ms, 1)
-                    for kind, report in load.reports.items()
-                },
-                "report_age_s": {
-                    kind: round(now - report.reported_at, 3)
-                    for kind, report in load.reports.items()
-                },
-                "failure_share": round(load.failure_share, 3),
-                "ejected": now < load.ejected_until,
-            }
-            for upstream, load in self._loads.items()
-        }
+        return {name: load.dump(now) for name, load in self._loads.items()}
 
     def _fresh_pool(
         self,
