--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -61,8 +61,8 @@
     whether the call can start now; it is called again after each finished call. Calls
     behind one that can't start wait too.
 
-    With `fair_shares`, calls of organisations above their share (`FairShares`) start last
-    among those of their priority, and are refused first.
+    With `fair_shares`, calls of organisations above their share (`FairShares`) start
+    last among those of their priority, and are refused first.
 
     Examples
     --------
