Keep a field name of the platform in its folder

Cause: the check of a configuration named a field of the users' platform.

Change: the name is a constant of the platform's configuration.

--- a/lentilsill/cli/configuration_checks.py
+++ b/lentilsill/cli/configuration_checks.py
@@ -17,7 +17,7 @@
     review_bundle,
 )
 from lentilsill.findings import Findings
-from lentilsill.platform.configuration import ConfigurationDecoder
+from lentilsill.platform.configuration import HOSTS_FIELD, ConfigurationDecoder
 
 from .checks import add_locations
 from .exits import ExitCode
@@ -34,7 +34,7 @@
     except (OSError, ValueError):
         return False
     spec = value.get("spec", value) if isinstance(value, dict) else None
-    return isinstance(spec, dict) and "virtual_hosts" in spec
+    return isinstance(spec, dict) and HOSTS_FIELD in spec
 
 
 def check_configuration(path: Path, against: Path | None, echo: Echo) -> ExitCode:
--- a/lentilsill/platform/configuration.py
+++ b/lentilsill/platform/configuration.py
@@ -27,12 +27,14 @@
 
 __all__ = [
     "CONFIGURATION_KIND",
+    "HOSTS_FIELD",
     "ConfigurationDecoder",
     "decode_configuration",
     "decode_version",
 ]
 
 CONFIGURATION_KIND = "config"
+HOSTS_FIELD = "virtual_hosts"
 ALL_UPSTREAMS = "all"
 IDEMPOTENT_KINDS = frozenset({"safe", "download"})
 VERSION_BASE = 16
