Watch for orders of roll-outs with fewer calls to the platform

Cause: the first two nodes of each domain watched orders and states for 1 s at a time although there was no order.

Change: without an order, orders are watched for 10 s at a time and states are not watched. The first order makes the node read the states that have changed.

Result: the new test fails before (four watches in 1.5 s) and passes after. The tests of the store, the roll-outs with whole nodes and their start pass (12).

--- a/lentilsill/daemon/controllers/rollout_store.py
+++ b/lentilsill/daemon/controllers/rollout_store.py
@@ -38,6 +38,8 @@
 RANK_CHECK_INTERVAL_S = 0.5
 # A watch of this length shows often enough that the store is in reach.
 MAX_WATCH_S = 1.0
+# Without an order nothing is decided, and each watch counts as a call to the platform.
+IDLE_WATCH_S = 10.0
 # Limits the request rate if the platform returns empty watches at once.
 WATCH_PAUSE_S = 0.2
 BACKOFF_BASE_S = 0.2
@@ -103,6 +105,10 @@
                 await self._look_for_orders()
                 # Without its stored state, an order would start anew.
                 await self._has_states.wait()
+            if kind == STATES_KIND and since is not None and not self._orders:
+                # A new order makes this node read the states that have changed.
+                await asyncio.sleep(RANK_CHECK_INTERVAL_S)
+                continue
             started_at = rollout_now()
             error: PlatformError | None = None
             if since is None:
@@ -113,7 +119,8 @@
                     case Err(exc):
                         error = exc
             else:
-                match await self._api.watch(kind, since, MAX_WATCH_S):
+                watch_s = MAX_WATCH_S if self._orders else IDLE_WATCH_S
+                match await self._api.watch(kind, since, watch_s):
                     case Ok(batch):
                         since = batch.revision
                         for obj in batch.changes:
--- a/lentilsill/daemon/controllers/tests/test_rollout_store.py
+++ b/lentilsill/daemon/controllers/tests/test_rollout_store.py
@@ -16,7 +16,7 @@
 from lentilsill.daemon.controllers.rollout_store import RolloutStoreController
 from lentilsill.daemon.tests.builders import node_settings
 from lentilsill.platform import HttpObjectApi
-from lentilsill.platform.rollouts import STATES_KIND
+from lentilsill.platform.rollouts import ORDERS_KIND, STATES_KIND
 from lentilsill.rollouts import RolloutState, Stage, newest_state
 from lentilsill.versioning import EMPTY_SNAPSHOT
 from lentilsill.wire import PeerLinks
@@ -96,6 +96,24 @@
         assert rollouts.known is not None
         return rollouts.known
 
+    async def test_node_without_orders_makes_few_calls(self) -> None:
+        """Guards against watches that cost a platform without roll-outs calls."""
+        watched: list[str] = []
+        watch = HttpObjectApi.watch
+
+        async def record(api, kind, since, timeout_s, on_start=None):
+            watched.append(kind)
+            return await watch(api, kind, since, timeout_s, on_start)
+
+        with patch.object(HttpObjectApi, "watch", record):
+            rollouts = self.start()
+            await wait_for(lambda: rollouts.is_informed)
+            await asyncio.sleep(1.5)
+            self.assertEqual(watched, [ORDERS_KIND])
+            self.write("rollouts", SPEC)
+            await self.learn_order(rollouts)
+            await wait_for(lambda: STATES_KIND in watched)
+
     async def test_first_stored_outcome_holds(self) -> None:
         """Guards against two outcomes of two deciders."""
         self.write("rollouts", SPEC)
