Check even load against its target

Cause: the replay of even load accepted a ratio of busiest to mean of 1.30, which came from a measured figure. The target is 1.25.

--- a/lentilsill/routing/tests/test_even_load.py
+++ b/lentilsill/routing/tests/test_even_load.py
@@ -14,10 +14,8 @@
 
 OLD_MS = 10**9
 PROFILE = CallProfile(200, "read")
-# Ratio of the busiest upstream to the mean that operators ask for, and by how much
-# deployment D may miss it.
+# Ratio of the busiest upstream to the mean that operators ask for.
 TARGET_RATIO = 1.25
-MAX_MISS = 0.05
 # Shares of calls on time differ by this between runs of a few seconds with other draws.
 MAX_NOISE = 0.01
 # Crossing attempts per call in addition to those without even load. Traffic between
@@ -37,20 +35,36 @@
 class EvenLoadTests(unittest.TestCase):
     def test_load_is_more_even_with_fewer_messages(self):
         """Guards against upstreams that are overloaded in turn while others are idle,
-        on loads with slow, cold and shared hosts and waves of demand by domain. The
-        bound on the ratio of busiest to mean fails with the policy off."""
+        on loads with slow, cold and shared hosts and waves of demand by domain."""
         for deployment, service in (("C", "front"), ("D", "first")):
             with self.subTest(deployment=deployment):
                 off = replay(deployment, Policy(), 1.0, 8.0)
                 on = replay(deployment, EvenPolicy(), 1.0, 8.0)
-                in_domain = f"ratio {service} in domain"
-                self.assertLess(on[in_domain], TARGET_RATIO + MAX_MISS)
-                self.assertGreater(off[in_domain], TARGET_RATIO + MAX_MISS)
                 self.assertLess(on[f"ratio {service}"], 0.92 * off[f"ratio {service}"])
                 self.assertLess(on["messages"], off["messages"])
                 self.assertLess(on["needless_waits"], 0.9 * off["needless_waits"])
                 self.assertGreater(on["on_time"], off["on_time"] - 0.002)
 
+    def test_equal_demand_meets_the_target_within_domains(self):
+        """Guards against a policy that spreads calls too unevenly within a domain; the
+        target is missed with the policy off."""
+        ratio = "ratio front in domain"
+        self.assertLess(replay("C", EvenPolicy(), 1.0, 8.0)[ratio], TARGET_RATIO)
+        self.assertGreater(replay("C", Policy(), 1.0, 8.0)[ratio], TARGET_RATIO)
+
+    def test_waves_of_demand_meet_the_target_within_domains(self):
+        """Guards against a policy that spreads calls too unevenly while hosts are
+        shared and demand comes in waves."""
+        figures = replay("D", EvenPolicy(), 1.0, 8.0)
+        self.assertLess(figures["ratio first in domain"], TARGET_RATIO)
+
+    def test_target_is_met_over_all_domains(self):
+        """Guards against domains that are overloaded while others have room."""
+        for deployment, service in (("C", "front"), ("D", "first")):
+            with self.subTest(deployment=deployment):
+                figures = replay(deployment, EvenPolicy(), 1.0, 8.0)
+                self.assertLess(figures[f"ratio {service}"], TARGET_RATIO)
+
     def test_callers_lose_nothing_above_capacity(self):
         """Guards against calls that are late above the capacity since slow upstreams
         are as full as fast ones, and against crossing to domains that are full too."""
