Send a suspect on when the upstream it waits at dies

Cause: the death of an upstream refused all suspects that waited there for their trials, also those that were not in flight. Change: only copies of requests in flight are refused so; the others get a refusal that leads to another upstream.

--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -352,8 +352,12 @@
         if self.guard is None:
             return
         self.guard.record_loss(local.record.upstream, runs)
+        lost = {run.fingerprint for run in runs}
         for execution in local.waiting_suspects():
-            self.drop_waiting(execution, SUSPECTED)
+            # A suspect that was only waiting did not cause this loss. It goes on at
+            # another upstream, unlike a copy of a request that was in flight.
+            is_copy = execution.fingerprint in lost
+            self.drop_waiting(execution, SUSPECTED if is_copy else LEAVING)
 
     def _on_leaving(self, upstream: str, started_ms: int) -> None:
         if self.mark_leaving is not None:
--- a/lentilsill/daemon/controllers/tests/test_suspects.py
+++ b/lentilsill/daemon/controllers/tests/test_suspects.py
@@ -155,3 +155,18 @@
         self.assertEqual(getattr(result, "status", None), 500)
         busy.set()
         await other
+
+    async def test_suspect_that_waited_behind_a_lost_trial_is_refused(self):
+        """The trial was of another request, which shared the first crash with it."""
+        for path in ("/bad", "/top"):
+            name = call_fingerprint(make_request("GET", path), "")
+            self.guards[1].record_suspect(name)
+        gate = self.gate(1, "/bad")
+        trial = await self.start_at(1, "/bad")
+        self.set_members(self.nodes[1])
+        call = self.call(0)
+        await wait_for(lambda: self.nodes[1].destination.in_flight_total == 2)
+        self.set_members()
+        await self.crash(1, gate)
+        await trial
+        self.assertIsInstance(await call, Answer)
