Free a caller's request when its answer has ended

Cause: a request and its part of the connection's stream refer to each other. Each call left about 20 objects, with its headers and body, until a garbage collection, of which the first starts after 20,000 objects. Change: the stream drops the request when the connection has removed it. The new test fails without the change.

--- a/lentilsill/daemon/pipelining.py
+++ b/lentilsill/daemon/pipelining.py
@@ -295,7 +295,7 @@
         if not request.received.done():
             request.received.set_result(None)
         while self._streams and self._streams[0].is_done:
-            self._streams.popleft()
+            self._streams.popleft().release()
             if self._streams:
                 self._streams[0].flush()
         if self._room_waiter is not None and not self._room_waiter.done():
--- a/lentilsill/daemon/request_stream.py
+++ b/lentilsill/daemon/request_stream.py
@@ -178,6 +178,14 @@
         if callback is not None:
             callback()
 
+    def release(self) -> None:
+        """Drop the request after its answer has ended, or will never be written.
+
+        The request refers to this stream. Without this, each call leaves a cycle that
+        holds its headers and body until the next garbage collection.
+        """
+        self.request = None
+
     def close(self) -> None:
         """Close the connection once the requests that have arrived are answered.
 
--- a/lentilsill/daemon/tests/test_pipelining.py
+++ b/lentilsill/daemon/tests/test_pipelining.py
@@ -1,8 +1,12 @@
 """Pipelined requests run concurrently and are answered in their order."""
 
 import asyncio
+import gc
 import unittest
+import weakref
+from unittest import mock
 
+from lentilsill.daemon.caller_request import CallerRequest
 from lentilsill.daemon.caller_server import CallerServer
 from lentilsill.outcomes import Answer
 
@@ -72,6 +76,32 @@
         self.assertEqual(len(self.held_s), 1)
         self.assertGreater(self.held_s[0], 0.04)
 
+    async def test_answered_requests_are_freed_without_a_garbage_collection(self):
+        """Guards against headers and bodies that stay in memory after the answer."""
+        requests: weakref.WeakSet[CallerRequest] = weakref.WeakSet()
+        start_call = self.server.start_call
+
+        def record_and_start(request: CallerRequest) -> None:
+            requests.add(request)
+            start_call(request)
+
+        patch = mock.patch.object(self.server, "start_call", record_and_start)
+        self.enterContext(patch)
+        gc.disable()
+        self.addCleanup(gc.enable)
+        self.writer.write(b"GET /s/1 " + HEAD + b"GET /s/2 " + HEAD)
+        await self.wait_until_begun(2)
+        self.assertEqual(len(requests), 2)
+        # The second answer is held until the first is written.
+        for path in ("/2", "/1"):
+            self.calls.gates[path].set()
+            await asyncio.sleep(0.02)
+        self.assertEqual((await self.read_response())[1], b"/1")
+        self.assertEqual((await self.read_response())[1], b"/2")
+        async with asyncio.timeout(5):
+            while requests:
+                await asyncio.sleep(0.005)
+
     async def test_disconnected_caller_cancels_all_of_its_requests(self):
         """Guards against work for a caller that has disconnected."""
         self.writer.write(b"GET /s/1 " + HEAD + b"GET /s/2 " + HEAD)
