Share equal parts of routes and lines of texts

Cause: with 2,440 routes, each had its own targets, policy and methods, in the decoder as well as in the documents; the decoder kept the text of each entry as its key, and the reader of bundles and the bases of patches each kept a copy of every line. Change: equal parts are made once; entries are known by digests, as those of organisations were; lines are interned. The new test fails without the change.

--- a/bench/node_memory.py
+++ b/bench/node_memory.py
@@ -110,8 +110,9 @@
         started_at_s = time.process_time()
         page = parse_page(ListBody, body).unwrap()
         value = decode(page.items[0].spec)
+        del body, page
         delta = make_delta(version, bundle_text(value))
-        del body, page, value
+        del value
         bundle.merge(delta)
         del delta
         if version > 1:
--- a/lentilsill/distribution/text_versions.py
+++ b/lentilsill/distribution/text_versions.py
@@ -1,5 +1,7 @@
 """The newest text of an object, and earlier ones as bases of patches."""
 
+import sys
+
 from .patch import TextPatch, apply_patch, make_patch
 
 __all__ = ["TextVersions"]
@@ -33,9 +35,8 @@
 
     def keep(self, version: int, text: str) -> None:
         """Store a text as that of the newest version."""
-        # Reuse the string objects of equal lines, so that versions share their memory.
-        known = {line: line for line in self._lines.get(self.version, ())}
-        self._lines[version] = [known.get(line, line) for line in text.split("\n")]
+        # Versions, and others that hold interned lines, share the memory of equal ones.
+        self._lines[version] = [sys.intern(line) for line in text.split("\n")]
         self.version, self.text = version, text
         if len(self._lines) > KEPT_VERSIONS:
             del self._lines[next(iter(self._lines))]
--- a/lentilsill/documents/bundle_text.py
+++ b/lentilsill/documents/bundle_text.py
@@ -5,6 +5,7 @@
 (`lentilsill.distribution.patch`) and parse only the entries that changed.
 """
 
+import sys
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -142,8 +143,10 @@
     def _read_route(self, line: str, routes: dict[str, Route]) -> Route:
         route = self._routes.get(line)
         if route is None:
-            route = convert_route(BundleRouteModel.model_validate_json(line))
-        routes[line] = route
+            text = line.removesuffix(",")
+            route = convert_route(BundleRouteModel.model_validate_json(text))
+        # The texts that are kept as bases of patches share the interned lines.
+        routes[sys.intern(line)] = route
         return route
 
     def _read_organisation(
@@ -199,10 +202,10 @@
 
 
 def _read_route_lines(lines: Iterator[str], other_lines: list[str]) -> list[str] | None:
-    """Read the route lines of one document, without the commas that separate them.
+    """Read the route lines of one document, with the commas that separate them.
 
     The line that ends the list is added to `other_lines`. None when that line or a
-    comma is missing.
+    comma is missing, or behind the last route there is a comma.
     """
     route_lines: list[str] = []
     for line in lines:
@@ -214,4 +217,6 @@
         return None
     if any(not line.endswith(",") for line in route_lines[:-1]):
         return None
-    return [*(line[:-1] for line in route_lines[:-1]), *route_lines[-1:]]
+    if route_lines and route_lines[-1].endswith(","):
+        return None
+    return route_lines
--- a/lentilsill/documents/parse.py
+++ b/lentilsill/documents/parse.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterable
+from functools import lru_cache
 from types import MappingProxyType
 from typing import Any
 
@@ -41,6 +42,8 @@
 MAX_TEXT_BYTES = 256 * 1024
 # Findings quote input; the limit keeps status objects small.
 MAX_FINDINGS = 50
+# Thousands of routes have the same few targets and policies, which they share.
+MAX_SHARED_PARTS = 1024
 
 
 def parse_document(
@@ -163,14 +166,18 @@
     return Route(
         name=route.name,
         path_prefix=route.match.path_prefix,
-        methods=frozenset(route.match.methods),
+        methods=_share_methods(tuple(route.match.methods)),
         idempotent=route.idempotent,
         deadline_ms=route.deadline_ms,
-        targets=tuple(
-            RouteTarget(target.service, target.upstream_set, target.weight)
-            for target in route.targets
+        targets=_share_targets(
+            tuple(
+                (target.service, target.upstream_set, target.weight)
+                for target in route.targets
+            )
+        ),
+        retry=_share_retry_policy(
+            route.retry.max_attempts, float(route.retry.budget_percent)
         ),
-        retry=RetryPolicy(route.retry.max_attempts, float(route.retry.budget_percent)),
         hedge=None
         if hedge is None
         else HedgePolicy(float(hedge.delay_ms), float(hedge.budget_percent)),
@@ -180,6 +187,23 @@
     )
 
 
+@lru_cache(MAX_SHARED_PARTS)
+def _share_targets(
+    targets: tuple[tuple[str, str, int], ...],
+) -> tuple[RouteTarget, ...]:
+    return tuple(RouteTarget(*target) for target in targets)
+
+
+@lru_cache(MAX_SHARED_PARTS)
+def _share_methods(methods: tuple[str, ...]) -> frozenset[str]:
+    return frozenset(methods)
+
+
+@lru_cache(MAX_SHARED_PARTS)
+def _share_retry_policy(max_attempts: int, budget_percent: float) -> RetryPolicy:
+    return RetryPolicy(max_attempts, budget_percent)
+
+
 def convert_organisation(model: OrganisationModel) -> Organisation:
     """Convert a validated model of an organisation."""
     quota = model.quota
--- a/lentilsill/documents/tests/test_bundle_text.py
+++ b/lentilsill/documents/tests/test_bundle_text.py
@@ -6,6 +6,7 @@
 
 from hypothesis import given, strategies as st
 
+from lentilsill.distribution import TextVersions
 from lentilsill.documents import BundleReader, bundle_text, parse_bundle
 from lentilsill.documents.input_models import BundleRouteModel, OrganisationModel
 
@@ -118,6 +119,29 @@
         self.assertEqual(validate.call_count, 1)
         self.assertEqual(bundle.documents["h.example"].routes[7].deadline_ms, 200)
 
+    def test_equal_parts_of_routes_take_memory_once(self):
+        """Guards against thousands of routes with copies of the same few objects."""
+        routes = [
+            {
+                "name": name,
+                "match": {"path_prefix": "/", "methods": ["GET"]},
+                "targets": [{"service": "a", "upstream_set": "all"}],
+                "deadline_ms": 20,
+            }
+            for name in ("r1", "r2")
+        ]
+        document = {"service": "a", "upstream_sets": {"all": {}}, "routes": routes}
+        text = bundle_text({"version": 1, "documents": [document]})
+        reader, versions = BundleReader(), TextVersions()
+        bundle = reader.read(text, 1).unwrap()
+        versions.keep(1, text)
+        first, second = bundle.documents["a"].routes
+        self.assertIs(first.targets, second.targets)
+        self.assertIs(first.retry, second.retry)
+        self.assertIs(first.methods, second.methods)
+        kept = {id(line) for line in versions._lines[1]}
+        self.assertLessEqual({id(line) for line in reader._routes}, kept)
+
     def test_only_changed_organisations_are_parsed(self):
         """Guards against parsing every organisation again when a key changes."""
         reader = BundleReader()
--- a/lentilsill/platform/configuration.py
+++ b/lentilsill/platform/configuration.py
@@ -10,9 +10,9 @@
 """
 
 from collections.abc import Iterable, Iterator
+from functools import lru_cache
 from typing import Annotated, Any
 
-import msgspec
 import structlog
 from pydantic import (
     AfterValidator,
@@ -22,6 +22,7 @@
     ValidationError,
 )
 
+from .entry_keys import entry_key
 from .organisations import OrganisationDecoder
 from .weights import scale_weights
 
@@ -52,6 +53,7 @@
     "idle_timeout_ms": 1,
 }
 MAX_LOGGED_ENTRIES = 20
+MAX_SHARED_PARTS = 1024
 
 log = structlog.get_logger()
 
@@ -150,7 +152,7 @@
     """
 
     def __init__(self) -> None:
-        # Translated routes by the JSON text of the platform's route.
+        # Translated routes by the key of the platform's route.
         self._routes: dict[bytes, dict[str, Any]] = {}
         self._decode_organisations = OrganisationDecoder()
         self.findings: list[str] = []
@@ -200,7 +202,7 @@
             for route_index, raw_route in enumerate(host.path_routes):
                 route_place = f"{place}path_routes.{route_index}."
                 known_count = len(findings)
-                key = _route_key(raw_route)
+                key = entry_key(raw_route)
                 route = self._routes.get(key)
                 if route is None:
                     route = _read_route(raw_route, route_place, services, findings)
@@ -284,14 +286,6 @@
     return limits
 
 
-def _route_key(raw_route: Any) -> bytes:
-    """Return a key for equal routes; it is empty for one that can't be encoded."""
-    try:
-        return msgspec.json.encode(raw_route)
-    except ValueError:
-        return b""
-
-
 def _keep_known_targets(
     route: dict[str, Any], place: str, services: dict[str, Any], findings: list[str]
 ) -> dict[str, Any] | None:
@@ -355,32 +349,39 @@
 
 
 def _translate_route(route: _Route) -> dict[str, Any]:
+    """Return a route of a document; equal targets and policies are shared."""
     shares = route.weighted_split or []
     if route.service is not None and not shares:
         shares = [_Share(service=route.service, weight=1)]
-    weights = scale_weights([share.weight for share in shares])
     # `documents.without_organisations` expects it to be the last member.
     public = {"is_public": True} if route.public else {}
     return {
         "name": route.name,
         "match": {"path_prefix": route.path_prefix},
-        "targets": [
-            {
-                "service": share.service,
-                "upstream_set": ALL_UPSTREAMS,
-                "weight": weight,
-            }
-            for share, weight in zip(shares, weights, strict=True)
-        ],
+        "targets": _share_targets(tuple((s.service, s.weight) for s in shares)),
         "idempotent": route.kind in IDEMPOTENT_KINDS,
         "deadline_ms": _clamp(round(route.timeout_ms), MAX_TIME_MS),
         "objective_ms": _clamp(round(route.target_latency_ms), MAX_TIME_MS, 0),
         "priority": _clamp(route.priority, MAX_PRIORITY, 0),
-        "retry": {"max_attempts": _clamp(route.max_attempts, MAX_ATTEMPTS)},
+        "retry": _share_retry(_clamp(route.max_attempts, MAX_ATTEMPTS)),
         **public,
     }
 
 
+@lru_cache(MAX_SHARED_PARTS)
+def _share_targets(shares: tuple[tuple[str, float], ...]) -> list[dict[str, Any]]:
+    weights = scale_weights([weight for _, weight in shares])
+    return [
+        {"service": service, "upstream_set": ALL_UPSTREAMS, "weight": weight}
+        for (service, _), weight in zip(shares, weights, strict=True)
+    ]
+
+
+@lru_cache(MAX_SHARED_PARTS)
+def _share_retry(max_attempts: int) -> dict[str, Any]:
+    return {"max_attempts": max_attempts}
+
+
 def _without_public(routes: list[dict[str, Any]]) -> list[dict[str, Any]]:
     """Return routes as they are where callers need no key.
 
--- a/lentilsill/platform/organisations.py
+++ b/lentilsill/platform/organisations.py
@@ -4,21 +4,18 @@
 be a key or hold one.
 """
 
-import hashlib
 import math
 from typing import Any
 
-import msgspec
-
 from lentilsill.documents import key_digest
 
+from .entry_keys import entry_key
+
 __all__ = ["OrganisationDecoder"]
 
 MAX_PRIORITY = 2**31 - 1
 # The name is sent in a header, whose bytes are limited by upstreams.
 MAX_NAME_BYTES = 1024
-# Cache entries are named by hashes, since the text of an entry holds keys.
-CACHE_KEY_BYTES = 16
 
 
 class OrganisationDecoder:
@@ -28,6 +25,7 @@
     """
 
     def __init__(self) -> None:
+        # By digests of the entries, since the text of an entry holds keys.
         self._decoded: dict[bytes, dict[str, Any]] = {}
 
     def __call__(self, tenants: Any, findings: list[str]) -> list[Any] | None:
@@ -71,7 +69,7 @@
         decoded: dict[bytes, dict[str, Any]],
     ) -> dict[str, Any] | None:
         """Return an organisation; entries without findings are kept in `decoded`."""
-        cache_key = _cache_key(tenant)
+        cache_key = entry_key(tenant)
         organisation = self._decoded.get(cache_key)
         if organisation is None:
             known_count = len(findings)
@@ -83,15 +81,6 @@
         return organisation
 
 
-def _cache_key(tenant: Any) -> bytes:
-    """Return a key for equal entries; it is empty for one that can't be encoded."""
-    try:
-        text = msgspec.json.encode(tenant)
-    except ValueError:
-        return b""
-    return hashlib.blake2b(text, digest_size=CACHE_KEY_BYTES).digest()
-
-
 def _decode_entry(
     tenant: Any, place: str, findings: list[str]
 ) -> dict[str, Any] | None:
