Import the parser of JSON with comments at its first use

Cause: lentilsill.settings imported json5, which the program on the users' platform does not use; its settings file has another format. Change: parse_settings imports it.

--- a/lentilsill/settings/load.py
+++ b/lentilsill/settings/load.py
@@ -2,7 +2,6 @@
 
 from pathlib import Path
 
-import json5
 from pydantic import ValidationError
 
 from lentilsill.findings import Findings, FindingsError
@@ -31,6 +30,10 @@
 
 def parse_settings(text: str, source: str = "") -> NodeSettings:
     """Parse and check the text of a settings file; findings call it `source`."""
+    # Programs whose settings have another format don't need the parser, which takes
+    # 0.4 MB.
+    import json5
+
     findings = Findings()
     try:
         return NodeSettings.model_validate(json5.loads(text))
