Import structlog without rich in lentilsilld

Cause: structlog imports rich, if it is installed, for tracebacks on terminals; it is installed with typer. Change: the program hides rich while it imports structlog. Its output and its help are the same; deployments without typer are not affected.

--- a/lentilsill/daemon/main.py
+++ b/lentilsill/daemon/main.py
@@ -1,13 +1,18 @@
 """The program `lentilsilld`."""
 
-from typing import Annotated
+from .log_library import import_structlog
 
-import typer
+# Before the modules that log.
+import_structlog()
 
-from lentilsill.findings import FindingsError
-from lentilsill.settings import load_settings
+from typing import Annotated  # noqa: E402
 
-from .program import EXIT_BAD_SETTINGS, run_node
+import typer  # noqa: E402
+
+from lentilsill.findings import FindingsError  # noqa: E402
+from lentilsill.settings import load_settings  # noqa: E402
+
+from .program import EXIT_BAD_SETTINGS, run_node  # noqa: E402
 
 __all__ = ["app", "main"]
 
