Check API keys and quotas in a scenario

Cause: the soak knew no API keys and no quotas, so a key at an upstream, a run with a removed key or a quota that nodes exceed together would pass unnoticed. Change: the scenario `organisations` changes keys and lowers a quota by versions under load while nodes are killed; checks of the history for G10 to G12. Workers record the organisation and whether a request has a key; callers send keys. The test of unknown guarantees names G99, as G10 exists now.

--- a/harness/documents.py
+++ b/harness/documents.py
@@ -3,10 +3,16 @@
 from collections.abc import Iterable
 from typing import Any
 
-__all__ = ["BOOK", "BUNDLE", "LOOKUP", "make_bundle", "make_document"]
+from lentilsill.documents import key_digest
+
+from .history import Organisation
+
+__all__ = ["BOOK", "BUNDLE", "LOOKUP", "PUBLIC", "make_bundle", "make_document"]
 
 LOOKUP = "lookup"
 BOOK = "book"
+# Route for which callers need no API key, in bundles with organisations.
+PUBLIC = "public"
 # Name of the object that holds the bundle.
 BUNDLE = "bundle"
 DEADLINE_MS = 3000
@@ -64,11 +70,33 @@
 
 
 def make_bundle(
-    services: Iterable[str], caller_limits: dict[str, int], edit: int, **options: Any
+    services: Iterable[str],
+    caller_limits: dict[str, int],
+    edit: int,
+    organisations: tuple[Organisation, ...] | None = None,
+    **options: Any,
 ) -> dict[str, Any]:
-    """Make a bundle of one document for each service; `edit` is its version."""
-    return {
-        "version": edit,
-        "documents": [make_document(name, edit=edit, **options) for name in services],
-        "caller_limits": caller_limits,
+    """Make a bundle of one document for each service; `edit` is its version.
+
+    With organisations, each document also has the route `public` (idempotent).
+    """
+    documents = [make_document(name, edit=edit, **options) for name in services]
+    value = {"version": edit, "documents": documents, "caller_limits": caller_limits}
+    if organisations is None:
+        return value
+    for document in documents:
+        match = {"path_prefix": f"/{PUBLIC}", "methods": ["GET"]}
+        route = {"name": PUBLIC, "match": match, "is_public": True}
+        document["routes"].append(document["routes"][0] | route)
+    return value | {"organisations": [_make_organisation(o) for o in organisations]}
+
+
+def _make_organisation(organisation: Organisation) -> dict[str, Any]:
+    value: dict[str, Any] = {
+        "name": organisation.name,
+        "key_digests": [key_digest(key.encode()) for key in organisation.api_keys],
     }
+    if organisation.rate_per_s:
+        rate_per_s, burst = organisation.rate_per_s, organisation.burst
+        value["quota"] = {"rate_per_s": rate_per_s, "burst": burst}
+    return value
--- a/harness/history.py
+++ b/harness/history.py
@@ -17,6 +17,7 @@
     "Execution",
     "GracefulStop",
     "History",
+    "Organisation",
     "Retirement",
     "check_history",
 ]
@@ -31,7 +32,8 @@
 
     `outcome` is ``answer``, a value of `lentilsill.outcomes.Outcome`, or
     ``connection_lost`` when the entry node sent no answer.
-    `answered_id` is the call id that the answer carries.
+    `answered_id` is the call id that the answer carries, and `status` the status of
+    the HTTP answer.
     """
 
     call_id: str
@@ -42,17 +44,36 @@
     outcome: str
     answered_id: str = ""
     is_complete: bool = True
+    api_key: str = ""
+    is_public: bool = False
+    status: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Execution:
-    """An execution of a request, as the upstream recorded it."""
+    """An execution of a request, as the upstream recorded it.
+
+    `organisation` is the one that the node named, and `has_api_key` states whether
+    the request contained an API key.
+    """
 
     call_id: str
     request_key: str
     idempotent: bool
     upstream: str
     start_s: float
+    organisation: str = ""
+    has_api_key: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """An organisation with its API keys; a rate of 0 stands for no quota."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +81,8 @@
     """A version of a document that was written to the platform.
 
     `is_valid` states whether it passes validation; `references` are the
-    services whose documents must be in force together with it.
+    services whose documents must be in force together with it. `organisations` is
+    None if callers need no API key.
     """
 
     service: str
@@ -69,6 +91,7 @@
     is_valid: bool = True
     is_deleted: bool = False
     references: tuple[str, ...] = ()
+    organisations: tuple[Organisation, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/harness/proofs.py
+++ b/harness/proofs.py
@@ -17,6 +17,9 @@
     "G7": "a departing upstream receives no new work after 2 s",
     "G8": "a graceful shutdown cuts no request in flight",
     "G9": "an accepted configuration is in force within 13 s",
+    "G10": "a call runs for its API key's organisation; no upstream gets a key",
+    "G11": "API keys that are added or removed are in force within 2.5 s",
+    "G12": "an organisation's calls stay within its quota over all nodes",
 }
 FAULTS = (
     "herd death and reconnect storm",
@@ -34,6 +37,7 @@
     "clock offset",
     "store back from an older copy",
     "no fault: retirement under load",
+    "an organisation at ten times its quota",
 )
 PROOFS_ATTRIBUTE = "proofs"
 
--- a/harness/recording.py
+++ b/harness/recording.py
@@ -9,7 +9,7 @@
 
 from standins.caller import CallRecord as CallerRecord
 
-from .documents import BUNDLE
+from .documents import BUNDLE, PUBLIC
 from .history import (
     AppliedSnapshot,
     CallRecord,
@@ -171,6 +171,9 @@
             outcome,
             answered_id,
             is_complete,
+            record.api_key,
+            f"/{PUBLIC}/" in record.path,
+            record.status,
         )
 
     def _to_execution(self, run: dict[str, Any]) -> Execution:
@@ -180,6 +183,8 @@
             run["idempotent"],
             run["upstream"],
             run["start_s"] - self.wall_offset_s,
+            run["organisation"],
+            run["has_api_key"],
         )
 
 
--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -19,6 +19,7 @@
 from .load import Load, make_mixed_plans
 from .measurements import Measurements, measure
 from .objects import write_object
+from .organisation_checks import check_organisations
 from .processes import Cluster, Process, fetch_json, running_cluster
 from .recording import Recording
 
@@ -50,6 +51,8 @@
         Keyword arguments of `make_document` for every document.
     caller_limits : dict
         If given, the documents are written as one bundle with these limits.
+    probe_path : str
+        Path below each service that nodes answer once they serve it.
     store_era : int
         First era of the platform's store; 0 for a store that names none.
     can_lose_answers : bool
@@ -64,6 +67,7 @@
     services: tuple[str, ...] = ("slots", "ledger")
     seed: int = 1
     with_relay: bool = False
+    probe_path: str = "lookup/0"
     store_era: int = 0
     can_lose_answers: bool = True
     sections: dict[str, Any] = field(default_factory=dict)
@@ -183,7 +187,14 @@
         references = tuple(value.get("requires", ()))
         self.recording.writes.append(
             DocumentWrite(
-                service, version, requested_s, is_valid, references=references
+                service,
+                version,
+                requested_s,
+                is_valid,
+                references=references,
+                organisations=(self.scenario.document_options | options).get(
+                    "organisations"
+                ),
             )
         )
         return version
@@ -276,7 +287,7 @@
             await self.write(service)
         await self.wait_until_in_force()
         for service in self.scenario.services:
-            await self.wait_until_served(f"/{service}/lookup/0")
+            await self.wait_until_served(f"/{service}/{self.scenario.probe_path}")
         # SIGTERM kills a worker that is still starting, instead of making it leave.
         for host in self.hosts:
             await self.wait_for(
@@ -349,6 +360,7 @@
     history = recording.history()
     live_nodes = [host.node for host in run.hosts if host.node not in run.disrupted]
     findings = check_history(history, live_nodes, scenario.can_lose_answers)
+    findings.items += check_organisations(history).items
     findings.items += run.findings.items
     details = [
         line
--- a/harness/scenarios/__init__.py
+++ b/harness/scenarios/__init__.py
@@ -9,6 +9,7 @@
 from .herd import HERD
 from .kept_connections import KEPT_CONNECTIONS
 from .operators import OPERATORS
+from .organisations import ORGANISATIONS
 from .outages import OUTAGES
 from .pairs import PAIRS
 from .partition import PARTITION
@@ -30,6 +31,7 @@
         FREEZE,
         KEPT_CONNECTIONS,
         POISON,
+        ORGANISATIONS,
         *OUTAGES,
         *OPERATORS,
         *PAIRS,
--- a/harness/tests/test_guarantees_page.py
+++ b/harness/tests/test_guarantees_page.py
@@ -21,6 +21,6 @@
     def test_unknown_names_are_refused(self):
         """Guards against a decorator whose guarantee or fault is not on the page."""
         with self.assertRaises(ValueError):
-            proves("G10", fault="node freeze")
+            proves("G99", fault="node freeze")
         with self.assertRaises(ValueError):
             proves("G1", fault="rain")
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -12,10 +12,12 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
-__all__ = ["CallPlan", "CallRecord", "Caller"]
+__all__ = ["API_KEY_PREFIX", "CallPlan", "CallRecord", "Caller"]
 
 CLIENT_TIMEOUT_S = 30.0
 OUTCOME_HEADER = "Lentilsill-Outcome"
+# Prefix of all API keys, by which they are found where they must not be.
+API_KEY_PREFIX = "standin-api-key-"
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +35,8 @@
         the default of the upstream.
     headers : tuple of (str, str)
         Additional headers, for example ``X-Standin-Crash``.
+    api_key : str
+        API key of an organisation; empty for a call without one.
     """
 
     path: str
@@ -43,6 +47,7 @@
     service_ms: float | None = None
     deadline_ms: int = 0
     headers: tuple[tuple[str, str], ...] = ()
+    api_key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +71,7 @@
     upstream: str
     start_s: float
     end_s: float
+    api_key: str = ""
 
 
 @dataclass
@@ -139,6 +145,7 @@
             upstream,
             start_s,
             time.time(),
+            plan.api_key,
         )
         self.records.append(record)
         return record
@@ -182,6 +189,8 @@
         headers["X-Standin-Ms"] = f"{plan.service_ms:g}"
     if plan.deadline_ms:
         headers["Lentilsill-Deadline-Ms"] = str(plan.deadline_ms)
+    if plan.api_key:
+        headers["Authorization"] = f"Bearer {plan.api_key}"
     if request_key:
         headers["Idempotency-Key"] = request_key
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -24,6 +24,8 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 from tornado.web import Application, RequestHandler
 
+from .caller import API_KEY_PREFIX
+
 __all__ = ["Execution", "Upstream", "main", "make_app"]
 
 ANNOUNCE_INTERVAL_S = 2.0
@@ -59,6 +61,8 @@
     start_s: float
     end_s: float = 0.0
     state: str = "running"
+    organisation: str = ""
+    has_api_key: bool = False
 
 
 @dataclass
@@ -166,6 +170,8 @@
             path=self.request.path,
             upstream=self.upstream.name,
             start_s=time.time(),
+            organisation=headers.get("Lentilsill-Organisation", ""),
+            has_api_key=any(API_KEY_PREFIX in value for value in headers.values()),
         )
         self.upstream.record_start(execution)
         state = "failed"
