Check roll-outs in a scenario

Cause: the soak knew no roll-outs, so a bad version at many callers or a call on its way to an old upstream after `completed` would pass unnoticed. Change: the scenario `rollout` orders a good and a bad version at once under load while deciders are killed or suspended; checks of the history for G13 and G14. Faults of workers can apply to a share of the requests or to one route, and workers record their version and which answers are bad.

--- a/harness/history.py
+++ b/harness/history.py
@@ -5,7 +5,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from lentilsill.findings import Findings
@@ -19,7 +19,9 @@
     "History",
     "Organisation",
     "Retirement",
+    "Rollout",
     "check_history",
+    "runs_with_calls",
 ]
 
 RETIRE_BOUND_S = 2.0
@@ -47,6 +49,7 @@
     api_key: str = ""
     is_public: bool = False
     status: int = 0
+    service: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +57,8 @@
     """An execution of a request, as the upstream recorded it.
 
     `organisation` is the one that the node named, and `has_api_key` states whether
-    the request contained an API key.
+    the request contained an API key. `version` is that of the upstream, and `is_bad`
+    states whether the answer failed or was slow.
     """
 
     call_id: str
@@ -64,6 +68,9 @@
     start_s: float
     organisation: str = ""
     has_api_key: bool = False
+    service: str = ""
+    version: str = ""
+    is_bad: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +130,22 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class Rollout:
+    """A roll-out of a service's version, from the order to the status `outcome`.
+
+    `outcome` is ``completed`` or ``rolled_back``, and empty if there was none.
+    """
+
+    service: str
+    version: str
+    ordered_s: float
+    duration_s: float
+    is_bad: bool
+    ended_s: float = float("inf")
+    outcome: str = ""
+
+
 @dataclass(slots=True)
 class History:
     """All records of one run."""
@@ -133,6 +156,19 @@
     applied: list[AppliedSnapshot] = field(default_factory=list)
     retirements: list[Retirement] = field(default_factory=list)
     stops: list[GracefulStop] = field(default_factory=list)
+    rollouts: list[Rollout] = field(default_factory=list)
+
+
+def runs_with_calls(history: History) -> Iterator[tuple[Execution, CallRecord]]:
+    """Yield executions with their calls; those of unrecorded calls are left out."""
+    calls: dict[str, list[CallRecord]] = defaultdict(list)
+    for call in sorted(history.calls, key=lambda c: c.start_s):
+        calls[call.call_id].append(call)
+    for execution in history.executions:
+        # A repeated call has the id of the first one.
+        sent = [c for c in calls[execution.call_id] if c.start_s <= execution.start_s]
+        if sent:
+            yield execution, sent[-1]
 
 
 def check_history(
--- a/harness/proofs.py
+++ b/harness/proofs.py
@@ -20,6 +20,8 @@
     "G10": "a call runs for its API key's organisation; no upstream gets a key",
     "G11": "API keys that are added or removed are in force within 2.5 s",
     "G12": "an organisation's calls stay within its quota over all nodes",
+    "G13": "a bad version gets few calls, and none 5 s after its 50th bad answer",
+    "G14": "after a completed roll-out no call reaches an old upstream",
 }
 FAULTS = (
     "herd death and reconnect storm",
@@ -38,6 +40,7 @@
     "store back from an older copy",
     "no fault: retirement under load",
     "an organisation at ten times its quota",
+    "roll-outs of a good and a bad version",
 )
 PROOFS_ATTRIBUTE = "proofs"
 
--- a/harness/recording.py
+++ b/harness/recording.py
@@ -18,6 +18,7 @@
     GracefulStop,
     History,
     Retirement,
+    Rollout,
 )
 from .processes import Cluster, Process
 
@@ -53,6 +54,7 @@
     writes: list[DocumentWrite] = field(default_factory=list)
     retirements: list[Retirement] = field(default_factory=list)
     stops: list[GracefulStop] = field(default_factory=list)
+    rollouts: list[Rollout] = field(default_factory=list)
     wall_offset_s: float = field(default_factory=lambda: time.time() - time.monotonic())
 
     def record_retirement(self, upstreams: list[str]) -> None:
@@ -100,6 +102,7 @@
             applied=list(self.applied()),
             retirements=list(self.retirements),
             stops=list(self.stops),
+            rollouts=list(self.rollouts),
         )
 
     def describe(self, identity: str) -> list[str]:
@@ -174,6 +177,7 @@
             record.api_key,
             f"/{PUBLIC}/" in record.path,
             record.status,
+            record.path.split("/")[1],
         )
 
     def _to_execution(self, run: dict[str, Any]) -> Execution:
@@ -185,6 +189,9 @@
             run["start_s"] - self.wall_offset_s,
             run["organisation"],
             run["has_api_key"],
+            run["service"],
+            run["version"],
+            run["is_bad"],
         )
 
 
--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -22,6 +22,7 @@
 from .organisation_checks import check_organisations
 from .processes import Cluster, Process, fetch_json, running_cluster
 from .recording import Recording
+from .rollout_checks import check_rollouts
 
 __all__ = ["Result", "Run", "Scenario", "run_scenario"]
 
@@ -53,6 +54,8 @@
         If given, the documents are written as one bundle with these limits.
     probe_path : str
         Path below each service that nodes answer once they serve it.
+    worker_labels : tuple of str
+        Labels of the workers, in the form ``name=value``.
     store_era : int
         First era of the platform's store; 0 for a store that names none.
     can_lose_answers : bool
@@ -68,6 +71,7 @@
     seed: int = 1
     with_relay: bool = False
     probe_path: str = "lookup/0"
+    worker_labels: tuple[str, ...] = ()
     store_era: int = 0
     can_lose_answers: bool = True
     sections: dict[str, Any] = field(default_factory=dict)
@@ -147,7 +151,9 @@
 
     def start_worker(self, host: Host) -> Process:
         """Start the first worker on a host."""
-        options = ("--slots", str(WORKER_SLOTS))
+        options = ["--slots", str(WORKER_SLOTS)]
+        for label in self.scenario.worker_labels:
+            options += ["--labels", label]
         return self.cluster.start_worker(host, self.service_of(host), 0, "1", *options)
 
     def make_load(
@@ -361,6 +367,7 @@
     live_nodes = [host.node for host in run.hosts if host.node not in run.disrupted]
     findings = check_history(history, live_nodes, scenario.can_lose_answers)
     findings.items += check_organisations(history).items
+    findings.items += check_rollouts(history).items
     findings.items += run.findings.items
     details = [
         line
--- a/harness/scenarios/__init__.py
+++ b/harness/scenarios/__init__.py
@@ -15,6 +15,7 @@
 from .partition import PARTITION
 from .poison import POISON, POISON_ANYWHERE
 from .retirement import RETIREMENT
+from .rollouts import ROLLOUT
 from .silence import SILENCE
 
 __all__ = ["SCENARIOS"]
@@ -32,6 +33,7 @@
         KEPT_CONNECTIONS,
         POISON,
         ORGANISATIONS,
+        ROLLOUT,
         *OUTAGES,
         *OPERATORS,
         *PAIRS,
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -5,12 +5,14 @@
 `X-Standin-Ms` (service time in milliseconds), `X-Standin-Bytes` (padding of the
 answer), `X-Standin-Crash: 1` (the process exits), `X-Standin-Cut: 1` (the
 connection closes in the middle of the answer). `POST /standin/faults` takes
-``{"sick", "silent", "extra_ms"}``, which apply to all requests.
+``{"sick", "silent", "extra_ms", "share", "route"}``, which apply to this share of the
+requests whose path contains the route.
 """
 
 import asyncio
 import json
 import os
+import random
 import signal
 import time
 from dataclasses import asdict, dataclass, field
@@ -39,13 +41,18 @@
 
 
 class UpstreamFaults(BaseModel):
-    """Faults that apply to every request: status 500, no answer, added delay."""
+    """Faults of requests: status 500, no answer, added delay.
+
+    They apply to a share of the requests whose path contains `route`.
+    """
 
     model_config = ConfigDict(extra="forbid")
 
     sick: bool = False
     silent: bool = False
     extra_ms: float = Field(default=0.0, ge=0)
+    share: float = Field(default=1.0, ge=0, le=1)
+    route: str = ""
 
 
 @dataclass
@@ -63,6 +70,9 @@
     state: str = "running"
     organisation: str = ""
     has_api_key: bool = False
+    service: str = ""
+    version: str = ""
+    is_bad: bool = False
 
 
 @dataclass
@@ -162,6 +172,7 @@
 
     async def run(self) -> None:
         headers = self.request.headers
+        faults = self._draw_faults()
         execution = Execution(
             call_id=headers.get("X-Standin-Id", ""),
             request_key=headers.get("Idempotency-Key", ""),
@@ -172,19 +183,28 @@
             start_s=time.time(),
             organisation=headers.get("Lentilsill-Organisation", ""),
             has_api_key=any(API_KEY_PREFIX in value for value in headers.values()),
+            service=self.upstream.service,
+            version=self.upstream.labels.get("version", ""),
+            is_bad=faults.sick or faults.extra_ms > 0,
         )
         self.upstream.record_start(execution)
         state = "failed"
         try:
-            state = await self._run_request(execution)
+            state = await self._run_request(execution, faults)
         finally:
             self.upstream.record_end(execution, state)
 
     get = post = put = patch = delete = head = options = run
 
-    async def _run_request(self, execution: Execution) -> str:
-        headers = self.request.headers
+    def _draw_faults(self) -> UpstreamFaults:
+        """Return the faults that apply to this request."""
         faults = self.upstream.faults
+        if faults.route in self.request.path and random.random() < faults.share:
+            return faults
+        return UpstreamFaults()
+
+    async def _run_request(self, execution: Execution, faults: UpstreamFaults) -> str:
+        headers = self.request.headers
         service_ms = float(headers.get("X-Standin-Ms", self.upstream.service_time_ms))
         if await self._is_cancelled_within((service_ms + faults.extra_ms) / 1000):
             return "cancelled"
