--- a/harness/history.py
+++ b/harness/history.py
@@ -5,7 +5,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from lentilsill.findings import Findings
@@ -17,8 +17,11 @@
     "Execution",
     "GracefulStop",
     "History",
+    "Organisation",
     "Retirement",
+    "Rollout",
     "check_history",
+    "runs_with_calls",
 ]
 
 RETIRE_BOUND_S = 2.0
@@ -31,7 +34,8 @@
 
     `outcome` is ``answer``, a value of `lentilsill.outcomes.Outcome`, or
     ``connection_lost`` when the entry node sent no answer.
-    `answered_id` is the call id that the answer carries.
+    `answered_id` is the call id that the answer carries, and `status` the status of
+    the HTTP answer.
     """
 
     call_id: str
@@ -42,17 +46,41 @@
     outcome: str
     answered_id: str = ""
     is_complete: bool = True
+    api_key: str = ""
+    is_public: bool = False
+    status: int = 0
+    service: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Execution:
-    """An execution of a request, as the upstream recorded it."""
+    """An execution of a request, as the upstream recorded it.
+
+    `organisation` is the one that the node named, and `has_api_key` states whether
+    the request contained an API key. `version` is that of the upstream, and `is_bad`
+    states whether the answer failed or was slow.
+    """
 
     call_id: str
     request_key: str
     idempotent: bool
     upstream: str
     start_s: float
+    organisation: str = ""
+    has_api_key: bool = False
+    service: str = ""
+    version: str = ""
+    is_bad: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """An organisation with its API keys; a rate of 0 stands for no quota."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +88,8 @@
     """A version of a document that was written to the platform.
 
     `is_valid` states whether it passes validation; `references` are the
-    services whose documents must be in force together with it.
+    services whose documents must be in force together with it. `organisations` is
+    None if callers need no API key.
     """
 
     service: str
@@ -69,6 +98,7 @@
     is_valid: bool = True
     is_deleted: bool = False
     references: tuple[str, ...] = ()
+    organisations: tuple[Organisation, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +130,22 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class Rollout:
+    """A roll-out of a service's version, from the order to the status `outcome`.
+
+    `outcome` is ``completed`` or ``rolled_back``, and empty if there was none.
+    """
+
+    service: str
+    version: str
+    ordered_s: float
+    duration_s: float
+    is_bad: bool
+    ended_s: float = float("inf")
+    outcome: str = ""
+
+
 @dataclass(slots=True)
 class History:
     """All records of one run."""
@@ -110,6 +156,19 @@
     applied: list[AppliedSnapshot] = field(default_factory=list)
     retirements: list[Retirement] = field(default_factory=list)
     stops: list[GracefulStop] = field(default_factory=list)
+    rollouts: list[Rollout] = field(default_factory=list)
+
+
+def runs_with_calls(history: History) -> Iterator[tuple[Execution, CallRecord]]:
+    """Yield executions with their calls; those of unrecorded calls are left out."""
+    calls: dict[str, list[CallRecord]] = defaultdict(list)
+    for call in sorted(history.calls, key=lambda c: c.start_s):
+        calls[call.call_id].append(call)
+    for execution in history.executions:
+        # A repeated call has the id of the first one.
+        sent = [c for c in calls[execution.call_id] if c.start_s <= execution.start_s]
+        if sent:
+            yield execution, sent[-1]
 
 
 def check_history(
--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -19,8 +19,10 @@
 from .load import Load, make_mixed_plans
 from .measurements import Measurements, measure
 from .objects import write_object
+from .organisation_checks import check_organisations
 from .processes import Cluster, Process, fetch_json, running_cluster
 from .recording import Recording
+from .rollout_checks import check_rollouts
 
 __all__ = ["Result", "Run", "Scenario", "run_scenario"]
 
@@ -50,6 +52,10 @@
         Keyword arguments of `make_document` for every document.
     caller_limits : dict
         If given, the documents are written as one bundle with these limits.
+    probe_path : str
+        Path below each service that nodes answer once they serve it.
+    worker_labels : tuple of str
+        Labels of the workers, in the form ``name=value``.
     store_era : int
         First era of the platform's store; 0 for a store that names none.
     can_lose_answers : bool
@@ -64,6 +70,8 @@
     services: tuple[str, ...] = ("slots", "ledger")
     seed: int = 1
     with_relay: bool = False
+    probe_path: str = "lookup/0"
+    worker_labels: tuple[str, ...] = ()
     store_era: int = 0
     can_lose_answers: bool = True
     sections: dict[str, Any] = field(default_factory=dict)
@@ -143,7 +151,9 @@
 
     def start_worker(self, host: Host) -> Process:
         """Start the first worker on a host."""
-        options = ("--slots", str(WORKER_SLOTS))
+        options = ["--slots", str(WORKER_SLOTS)]
+        for label in self.scenario.worker_labels:
+            options += ["--labels", label]
         return self.cluster.start_worker(host, self.service_of(host), 0, "1", *options)
 
     def make_load(
@@ -183,7 +193,14 @@
         references = tuple(value.get("requires", ()))
         self.recording.writes.append(
             DocumentWrite(
-                service, version, requested_s, is_valid, references=references
+                service,
+                version,
+                requested_s,
+                is_valid,
+                references=references,
+                organisations=(self.scenario.document_options | options).get(
+                    "organisations"
+                ),
             )
         )
         return version
@@ -276,7 +293,7 @@
             await self.write(service)
         await self.wait_until_in_force()
         for service in self.scenario.services:
-            await self.wait_until_served(f"/{service}/lookup/0")
+            await self.wait_until_served(f"/{service}/{self.scenario.probe_path}")
         # SIGTERM kills a worker that is still starting, instead of making it leave.
         for host in self.hosts:
             await self.wait_for(
@@ -349,6 +366,8 @@
     history = recording.history()
     live_nodes = [host.node for host in run.hosts if host.node not in run.disrupted]
     findings = check_history(history, live_nodes, scenario.can_lose_answers)
+    findings.items += check_organisations(history).items
+    findings.items += check_rollouts(history).items
     findings.items += run.findings.items
     details = [
         line
--- a/harness/scenarios/__init__.py
+++ b/harness/scenarios/__init__.py
@@ -9,11 +9,13 @@
 from .herd import HERD
 from .kept_connections import KEPT_CONNECTIONS
 from .operators import OPERATORS
+from .organisations import ORGANISATIONS
 from .outages import OUTAGES
 from .pairs import PAIRS
 from .partition import PARTITION
 from .poison import POISON, POISON_ANYWHERE
 from .retirement import RETIREMENT
+from .rollouts import ROLLOUT
 from .silence import SILENCE
 
 __all__ = ["SCENARIOS"]
@@ -30,6 +32,8 @@
         FREEZE,
         KEPT_CONNECTIONS,
         POISON,
+        ORGANISATIONS,
+        ROLLOUT,
         *OUTAGES,
         *OPERATORS,
         *PAIRS,
