Keep slots for calls on which running calls wait

Cause: upstreams of two services that call each other hold all slots with calls that wait for inner calls, for which no slot is left. Where calls are nested, inner calls are refused and the slot time of their callers is wasted.

Change: with `calls.inner_slots`, a call that a running call has made names the services that wait for it. An upstream whose service is among them keeps as many slots as inner calls needed recently, plus the square root of that number.

--- a/lentilsill/admission/__init__.py
+++ b/lentilsill/admission/__init__.py
@@ -7,6 +7,8 @@
 
 from .actions import Refuse, Start
 from .ages import CallAges
+from .call_chains import CallChains
+from .inner_slots import InnerSlots
 from .notice import Notice, newer_notice
 from .pace import HostPace
 from .queue import AdmissionQueue
@@ -17,8 +19,10 @@
 __all__ = [
     "AdmissionQueue",
     "CallAges",
+    "CallChains",
     "FairShares",
     "HostPace",
+    "InnerSlots",
     "KindUsage",
     "Notice",
     "RateLimiter",
--- a/lentilsill/admission/offered_load.py
+++ b/lentilsill/admission/offered_load.py
@@ -2,6 +2,8 @@
 
 import math
 
+from .plan import LATE_ANSWER_VALUE, WaitingCall
+
 __all__ = ["OfferedLoad"]
 
 # The window spans several calls of typical length, so that a burst at light load
@@ -9,6 +11,9 @@
 WINDOW_S = 2.0
 # Calls with a larger priority number, which are less urgent, count under this one.
 MAX_PRIORITY = 15
+# When calls that can be on time need this share of the slots, each late call that
+# starts makes one of them late.
+FULL_LOAD_SHARE = 0.9
 
 
 class OfferedLoad:
@@ -41,6 +46,19 @@
         load_s = sum(s for other, s in self._by_priority.items() if other <= rank)
         return load_s / (WINDOW_S * max(1, slots))
 
+    def is_delayed_by(
+        self, waiting: WaitingCall, now: float, slots: int, mean_s: float
+    ) -> bool:
+        """Return whether the call is late and would delay calls that can be on time.
+
+        A call that is much shorter than the mean `mean_s` delays them little.
+        """
+        is_late = now + waiting.service_time_s > waiting.objective_at
+        is_short = waiting.service_time_s < LATE_ANSWER_VALUE * mean_s
+        if not is_late or is_short:
+            return False
+        return self.share(now, waiting.priority, slots) >= FULL_LOAD_SHARE
+
     def _decay(self, now: float) -> None:
         factor = math.exp(-max(0.0, now - self._updated_at) / WINDOW_S)
         self._updated_at = now
--- a/lentilsill/admission/plan.py
+++ b/lentilsill/admission/plan.py
@@ -34,6 +34,8 @@
         Time of arrival on the same clock, in seconds.
     organisation : str
         Organisation of the caller, empty without one.
+    is_inner : bool
+        Whether a running call waits for this one.
     """
 
     call: Hashable
@@ -46,6 +48,7 @@
     arrival_number: int
     offered_at: float = 0.0
     organisation: str = ""
+    is_inner: bool = False
 
 
 def plan_starts(
--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -5,29 +5,21 @@
 from typing import Any
 
 from .actions import Action, Refuse, Start
+from .inner_slots import InnerSlots
 from .offered_load import OfferedLoad
-from .plan import LATE_ANSWER_VALUE, WaitingCall, plan_starts
+from .plan import WaitingCall, plan_starts
 from .service_times import ServiceTimes
 from .shares import FairShares, cost_s
 from .usage import SlotUsage
 
 __all__ = ["AdmissionQueue"]
 
-
 # The slack of a call is the time to its objective minus its expected service time. At
 # most this share of it is reserved in case the call takes longer than expected, and
 # less where the likely maximum of its kind needs less. The call may wait for the
 # remainder.
 MAX_MARGIN_SHARE = 0.5
 
-
-# When calls that can be on time need this share of the slots, each late call that
-# starts makes one of them late.
-FULL_LOAD_SHARE = 0.9
-
-# Share of the remaining time of a waiting call that is reserved for its run.
-MAX_RUN_SHARE = 0.5
-
 # Calls above their share are found when calls arrive and end. For expected times, the
 # last result is used up to this age, in seconds.
 MAX_ESTIMATE_AGE_S = 0.01
@@ -45,6 +37,7 @@
     kind: str
     organisation: str
     charged_s: float
+    is_inner: bool
 
 
 class AdmissionQueue:
@@ -64,6 +57,8 @@
     With `fair_shares`, calls of organisations above their share (`FairShares`) start
     last among those of their priority, and are refused first.
 
+    Other calls than inner ones leave free the slots that `InnerSlots` keeps.
+
     Examples
     --------
     >>> queue = AdmissionQueue(slots=1, queue_limit=1)
@@ -90,6 +85,7 @@
         self.service_times = ServiceTimes()
         self.usage = SlotUsage()
         self.shares = FairShares() if fair_shares else None
+        self.inner_slots = InnerSlots()
         self._offered_load = OfferedLoad()
         self._can_start = can_start
         self._running: dict[Hashable, _Running] = {}
@@ -120,9 +116,16 @@
 
     @property
     def has_room(self) -> bool:
-        """Whether a new call would start at once."""
+        """Whether a new call would start at once unless slots are kept."""
         return not (self.draining or self._waiting) and len(self._running) < self.slots
 
+    def has_slot(self, now: float, is_inner: bool = False) -> bool:
+        """Return whether a slot is free that such a call may take."""
+        running, inner = len(self._running), self.inner_slots
+        if is_inner or running >= self.slots:
+            return running < self.slots
+        return running - inner.running < self.slots - inner.kept(now, self.slots)
+
     def offer(
         self,
         call: Hashable,
@@ -133,11 +136,13 @@
         kind: str = "",
         organisation: str = "",
         weight: float = 0.0,
+        is_inner: bool = False,
     ) -> list[Action]:
         """Offer a new call; it waits if no action is returned for it.
 
         Calls of one `kind` have similar service times. `organisation` is that of the
-        caller, with its weight in the division of the slots; 0 if it has none.
+        caller, with its weight in the division of the slots; 0 if it has none. With
+        `is_inner`, a running call waits for it, see `InnerSlots`.
         """
         if self.draining:
             return [Refuse(call, "upstream is leaving")]
@@ -149,12 +154,11 @@
             self._offered_load.add(now, priority, service_time_s)
         if self.shares is not None:
             self.shares.offer(organisation, weight, now)
-        if (
-            len(self._running) < self.slots
-            and not self._waiting
-            and self._is_startable(call)
-        ):
-            self._start(call, kind, now, 0.0, objective, organisation)
+        if is_inner:
+            self.inner_slots.arrive(now)
+        has_slot = not self._waiting and self.has_slot(now, is_inner)
+        if has_slot and self._is_startable(call):
+            self._start(call, kind, now, 0.0, objective, organisation, is_inner)
             return [Start(call)]
         self._arrival_count += 1
         # Without a limit on the margin, all calls with a tight objective would count as
@@ -175,6 +179,7 @@
             self._arrival_count,
             now,
             organisation,
+            is_inner,
         )
         self._waiting[call] = waiting
         return [*self._shed_load(now), *self.advance(now)]
@@ -186,6 +191,7 @@
         kind: str = "",
         objective_at: float = float("inf"),
         organisation: str = "",
+        is_inner: bool = False,
     ) -> float:
         """Return the expected time in seconds from arrival to the answer.
 
@@ -194,7 +200,7 @@
         It overtakes calls above their share unless it would be one of them.
         """
         service_time_s = self.service_times.expected_s(kind)
-        if len(self._running) < self.slots:
+        if self.has_slot(now, is_inner):
             return service_time_s
         is_late = now + service_time_s > objective_at
         above = self._find_above_share(now, MAX_ESTIMATE_AGE_S)
@@ -219,44 +225,41 @@
         )
         return service_time_s + ahead_s / max(1, self.slots) + self._first_start_s
 
-    def latest_start_s(self, remaining_s: float, kind: str = "") -> float:
-        """Return the time in seconds after which a call is not worth starting.
-
-        `remaining_s` is left until its deadline. Its caller then learns of the refusal
-        before the deadline. At least half of the time can be spent waiting, as some
-        calls take less time than the mean.
-        """
-        service_time_s = self.service_times.expected_s(kind)
-        return remaining_s - min(service_time_s, MAX_RUN_SHARE * remaining_s)
-
     def finished(self, call: Hashable, now: float) -> list[Action]:
         """Record the end of a running call, and start calls that wait."""
-        run = self._running.pop(call, None)
+        run = self._end_run(call, now, was_sent=True)
         if run is not None:
             ran_s = now - run.began
             self.service_times.add(run.kind, ran_s)
-            self._correct_share(run, ran_s, now)
             usage = self.usage.of_kind(run.kind)
             usage.ended += 1
             usage.ran_s += ran_s
-            self.usage.set_running(now, len(self._running))
         return self.advance(now)
 
     def release(self, call: Hashable, now: float) -> list[Action]:
         """Free the slot of a call that started and was not sent after all."""
-        run = self._running.pop(call, None)
-        if run is not None:
-            self._correct_share(run, 0.0, now)
-        self.usage.set_running(now, len(self._running))
+        self._end_run(call, now, was_sent=False)
         return self.advance(now)
 
-    def _correct_share(self, run: _Running, ran_s: float, now: float) -> None:
-        if self.shares is not None:
-            self.shares.correct(run.organisation, ran_s - run.charged_s, now)
+    def _end_run(self, call: Hashable, now: float, was_sent: bool) -> _Running | None:
+        run = self._running.pop(call, None)
+        if run is not None:
+            if run.is_inner:
+                self.inner_slots.leave(was_running=True, now=now)
+            if self.shares is not None:
+                ran_s = now - run.began if was_sent else 0.0
+                self.shares.correct(run.organisation, ran_s - run.charged_s, now)
+            self.usage.set_running(now, len(self._running))
+        return run
 
-    def cancel(self, call: Hashable) -> bool:
+    def cancel(self, call: Hashable, is_refused: bool = False) -> bool:
         """Remove a waiting call; return False if it doesn't wait."""
-        return self._waiting.pop(call, None) is not None
+        waiting = self._waiting.pop(call, None)
+        if waiting is not None and waiting.is_inner:
+            self.inner_slots.leave(was_running=False)
+            if is_refused:
+                self.inner_slots.refuse(self.slots)
+        return waiting is not None
 
     def set_limits(self, slots: int, queue_limit: int, now: float) -> list[Action]:
         """Change the limits, and start calls for which there are slots now."""
@@ -267,11 +270,10 @@
     def drain(self) -> list[Action]:
         """Refuse new and waiting calls; running calls may finish."""
         self.draining = True
-        actions: list[Action] = [
-            Refuse(call, "upstream is leaving") for call in self._waiting
-        ]
-        self._waiting.clear()
-        return actions
+        waiting = tuple(self._waiting)
+        for call in waiting:
+            self.cancel(call)
+        return [Refuse(call, "upstream is leaving") for call in waiting]
 
     def resume(self) -> None:
         """Accept calls again after `drain`."""
@@ -307,12 +309,12 @@
         Late calls that would delay calls on time are refused too.
         """
         actions: list[Action] = []
-        is_full = len(self._running) >= self.slots
         wait_s = self._first_start_s
         kept = 0
         above_share = self._find_above_share(now)
         for waiting in self._plan(now, above_share):
             is_above = waiting.arrival_number in above_share
+            is_full = not self.has_slot(now, waiting.is_inner)
             # While calls above their share wait, those give way to late ones below it.
             has_precedence = bool(above_share) and not is_above
             overrun_s = now + wait_s + waiting.service_time_s - waiting.deadline
@@ -327,7 +329,9 @@
             elif (
                 is_full
                 and not has_precedence
-                and self._delays_on_time_calls(waiting, now)
+                and self._offered_load.is_delayed_by(
+                    waiting, now, self.slots, self.service_times.mean_s
+                )
             ):
                 retry_after_s = max(wait_s, self.service_times.mean_s)
                 reason = "calls that can be in time fill the upstream"
@@ -335,31 +339,17 @@
                 kept += 1
                 wait_s += waiting.service_time_s / max(1, self.slots)
                 continue
-            self.cancel(waiting.call)
+            self.cancel(waiting.call, is_refused=True)
             self.usage.of_kind(waiting.kind).refused += 1
             actions.append(Refuse(waiting.call, reason, retry_after_s, is_above))
         return actions
 
-    def _delays_on_time_calls(self, waiting: WaitingCall, now: float) -> bool:
-        """Return whether the call is late and would delay calls that can be on time.
-
-        A call that is much shorter than the mean delays them little.
-        """
-        is_late = now + waiting.service_time_s > waiting.objective_at
-        is_short = (
-            waiting.service_time_s < LATE_ANSWER_VALUE * self.service_times.mean_s
-        )
-        if not is_late or is_short:
-            return False
-        share = self._offered_load.share(now, waiting.priority, self.slots)
-        return share >= FULL_LOAD_SHARE
-
     def advance(self, now: float) -> list[Action]:
         """Start the calls that can start; to be called when `can_start` has changed."""
         actions: list[Action] = []
         expired = [w.call for w in self._waiting.values() if w.deadline <= now]
         for call in expired:
-            self.cancel(call)
+            self.cancel(call, is_refused=True)
             actions.append(Refuse(call, "deadline passed"))
         if not self._waiting or len(self._running) >= self.slots:
             return actions
@@ -367,14 +357,21 @@
             call = waiting.call
             if len(self._running) >= self.slots:
                 break
+            if not self.has_slot(now, waiting.is_inner):
+                continue
             if not self._is_startable(call):
                 # If calls behind this call started, they would keep the upstream busy,
                 # and a call that must run alone would never start.
                 break
-            self.cancel(call)
-            waited_s, organisation = now - waiting.offered_at, waiting.organisation
+            del self._waiting[call]
             self._start(
-                call, waiting.kind, now, waited_s, waiting.objective_at, organisation
+                call,
+                waiting.kind,
+                now,
+                now - waiting.offered_at,
+                waiting.objective_at,
+                waiting.organisation,
+                waiting.is_inner,
             )
             actions.append(Start(call))
         return actions
@@ -387,10 +384,12 @@
         waited_s: float,
         objective_at: float,
         organisation: str,
+        is_inner: bool,
     ) -> None:
+        self.inner_slots.running += is_inner
         service_time_s = self.service_times.expected_s(kind)
         charged_s = cost_s(service_time_s)
-        self._running[call] = _Running(now, kind, organisation, charged_s)
+        self._running[call] = _Running(now, kind, organisation, charged_s, is_inner)
         if self.shares is not None:
             self.shares.start(organisation, charged_s, now)
         self.usage.set_running(now, len(self._running))
--- a/lentilsill/admission/service_times.py
+++ b/lentilsill/admission/service_times.py
@@ -14,6 +14,9 @@
 # of the calls take no longer when their times spread by half of the mean.
 LIKELY_MAX_DEVIATIONS = 1.5
 
+# Share of the remaining time of a waiting call that is reserved for its run.
+MAX_RUN_SHARE = 0.5
+
 
 @dataclass(slots=True)
 class _MovingAverage:
@@ -60,6 +63,15 @@
         times = self._by_kind.get(kind, self._all_kinds)
         return times.mean_s + LIKELY_MAX_DEVIATIONS * times.deviation_s
 
+    def latest_start_s(self, remaining_s: float, kind: str = "") -> float:
+        """Return the time in seconds after which a call is not worth starting.
+
+        `remaining_s` is left until its deadline. Its caller then learns of the refusal
+        before the deadline. At least half of the time can be spent waiting, as some
+        calls take less time than the mean.
+        """
+        return remaining_s - min(self.expected_s(kind), MAX_RUN_SHARE * remaining_s)
+
     def add(self, kind: str, duration_s: float) -> None:
         """Record the service time of a finished call."""
         if self._all_kinds.mean_s:
--- a/lentilsill/daemon/caller_request.py
+++ b/lentilsill/daemon/caller_request.py
@@ -201,6 +201,7 @@
             else "",
             self.deadline_ms,
             self.attempt_id,
+            self.conn.stream.peer_ip,
         )
 
     def _service_and_path(self, integration: Integration) -> tuple[str, str]:
--- a/lentilsill/daemon/controllers/call_progress.py
+++ b/lentilsill/daemon/controllers/call_progress.py
@@ -92,6 +92,8 @@
         no free slot are left out.
     late_replies : LateReplies
         Results of attempts whose links were lost.
+    waiting_services : tuple of str
+        Services with running calls that wait for this call.
     """
 
     req: CallRequest
@@ -117,6 +119,7 @@
     is_in_retry_budget: bool = False
     ended_attempts: list[Attempt] = field(default_factory=list)
     late_replies: LateReplies = field(default_factory=LateReplies)
+    waiting_services: tuple[str, ...] = ()
 
     @property
     def kind(self) -> str:
@@ -207,6 +210,7 @@
             only_if_free=only_if_free,
             organisation=self.admission.organisation,
             organisation_weight=self.admission.weight,
+            waiting_services=self.waiting_services,
         )
 
     def objective_ms(self, now: float) -> int:
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -16,12 +16,11 @@
 from lentilsill.wire.messages import Call, GoAway, NoticeRow
 
 from .call_admission import forwarded_headers
+from .inner_calls import InnerCalls
 from .local_upstream import (
     Execution,
     LocalUpstream,
     call_fingerprint,
-    call_kind,
-    objective_at,
     upstream_headers,
     whole_ms,
 )
@@ -75,6 +74,7 @@
         self._upstreams: dict[str, LocalUpstream] = {}
         # Removed upstreams that still run calls.
         self._removed: dict[str, LocalUpstream] = {}
+        self.inner_calls = InnerCalls(ctx, self._upstreams, self._apply)
         # Callback that removes an upstream (id, reason); set after construction.
         self.drop_upstream: Callable[[str, str], bool] | None = None
         # Callback that records that an upstream's process leaves (id, start of the
@@ -91,6 +91,7 @@
         """Read the blackboard and start serving calls of peers."""
         self.refresh()
         self.served_calls.start()
+        self.inner_calls.start()
 
     @property
     def in_flight_total(self) -> int:
@@ -168,6 +169,7 @@
                 self._on_leaving,
                 self.ctx.answer_bytes,
                 self.ctx.cfg.calls.fair_shares,
+                self.ctx.cfg.calls.inner_slots,
             )
             self._upstreams[upstream] = local
             local.record = record
@@ -212,18 +214,10 @@
         wait_s = limiter.wait_s(now, call.priority, local.queue.waiting)
         if wait_s > 0:
             return self._refuse_rate(wait_s)
-        if call.only_if_free and not local.queue.has_room:
+        self.inner_calls.record(call, now)
+        if call.only_if_free and not local.has_room(call, now):
             return not_run_refusal(BUSY)
-        actions = local.queue.offer(
-            execution,
-            now,
-            execution.deadline,
-            call.priority,
-            objective_at(call, now, execution.deadline),
-            call_kind(call),
-            call.organisation,
-            call.organisation_weight,
-        )
+        actions = local.offer(execution, now)
         if len(actions) != 1 or actions[0] != Start(execution):
             refused = await self._wait(local, execution, actions, now)
             if refused is not None:
@@ -251,7 +245,7 @@
         queue = local.queue
         reason = "expected time exceeds the deadline"
         timer = self.ctx.deadlines.add(
-            queue.latest_start_s(execution.deadline - now, call_kind(execution.call)),
+            local.latest_start_s(execution, now),
             lambda: self.drop_waiting(execution, reason, queue.service_times.mean_s),
         )
         try:
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -162,6 +162,9 @@
         progress = CallProgress(
             req, document, route, now, deadline, fingerprint, admission
         )
+        progress.waiting_services = self.destination.inner_calls.waiting_services(
+            req.caller_ip
+        )
         if req.deadline_ms > 0:
             progress.age_s = (
                 self.call_ages.age_ms(progress.kind, req.deadline_ms) / 1000
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -9,6 +9,7 @@
 from tornado.httputil import HTTPHeaders
 
 from lentilsill.admission import AdmissionQueue, HostPace
+from lentilsill.admission.actions import Action
 from lentilsill.daemon.held_bytes import HeldBytes
 from lentilsill.daemon.integration import HeaderNames, Integration
 from lentilsill.daemon.interfaces import CallRequest, CrashGuard
@@ -105,6 +106,7 @@
         on_leaving: Callable[[str, int], None] = lambda upstream, started_ms: None,
         held_bytes: HeldBytes | None = None,
         fair_shares: bool = False,
+        inner_slots: bool = False,
     ) -> None:
         self.record = record
         self.guard = guard
@@ -117,11 +119,44 @@
         )
         self.notices = UpstreamNotices(record.upstream, integration.headers, on_leaving)
         self.pace = HostPace()
+        self._keeps_slots = inner_slots
         self._load_header = integration.headers.load
         self.client.on_answer_head = self._record_answer
         can_start = None if guard is None else self._can_start
         self.queue = AdmissionQueue(max(1, record.slots), 0, can_start, fair_shares)
 
+    def is_inner(self, call: Call) -> bool:
+        """Return whether slots are kept for a call.
+
+        A running call waits for it, of a service that waits for calls of this one.
+        """
+        return self._keeps_slots and self.record.service in call.waiting_services
+
+    def offer(self, execution: Execution, now: float) -> list[Action]:
+        """Offer a call to the queue; it waits if no action is returned for it."""
+        call = execution.call
+        return self.queue.offer(
+            execution,
+            now,
+            execution.deadline,
+            call.priority,
+            objective_at(call, now, execution.deadline),
+            call_kind(call),
+            call.organisation,
+            call.organisation_weight,
+            self.is_inner(call),
+        )
+
+    def latest_start_s(self, execution: Execution, now: float) -> float:
+        """Return the time in seconds after which a call is not worth starting."""
+        return self.queue.service_times.latest_start_s(
+            execution.deadline - now, call_kind(execution.call)
+        )
+
+    def has_room(self, call: Call, now: float) -> bool:
+        """Return whether a new call would start at once."""
+        return self.queue.has_room and self.queue.has_slot(now, self.is_inner(call))
+
     def load_figures(self, call: Call, now: float, is_even: bool) -> tuple[int, int]:
         """Return the expected time in ms and the busy percentage for a new call.
 
@@ -134,11 +169,15 @@
             call_kind(call),
             objective_at(call, now, math.inf),
             call.organisation,
+            self.is_inner(call),
         )
         if not is_even or not self.pace.is_known:
             return round(expected_ms), -1
         expected_ms *= self.pace.factor(now)
-        return round(expected_ms), round(100 * self.queue.busy_share)
+        busy_share = self.queue.busy_share
+        if not self.queue.has_slot(now, self.is_inner(call)):
+            busy_share = max(1.0, busy_share)
+        return round(expected_ms), round(100 * busy_share)
 
     def record_start(self, execution: Execution) -> None:
         """Count a call as running, and determine whether it is a trial."""
--- a/lentilsill/daemon/controllers/peer_calls.py
+++ b/lentilsill/daemon/controllers/peer_calls.py
@@ -126,6 +126,7 @@
             self._notices.row(call.upstream, now),
             call.organisation,
             call.organisation_weight,
+            call.waiting_services,
         )
         if not link.send(message):
             return Reply(not_run_refusal(f"{UNREACHABLE}link to {address} is closed"))
--- a/lentilsill/daemon/interfaces.py
+++ b/lentilsill/daemon/interfaces.py
@@ -27,7 +27,7 @@
     `path` starts after the service name and includes the query string.
     `deadline_ms` is the deadline that the caller requested; 0 stands for the
     route's deadline. `attempt_id` identifies the caller's attempt and is empty if
-    the caller sent none.
+    the caller sent none. `caller_ip` is the other end of the caller's connection.
     """
 
     service: str
@@ -38,6 +38,7 @@
     request_key: str
     deadline_ms: int
     attempt_id: str = ""
+    caller_ip: str = ""
 
 
 class CallService(Protocol):
--- a/lentilsill/platform/settings_file.py
+++ b/lentilsill/platform/settings_file.py
@@ -32,7 +32,7 @@
 # The process is killed at the end of its grace period; the margin is for closing links.
 EXIT_MARGIN_S = 1.0
 # Where these parts of the contract are in force, upstreams state their load.
-EVEN_LOAD_CONTRACTS = {"health", "pool"}
+LOAD_CONTRACTS = {"health", "pool"}
 
 
 def load_platform_settings(path: str) -> NodeSettings:
@@ -159,7 +159,8 @@
             "retry_ratio": float(fields["bounds.retry_budget_ratio"]),
             "retry_window_s": float(fields["bounds.budget_window_s"]),
             "retry_allowance": float(fields["bounds.budget_slack"]),
-            "even_load": _contracts(fields) >= EVEN_LOAD_CONTRACTS,
+            "even_load": _contracts(fields) >= LOAD_CONTRACTS,
+            "inner_slots": _contracts(fields) >= LOAD_CONTRACTS,
             "drain_min_s": DRAIN_MIN_S,
             "drain_take_s": DRAIN_ACCEPT_S,
             "drain_bound_s": float(fields["bounds.grace_s"]) - EXIT_MARGIN_S,
--- a/lentilsill/platform/tests/test_translation.py
+++ b/lentilsill/platform/tests/test_translation.py
@@ -131,6 +131,7 @@
         ):
             cfg = parse_platform_settings(settings_text(contracts=contracts))
             self.assertIs(cfg.calls.even_load, expected)
+            self.assertIs(cfg.calls.inner_slots, expected)
 
     def test_missing_and_invalid_fields_are_named(self):
         """Guards against a node that starts although a field is missing or invalid."""
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -177,6 +177,11 @@
         description="Whether organisations share the slots of an upstream: when "
         "calls wait, those of organisations above their share start last",
     )
+    inner_slots: bool = Field(
+        default=False,
+        description="Whether upstreams of services that call each other keep slots for "
+        "calls that running calls wait for. Read at the start",
+    )
 
 
 class KeySettings(_Section):
--- a/lentilsill/wire/call_messages.py
+++ b/lentilsill/wire/call_messages.py
@@ -61,7 +61,8 @@
     what the sender has heard from the upstream before, if that restricts its calls.
     `organisation` names the caller's organisation; it is empty without one.
     `organisation_weight` is the organisation's weight among others that compete for
-    slots, and 0 if all weigh the same.
+    slots, and 0 if all weigh the same. `waiting_services` are the services with running
+    calls that wait for this call; empty if no running call has made it.
     """
 
     call_id: int
@@ -86,6 +87,7 @@
     notice: NoticeRow | None = None
     organisation: str = ""
     organisation_weight: float = 0.0
+    waiting_services: tuple[str, ...] = ()
 
 
 class PlainAnswer(msgspec.Struct, frozen=True, array_like=True, tag=21):
--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -89,6 +89,14 @@
         """The event loop as tornado sees it."""
         return IOLoop.current()
 
+    @property
+    def peer_ip(self) -> str:
+        """Address of the other end; empty if the connection is not open."""
+        if self._transport is None:
+            return ""
+        address = self._transport.get_extra_info("peername")
+        return address[0] if address else ""
+
     def read_bytes(self, size: int, partial: bool = False) -> asyncio.Future[bytes]:
         """Read `size` bytes, or up to `size` with `partial`."""
 
