Read the setting of inner slots at the start only

Cause: after a reload that switched `calls.inner_slots` on, an upstream announced later kept slots, but nothing checked its queue when fewer slots were kept.

Change: all parts use the value of the start.

--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -89,9 +89,9 @@
 
     def start(self) -> None:
         """Read the blackboard and start serving calls of peers."""
+        self.inner_calls.start()
         self.refresh()
         self.served_calls.start()
-        self.inner_calls.start()
 
     @property
     def in_flight_total(self) -> int:
@@ -169,7 +169,7 @@
                 self._on_leaving,
                 self.ctx.answer_bytes,
                 self.ctx.cfg.calls.fair_shares,
-                self.ctx.cfg.calls.inner_slots,
+                self.inner_calls.is_on,
             )
             self._upstreams[upstream] = local
             local.record = record
--- a/lentilsill/daemon/controllers/inner_calls.py
+++ b/lentilsill/daemon/controllers/inner_calls.py
@@ -26,9 +26,9 @@
 class InnerCalls:
     """Names the services that wait for a call, and maintains the kept slots.
 
-    Does nothing without the setting `calls.inner_slots`. A call is made by a running
-    call if its connection comes from the address of an upstream of this node that runs
-    calls. `apply` carries out the actions of a queue.
+    Does nothing unless the setting `calls.inner_slots` is on at the start. A call is
+    made by a running call if its connection comes from the address of an upstream of
+    this node that runs calls. `apply` carries out the actions of a queue.
     """
 
     def __init__(
@@ -40,12 +40,14 @@
         self._ctx = ctx
         self._upstreams = upstreams
         self._apply = apply
+        self.is_on = False
         self._chains = CallChains()
         self._logged_at: dict[str, float] = {}
 
     def start(self) -> None:
         """Start the periodic check if the setting is on."""
-        if self._ctx.cfg.calls.inner_slots:
+        self.is_on = self._ctx.cfg.calls.inner_slots
+        if self.is_on:
             self._ctx.spawn(self._run())
 
     def waiting_services(self, caller_ip: str) -> tuple[str, ...]:
@@ -53,7 +55,7 @@
 
         The result is empty for a call that no running call has made.
         """
-        if not self._ctx.cfg.calls.inner_slots or not caller_ip:
+        if not self.is_on or not caller_ip:
             return ()
         services = [
             local.record.service
@@ -66,7 +68,7 @@
 
     def record(self, call: Call, now: float) -> None:
         """Record the services that wait for a call to an upstream of this node."""
-        if self._ctx.cfg.calls.inner_slots:
+        if self.is_on:
             self._chains.record(call.waiting_services, now)
 
     async def _run(self) -> None:
--- a/lentilsill/daemon/controllers/tests/test_inner_calls.py
+++ b/lentilsill/daemon/controllers/tests/test_inner_calls.py
@@ -28,6 +28,7 @@
             self.addCleanup(node.close)
             calls = node.ctx.cfg.calls.model_copy(update={"inner_slots": inner_slots})
             node.ctx.cfg = node.ctx.cfg.model_copy(update={"calls": calls})
+            node.destination.inner_calls.start()
         self.near.add_upstream("w1", self.upstream.port)
         self.far.add_upstream("w2", self.upstream.port)
         self.near.set_members(self.far.record())
--- a/lentilsill/daemon/tests/test_caller_server.py
+++ b/lentilsill/daemon/tests/test_caller_server.py
@@ -53,6 +53,12 @@
         self.assertIn("X-End", names)
         self.assertFalse(names & {"X-Hop", "Connection", "Host", "Idempotency-Key"})
 
+    async def test_address_of_the_caller_is_known(self):
+        """Guards against calls of this host's upstream that look like others."""
+        await self.fetch("/slots/a")
+        (req,) = self.calls.seen
+        self.assertEqual(req.caller_ip, "127.0.0.1")
+
     async def test_failed_calls_get_the_status_of_their_outcome(self):
         """Guards against a caller that repeats a call which may have run."""
         cases = {"not_run": 503, "run_answer_lost": 502, "unknown": 504}
