--- a/lentilsill/daemon/main.py
+++ b/lentilsill/daemon/main.py
@@ -1,18 +1,13 @@
 """The program `lentilsilld`."""
 
-from .log_library import import_structlog
+from typing import Annotated
 
-# Before the modules that log.
-import_structlog()
+import typer
 
-from typing import Annotated  # noqa: E402
+from lentilsill.findings import FindingsError
+from lentilsill.settings import load_settings
 
-import typer  # noqa: E402
-
-from lentilsill.findings import FindingsError  # noqa: E402
-from lentilsill.settings import load_settings  # noqa: E402
-
-from .program import EXIT_BAD_SETTINGS, run_node  # noqa: E402
+from .program import EXIT_BAD_SETTINGS, run_node
 
 __all__ = ["app", "main"]
 
