Lend shares without waiting at the first start of all nodes

A started process makes no pledge in its first lease, as pledges of the node's earlier process may still be valid. At a first start there is no earlier process, but calls of organisations with a quota were refused for about a second after the configuration was in force.

A process whose directory entry the store accepted as a new one, that has read the directory since, and that knows a node of each domain and none much older, now lends its share as soon as its node count has settled. Its first pledge brings part of the burst, which nobody can have used before. Nodes are counted and ranked from the start of the process, not only once the configuration is in force.

--- a/lentilsill/daemon/blackboard.py
+++ b/lentilsill/daemon/blackboard.py
@@ -47,6 +47,9 @@
     directory_entries : int or None
         Number of entries that the directory had when it was last read, None before.
         Written by the directory controller.
+    is_first_process : bool
+        Whether this process created the node's entry in the directory, and has read
+        the directory since. Written by the directory controller, with quotas only.
     suspects : frozenset of str
         Names of nodes in `members` and `remote_nodes` that are suspect.
         Written by the membership controller.
@@ -73,6 +76,7 @@
     remote_nodes: dict[str, NodeRecord] = field(default_factory=dict)
     remote_totals: dict[str, int] = field(default_factory=dict)
     directory_entries: int | None = None
+    is_first_process: bool = False
     suspects: frozenset[str] = frozenset()
     ready: bool = False
     draining: bool = False
--- a/lentilsill/daemon/controllers/directory.py
+++ b/lentilsill/daemon/controllers/directory.py
@@ -34,6 +34,9 @@
 # intervals: when nodes start together, the first read misses entries that are not
 # written yet.
 READ_INTERVALS_S = (0.4, 0.6, 1.0, 2.0)
+# The first of them at a node that had no entry, with quotas, as it lends its share of
+# them only after that read.
+FIRST_START_READ_S = 0.2
 # Number of nodes to contact in each domain; they report the other nodes.
 LOCAL_DOMAIN_SEEDS = 4
 REMOTE_DOMAIN_SEEDS = 2
@@ -80,6 +83,8 @@
         self._stored_entry: Any = None
         # Position at which the platform last had this node's entry.
         self._entry_as_of = 0
+        # Whether this process created the entry; see `_wants_read`.
+        self._has_created_entry = False
 
     def start(self) -> None:
         """Start to read the directory and to write this node's entry."""
@@ -114,10 +119,11 @@
             self._ctx.spawn(self._write_until_done())
         backoff = Backoff(BACKOFF_BASE_S, BACKOFF_CAP_S, self._ctx.rng)
         if has_read:
-            await asyncio.sleep(READ_INTERVALS_S[0])
+            is_new = self._ctx.cfg.quotas is not None and self._stored_entry is None
+            await asyncio.sleep(FIRST_START_READ_S if is_new else READ_INTERVALS_S[0])
         read_count = int(has_read)
         while True:
-            if not self._has_unknown_domain():
+            if not self._has_unknown_domain() and not self._wants_read():
                 await asyncio.sleep(READ_INTERVALS_S[-1])
             elif await self._read():
                 backoff.reset()
@@ -133,6 +139,17 @@
         while not await self._write():
             await asyncio.sleep(backoff.next_delay())
 
+    def _wants_read(self) -> bool:
+        """Return whether the entries must be counted after this one was created.
+
+        With quotas, a process that created its entry had no process before it.
+        """
+        return (
+            self._has_created_entry
+            and self._ctx.cfg.quotas is not None
+            and not self._ctx.board.is_first_process
+        )
+
     def _has_unknown_domain(self) -> bool:
         """Return whether this node knows no other node of at least one domain."""
         board = self._ctx.board
@@ -149,6 +166,7 @@
             case Ok(version):
                 self._last_error = ""
                 self._entry_as_of = version
+                self._has_created_entry |= expected == 0
                 return True
             case Err(Conflict()):
                 # The entry was written after the state that the read returned.
@@ -162,10 +180,12 @@
         return {"domain": identity.domain, "peer_address": identity.peer_address}
 
     async def _read(self, stale: bool = False) -> bool:
+        is_counting = self._wants_read() and not stale
         match await self._api.list(DIRECTORY_KIND, stale=stale):
             case Ok(listing):
                 self._last_error = ""
                 self._ctx.board.directory_entries = len(listing.objects)
+                self._ctx.board.is_first_process |= is_counting
                 node = self._ctx.links.identity.node
                 for obj in listing.objects:
                     if obj.name == node:
--- a/lentilsill/daemon/controllers/quotas.py
+++ b/lentilsill/daemon/controllers/quotas.py
@@ -3,22 +3,20 @@
 import asyncio
 import time
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import structlog
 
-from lentilsill.daemon.blackboard import Blackboard, Topic
+from lentilsill.daemon.blackboard import Topic
 from lentilsill.daemon.context import Context
 from lentilsill.documents import Organisation
-from lentilsill.membership import NodeRecord, NodeState, build_summary
+from lentilsill.membership import NodeRecord
 from lentilsill.quotas import (
     Allocator,
-    AllocatorRanking,
     Ask,
     Grant,
     GrantReply,
-    NodeCount,
     OrganisationTokens,
     Outgoing,
     Pledge,
@@ -32,6 +30,7 @@
 from lentilsill.wire.messages import QuotaGrant, QuotaRequest
 
 from .quota_log import QuotaLog
+from .quota_view import QuotaView
 
 __all__ = ["FEATURE", "QuotaController"]
 
@@ -41,10 +40,6 @@
 COALESCE_S = 0.001
 # A call waits for its token at most this long.
 MAX_WAIT_S = 0.1
-# The nodes are ranked again after a change of members, at most this often.
-VIEW_INTERVAL_S = 0.5
-# Nodes that are known go on counting for this long, and are seen again in between.
-COUNT_INTERVAL_S = 5.0
 # Retry time for a call whose organisation has just left the configuration.
 UNKNOWN_WAIT_S = 0.5
 
@@ -72,24 +67,19 @@
         now: Callable[[], float] = boot_time,
     ) -> None:
         self._ctx = ctx
-        self._first_ranked = first_ranked
         self._now = now
         bounds = QuotaBounds(cfg.window_s, cfg.excess_share, cfg.excess_calls)
         node = ctx.cfg.node
         started_at = now()
         self.client = QuotaClient(node, cfg.shards, bounds, started_at)
         self.allocator = Allocator(cfg.shards, bounds, ctx.rng, started_at)
-        self._node_count = NodeCount(
-            started_at, ctx.cfg.directory, {*ctx.cfg.domains, ctx.cfg.domain}
-        )
+        self._view = QuotaView(ctx, self.client, first_ranked, started_at)
         self._waiting: dict[str, deque[asyncio.Future[float | None]]] = defaultdict(
             deque
         )
         self.waiting_count = 0
         self._unsent: dict[str, list[Outgoing]] = {}
         self._flush_timer: asyncio.TimerHandle | None = None
-        self._has_member_changes = True
-        self._viewed_at = self._counted_at = float("-inf")
         self._log = QuotaLog(ctx)
 
     def start(self) -> None:
@@ -99,7 +89,7 @@
         ctx.links.on(QuotaRequest, self._on_request)
         ctx.links.on(QuotaGrant, self._on_grant)
         ctx.board.subscribe(Topic.IN_FORCE, self._apply_organisations)
-        ctx.board.subscribe(Topic.MEMBERS, self._mark_members)
+        self._view.start()
         ctx.board.dump_parts["quotas"] = self._dump
         self._apply_organisations()
         ctx.spawn(self._run())
@@ -202,8 +192,11 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
+            now = self._now()
+            if self.client.is_in_use or self._view.is_starting(now):
+                # When the configuration comes into force, the nodes are known.
+                self._view.update(now)
             if self.client.is_in_use:
-                self._update_view()
                 self._flush()
                 self._log.record_allocators(self.client.allocators())
 
@@ -211,54 +204,6 @@
         snapshot = self._ctx.board.snapshot
         self.client.set_organisations(snapshot.organisations, snapshot.complete_as_of)
 
-    def _mark_members(self) -> None:
-        self._has_member_changes = True
-
-    def _update_view(self) -> None:
-        """Rank and count the nodes after changes of members."""
-        now = self._now()
-        if now - self._viewed_at < VIEW_INTERVAL_S:
-            return
-        board, cfg = self._ctx.board, self._ctx.cfg
-        counted = self._node_count
-        has_changes = (
-            self._has_member_changes
-            or counted.directory_entries != board.directory_entries
-        )
-        if not has_changes and now - self._counted_at < COUNT_INTERVAL_S:
-            return
-        self._viewed_at = self._counted_at = now
-        domains: dict[str, set[str]] = defaultdict(set)
-        domains[cfg.domain].add(cfg.node)
-        for record in (*board.members.values(), *board.remote_nodes.values()):
-            domains[record.domain].add(record.node)
-        leaving = {
-            name
-            for name, record in board.members.items()
-            if record.state == NodeState.LEAVING
-        }
-        counted.directory_entries = board.directory_entries
-        counted.observe(domains, board.remote_totals, leaving, now)
-        self.client.node_count = counted.value(now)
-        self.client.may_pledge = counted.is_known(now)
-        self._ctx.gauge("quotas.nodes", self.client.node_count)
-        if self._has_member_changes:
-            self._has_member_changes = False
-            self._rank()
-
-    def _rank(self) -> None:
-        """Rank the nodes.
-
-        Common candidates are those that all domains know, as their summaries name them.
-        """
-        board, cfg = self._ctx.board, self._ctx.cfg
-        summary = build_summary(
-            cfg.domain, 0, board.members.values(), self._first_ranked()
-        )
-        common = _staying((*summary.nodes, *board.remote_nodes.values()), board)
-        own = _staying(board.members.values(), board)
-        self.client.ranking = AllocatorRanking(common, own, cfg.node)
-
     def _flush_soon(self) -> None:
         if self._flush_timer is None:
             loop = asyncio.get_running_loop()
@@ -333,6 +278,7 @@
             request.version,
             request.pledges,
             request.asks,
+            request.first_shards,
         )
         if FEATURE not in hello.features or not link.send(message):
             self.client.on_unreachable(outgoing.node, False, self._now())
@@ -363,6 +309,7 @@
             message.version,
             tuple(Pledge(*row) for row in message.pledges),
             tuple(Ask(*row) for row in message.asks),
+            message.first_shards,
         )
         count = self.client.node_count
         reply = self.allocator.handle(link.hello.instance, request, count, self._now())
@@ -377,12 +324,3 @@
             "organisations": self.client.dump(self._now()),
             "allocates": self.allocator.dump(),
         }
-
-
-def _staying(records: Iterable[NodeRecord], board: Blackboard) -> dict[str, int]:
-    """Return the link rates of the nodes that are neither suspect nor leaving."""
-    return {
-        record.node: record.link_mbps
-        for record in records
-        if record.node not in board.suspects and record.state != NodeState.LEAVING
-    }
--- a/lentilsill/daemon/controllers/tests/test_directory.py
+++ b/lentilsill/daemon/controllers/tests/test_directory.py
@@ -12,6 +12,7 @@
 from lentilsill.daemon.controllers.directory import DIRECTORY_KIND, DirectoryController
 from lentilsill.daemon.tests.builders import node_settings
 from lentilsill.platform import Conflict, Listing, StoredObject, Unavailable
+from lentilsill.settings import QuotaSettings
 from lentilsill.versioning import EMPTY_SNAPSHOT
 from lentilsill.wire import PeerLinks
 from lentilsill.wire.links import Identity
@@ -127,3 +128,36 @@
         self.api.is_up = False
         await self.run_for_50_ms(directory)
         self.assertEqual(self.api.writes, [0])
+
+    async def test_process_that_created_its_entry_counts_the_entries_again(self):
+        """Guards against quotas that the first nodes of a system take for themselves.
+
+        A node that had an entry may have had a process with valid pledges.
+        """
+        own = {"domain": "d", "peer_address": "127.0.0.1:1"}
+        for values, reads, is_first in (
+            ({}, [True, False], True),
+            ({"n0": own}, [True], False),
+        ):
+            directory = self.make(values)
+            board = directory._ctx.board
+            directory._ctx.cfg = directory._ctx.cfg.model_copy(
+                update={"quotas": QuotaSettings()}
+            )
+            task = asyncio.ensure_future(directory._run())
+            await asyncio.sleep(0.3)
+            task.cancel()
+            self.assertEqual(self.api.reads, reads)
+            self.assertEqual(board.is_first_process, is_first)
+
+    async def test_entry_that_appeared_meanwhile_shows_an_earlier_process(self):
+        """Guards against a restarted node whose first read is too old."""
+        directory = self.make({})
+        directory._ctx.cfg = directory._ctx.cfg.model_copy(
+            update={"quotas": QuotaSettings()}
+        )
+        await directory._read(stale=True)
+        self.api.values["n0"] = {}
+        await directory._write_until_done()
+        await directory._read()
+        self.assertFalse(directory._ctx.board.is_first_process)
--- a/lentilsill/daemon/controllers/tests/test_quotas.py
+++ b/lentilsill/daemon/controllers/tests/test_quotas.py
@@ -194,6 +194,29 @@
         self.assertEqual(node.quotas.waiting_count, 0)
         self.assertEqual(node.quotas.client.find("limited").waiting, 0)
 
+    async def test_first_processes_lend_before_their_first_lease(self):
+        """Guards against calls refused while a system starts for the first time.
+
+        A process that knows a much older node may have had a process before it.
+        """
+        wall_ms = self.nodes[0].ctx.wall_ms()
+        for oldest_ms, has_waited in ((wall_ms, False), (wall_ms - 60_000, True)):
+            nodes = [self.start_node("n9"), *self.nodes[:2]]
+            ages = (wall_ms, wall_ms, oldest_ms)
+            board = nodes[0].ctx.board
+            nodes[0].set_members(
+                *(
+                    replace(node.record(), generation=age)
+                    for node, age in zip(nodes, ages, strict=True)
+                )
+            )
+            board.notify(Topic.MEMBERS)
+            board.is_first_process = True
+            await asyncio.sleep(0.8)
+            client = nodes[0].quotas.client
+            self.assertEqual(client.node_count, 3)
+            self.assertEqual(client.had_predecessor, has_waited)
+
     async def test_dump_names_allocators_and_shares(self):
         """Guards against a refusal whose reason operators can't look up."""
         await self.wait_for_shares(1.0)
--- a/lentilsill/quotas/__init__.py
+++ b/lentilsill/quotas/__init__.py
@@ -2,8 +2,9 @@
 
 from .allocator import Allocator
 from .bounds import QuotaBounds
-from .client import Outgoing, QuotaClient
-from .messages import Ask, Grant, GrantReply, Pledge, TokenRequest
+from .client import QuotaClient
+from .first_start import FirstStart
+from .messages import Ask, Grant, GrantReply, Outgoing, Pledge, TokenRequest
 from .node_count import NodeCount
 from .shards import AllocatorRanking, shard_of
 from .tokens import OrganisationTokens
@@ -12,6 +13,7 @@
     "Allocator",
     "AllocatorRanking",
     "Ask",
+    "FirstStart",
     "Grant",
     "GrantReply",
     "NodeCount",
--- a/lentilsill/quotas/allocator.py
+++ b/lentilsill/quotas/allocator.py
@@ -57,7 +57,8 @@
         self._prune(now)
         weight = 1.0 / max(1, request.node_count, node_count)
         for pledge in request.pledges:
-            self._apply(instance, pledge, weight, now)
+            is_first = pledge.shard in request.first_shards
+            self._apply(instance, pledge, weight, is_first, now)
         grants = tuple(self._grant(ask, request.version, now) for ask in request.asks)
         return GrantReply(request.seq, int(now * 1e6), grants)
 
@@ -92,7 +93,14 @@
             if len(table)
         ]
 
-    def _apply(self, instance: str, pledge: Pledge, weight: float, now: float) -> None:
+    def _apply(
+        self,
+        instance: str,
+        pledge: Pledge,
+        weight: float,
+        is_first: bool,
+        now: float,
+    ) -> None:
         if not 0 <= pledge.shard < len(self._pledges):
             return
         self.advance(pledge.shard, now)
@@ -105,7 +113,12 @@
             if table.weight_of(instance) != weight:
                 # What was filled at a smaller share must not exceed its capacity.
                 self._clip(pledge.shard)
+            is_first &= not table.weight_of(instance)
             has_lost = table.put(instance, stamped_at + lease_s, weight, now)
+            if is_first:
+                table.add_first(weight)
+                for bucket in self._buckets[pledge.shard].values():
+                    bucket.add_first(weight, self.bounds)
         else:
             return
         if has_lost:
@@ -126,7 +139,8 @@
         if bucket is None:
             if len(buckets) * len(self._buckets) >= MAX_ORGANISATIONS:
                 return Grant(0, 0, INVALID_WAIT_MS)
-            bucket = Bucket(ask, version, self._pledges[shard], self._rng, now)
+            table = self._pledges[shard]
+            bucket = Bucket(ask, version, table, self._rng, self.bounds, now)
             buckets[ask.organisation] = bucket
         elif version > bucket.version:
             bucket.set_quota(ask, version)
--- a/lentilsill/quotas/buckets.py
+++ b/lentilsill/quotas/buckets.py
@@ -17,6 +17,8 @@
 # Without pledges, as at the start of the system or after the loss of an allocator, a
 # denied node is told to come back after these times, drawn for each node.
 NO_SHARE_WAIT_S = (0.15, 0.45)
+# The same before an allocator has had any pledge.
+START_WAIT_S = (0.05, 0.1)
 # A bucket that nobody has asked for this long, and that is full, is forgotten. Tokens
 # that it handed out to be held have expired by then.
 UNUSED_S = 60.0
@@ -37,7 +39,8 @@
 class Bucket:
     """Tokens that an allocator may grant, for its share of the quota.
 
-    It starts with what has been filled since the allocator's share last changed. A
+    It starts with what has been filled since the allocator's share last changed, and
+    with some tokens of nodes that have never pledged their share elsewhere. A
     share of the burst below one token can't be granted; such a bucket holds one token.
     Below half of the quotas, it is filled from a random level and does not keep its
     token while nobody asks, so that many nodes that are cut off alone don't all have
@@ -45,7 +48,13 @@
     """
 
     def __init__(
-        self, ask: Ask, version: int, pledges: PledgeTable, rng: Random, now: float
+        self,
+        ask: Ask,
+        version: int,
+        pledges: PledgeTable,
+        rng: Random,
+        bounds: QuotaBounds,
+        now: float,
     ) -> None:
         self.rate_per_s = ask.rate_per_s
         self.burst = ask.burst
@@ -53,7 +62,7 @@
         self._pledges = pledges
         self._rng = rng
         self._filled_s = pledges.filled_at_change_s
-        self._level = 0.0
+        self._level = pledges.first_share * self._first_tokens(bounds)
         self._asked_at = -math.inf
         self._next_token_at = now
         # Share of which `_next_token_at` was reckoned.
@@ -91,6 +100,22 @@
         self.refill()
         return self._level >= self.capacity
 
+    def add_first(self, share: float, bounds: QuotaBounds) -> None:
+        """Add the tokens of a share that has never been pledged before.
+
+        `refill` must have been called before the share grew.
+        """
+        self.refill()
+        tokens = share * self._first_tokens(bounds)
+        self._level = min(self.capacity, self._level + tokens)
+
+    def _first_tokens(self, bounds: QuotaBounds) -> float:
+        """Return the tokens of the whole quota at the first start of all nodes.
+
+        These are less than the burst, as the first nodes of a system may count too few.
+        """
+        return min(self.burst, bounds.max_held(self.rate_per_s, self.burst))
+
     def refill(self) -> None:
         """Add the tokens filled since the last call, and drop those over the capacity.
 
@@ -140,7 +165,9 @@
     def _wait_ms(self, rate_per_s: float, now: float) -> int:
         """Return when a denied node may ask again; each one is given its own time."""
         if rate_per_s <= 0.0:
-            return math.ceil(self._rng.uniform(*NO_SHARE_WAIT_S) * 1000)
+            has_begun = self._pledges.filled_s > 0.0
+            wait_s = NO_SHARE_WAIT_S if has_begun else START_WAIT_S
+            return math.ceil(self._rng.uniform(*wait_s) * 1000)
         if self._waited_share != self._pledges.share:
             self._waited_share = self._pledges.share
             self._next_token_at = now
--- a/lentilsill/quotas/client.py
+++ b/lentilsill/quotas/client.py
@@ -7,12 +7,12 @@
 from lentilsill.documents import Organisation
 
 from .bounds import QuotaBounds
-from .messages import Ask, GrantReply, Pledge, TokenRequest
+from .messages import Ask, GrantReply, Outgoing, Pledge, TokenRequest
 from .peers import ANSWER_TIMEOUT_S, AllocatorState, Peer, PledgeState
 from .shards import AllocatorRanking, shard_of
 from .tokens import OrganisationTokens
 
-__all__ = ["LEASE_S", "Outgoing", "QuotaClient"]
+__all__ = ["LEASE_S", "QuotaClient"]
 
 # How long a pledge lasts, in systems of up to `NODES_PER_LEASE_S` nodes. An allocator
 # gets a request per node and third of a lease, so larger systems use longer ones.
@@ -29,15 +29,6 @@
 NO_ALLOCATOR_WAIT_S = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class Outgoing:
-    """A request to `node`; `instance` is the process that it is meant for, if known."""
-
-    node: str
-    instance: str
-    request: TokenRequest
-
-
 @dataclass(slots=True)
 class _Pending:
     node: str
@@ -61,6 +52,8 @@
         self.node_count = 1
         # Whether the node count is known; pledges of too large shares are prevented.
         self.may_pledge = True
+        # Whether pledges of an earlier process of this node may still be valid.
+        self.had_predecessor = True
         self.version = 0
         self.organisations: dict[str, OrganisationTokens] = {}
         self._configured: Mapping[str, Organisation] = {}
@@ -296,7 +289,7 @@
         if state.holder is not None and now >= state.free_at:
             state.holder = None
         # In its first lease, pledges of this node's earlier process may still be valid.
-        has_waited = now - self._started_at >= self.lease_s
+        has_waited = not self.had_predecessor or now - self._started_at >= self.lease_s
         if not (state.chosen and has_waited and self.may_pledge):
             return
         peer = self._peers[state.chosen]
@@ -324,6 +317,13 @@
         state.free_at = max(state.free_at, peer.stamped_at + self.lease_s)
         return Pledge(shard, peer.stamp_us, round(self.lease_s * 1000))
 
+    def _mark_first(self, pledges: Iterable[Pledge]) -> tuple[int, ...]:
+        """Return the shards that this node has never pledged before."""
+        shards = [p.shard for p in pledges if not self._shards[p.shard].has_pledged]
+        for shard in shards:
+            self._shards[shard].has_pledged = True
+        return () if self.had_predecessor else tuple(shards)
+
     def _is_up(self, node: str) -> bool:
         peer = self._peers.get(node)
         return peer is not None and peer.state is AllocatorState.UP
@@ -385,5 +385,6 @@
             self.version,
             tuple(pledges),
             tuple(ask for _, ask in asks),
+            self._mark_first(pledges),
         )
         return Outgoing(node, peer.instance, request)
--- a/lentilsill/quotas/messages.py
+++ b/lentilsill/quotas/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-__all__ = ["Ask", "Grant", "GrantReply", "Pledge", "TokenRequest"]
+__all__ = ["Ask", "Grant", "GrantReply", "Outgoing", "Pledge", "TokenRequest"]
 
 
 class Pledge(NamedTuple):
@@ -46,7 +46,8 @@
     """Pledges and asks of a node for one allocator.
 
     `seq` increases with each request of the sending process. `node_count` is the number
-    of nodes that the sender knows, and `version` that of its configuration.
+    of nodes that the sender knows, and `version` that of its configuration. The pledges
+    of `first_shards` are the first ones ever of their node.
     """
 
     seq: int
@@ -54,6 +55,16 @@
     version: int
     pledges: tuple[Pledge, ...] = ()
     asks: tuple[Ask, ...] = ()
+    first_shards: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A request to `node`; `instance` is the process that it is meant for, if known."""
+
+    node: str
+    instance: str
+    request: TokenRequest
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentilsill/quotas/node_count.py
+++ b/lentilsill/quotas/node_count.py
@@ -46,7 +46,8 @@
         self._started_at = started_at
         self._uses_directory = uses_directory
         self._domains = frozenset(domains)
-        self._has_unknown_domain = False
+        # Whether a domain has no node that is known.
+        self.has_unknown_domain = True
         self._seen_at: dict[str, float] = {}
         # Nodes of a domain that are counted there but not named, and when.
         self._unnamed: dict[str, dict[int, float]] = {}
@@ -64,7 +65,7 @@
 
         Nodes that announced that they leave hand out no tokens any more.
         """
-        self._has_unknown_domain = not self._domains <= nodes_by_domain.keys()
+        self.has_unknown_domain = not self._domains <= nodes_by_domain.keys()
         for domain, names in nodes_by_domain.items():
             self._seen_at.update(dict.fromkeys(names, now))
             unnamed = totals.get(domain, 0) - len(names)
@@ -88,7 +89,7 @@
             fresh = {count: at for count, at in seen.items() if at >= oldest}
             self._unnamed[domain] = fresh
             total += max(fresh, default=0)
-        floor_s = RETENTION_S if self._has_unknown_domain else START_S
+        floor_s = RETENTION_S if self.has_unknown_domain else START_S
         if now - self._started_at < floor_s:
             total = max(total, self.directory_entries or 0)
         return max(1, total)
--- a/lentilsill/quotas/peers.py
+++ b/lentilsill/quotas/peers.py
@@ -88,3 +88,5 @@
     withdrawal_seq: int = -1
     chosen: str = ""
     chosen_at: float = 0.0
+    # Whether this process has pledged the share at any time.
+    has_pledged: bool = False
--- a/lentilsill/quotas/pledges.py
+++ b/lentilsill/quotas/pledges.py
@@ -46,6 +46,13 @@
         self.filled_s = 0.0
         # Value of `filled_s` when the share last changed.
         self.filled_at_change_s = 0.0
+        # Share of nodes that have pledged it here since their first start.
+        self._first_share = 0.0
+
+    @property
+    def first_share(self) -> float:
+        """Share whose tokens have never been granted elsewhere."""
+        return min(self._first_share, self.share)
 
     def __len__(self) -> int:
         return len(self._pledges)
@@ -65,7 +72,7 @@
         self.filled_s += elapsed_s * self.share
         self._advanced_to = now
         if has_lost:
-            self.filled_at_change_s = self.filled_s
+            self._record_loss()
         return has_lost
 
     def put(self, holder: str, expires_at: float, weight: float, now: float) -> bool:
@@ -98,9 +105,18 @@
             return False
         self._sum_up()
         self._add_rest(self.share, now)
-        self.filled_at_change_s = self.filled_s
+        self._record_loss()
         return True
 
+    def add_first(self, weight: float) -> None:
+        """Record that a pledge just put is the first one ever of its node."""
+        self._first_share += weight
+
+    def _record_loss(self) -> None:
+        self.filled_at_change_s = self.filled_s
+        # It is not recorded which pledges it was made of.
+        self._first_share = 0.0
+
     def _add_rest(self, share: float, now: float) -> None:
         self.filled_s += max(0.0, now - self._advanced_to) * share
         self._advanced_to = max(now, self._advanced_to)
--- a/lentilsill/quotas/tests/test_allocator.py
+++ b/lentilsill/quotas/tests/test_allocator.py
@@ -54,6 +54,23 @@
         self.assertEqual(self.send(2, 0.05, needed=5).grants[0].granted, 0)
         self.assertEqual(self.send(3, 0.55, needed=9).grants[0].granted, 5)
 
+    def test_first_pledge_of_a_node_brings_tokens_once(self) -> None:
+        """A share that comes back must not allow a new burst."""
+        pledge = Pledge(SHARD, 0, 1000)
+        ask = ASK._replace(needed=50)
+        first = TokenRequest(1, 1, 1, (pledge,), (ask,), first_shards=(SHARD,))
+        limit = min(20.0, self.allocator.bounds.max_held(10.0, 20.0))
+        self.assertEqual(self.reply_to("i", first, 0.0).grants[0].granted, int(limit))
+        again = replace(first, seq=2)
+        # These are the rest and what has been filled meanwhile.
+        self.assertEqual(self.reply_to("i", again, 0.05).grants[0].granted, 1)
+        self.send(3, 0.06, Pledge(SHARD, 0, 0))
+        self.send(4, 0.1, Pledge(SHARD, 60_000, 1000))
+        other = replace(
+            first, seq=5, pledges=(), asks=(ask._replace(organisation="b"),)
+        )
+        self.assertEqual(self.reply_to("i", other, 0.12).grants[0].granted, 0)
+
     def test_a_delayed_pledge_is_not_extended(self) -> None:
         """The lease counts from the allocator's stamp, not from the arrival."""
         self.pledge(1, 0.9, 0.0)
--- a/lentilsill/quotas/tests/test_client.py
+++ b/lentilsill/quotas/tests/test_client.py
@@ -5,6 +5,7 @@
 from lentilsill.documents import Organisation, Quota
 from lentilsill.quotas import (
     AllocatorRanking,
+    FirstStart,
     GrantReply,
     NodeCount,
     Outgoing,
@@ -21,6 +22,7 @@
         self.now = 0.0
         self.silent: set[str] = set()
         self.pledged: list[tuple[float, str]] = []
+        self.first_shards: list[tuple[int, ...]] = []
         self.stamped_at: dict[str, float] = {}
         self.client = QuotaClient("me", 1, QuotaBounds(), 0.0)
         self.client.ranking = AllocatorRanking({"first": 9, "next": 1}, {}, "me")
@@ -36,6 +38,8 @@
         node, request = outgoing.node, outgoing.request
         if any(pledge.lease_ms for pledge in request.pledges):
             self.pledged.append((self.now, node))
+        if request.first_shards:
+            self.first_shards.append(request.first_shards)
         if node not in self.silent:
             self.stamped_at[node] = self.now
             reply = GrantReply(request.seq, int(self.now * 1e6))
@@ -49,6 +53,16 @@
         self.run_until(3.0)
         self.assertGreaterEqual(self.pledged_to("first", 0.0)[0], 1.0)
 
+    def test_first_process_of_a_node_does_not_wait(self) -> None:
+        """Its first pledge brings tokens, and a later one must not do so again."""
+        self.client.had_predecessor = False
+        self.run_until(0.3)
+        self.assertTrue(self.pledged_to("first", 0.0))
+        self.silent.add("first")
+        self.run_until(3.0)
+        self.assertTrue(self.pledged_to("next", 0.0))
+        self.assertEqual(self.first_shards, [(0,)])
+
     def test_the_next_allocator_gets_the_share_when_the_lease_has_ended(self) -> None:
         """Two allocators that hold one share would grant it twice."""
         self.run_until(3.0)
@@ -101,6 +115,26 @@
         self.assertFalse(self.pledged_to("next", 3.0))
 
 
+class FirstStartTest(unittest.TestCase):
+    """Guards against a restarted node that pledges its share twice."""
+
+    def test_only_first_processes_that_started_together_skip_the_lease(self) -> None:
+        for is_first, oldest_ms, may_lend in (
+            (True, 100_000, True),
+            (False, 100_000, False),
+            (True, 90_000, False),
+        ):
+            start = FirstStart(started_ms=100_000)
+            start.update(is_first, oldest_ms, 9, 0.1)
+            self.assertEqual(start.update(is_first, oldest_ms, 9, 0.5), may_lend)
+
+    def test_growing_node_count_prevents_it(self) -> None:
+        """Nodes of a system that grows would lend too large shares."""
+        start = FirstStart(started_ms=100_000)
+        for i in range(1, 9):
+            self.assertFalse(start.update(True, 100_000, i, 0.2 * i))
+
+
 class NodeCountTest(unittest.TestCase):
     def test_process_that_starts_in_a_cut_off_domain_counts_the_directory(self) -> None:
         """Processes that restart during a partition must not use the whole quota."""
--- a/lentilsill/quotas/tests/test_quota_model.py
+++ b/lentilsill/quotas/tests/test_quota_model.py
@@ -5,7 +5,15 @@
 from lentilsill.documents import Quota
 
 from .quota_model import QuotaModel
-from .quota_plays import CHEAP_QUOTAS, FAULTS, MIN_USED, QUOTAS, play, play_moves
+from .quota_plays import (
+    CHEAP_QUOTAS,
+    FAULTS,
+    MIN_USED,
+    QUOTAS,
+    play,
+    play_moves,
+    play_start,
+)
 
 
 class BoundTest(unittest.TestCase):
@@ -40,6 +48,25 @@
                 self.assertGreaterEqual(used, MIN_USED, name)
 
 
+class FirstStartTest(unittest.TestCase):
+    """Guards against calls refused because a system has just been started."""
+
+    def served(self, is_first: bool) -> float:
+        plays = [p for seed in (1, 2) for p in play_start(9, seed, 0.6, is_first)]
+        for name, excess, _ in plays:
+            self.assertLessEqual(excess, 1.0, name)
+        shares = [served for name, _, served in plays if name != "small"]
+        return sum(shares) / len(shares)
+
+    def test_calls_within_the_quota_are_served_soon_after_the_first_start(self) -> None:
+        self.assertGreaterEqual(self.served(is_first=True), 0.93)
+        self.assertLess(self.served(is_first=False), 0.93)
+
+    def test_nodes_that_know_too_few_others_keep_the_bound(self) -> None:
+        for name, excess, _ in play_start(66, 3, 3.0):
+            self.assertLessEqual(excess, 1.0, name)
+
+
 class FallingLimitTest(unittest.TestCase):
     """Guards against tokens of a higher limit that outlive it."""
 
--- a/lentilsill/wire/call_messages.py
+++ b/lentilsill/wire/call_messages.py
@@ -233,7 +233,8 @@
     number of nodes that the sender knows, and `version` that of its configuration. Rows
     of `pledges` are (shard, time stamp of the receiver in us, lease in ms), and those
     of `asks` (organisation, calls a second, burst, tokens needed now, tokens to be used
-    soon, tokens to be held). Sent only to peers with the feature `quotas`.
+    soon, tokens to be held). The pledges of `first_shards` are the first ones ever of
+    their node. Sent only to peers with the feature `quotas`.
     """
 
     seq: int
@@ -241,6 +242,7 @@
     version: int
     pledges: tuple[tuple[int, int, int], ...] = ()
     asks: tuple[tuple[str, float, float, int, int, int], ...] = ()
+    first_shards: tuple[int, ...] = ()
 
 
 class QuotaGrant(msgspec.Struct, frozen=True, array_like=True, tag=51):
