Check the first start against the newest view of the nodes

The condition that the node count has settled was checked before the count of the directory just read, so a process could lend its share at once (test: 0 s instead of 0.25 s). It is checked after the count now.

An entry that the store had lost, and that its node wrote again, passed as the node's first one; with quotas, every node then also read the whole directory once more. Only an entry that this process has neither read nor written before counts as the first.

A process whose clock is behind took older nodes for nodes that had started with it. A start over 5 s after its own is taken as a sign of that now.

When the first quota came into force over 3 s after the start of a process, calls before the next tick found the node count of that time. The nodes are counted at that moment.

The model fails again for a call without tokens once the configuration is in force.

--- a/lentilsill/daemon/blackboard.py
+++ b/lentilsill/daemon/blackboard.py
@@ -48,8 +48,8 @@
         Number of entries that the directory had when it was last read, None before.
         Written by the directory controller.
     is_first_process : bool
-        Whether this process created the node's entry in the directory, and has read
-        the directory since. Written by the directory controller, with quotas only.
+        Whether this process created the node's first entry in the directory, and has
+        read the directory since. Written by the directory controller, with quotas only.
     suspects : frozenset of str
         Names of nodes in `members` and `remote_nodes` that are suspect.
         Written by the membership controller.
--- a/lentilsill/daemon/controllers/directory.py
+++ b/lentilsill/daemon/controllers/directory.py
@@ -83,7 +83,7 @@
         self._stored_entry: Any = None
         # Position at which the platform last had this node's entry.
         self._entry_as_of = 0
-        # Whether this process created the entry; see `_wants_read`.
+        # Whether this process created the node's first entry; see `_wants_read`.
         self._has_created_entry = False
 
     def start(self) -> None:
@@ -165,8 +165,9 @@
         match await self._api.put(DIRECTORY_KIND, node, value, expected):
             case Ok(version):
                 self._last_error = ""
+                # An entry that the store has lost is not the first one.
+                self._has_created_entry |= expected == 0 and not self._entry_as_of
                 self._entry_as_of = version
-                self._has_created_entry |= expected == 0
                 return True
             case Err(Conflict()):
                 # The entry was written after the state that the read returned.
--- a/lentilsill/daemon/controllers/quota_view.py
+++ b/lentilsill/daemon/controllers/quota_view.py
@@ -50,8 +50,7 @@
         self._node_count = NodeCount(
             started_at, ctx.cfg.directory, {*ctx.cfg.domains, ctx.cfg.domain}
         )
-        self._started_ms = ctx.wall_ms()
-        self._first_start = FirstStart(self._started_ms)
+        self._first_start = FirstStart(ctx.wall_ms())
         self._has_member_changes = True
         self._viewed_at = self._counted_at = float("-inf")
 
@@ -66,9 +65,13 @@
     def update(self, now: float) -> None:
         """Rank and count the nodes after changes of members."""
         if self.is_starting(now):
+            self._refresh(now)
+            # The node count that is checked must be that of the directory just read.
             self._check_first_start(now)
-        elif now - self._viewed_at < VIEW_INTERVAL_S:
-            return
+        elif now - self._viewed_at >= VIEW_INTERVAL_S:
+            self._refresh(now)
+
+    def _refresh(self, now: float) -> None:
         board, counted = self._ctx.board, self._node_count
         has_changes = (
             self._has_member_changes
@@ -92,11 +95,10 @@
     def _check_first_start(self, now: float) -> None:
         if not self._client.had_predecessor:
             return
-        generations = [record.generation for record in self._records()]
         self._client.had_predecessor = not self._first_start.update(
             self._ctx.board.is_first_process
             and not self._node_count.has_unknown_domain,
-            min(generations, default=self._started_ms),
+            [record.generation for record in self._records()],
             self._client.node_count,
             now,
         )
--- a/lentilsill/daemon/controllers/quotas.py
+++ b/lentilsill/daemon/controllers/quotas.py
@@ -194,7 +194,6 @@
             await asyncio.sleep(TICK_S)
             now = self._now()
             if self.client.is_in_use or self._view.is_starting(now):
-                # When the configuration comes into force, the nodes are known.
                 self._view.update(now)
             if self.client.is_in_use:
                 self._flush()
@@ -203,6 +202,9 @@
     def _apply_organisations(self) -> None:
         snapshot = self._ctx.board.snapshot
         self.client.set_organisations(snapshot.organisations, snapshot.complete_as_of)
+        if self.client.is_in_use:
+            # A call that arrives before the next tick must not find an old node count.
+            self._view.update(self._now())
 
     def _flush_soon(self) -> None:
         if self._flush_timer is None:
--- a/lentilsill/daemon/controllers/tests/test_directory.py
+++ b/lentilsill/daemon/controllers/tests/test_directory.py
@@ -161,3 +161,19 @@
         await directory._write_until_done()
         await directory._read()
         self.assertFalse(directory._ctx.board.is_first_process)
+
+    async def test_entry_that_the_store_lost_is_not_the_first_one(self):
+        """Guards against a full read by every node, and against a share lent twice."""
+        directory = self.make(
+            {"n0": {"domain": "d", "peer_address": "127.0.0.1:1"}},
+        )
+        directory._ctx.cfg = directory._ctx.cfg.model_copy(
+            update={"quotas": QuotaSettings()}
+        )
+        await directory._read(stale=True)
+        self.api.values.clear()
+        directory._stored_entry = None
+        await directory._write_until_done()
+        await directory._read()
+        self.assertEqual(self.api.writes, [0])
+        self.assertFalse(directory._ctx.board.is_first_process)
--- a/lentilsill/daemon/controllers/tests/test_quotas.py
+++ b/lentilsill/daemon/controllers/tests/test_quotas.py
@@ -7,10 +7,12 @@
 from types import MappingProxyType
 
 from lentilsill.daemon.blackboard import Topic
-from lentilsill.daemon.controllers.quotas import QuotaController
+from lentilsill.daemon.controllers.quota_view import QuotaView
+from lentilsill.daemon.controllers.quotas import QuotaController, boot_time
 from lentilsill.daemon.controllers.reasons import NO_UPSTREAM, OVER_QUOTA
 from lentilsill.documents import Organisation, Quota, key_digest
 from lentilsill.outcomes import Answer, Outcome, Refused
+from lentilsill.quotas import QuotaBounds, QuotaClient
 from lentilsill.settings import QuotaSettings
 from lentilsill.wire import CALLS
 from lentilsill.wire.messages import QuotaRequest
@@ -217,6 +219,37 @@
             self.assertEqual(client.node_count, 3)
             self.assertEqual(client.had_predecessor, has_waited)
 
+    async def test_first_start_waits_until_the_entries_just_read_have_settled(self):
+        """Guards against the check of a node count from before the read."""
+        node = self.nodes[0]
+        wall_ms = node.ctx.wall_ms()
+        node.set_members(*(replace(n.record(), generation=wall_ms) for n in self.nodes))
+        client = QuotaClient("n0", 8, QuotaBounds(), 100.0)
+        view = QuotaView(node.ctx, client, tuple, 100.0)
+        view.update(100.1)
+        view.update(100.2)
+        board = node.ctx.board
+        board.directory_entries, board.is_first_process = 9, True
+        for now, has_waited in ((100.5, True), (100.8, False)):
+            view.update(now)
+            self.assertEqual(
+                (client.node_count, client.had_predecessor), (9, has_waited)
+            )
+
+    async def test_nodes_are_counted_when_the_first_quota_comes_into_force(self):
+        """Guards against a call before the next tick that uses the whole quota."""
+        node = QuotaNode("n9")
+        self.addCleanup(node.close)
+        board = node.ctx.board
+        await wait_for(lambda: not node.quotas._view.is_starting(boot_time()))
+        node.set_members(*(other.record() for other in (node, *self.nodes)))
+        board.notify(Topic.MEMBERS)
+        await asyncio.sleep(0.6)
+        organisations = MappingProxyType({LIMITED.name: LIMITED})
+        board.snapshot = replace(board.snapshot, organisations=organisations)
+        board.notify(Topic.IN_FORCE)
+        self.assertEqual(node.quotas.client.node_count, 4)
+
     async def test_dump_names_allocators_and_shares(self):
         """Guards against a refusal whose reason operators can't look up."""
         await self.wait_for_shares(1.0)
--- a/lentilsill/quotas/buckets.py
+++ b/lentilsill/quotas/buckets.py
@@ -14,10 +14,11 @@
 # quota gives no token until then. A small share may grow meanwhile, as nodes move to
 # another allocator within some tenths of a second.
 MAX_WAIT_S = 1.0
-# Without pledges, as at the start of the system or after the loss of an allocator, a
-# denied node is told to come back after these times, drawn for each node.
+# Without pledges, a denied node is told to come back after these times, drawn for each
+# node.
 NO_SHARE_WAIT_S = (0.15, 0.45)
-# The same before an allocator has had any pledge.
+# The same before an allocator has had any pledge for the shard, as at the start of the
+# system and after the loss of the allocator before it.
 START_WAIT_S = (0.05, 0.1)
 # A bucket that nobody has asked for this long, and that is full, is forgotten. Tokens
 # that it handed out to be held have expired by then.
--- a/lentilsill/quotas/first_start.py
+++ b/lentilsill/quotas/first_start.py
@@ -1,6 +1,7 @@
 """Start of a node that has had no process before."""
 
 import math
+from collections.abc import Iterable
 
 __all__ = ["FirstStart"]
 
@@ -19,7 +20,9 @@
     There was none if this process itself created the node's entry in the directory. An
     entry may also have been lost with the history of the store; then nodes that started
     much earlier are alive, at least the one that holds the earlier pledge. A process
-    that knows no node of some domain may not know it, and waits.
+    that knows no node of some domain may not know it, and waits. One that knows a node
+    that seems to have started much later has a clock that differs from that node's, so
+    it can't tell which nodes are older, and waits too.
 
     Pledges of too large shares are prevented by the node count of a directory that has
     been read after the entry was created, and that has settled.
@@ -32,26 +35,33 @@
     Examples
     --------
     >>> start = FirstStart(started_ms=10_000)
-    >>> start.update(True, 9_500, 3, now=0.5), start.update(True, 9_500, 3, now=0.8)
+    >>> start.update(True, [9_500], 3, now=0.5), start.update(True, [9_500], 3, now=0.8)
     (False, True)
     """
 
     def __init__(self, started_ms: int) -> None:
-        self._oldest_ms = started_ms - TOGETHER_S * 1000
+        self._started_ms = started_ms
         self._node_count = 0
         self._changed_at = math.inf
         self._may_lend = False
 
     def update(
-        self, is_first_process: bool, oldest_start_ms: int, node_count: int, now: float
+        self,
+        is_first_process: bool,
+        starts_ms: Iterable[int],
+        node_count: int,
+        now: float,
     ) -> bool:
         """Return whether the share may be lent; it stays so.
 
         `is_first_process` states that the entry was created and the directory has been
-        read since, and `oldest_start_ms` is the earliest start of a known process.
+        read since, and `starts_ms` are the starts of the known processes.
         """
         if node_count != self._node_count:
             self._node_count, self._changed_at = node_count, now
-        if is_first_process and oldest_start_ms >= self._oldest_ms:
-            self._may_lend |= now - self._changed_at >= SETTLE_S
+        if is_first_process and now - self._changed_at >= SETTLE_S:
+            limit_ms = TOGETHER_S * 1000
+            self._may_lend |= all(
+                abs(start_ms - self._started_ms) <= limit_ms for start_ms in starts_ms
+            )
         return self._may_lend
--- a/lentilsill/quotas/tests/quota_model.py
+++ b/lentilsill/quotas/tests/quota_model.py
@@ -298,6 +298,8 @@
             return
         tokens = node.client.find(name)
         if tokens is None:
+            # The configuration is not in force yet.
+            assert not node.client.is_in_use
             return
         wait_s = node.client.take(tokens, self.now)
         if node.client.has_requests:
--- a/lentilsill/quotas/tests/start_model.py
+++ b/lentilsill/quotas/tests/start_model.py
@@ -82,7 +82,7 @@
         node.client.may_pledge = has_read
         node.client.had_predecessor = not first.update(
             self._is_first and has_read and self.now > written_at,
-            round(self.now * 1000),
+            [round(self.now * 1000)],
             node.client.node_count,
             self.now,
         )
--- a/lentilsill/quotas/tests/test_client.py
+++ b/lentilsill/quotas/tests/test_client.py
@@ -138,20 +138,22 @@
     """Guards against a restarted node that pledges its share twice."""
 
     def test_only_first_processes_that_started_together_skip_the_lease(self) -> None:
-        for is_first, oldest_ms, may_lend in (
+        for is_first, other_ms, may_lend in (
             (True, 100_000, True),
             (False, 100_000, False),
             (True, 90_000, False),
+            # This clock is behind, so an older node seems to have started later.
+            (True, 110_000, False),
         ):
-            start = FirstStart(started_ms=100_000)
-            start.update(is_first, oldest_ms, 9, 0.1)
-            self.assertEqual(start.update(is_first, oldest_ms, 9, 0.5), may_lend)
+            start, starts_ms = FirstStart(started_ms=100_000), [100_000, other_ms]
+            start.update(is_first, starts_ms, 9, 0.1)
+            self.assertEqual(start.update(is_first, starts_ms, 9, 0.5), may_lend)
 
     def test_growing_node_count_prevents_it(self) -> None:
         """Nodes of a system that grows would lend too large shares."""
         start = FirstStart(started_ms=100_000)
         for i in range(1, 9):
-            self.assertFalse(start.update(True, 100_000, i, 0.2 * i))
+            self.assertFalse(start.update(True, [100_000], i, 0.2 * i))
 
 
 class NodeCountTest(unittest.TestCase):
