--- a/lentilsill/quotas/tests/test_quota_model.py
+++ b/lentilsill/quotas/tests/test_quota_model.py
@@ -59,7 +59,7 @@
         return sum(shares) / len(shares)
 
     def test_calls_within_the_quota_are_served_soon_after_the_first_start(self) -> None:
-        self.assertGreaterEqual(self.served(is_first=True), 0.93)
+        self.assertGreaterEqual(self.served(is_first=True), 0.97)
         self.assertLess(self.served(is_first=False), 0.93)
 
     def test_nodes_that_know_too_few_others_keep_the_bound(self) -> None:
