Let hypothesis read the sources before the first test

Cause: in a new checkout the first draw of hypothesis parses all loaded modules, 3.5 s at a load average of 9, and the test that drew first failed the check that data are generated fast (test_reading_by_lines_equals_parsing_the_whole_text). Change: the recorder draws once before the first test.

--- a/harness/recorder.py
+++ b/harness/recorder.py
@@ -3,7 +3,8 @@
 import faulthandler
 import sys
 
-from nose2.events import Plugin, StartTestEvent, TestOutcomeEvent
+from hypothesis import find, strategies
+from nose2.events import Plugin, StartTestEvent, StartTestRunEvent, TestOutcomeEvent
 
 __all__ = ["Recorder"]
 
@@ -19,6 +20,15 @@
     ran: list[str] = []
     failed: list[str] = []
 
+    def startTestRun(self, event: StartTestRunEvent) -> None:  # noqa: N802
+        """Let hypothesis read the sources of all loaded modules.
+
+        It does so at its first draw and caches the result in `.hypothesis`. In a new
+        checkout this takes seconds, and the test that draws first can fail its check
+        that data are generated fast.
+        """
+        find(strategies.text(min_size=1), bool)
+
     def startTest(self, event: StartTestEvent) -> None:  # noqa: N802
         """Print the test's id, so that a stack dump can be attributed to it."""
         print(event.test.id(), file=sys.stderr, flush=True)
