Continue a shift at nodes that start during it

Cause: a started node raised the share of the target version from its lowest value again, and could confirm only 2 s later. Change: states say how long the shift has lasted at their sender.

--- a/lentilsill/daemon/controllers/rollouts.py
+++ b/lentilsill/daemon/controllers/rollouts.py
@@ -251,7 +251,12 @@
         state = RolloutState(
             order, message.started_ms, stage, message.reason, message.is_stored
         )
-        is_new = self._apply(state, message.age_ms / 1000, message.is_heartbeat)
+        is_new = self._apply(
+            state,
+            message.age_ms / 1000,
+            message.is_heartbeat,
+            max(0, message.shifting_age_ms) / 1000,
+        )
         rollout = self._calls.rollouts[message.service]
         is_local = link.hello.domain == self._ctx.cfg.domain
         if message.root and (is_new or message.is_heartbeat):
@@ -260,7 +265,13 @@
             # The first receiver in a domain is the root of the tree there.
             self._push(rollout, is_heartbeat=False)
 
-    def _apply(self, state: RolloutState, age_s: float, is_heartbeat: bool) -> bool:
+    def _apply(
+        self,
+        state: RolloutState,
+        age_s: float,
+        is_heartbeat: bool,
+        shifting_age_s: float = 0.0,
+    ) -> bool:
         service = state.order.service
         rollout = self._calls.rollouts.get(service)
         if rollout is None:
@@ -274,7 +285,7 @@
         is_heartbeat = is_heartbeat and not self._may_be_old(now)
         board = self._ctx.board
         nodes = {*board.members, *board.remote_nodes}
-        is_new = rollout.learn(state, now, age_s, nodes, is_heartbeat)
+        is_new = rollout.learn(state, now, age_s, nodes, is_heartbeat, shifting_age_s)
         if is_new:
             self._log_state(rollout.state)
         return is_new
@@ -317,6 +328,7 @@
             state.reason[:MAX_REASON_CHARS],
             root,
             is_heartbeat,
+            round(rollout.shifting_age_s(rollout_now()) * 1000),
         )
 
     # Views for operators
--- a/lentilsill/rollouts/coordination.py
+++ b/lentilsill/rollouts/coordination.py
@@ -146,6 +146,11 @@
         """Return the time since the order, in seconds."""
         return now - self._started_at
 
+    def shifting_age_s(self, now: float) -> float:
+        """Return the time since the shift began, in seconds; 0 before it."""
+        rollout = self.rollout
+        return 0.0 if rollout is None else max(0.0, now - rollout.shifting_since)
+
     def may_be_completed(self, now: float) -> bool:
         """Return whether `completed` may be stored without this node's knowledge.
 
@@ -166,10 +171,12 @@
         age_s: float,
         members: Collection[str],
         is_heartbeat: bool = False,
+        shifting_age_s: float = 0.0,
     ) -> bool:
         """Apply a state; return whether it was new to this node.
 
-        `age_s` is the time since the order, which counts only for a new order.
+        `age_s` is the time since the order, which counts only for a new order, and
+        `shifting_age_s` the time since the shift began at the sender.
         """
         known = self.state
         if newest_state(known, found).order.identity != found.order.identity:
@@ -193,7 +200,7 @@
         assert self.rollout is not None
         if is_heartbeat:
             self.rollout.heard_at = now
-        return self.rollout.merge(found, now) or is_new
+        return self.rollout.merge(found, now, shifting_age_s) or is_new
 
     def learn_stored(self, stored: RolloutState, now: float) -> bool:
         """Record the state in the store; return whether it changed the node's state."""
--- a/lentilsill/rollouts/node_rollout.py
+++ b/lentilsill/rollouts/node_rollout.py
@@ -78,12 +78,18 @@
         if self.state.stage is Stage.COMPLETED:
             self.completed_at = self.learned_at
 
-    def merge(self, found: RolloutState, now: float) -> bool:
-        """Apply a state of the same order; return whether it changed this one."""
+    def merge(
+        self, found: RolloutState, now: float, shifting_age_s: float = 0.0
+    ) -> bool:
+        """Apply a state of the same order; return whether it changed this one.
+
+        `shifting_age_s` is the time since the shift began at the node that sent the
+        state. A node that starts during the shift goes on at the share of the others.
+        """
         before = self.state
         self.state = newest_state(before, found)
         if self.state.stage is Stage.SHIFTING:
-            self.shifting_since = min(self.shifting_since, now)
+            self.shifting_since = min(self.shifting_since, now - shifting_age_s)
         if self.state.stage is Stage.COMPLETED:
             self.completed_at = min(self.completed_at, now)
         after = self.state
--- a/lentilsill/rollouts/tests/rollout_model.py
+++ b/lentilsill/rollouts/tests/rollout_model.py
@@ -59,6 +59,8 @@
     killed_deciders_at: tuple[float, ...] = ()
     suspended: tuple[float, float] | None = None
     restarted_at: float | None = None
+    # Nodes restart one after the other from the first time on, with this pause.
+    rolling_restart: tuple[float, float] | None = None
 
 
 @dataclass
@@ -145,6 +147,10 @@
             self.at(self.load.restarted_at, self.restart_all)
         if self.load.suspended is not None:
             self.at(self.load.suspended[0], self.suspend_some)
+        if self.load.rolling_restart is not None:
+            begin_s, pause_s = self.load.rolling_restart
+            for number, node in enumerate(self.nodes):
+                self.at(begin_s + number * pause_s, partial(self.restart, node))
         while self.now < self.load.duration_s + 3.0:
             while self.events and self.events[0][0] <= self.now:
                 heapq.heappop(self.events)[2]()
@@ -192,6 +198,18 @@
             delay_s = self.rng.uniform(0.2, 1.0)
             self.at(self.now + delay_s, partial(node.start, self))
 
+    def restart(self, node: SimNode) -> None:
+        """Restart a node, which asks another one for the state when it has started."""
+
+        def start() -> None:
+            node.start(self)
+            peer = self.rng.choice([n for n in self.nodes if n.is_alive])
+            if peer.rollout.state is not None:
+                self.send_state(peer, node, peer.rollout.state, False)
+
+        node.is_alive = False
+        self.at(self.now + 0.5, start)
+
     def suspend_some(self) -> None:
         begin, end = self.load.suspended or (0.0, 0.0)
         for node in self.rng.sample(self.nodes, max(1, len(self.nodes) // 5)):
@@ -223,19 +241,25 @@
     def broadcast(
         self, sender: SimNode, state: RolloutState, is_heartbeat: bool
     ) -> None:
-        age_s = sender.rollout.age_s(self.now)
-        sent_at = self.now
         for node in self.nodes:
             if is_heartbeat and node.domain != sender.domain:
                 continue
+            self.send_state(sender, node, state, is_heartbeat)
+
+    def send_state(
+        self, sender: SimNode, node: SimNode, state: RolloutState, is_heartbeat: bool
+    ) -> None:
+        age_s = sender.rollout.age_s(self.now)
+        shifting_s = sender.rollout.shifting_age_s(self.now)
+        sent_at = self.now
 
-            def act(node: SimNode = node) -> None:
-                # A heartbeat counts from when it was sent.
-                at = sent_at if is_heartbeat else self.now
-                members = [n.name for n in self.nodes]
-                node.rollout.learn(state, at, age_s, members, is_heartbeat)
+        def act() -> None:
+            # A heartbeat counts from when it was sent.
+            at = sent_at if is_heartbeat else self.now
+            members = [n.name for n in self.nodes]
+            node.rollout.learn(state, at, age_s, members, is_heartbeat, shifting_s)
 
-            self.send(sender, node, act)
+        self.send(sender, node, act)
 
     def tick(self, node: SimNode) -> None:
         node.phase_s -= TICK_S
--- a/lentilsill/rollouts/tests/test_rollout_model.py
+++ b/lentilsill/rollouts/tests/test_rollout_model.py
@@ -50,6 +50,7 @@
             self.check(Load(nodes, bad=bad, killed_deciders_at=(2.0, 3.5)))
             self.check(Load(nodes, bad=bad, suspended=(4.0, 12.0)))
             self.check(Load(nodes, bad=bad, restarted_at=8.0))
+            self.check(Load(nodes, bad=bad, rolling_restart=(4.0, 0.35)))
 
 
 class GoodVersionTests(unittest.TestCase):
@@ -85,6 +86,15 @@
         for restarted_at in (None, 5.0, 8.0):
             self.check(replace(load, restarted_at=restarted_at))
 
+    def test_good_version_is_completed_while_nodes_restart_in_turn(self):
+        """Guards against a shift that begins anew at each node that starts.
+
+        Some node would then always lack its confirmation.
+        """
+        load = Load(69, 110.0, 16.0, rolling_restart=(6.5, 0.35))
+        for seed in (1, 2, 3):
+            self.check(load, seed)
+
     def test_nothing_is_completed_without_a_domain_that_is_cut_off(self):
         """Guards against calls to old upstreams of a domain that has not confirmed."""
         figures = run(Load(9, cut_domain=(15.0, 40.0)))
--- a/lentilsill/wire/rollout_messages.py
+++ b/lentilsill/wire/rollout_messages.py
@@ -30,6 +30,7 @@
 
     `started_ms` is the time of the order by the clock of the node that first learned of
     it. `root` is as in `Delta`. A heartbeat shows that the sender knows no newer state.
+    `shifting_age_ms` is the time since the shift began at the sender, 0 before it.
     """
 
     service: str
@@ -44,3 +45,4 @@
     reason: str = ""
     root: str = ""
     is_heartbeat: bool = False
+    shifting_age_ms: int = 0
