Judge versions by the time of their runs, without waits for slots

Cause: durations were those of attempts at the entry node. Change: the node beside an upstream records the evidence of each run there.

--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -9,7 +9,7 @@
 from lentilsill.daemon.integration import DEFAULT_INTEGRATION, Integration
 from lentilsill.daemon.interfaces import CrashGuard
 from lentilsill.documents import Limits
-from lentilsill.membership import UpstreamRecord, UpstreamState
+from lentilsill.membership import UpstreamState
 from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.routing import is_leaving
 from lentilsill.wire import CALLS
@@ -36,6 +36,7 @@
     UNREACHABLE,
     not_run_refusal,
 )
+from .rollout_calls import RolloutCalls
 from .served_calls import ServedCalls
 from .share_log import ShareLog, dump_upstream
 from .suspects import refuse_suspect
@@ -80,8 +81,7 @@
         # Callback that records that an upstream's process leaves (id, start of the
         # process in ms); set after construction.
         self.mark_leaving: Callable[[str, int], None] | None = None
-        # Whether a roll-out has ended the calls of an upstream; set after construction.
-        self.is_retired: Callable[[UpstreamRecord], bool] = lambda record: False
+        self.rollouts: RolloutCalls | None = None  # Set after construction.
         for topic in (Topic.UPSTREAMS, Topic.IN_FORCE, Topic.DRAIN):
             ctx.board.subscribe(topic, self.refresh)
         ctx.board.subscribe(Topic.DRAIN, self._announce_drain)
@@ -199,7 +199,7 @@
             local.notices.record_peer(call.notice, now)
         if local is None or self._is_closed_to_calls(local):
             return not_run_refusal(LEAVING)
-        if self.is_retired(local.record):
+        if self.rollouts is not None and self.rollouts.is_retired(local.record):
             return not_run_refusal(LEAVING)
         if self.guard is not None:
             execution.fingerprint = execution.fingerprint or call_fingerprint(
@@ -285,6 +285,8 @@
             self._apply(local.queue.finished(execution, self.ctx.now()))
             if self._removed and not local.running:
                 self._removed.pop(call.upstream, None)
+        if self.rollouts is not None:
+            self.rollouts.record_run(local.record, execution, result, remaining_s)
         if isinstance(result, Refused):
             self.ctx.call_log.write(
                 "execution_failed",
--- a/lentilsill/daemon/controllers/entry.py
+++ b/lentilsill/daemon/controllers/entry.py
@@ -333,7 +333,7 @@
                     Attempt(candidate, reply.result, reply.load, now - started_at)
                 )
             selector.record_end(upstream, now, failed, (now - started_at) * 1000)
-            self.rollouts.record_end(progress, candidate, reply, now - started_at)
+            self.rollouts.record_end(progress, candidate, reply)
         if reply.late is not None:
             progress.late_replies.add(reply.late)
         if reply.load >= 0:
--- a/lentilsill/daemon/controllers/rollout_calls.py
+++ b/lentilsill/daemon/controllers/rollout_calls.py
@@ -6,11 +6,12 @@
 
 from lentilsill.daemon.context import Context
 from lentilsill.membership import UpstreamRecord
-from lentilsill.outcomes import Answer, Outcome, Refused
+from lentilsill.outcomes import Answer, CallResult, Outcome, Refused
 from lentilsill.rollouts import NodeRollout, ServiceRollout, VersionChoice
 from lentilsill.routing import Candidate, VersionFilter, version_of
 
 from .call_progress import MIN_FAILED_STATUS, CallProgress
+from .local_upstream import Execution
 from .peer_attempts import Reply
 from .reasons import BUSY, CONNECTION_LOST, CRASHED, CRASHED_IN_TRIAL
 
@@ -92,11 +93,7 @@
                 self._ctx.count("rollouts.target_calls")
 
     def record_end(
-        self,
-        progress: CallProgress,
-        candidate: Candidate,
-        reply: Reply | None,
-        duration_s: float,
+        self, progress: CallProgress, candidate: Candidate, reply: Reply | None
     ) -> None:
         """Record the end of an attempt; the reply is None if it was cancelled."""
         if not self._is_enabled:
@@ -108,27 +105,48 @@
         rollout = self._find(service)
         if rollout is None:
             return
-        is_target = version == rollout.state.order.target_version
-        is_failure = False
         match None if reply is None else reply.result:
-            case Answer(status=status):
-                is_failure = status >= MIN_FAILED_STATUS
             case Refused(outcome=Outcome.NOT_RUN, reason=reason, arrived=arrived):
                 if not arrived or reason == BUSY:
+                    is_target = version == rollout.state.order.target_version
                     rollout.limit.record_not_run(is_target)
+
+    def record_run(
+        self,
+        record: UpstreamRecord,
+        execution: Execution,
+        result: CallResult,
+        remaining_s: float,
+    ) -> None:
+        """Count the result of a run at an upstream of this node as evidence.
+
+        `remaining_s` was left until the deadline when the run began. The time before
+        that does not count: during the shift, calls wait for a slot at the upstreams of
+        the target version only, however good it is.
+        """
+        rollout = self._find(record.service)
+        if rollout is None:
+            return
+        left_s = execution.deadline - self._ctx.now()
+        is_failure = False
+        match result:
+            case Answer(status=status):
+                is_failure = status >= MIN_FAILED_STATUS
+            case Refused(outcome=Outcome.NOT_RUN):
                 return
             case Refused(outcome=Outcome.RUN_ANSWER_LOST, reason=reason) if (
                 reason not in LOST_REASONS
             ):
                 is_failure = True
-            case _ if self._ctx.now() < progress.deadline - DEADLINE_MARGIN_S:
+            case _ if left_s > DEADLINE_MARGIN_S:
                 return
-        age_s = (self._ctx.wall_ms() - candidate.ready_at_ms) / 1000
+        is_target = version_of(record) == rollout.state.order.target_version
+        age_s = (self._ctx.wall_ms() - record.ready_at_ms) / 1000
         rollout.evidence.record(
-            candidate.upstream if is_target else "",
-            progress.route.name,
+            record.upstream if is_target else "",
+            execution.call.route,
             is_failure,
-            duration_s * 1000 if age_s >= WARM_AFTER_S else None,
+            (remaining_s - left_s) * 1000 if age_s >= WARM_AFTER_S else None,
         )
 
     def is_retired(self, record: UpstreamRecord) -> bool:
--- a/lentilsill/daemon/controllers/rollouts.py
+++ b/lentilsill/daemon/controllers/rollouts.py
@@ -84,7 +84,7 @@
         ctx.links.on(wire.RolloutReport, self._on_report)
         ctx.links.on(wire.RolloutState, self._on_state)
         ctx.board.dump_parts["rollouts"] = self._dump
-        self._destination.is_retired = self._calls.is_retired
+        self._destination.rollouts = self._calls
         ctx.spawn(self._run())
         self._start.start()
 
