--- a/lentilsill/admission/call_chains.py
+++ b/lentilsill/admission/call_chains.py
@@ -4,7 +4,7 @@
 
 __all__ = ["CallChains"]
 
-# A circle of services is forgotten after this time without inner calls.
+# A cycle of services is forgotten after this time without inner calls.
 MEMORY_S = 10.0
 # Bound on the bytes that an inner call carries. Calls are nested up to 17 deep.
 MAX_SERVICES = 32
@@ -14,7 +14,7 @@
     """Services with running calls that wait, over any number of calls, for a service.
 
     An inner call names the service that made it and the services that had waited for
-    that one recently. A service that finds itself among those named is in a circle.
+    that one recently. A service that finds itself among those named is in a cycle.
     Nothing else needs to be exchanged: names spread along the calls themselves.
 
     Examples
--- a/lentilsill/admission/inner_slots.py
+++ b/lentilsill/admission/inner_slots.py
@@ -1,16 +1,16 @@
-"""Slots that an upstream keeps for calls on which running calls wait."""
+"""Slots that an upstream reserves for calls on which running calls wait."""
 
 import math
 
 __all__ = ["InnerSlots"]
 
-# Time constant of the mean. It spans several inner calls, and lets go of nine slots
+# Time constant of the mean. It spans several inner calls, and releases nine slots
 # within about a second after the last of them.
 MEAN_S = 0.4
 # A refused inner call fails the call that waits for it, and its slot time is lost. One
-# more slot is kept then, so that slots are kept even if all inner calls are refused.
+# more slot is reserved then, also if all inner calls are refused.
 SLOTS_PER_REFUSAL = 1.0
-# Below this mean, and without an inner call here, no slot is kept.
+# Below this mean, and without an inner call here, no slot is reserved.
 MIN_MEAN = 0.5
 
 
@@ -21,21 +21,21 @@
     waits for calls of this upstream's service. If callers' calls held all slots of both
     services, every one of them would wait for an inner call that no slot is left for.
 
-    The number of kept slots is the mean number of inner calls that run or wait here,
-    plus its square root, which is the deviation of a number of independent calls.
-    Waiting calls count, so that more slots are kept until none waits. Times are in
+    The number of reserved slots is the mean number of inner calls that run or wait
+    here, plus its square root, the deviation of a number of independent calls. Waiting
+    calls count, so that more slots are reserved until none waits. Times are in
     seconds of one monotonic clock.
 
     Examples
     --------
     >>> inner = InnerSlots()
-    >>> inner.kept(0.0, 9)
+    >>> inner.reserved(0.0, 9)
     0
     >>> for _ in range(4): inner.arrive(0.0)
-    >>> inner.kept(5.0, 9), inner.kept(5.0, 5)
+    >>> inner.reserved(5.0, 9), inner.reserved(5.0, 5)
     (6, 5)
     >>> for _ in range(4): inner.leave(was_running=False)
-    >>> inner.kept(6.0, 9)
+    >>> inner.reserved(6.0, 9)
     0
     """
 
@@ -65,7 +65,7 @@
         self.refused += 1
         self._mean = max(self._mean, min(slots, self._mean + SLOTS_PER_REFUSAL))
 
-    def kept(self, now: float, slots: int) -> int:
+    def reserved(self, now: float, slots: int) -> int:
         """Return how many of the slots callers' calls may not take."""
         if not (self._count or self._mean):
             return 0
--- a/lentilsill/admission/queue.py
+++ b/lentilsill/admission/queue.py
@@ -57,7 +57,7 @@
     With `fair_shares`, calls of organisations above their share (`FairShares`) start
     last among those of their priority, and are refused first.
 
-    Other calls than inner ones leave free the slots that `InnerSlots` keeps.
+    Other calls than inner ones leave free the slots that `InnerSlots` reserves.
 
     Examples
     --------
@@ -116,7 +116,7 @@
 
     @property
     def has_room(self) -> bool:
-        """Whether a new call would start at once unless slots are kept."""
+        """Whether a new call would start at once unless slots are reserved."""
         return not (self.draining or self._waiting) and len(self._running) < self.slots
 
     def has_slot(self, now: float, is_inner: bool = False) -> bool:
@@ -124,7 +124,7 @@
         running, inner = len(self._running), self.inner_slots
         if is_inner or running >= self.slots:
             return running < self.slots
-        return running - inner.running < self.slots - inner.kept(now, self.slots)
+        return running - inner.running < self.slots - inner.reserved(now, self.slots)
 
     def offer(
         self,
--- a/lentilsill/admission/tests/test_inner_slots.py
+++ b/lentilsill/admission/tests/test_inner_slots.py
@@ -1,4 +1,4 @@
-"""Services that call each other keep slots for calls that running calls wait for."""
+"""Services that call each other reserve slots for calls that running calls wait for."""
 
 import unittest
 
@@ -23,7 +23,7 @@
         self.check(Nesting(8, 0.1, 0.02), 0.7)
 
     def test_slots_of_single_inner_calls_cost_callers_nothing(self):
-        """Guards against slots that are kept in vain."""
+        """Guards against slots that are reserved without need."""
         nesting = Nesting(1, 0.1, 0.05)
         off, _ = InnerCallSimulation(nesting, 1.5, False).run(2.0)
         self.check(nesting, off - 0.01)
@@ -51,8 +51,8 @@
     def offer(self, call, now, is_inner=False):
         return self.queue.offer(call, now, now + 60.0, is_inner=is_inner)
 
-    def test_callers_calls_leave_kept_slots_to_inner_calls(self):
-        """Guards against a kept slot that a caller's call gets."""
+    def test_callers_calls_leave_reserved_slots_to_inner_calls(self):
+        """Guards against a reserved slot that a caller's call gets."""
         started = [bool(self.offer(n, self.now)) for n in range(SLOTS)]
         self.assertEqual(sum(started), 3)
         self.assertFalse(self.queue.has_room)
@@ -67,13 +67,13 @@
         self.queue.advance(self.now + 1.0)
         self.assertEqual(len(self.queue._running), SLOTS)
 
-    def test_refused_inner_calls_keep_slots(self):
-        """Guards against slots that are never kept as all inner calls are refused."""
+    def test_refused_inner_calls_reserve_slots(self):
+        """Guards against no reserved slots where all inner calls are refused."""
         queue = AdmissionQueue(1, 0)
         queue.offer("outer", 0.0, 9.0)
         queue.offer("i", 0.0, 9.0, is_inner=True)
         self.assertEqual(
-            (queue.inner_slots.kept(0.0, 1), queue.inner_slots.refused), (1, 1)
+            (queue.inner_slots.reserved(0.0, 1), queue.inner_slots.refused), (1, 1)
         )
         self.assertEqual(queue.finished("outer", 0.1), [])
         self.assertFalse(queue.has_slot(0.1))
@@ -86,5 +86,5 @@
         self.queue.drain()
         for call in tuple(self.queue._running):
             self.queue.release(call, self.now)
-        self.assertEqual(self.queue.inner_slots.kept(self.now + 3.0, SLOTS), 0)
+        self.assertEqual(self.queue.inner_slots.reserved(self.now + 3.0, SLOTS), 0)
         self.assertEqual(self.queue.inner_slots.running, 0)
--- a/lentilsill/daemon/controllers/inner_calls.py
+++ b/lentilsill/daemon/controllers/inner_calls.py
@@ -14,17 +14,17 @@
 
 __all__ = ["InnerCalls"]
 
-# The number of kept slots falls without any event when inner calls have ended. Calls
-# that wait for such a slot start after this time at the latest.
+# The number of reserved slots falls without any event when inner calls have ended.
+# Calls that wait for such a slot start after this time at the latest.
 CHECK_INTERVAL_S = 0.25
-# An upstream that keeps slots writes a line at this interval.
+# An upstream that reserves slots writes a line at this interval.
 LOG_INTERVAL_S = 10.0
 
 log = structlog.get_logger()
 
 
 class InnerCalls:
-    """Names the services that wait for a call, and maintains the kept slots.
+    """Names the services that wait for a call, and maintains the reserved slots.
 
     Does nothing unless the setting `calls.inner_slots` is on at the start. A call is
     made by a running call if its connection comes from the address of an upstream of
@@ -77,23 +77,23 @@
             self.check()
 
     def check(self) -> None:
-        """Start calls that wait for slots no longer kept, and report the others."""
+        """Start calls that wait for slots no longer reserved, and report the others."""
         now = self._ctx.now()
-        kept_total = 0
+        reserved_total = 0
         for name, local in self._upstreams.items():
             queue = local.queue
             if queue.waiting:
                 self._apply(queue.advance(now))
-            kept = queue.inner_slots.kept(now, queue.slots)
-            kept_total += kept
-            if kept and now - self._logged_at.get(name, -LOG_INTERVAL_S) >= (
+            reserved = queue.inner_slots.reserved(now, queue.slots)
+            reserved_total += reserved
+            if reserved and now - self._logged_at.get(name, -LOG_INTERVAL_S) >= (
                 LOG_INTERVAL_S
             ):
                 self._logged_at[name] = now
                 log.info(
-                    "slots_kept",
+                    "slots_reserved",
                     upstream=name,
-                    kept=kept,
+                    reserved=reserved,
                     slots=queue.slots,
                     running=queue.inner_slots.running,
                     refused=queue.inner_slots.refused,
@@ -102,4 +102,4 @@
         self._logged_at = {
             name: at for name, at in self._logged_at.items() if name in self._upstreams
         }
-        self._ctx.gauge("slots.kept", kept_total)
+        self._ctx.gauge("slots.reserved", reserved_total)
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -119,18 +119,18 @@
         )
         self.notices = UpstreamNotices(record.upstream, integration.headers, on_leaving)
         self.pace = HostPace()
-        self._keeps_slots = inner_slots
+        self._reserves_slots = inner_slots
         self._load_header = integration.headers.load
         self.client.on_answer_head = self._record_answer
         can_start = None if guard is None else self._can_start
         self.queue = AdmissionQueue(max(1, record.slots), 0, can_start, fair_shares)
 
     def is_inner(self, call: Call) -> bool:
-        """Return whether slots are kept for a call.
+        """Return whether slots are reserved for a call.
 
         A running call waits for it, of a service that waits for calls of this one.
         """
-        return self._keeps_slots and self.record.service in call.waiting_services
+        return self._reserves_slots and self.record.service in call.waiting_services
 
     def offer(self, execution: Execution, now: float) -> list[Action]:
         """Offer a call to the queue; it waits if no action is returned for it."""
--- a/lentilsill/daemon/controllers/share_log.py
+++ b/lentilsill/daemon/controllers/share_log.py
@@ -57,7 +57,7 @@
     state: dict[str, Any] = {
         "running": len(local.running),
         "work": local.queue.call_count,
-        "kept_slots": local.queue.inner_slots.kept(now, local.queue.slots),
+        "reserved_slots": local.queue.inner_slots.reserved(now, local.queue.slots),
     }
     if local.queue.shares is not None:
         shares = local.queue.shares.dump(now).items()
--- a/lentilsill/daemon/controllers/tests/test_inner_calls.py
+++ b/lentilsill/daemon/controllers/tests/test_inner_calls.py
@@ -1,4 +1,4 @@
-"""Calls of running calls are recognised, and slots are kept only in circles."""
+"""Calls of running calls are recognised, and slots are reserved only in cycles."""
 
 import asyncio
 import unittest
@@ -14,7 +14,7 @@
 
 class InnerCallTests(unittest.IsolatedAsyncioTestCase):
     """`near` and `far` each have an upstream of 6 slots of the service `slots`, so that
-    a call of one for the other is a circle."""
+    a call of one for the other is a cycle."""
 
     async def asyncSetUp(self):
         self.upstream = FakeUpstream()
@@ -63,13 +63,13 @@
         self.assertEqual(self.queue.inner_slots.running, 2)
         await asyncio.sleep(0.3)
         self.far.destination.inner_calls.check()
-        self.assertIn(b"slots_kept", self.far.ctx.metrics.text())
+        self.assertIn(b"slots_reserved", self.far.ctx.metrics.text())
         self.gate.set()
         results = await asyncio.gather(outer, *calls)
         self.assertTrue(all(isinstance(r, Answer) for r in results))
 
     async def test_calls_are_not_inner_without_circle_or_setting(self):
-        """Guards against slots that a service outside of circles keeps."""
+        """Guards against slots that a service outside of cycles reserves."""
         for is_on in (False, True):
             self.start(is_on)
             outer = None if is_on else await self.run_call_at_near()
--- a/lentilsill/settings/model.py
+++ b/lentilsill/settings/model.py
@@ -179,8 +179,8 @@
     )
     inner_slots: bool = Field(
         default=False,
-        description="Whether upstreams of services that call each other keep slots for "
-        "calls that running calls wait for. Read at the start",
+        description="Whether upstreams of services that call each other reserve slots "
+        "for calls that running calls wait for. Read at the start",
     )
 
 
