--- a/lentilsill/platform/settings_file.py
+++ b/lentilsill/platform/settings_file.py
@@ -160,7 +160,6 @@
             "retry_window_s": float(fields["bounds.budget_window_s"]),
             "retry_allowance": float(fields["bounds.budget_slack"]),
             "even_load": _contracts(fields) >= LOAD_CONTRACTS,
-            "inner_slots": _contracts(fields) >= LOAD_CONTRACTS,
             "drain_min_s": DRAIN_MIN_S,
             "drain_take_s": DRAIN_ACCEPT_S,
             "drain_bound_s": float(fields["bounds.grace_s"]) - EXIT_MARGIN_S,
