Let no announcement decide for good which upstream a host has

The sound workers' later reports were acknowledged and had no effect.

Cause: the announcement with the newest start of an address counted for good, and so did a leaving and a deletion. Start and sequence come from the sender; nothing that the upstream said later could lower that mark.

Change: AnnouncementOrder decides which announcements count, without a network. One that names another service or address than the settings has no effect at all. Start and sequence are a presumption: where they would change which upstream is in use, the id and status in the upstream's own answer to a health check decide, or, without an answer, announcements that go on for the announce timeout. A leaving or a deletion is undone only by that answer. Refused announcements get 409, one log line in 10 s for each reason, and a counter.

Why it works: a health check is sent after the announcement has arrived, so its answer comes from the process that has the address then. A late report of a dead process names another id, or nobody answers, and is no series of announcements that lasts.

--- a/lentilsill/daemon/admin_server.py
+++ b/lentilsill/daemon/admin_server.py
@@ -12,6 +12,14 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from lentilsill.membership import (
+    Accepted,
+    Disputed,
+    Objection,
+    Outdated,
+    Refused,
+    Verdict,
+)
 from lentilsill.wire.addresses import split_address
 
 from .announcements import Announcements
@@ -178,26 +186,31 @@
 
 
 class _UpstreamHandler(_Handler):
-    def put(self, upstream: str) -> None:
+    async def put(self, upstream: str) -> None:
         match self.server.integration.parse_announcement(upstream, self.request.body):
             case Err(findings):
-                log.warning(
-                    "announcement_rejected",
-                    upstream=upstream,
-                    findings=[str(finding) for finding in findings],
-                )
+                self.server.announcements.reject(upstream, findings)
                 self.reply(400, {"findings": [str(finding) for finding in findings]})
             case Ok(announcement):
-                if self.server.announcements.apply(announcement):
-                    count = self.server.upstream_in_flight(upstream)
-                    self.reply(200, {"in_flight": count})
-                else:
-                    self.reply(429, {"error": "too many upstreams on this node"})
+                self._answer(
+                    await self.server.announcements.settle(announcement),
+                    {"in_flight": self.server.upstream_in_flight(upstream)},
+                )
 
-    def delete(self, upstream: str) -> None:
+    async def delete(self, upstream: str) -> None:
         started_ms = self.server.integration.parse_start_ms(self.request.body)
-        self.server.announcements.delete(upstream, started_ms)
-        self.reply(200, {})
+        verdict = await self.server.announcements.settle_deletion(upstream, started_ms)
+        self._answer(verdict, {})
+
+    def _answer(self, verdict: Verdict, accepted: dict[str, Any]) -> None:
+        match verdict:
+            case Accepted() | Outdated():
+                # An outdated announcement agrees with what is in use.
+                self.reply(200, accepted)
+            case Refused(objection=Objection.TOO_MANY):
+                self.reply(429, {"error": "too many upstreams on this node"})
+            case Refused(objection=objection) | Disputed(objection=objection):
+                self.reply(409, {"error": "not accepted", "reason": objection.value})
 
 
 class _LiveHandler(_Handler):
--- a/lentilsill/daemon/announcements.py
+++ b/lentilsill/daemon/announcements.py
@@ -1,8 +1,8 @@
 """Announcements by which upstreams report their state to the node of their host."""
 
 import re
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Annotated, Literal
 
 import structlog
@@ -18,17 +18,26 @@
 
 from lentilsill.findings import Findings
 from lentilsill.membership import (
+    Accepted,
     Announcement,
+    AnnouncementOrder,
+    CheckedUpstream,
+    Disputed,
+    HostUpstream,
+    Objection,
+    Outdated,
+    Refused,
     UpstreamRecord,
     UpstreamState,
-    is_superseded,
+    Verdict,
 )
 from lentilsill.wire.addresses import check_address
 
+from .announcement_log import AnnouncementLog
 from .blackboard import Topic
 from .context import Context
 
-__all__ = ["MAX_SLOTS", "Announcements", "parse_announcement"]
+__all__ = ["MAX_SLOTS", "Announcements", "CheckUpstream", "parse_announcement"]
 
 MAX_UPSTREAMS = 64
 MAX_LABELS = 16
@@ -39,6 +48,8 @@
 _Service = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 _Address = Annotated[str, AfterValidator(check_address)]
 
+CheckUpstream = Callable[[], Awaitable[CheckedUpstream | None]]
+
 log = structlog.get_logger()
 
 
@@ -83,20 +94,15 @@
     return Ok(Announcement(record))
 
 
-@dataclass(slots=True)
-class _Deletion:
-    """Start of a deleted process, None while it is unknown, and time of deletion."""
-
-    started_ms: int | None
-    deleted_ms: int
-
-
 class Announcements:
     """Maintains `board.upstreams` from announcements, as its only writer.
 
     `on_upstream_crash` is called with the id of an upstream that is dropped without
     having been deleted: it was silent for the announce timeout, crashed, or was
-    replaced by another process.
+    replaced by another process. `check_upstream` sends a health check to the upstream
+    of this host and returns what it answered, or None; it is None without such checks.
+    `on_upstream_return` is called with the id of an upstream that had said that it
+    leaves, and has not left.
     """
 
     def __init__(
@@ -104,110 +110,110 @@
     ) -> None:
         self.ctx = ctx
         self.on_upstream_crash = on_upstream_crash
+        self.check_upstream: CheckUpstream | None = None
+        self.on_upstream_return: Callable[[str], None] | None = None
         self._announced_at_s: dict[str, float] = {}
-        self._newest_by_address: dict[str, Announcement] = {}
-        # Upstreams by id that were deleted; a delayed announcement must not add
-        # them again.
-        self._deleted: dict[str, _Deletion] = {}
-        self._is_first_ready_distrusted = False
-        # Start of the leaving process by upstream, 0 while it is unknown.
-        self._leaving: dict[str, int] = {}
+        self._order = AnnouncementOrder()
+        self._log = AnnouncementLog(ctx)
 
     @property
     def has_announcements(self) -> bool:
-        """Whether any upstream was announced or deleted since the node started."""
-        return bool(self._newest_by_address or self._deleted)
+        """Whether any announcement or deletion has counted since the node started."""
+        return self._order.has_announcements
 
     def distrust_first_ready(self) -> None:
-        """Ignore the first ready announcement, after a failed health check.
+        """Doubt announcements that the upstream is ready, after a failed health check.
 
-        An earlier process of this node may have acknowledged that the upstream is
-        leaving. The first announcement that it is ready may then be a delayed one,
-        older than that acknowledgement; a newer one is accepted. This method has no
-        effect when `has_announcements` is true.
+        See `AnnouncementOrder.doubt_ready`.
         """
-        self._is_first_ready_distrusted = not self.has_announcements
-
-    def apply(self, announcement: Announcement) -> bool:
-        """Apply an announcement; return False if the node has too many upstreams.
-
-        An announcement that is older than the known state is accepted without
-        effect.
+        self._order.doubt_ready()
+
+    async def settle(self, announcement: Announcement) -> Verdict:
+        """Apply an announcement, after a health check if that can decide about it."""
+        verdict = self.apply(announcement)
+        if isinstance(verdict, Disputed):
+            check = await self._check()
+            if check is not None:
+                return self.apply(announcement, check)
+            if verdict.objection is Objection.STAYING:
+                self._order.forget_stay(announcement.record.upstream)
+                return self.apply(announcement)
+        return verdict
+
+    async def settle_deletion(self, upstream: str, started_ms: int | None) -> Verdict:
+        """Apply a deletion, after a health check if that can decide about it."""
+        verdict = self.delete(upstream, started_ms)
+        if isinstance(verdict, Disputed):
+            check = await self._check()
+            if check is not None:
+                return self.delete(upstream, started_ms, check)
+            if verdict.objection is Objection.STAYING:
+                self._order.forget_stay(upstream)
+                return self.delete(upstream, started_ms)
+        return verdict
+
+    def apply(
+        self, announcement: Announcement, check: CheckedUpstream | None = None
+    ) -> Verdict:
+        """Apply an announcement if it counts, and return the verdict on it.
+
+        `check` is the answer to a health check that was sent after the announcement
+        had arrived.
         """
         rec = announcement.record
-        configured_address = self.ctx.cfg.host_upstream_address
-        if configured_address is not None:
-            rec = replace(rec, address=configured_address)
         upstreams = self.ctx.board.upstreams
-        newest = self._newest_by_address.get(rec.address)
-        is_outdated = newest is not None and is_superseded(announcement, newest)
-        if is_outdated or self._is_deleted(announcement):
-            log.info(
-                "announcement_superseded",
-                upstream=rec.upstream,
-                state=rec.state.name,
-                sequence=announcement.sequence,
-                known=newest.record.upstream if newest is not None else "",
-                known_sequence=newest.sequence if newest is not None else 0,
-            )
-            return True
-        if (
-            len(self._newest_by_address) < MAX_UPSTREAMS
-            or rec.address in self._newest_by_address
-        ):
-            self._newest_by_address[rec.address] = announcement
-        if self._is_first_ready_distrusted:
-            self._is_first_ready_distrusted = False
-            # An announcement without a sequence comes from a health check and is
-            # never delayed.
-            if rec.state is UpstreamState.READY and announcement.sequence:
-                log.info(
-                    "announcement_doubted",
-                    upstream=rec.upstream,
-                    sequence=announcement.sequence,
-                )
-                return True
-        for other, known in list(upstreams.items()):
-            if known.address == rec.address and other != rec.upstream:
-                self.drop(other, "replaced")
-        if self._is_leaving(announcement):
-            rec = replace(rec, state=UpstreamState.LEAVING)
-        old = upstreams.get(rec.upstream)
-        if old is None and len(upstreams) >= MAX_UPSTREAMS:
-            return False
-        if old is not None and (old.address, old.service) != (rec.address, rec.service):
-            self.drop(rec.upstream, "replaced")
-            old = None
-        self._announced_at_s[rec.upstream] = self.ctx.now()
-        new = self._with_ready_time(rec, old, announcement.started_ms or 0)
-        if new != old:
-            upstreams[rec.upstream] = new
-            log.info("upstream_announced", upstream=rec.upstream, state=rec.state.name)
-            self.ctx.board.notify(Topic.UPSTREAMS)
-        return True
-
-    def delete(self, upstream: str, started_ms: int | None = None) -> None:
-        """Remove an upstream on its own request, and remember the deletion.
-
-        A node that has just restarted may receive the deletion of an upstream that
-        it doesn't know, and remembers that as well.
-        """
-        rec = self.ctx.board.upstreams.get(upstream)
-        newest = self._newest_by_address.get(rec.address) if rec is not None else None
-        known_ms = newest.started_ms if newest is not None else None
-        if started_ms is not None and known_ms is not None and started_ms < known_ms:
+        in_use = self._on_address(rec.address)
+        if check is not None and in_use is not None and not check.names(in_use):
+            self.drop(in_use.upstream, "replaced")
+            in_use = None
+        is_full = len(upstreams) >= MAX_UPSTREAMS and rec.upstream not in upstreams
+        if is_full and in_use is None:
+            refusal = Refused(Objection.TOO_MANY)
+            self._log.record(announcement, refusal)
+            return refusal
+        verdict = self._order.judge(
+            announcement, self._host(), in_use, self.ctx.now(), check
+        )
+        match verdict:
+            case Accepted(overruled=overruled):
+                if overruled is not None:
+                    self._log.record_overruled(announcement, overruled, check)
+                self._put(announcement)
+                if overruled is Objection.LEFT and self.on_upstream_return is not None:
+                    self.on_upstream_return(rec.upstream)
+            case Outdated() | Disputed() | Refused():
+                self._log.record(announcement, verdict)
+                if verdict.is_alive and rec.upstream in upstreams:
+                    self._announced_at_s[rec.upstream] = self.ctx.now()
+        return verdict
+
+    def reject(self, upstream: str, findings: Findings) -> None:
+        """Record an announcement or deletion that can't be read."""
+        self._log.record_rejected(upstream, findings)
+
+    def delete(
+        self,
+        upstream: str,
+        started_ms: int | None = None,
+        check: CheckedUpstream | None = None,
+    ) -> Verdict:
+        """Remove an upstream on its own request, and return the verdict on that."""
+        verdict = self._order.judge_deletion(
+            upstream,
+            started_ms,
+            self._host(),
+            self.ctx.board.upstreams.get(upstream),
+            self.ctx.now(),
+            self.ctx.wall_ms(),
+            check,
+        )
+        if not isinstance(verdict, Accepted):
             log.info("deletion_superseded", upstream=upstream, started_ms=started_ms)
-            return
-        deleted_started_ms = known_ms if started_ms is None else started_ms
-        self._deleted[upstream] = _Deletion(deleted_started_ms, self.ctx.wall_ms())
-        while len(self._deleted) > MAX_UPSTREAMS:
-            del self._deleted[next(iter(self._deleted))]
-        if not self.drop(upstream, "deleted"):
+        elif not self.drop(upstream, "deleted"):
             log.info(
-                "unknown_upstream_deleted",
-                upstream=upstream,
-                started_ms=deleted_started_ms,
+                "unknown_upstream_deleted", upstream=upstream, started_ms=started_ms
             )
+        return verdict
 
     def mark_leaving(self, upstream: str, started_ms: int) -> None:
         """Record that a process of an upstream said in an answer that it leaves.
@@ -218,39 +224,51 @@
         rec = self.ctx.board.upstreams.get(upstream)
         if not started_ms and rec is not None:
             started_ms = rec.started_ms
-        self._leaving[upstream] = started_ms
-        while len(self._leaving) > MAX_UPSTREAMS:
-            del self._leaving[next(iter(self._leaving))]
+        self._order.mark_leaving(upstream, started_ms)
         if rec is not None and rec.state is not UpstreamState.LEAVING:
             self.ctx.board.upstreams[upstream] = replace(
                 rec, state=UpstreamState.LEAVING
             )
             self.ctx.board.notify(Topic.UPSTREAMS)
 
-    def _is_leaving(self, announcement: Announcement) -> bool:
-        upstream, started_ms = announcement.record.upstream, announcement.started_ms
-        left_ms = self._leaving.get(upstream)
-        if left_ms is None:
-            return False
-        if not left_ms and started_ms:
-            # The process that left was still running when this node started.
-            left_ms = self._leaving[upstream] = started_ms
-        if not started_ms or started_ms <= left_ms:
-            return True
-        del self._leaving[upstream]
-        return False
-
-    def _is_deleted(self, announcement: Announcement) -> bool:
-        upstream = announcement.record.upstream
-        started_ms = announcement.started_ms
-        deletion = self._deleted.get(upstream)
-        if deletion is None or started_ms is None:
-            return False
-        if deletion.started_ms is None and started_ms <= deletion.deleted_ms:
-            # The announced process started before the deletion, so it is the deleted
-            # one.
-            deletion.started_ms = started_ms
-        return deletion.started_ms is not None and started_ms <= deletion.started_ms
+    async def _check(self) -> CheckedUpstream | None:
+        """Check the upstream; None if its answer is older than what is known of it."""
+        assert self.check_upstream is not None
+        departure_count = self._order.departure_count
+        check = await self.check_upstream()
+        if self._order.departure_count != departure_count:
+            return None
+        return check
+
+    def _host(self) -> HostUpstream:
+        cfg = self.ctx.cfg
+        return HostUpstream(
+            cfg.host_service,
+            cfg.host_upstream_address or "",
+            cfg.membership.announce_timeout_s,
+            self.check_upstream is not None,
+        )
+
+    def _on_address(self, address: str) -> UpstreamRecord | None:
+        records = self.ctx.board.upstreams.values()
+        return next((rec for rec in records if rec.address == address), None)
+
+    def _put(self, announcement: Announcement) -> None:
+        rec = announcement.record
+        upstreams = self.ctx.board.upstreams
+        for other, known in list(upstreams.items()):
+            if known.address == rec.address and other != rec.upstream:
+                self.drop(other, "replaced")
+        old = upstreams.get(rec.upstream)
+        if old is not None and (old.address, old.service) != (rec.address, rec.service):
+            self.drop(rec.upstream, "replaced")
+            old = None
+        self._announced_at_s[rec.upstream] = self.ctx.now()
+        new = self._with_ready_time(rec, old, announcement.started_ms or 0)
+        if new != old:
+            upstreams[rec.upstream] = new
+            log.info("upstream_announced", upstream=rec.upstream, state=rec.state.name)
+            self.ctx.board.notify(Topic.UPSTREAMS)
 
     def drop(self, upstream: str, reason: str) -> bool:
         """Remove an upstream; return False if it is unknown."""
--- a/lentilsill/daemon/controllers/destination.py
+++ b/lentilsill/daemon/controllers/destination.py
@@ -42,6 +42,7 @@
 from .suspects import refuse_suspect
 from .unacknowledged_results import StoreOrphanedResult
 from .upstream_connection_log import UpstreamConnectionLog
+from .upstream_notices import OnLeaving, ignore_leaving
 
 __all__ = ["DestinationController"]
 
@@ -78,9 +79,7 @@
         self.inner_calls = InnerCalls(ctx, self._upstreams, self._apply)
         # Callback that removes an upstream (id, reason); set after construction.
         self.drop_upstream: Callable[[str, str], bool] | None = None
-        # Callback that records that an upstream's process leaves (id, start of the
-        # process in ms); set after construction.
-        self.mark_leaving: Callable[[str, int], None] | None = None
+        self.mark_leaving: OnLeaving = ignore_leaving  # Set after construction.
         self.rollouts: RolloutCalls | None = None  # Set after construction.
         for topic in (Topic.UPSTREAMS, Topic.IN_FORCE, Topic.DRAIN):
             ctx.board.subscribe(topic, self.refresh)
@@ -147,10 +146,15 @@
         if local is not None and not local.is_dropped:
             self._report_death(local)
 
+    def on_upstream_return(self, upstream: str) -> None:
+        """Send calls again to an upstream that had said that it leaves."""
+        if (local := self._upstreams.get(upstream)) is not None:
+            local.notices.withdraw_leaving(self.ctx.now())
+            self.refresh()
+
     def refresh(self) -> None:
         """Apply changes of upstreams, documents and drain state."""
-        board = self.ctx.board
-        now = self.ctx.now()
+        board, now = self.ctx.board, self.ctx.now()
         for upstream, local in list(self._upstreams.items()):
             record = board.upstreams.get(upstream)
             if record is None or record.address != local.record.address:
@@ -166,7 +170,7 @@
                 self.ctx.cfg.calls.post_reuse_s,
                 self.integration,
                 self._connection_log.record,
-                self._on_leaving,
+                lambda *args: self.mark_leaving(*args),
                 self.ctx.answer_bytes,
                 self.ctx.cfg.calls.fair_shares,
                 self.inner_calls.is_on,
@@ -355,10 +359,6 @@
             is_copy = execution.fingerprint in lost
             self.drop_waiting(execution, SUSPECTED if is_copy else LEAVING)
 
-    def _on_leaving(self, upstream: str, started_ms: int) -> None:
-        if self.mark_leaving is not None:
-            self.mark_leaving(upstream, started_ms)
-
     def _is_closed_to_calls(self, local: LocalUpstream) -> bool:
         board, record = self.ctx.board, local.record
         is_ready = record.state is UpstreamState.READY and not local.notices.is_leaving
--- a/lentilsill/daemon/controllers/local_upstream.py
+++ b/lentilsill/daemon/controllers/local_upstream.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import xxhash
@@ -22,7 +22,7 @@
 
 from .upstream_client import Exchange, UpstreamClient
 from .upstream_connections import OnUpstreamClosed, ignore_upstream_close
-from .upstream_notices import UpstreamNotices
+from .upstream_notices import OnLeaving, UpstreamNotices, ignore_leaving
 
 __all__ = [
     "Execution",
@@ -103,7 +103,7 @@
         post_reuse_s: float,
         integration: Integration,
         on_closed: OnUpstreamClosed = ignore_upstream_close,
-        on_leaving: Callable[[str, int], None] = lambda upstream, started_ms: None,
+        on_leaving: OnLeaving = ignore_leaving,
         held_bytes: HeldBytes | None = None,
         fair_shares: bool = False,
         inner_slots: bool = False,
--- a/lentilsill/daemon/controllers/upstream_notices.py
+++ b/lentilsill/daemon/controllers/upstream_notices.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import structlog
 from tornado.httputil import HTTPHeaders
@@ -14,16 +15,30 @@
 from lentilsill.daemon.integration import HeaderNames
 from lentilsill.wire.messages import NoticeRow
 
-__all__ = ["HeardNotices", "UpstreamNotices", "notice_from_row", "notice_to_row"]
+__all__ = [
+    "HeardNotices",
+    "OnLeaving",
+    "UpstreamNotices",
+    "ignore_leaving",
+    "notice_from_row",
+    "notice_to_row",
+]
 
 # Notices on this many upstreams are held; the oldest is dropped first.
 MAX_NOTICES = 5000
 
 LEAVING_VALUE = "1"
 
+# Called with the id of an upstream and the start of its process in ms, 0 if unknown.
+OnLeaving = Callable[[str, int], None]
+
 log = structlog.get_logger()
 
 
+def ignore_leaving(upstream: str, started_ms: int) -> None:
+    """Do nothing about an upstream that leaves."""
+
+
 def notice_to_row(notice: Notice, now: float) -> NoticeRow:
     """Return the wire form of a notice, with its age instead of a time."""
     limit_per_s = -1.0 if notice.limit_per_s is None else notice.limit_per_s
@@ -73,7 +88,7 @@
         self,
         upstream: str,
         names: HeaderNames,
-        on_leaving: Callable[[str, int], None],
+        on_leaving: OnLeaving,
     ) -> None:
         self._upstream = upstream
         self._names = names
@@ -82,6 +97,8 @@
         self.notice: Notice | None = None
         self.limiter = RateLimiter()
         self.started_ms = 0
+        # What was heard up to this time does not say any more that it leaves.
+        self._returned_at = float("-inf")
 
     @property
     def is_leaving(self) -> bool:
@@ -97,6 +114,15 @@
         if known is not None and 0 < known.started_ms < started_ms:
             self._apply(Notice(None, now, started_ms), "start", now)
 
+    def withdraw_leaving(self, now: float) -> None:
+        """Forget that the upstream leaves, as its health check shows that it stays.
+
+        Entry nodes may go on sending the notice along; it is ignored, as it is older.
+        """
+        self._returned_at = now
+        if self.notice is not None:
+            self.notice = replace(self.notice, is_leaving=False)
+
     def record_answer(self, headers: HTTPHeaders, heard_at: float, now: float) -> None:
         """Record what the head of an answer says; it arrived at `heard_at`."""
         known = self.notice
@@ -123,7 +149,10 @@
             return
         # A notice without a start may come from an earlier process.
         if self.started_ms in (0, row.started_ms):
-            self._apply(notice_from_row(row, now), "peer", now)
+            notice = notice_from_row(row, now)
+            if notice.heard_at <= self._returned_at:
+                notice = replace(notice, is_leaving=False)
+            self._apply(notice, "peer", now)
 
     def row(self, now: float) -> NoticeRow | None:
         """Return the notice to send along with a result, or None."""
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -39,6 +39,7 @@
 from .controllers.rollout_store import RolloutStoreController
 from .controllers.rollouts import FEATURE as ROLLOUTS_FEATURE, RolloutsController
 from .controllers.status import StatusController
+from .controllers.upstream_check import UpstreamCheck
 from .integration import DEFAULT_INTEGRATION, Integration
 
 __all__ = ["make_context", "running_node"]
@@ -106,7 +107,11 @@
     )
     destination.drop_upstream = admin_server.announcements.drop
     destination.mark_leaving = admin_server.announcements.mark_leaving
-    UpstreamDiscovery(ctx, admin_server.announcements, integration).start()
+    admin_server.announcements.on_upstream_return = destination.on_upstream_return
+    check = UpstreamCheck(ctx, integration)
+    if check.is_possible:
+        admin_server.announcements.check_upstream = check.ask
+    UpstreamDiscovery(ctx, admin_server.announcements, check).start()
     ctx.links.listen(cfg.peer_address)
     caller_server.listen(cfg.caller_address)
     admin_server.start()
--- a/lentilsill/daemon/tests/test_announcements.py
+++ b/lentilsill/daemon/tests/test_announcements.py
@@ -16,14 +16,16 @@
 ADDRESS = "127.0.0.1:9"
 
 
-def announcement(upstream="w1", started_ms=1000, sequence=1, state="READY"):
-    record = UpstreamRecord(upstream, "a", ADDRESS, 6, (), UpstreamState[state])
+def announcement(
+    upstream="w1", started_ms=1000, sequence=1, state="READY", service="a"
+):
+    record = UpstreamRecord(upstream, service, ADDRESS, 6, (), UpstreamState[state])
     return Announcement(record, started_ms, sequence)
 
 
 class AnnouncementOrderTests(unittest.TestCase):
     def setUp(self):
-        cfg = node_settings("n1", host_upstream_address=ADDRESS)
+        cfg = node_settings("n1", host_upstream_address=ADDRESS, host_service="a")
         links = PeerLinks(Identity("n1", "i-1", "d", "127.0.0.1:1"), "127.0.0.1")
         board = Blackboard(EMPTY_SNAPSHOT)
         self.ctx = Context(cfg, board, links, None, random.Random(1))
@@ -139,3 +141,32 @@
         self.announcements.apply(announcement())
         self.announcements.delete("w1")
         self.assertEqual(self.gone_upstreams, [])
+
+    def test_announcement_of_another_service_does_not_displace_the_upstream(self):
+        """Guards against an upstream that another writer displaces (review/7).
+
+        All later announcements of the upstream were acknowledged and had no effect.
+        """
+        self.announcements.apply(announcement(sequence=4))
+        self.announcements.apply(announcement("odd", started_ms=9000, service="nosuch"))
+        self.assertEqual(self.states(), {"w1": "READY"})
+        self.announcements.apply(announcement(sequence=5))
+        self.assertEqual(self.states(), {"w1": "READY"})
+        self.assertEqual(self.gone_upstreams, [])
+
+    def test_upstream_that_starts_with_its_clock_behind_is_used(self):
+        """Guards against a restarted upstream that gets no calls for good.
+
+        Its announcements were all older than those of the process before it.
+        """
+        clock_s = self.ctx.now()
+        self.ctx.now = lambda: clock_s
+        timeout_s = self.ctx.cfg.membership.announce_timeout_s
+        for upstream in ("w1", "w2"):
+            self.announcements.apply(announcement(started_ms=9000, sequence=7))
+            self.announcements.drop("w1", "crashed")
+            for sequence in range(1, int(timeout_s) + 2):
+                self.announcements.apply(announcement(upstream, 4000, sequence))
+                clock_s += 1.0
+            self.assertEqual(self.states(), {upstream: "READY"})
+            self.announcements.drop(upstream, "silent")
--- a/lentilsill/daemon/tests/test_discovery.py
+++ b/lentilsill/daemon/tests/test_discovery.py
@@ -8,6 +8,7 @@
 from lentilsill.daemon.blackboard import Blackboard
 from lentilsill.daemon.context import Context
 from lentilsill.daemon.controllers.discovery import UpstreamDiscovery
+from lentilsill.daemon.controllers.upstream_check import UpstreamCheck
 from lentilsill.daemon.controllers.upstream_client import MAX_ANSWER_BYTES
 from lentilsill.daemon.integration import HeaderNames, Integration
 from lentilsill.tests.endless_server import EndlessServer
@@ -40,7 +41,7 @@
         self.ctx = Context(cfg, board, links, None, random.Random(1))
         announcements = Announcements(self.ctx)
         self.discovery = UpstreamDiscovery(
-            self.ctx, announcements, Integration(HEADER_NAMES)
+            self.ctx, announcements, UpstreamCheck(self.ctx, Integration(HEADER_NAMES))
         )
         self.run_checks = lambda: self.discovery._run(address)
 
--- a/lentilsill/membership/__init__.py
+++ b/lentilsill/membership/__init__.py
@@ -5,6 +5,17 @@
 """
 
 from .announcement import Announcement, is_superseded
+from .announcement_order import AnnouncementOrder
+from .announcement_verdicts import (
+    Accepted,
+    CheckedUpstream,
+    Disputed,
+    HostUpstream,
+    Objection,
+    Outdated,
+    Refused,
+    Verdict,
+)
 from .detector import (
     Action,
     DeclareDead,
@@ -34,17 +45,25 @@
 
 __all__ = [
     "BUCKET_COUNT",
+    "Accepted",
     "Action",
     "Announcement",
+    "AnnouncementOrder",
+    "CheckedUpstream",
     "DeclareDead",
     "DeclareSuspect",
+    "Disputed",
     "DomainSummary",
     "Entry",
     "FailureDetector",
+    "HostUpstream",
     "Liveness",
     "MemberTable",
     "NodeRecord",
     "NodeState",
+    "Objection",
+    "Outdated",
+    "Refused",
     "RepeatProbe",
     "RowError",
     "SendIndirectProbe",
@@ -53,6 +72,7 @@
     "SummaryTable",
     "UpstreamRecord",
     "UpstreamState",
+    "Verdict",
     "apply_delta",
     "build_summary",
     "diff_summaries",
