Refuse deletions of upstreams that can't be read

What callers would see: the upstream of a host gets no calls until its next announcement, after one deletion that another writer sent.

Cause: a body that can't be read, or whose start is no number, counted as a deletion without a start, which covers every process of the upstream that started before it.

Change: such a deletion is answered with 400, logged and counted, and has no effect. An empty body still stands for the known process.

test_start_is_read_from_a_deletion expected that b"not json" is a deletion without a start. That is the fault, so the test now asks for an error, and for None where the body is empty or names no start.

--- a/lentilsill/daemon/admin_server.py
+++ b/lentilsill/daemon/admin_server.py
@@ -12,6 +12,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from lentilsill.findings import Findings
 from lentilsill.membership import (
     Accepted,
     Disputed,
@@ -189,8 +190,7 @@
     async def put(self, upstream: str) -> None:
         match self.server.integration.parse_announcement(upstream, self.request.body):
             case Err(findings):
-                self.server.announcements.reject(upstream, findings)
-                self.reply(400, {"findings": [str(finding) for finding in findings]})
+                self._reject(upstream, findings)
             case Ok(announcement):
                 self._answer(
                     await self.server.announcements.settle(announcement),
@@ -198,9 +198,18 @@
                 )
 
     async def delete(self, upstream: str) -> None:
-        started_ms = self.server.integration.parse_start_ms(self.request.body)
-        verdict = await self.server.announcements.settle_deletion(upstream, started_ms)
-        self._answer(verdict, {})
+        match self.server.integration.parse_start_ms(self.request.body):
+            case Err(findings):
+                self._reject(upstream, findings)
+            case Ok(started_ms):
+                announcements = self.server.announcements
+                self._answer(
+                    await announcements.settle_deletion(upstream, started_ms), {}
+                )
+
+    def _reject(self, upstream: str, findings: Findings) -> None:
+        self.server.announcements.reject(upstream, findings)
+        self.reply(400, {"findings": [str(finding) for finding in findings]})
 
     def _answer(self, verdict: Verdict, accepted: dict[str, Any]) -> None:
         match verdict:
--- a/lentilsill/daemon/integration.py
+++ b/lentilsill/daemon/integration.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from result import Result
+from result import Ok, Result
 
 from lentilsill.findings import Findings
 from lentilsill.membership import Announcement
@@ -62,8 +62,9 @@
     organisation: str = "Lentilsill-Organisation"
 
 
-def _no_start_time(body: bytes) -> None:
+def _no_start_time(body: bytes) -> Result[int | None, Findings]:
     """Return None: deletions in the default format contain no start time."""
+    return Ok(None)
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +87,8 @@
     parse_announcement : callable
         Parses an announcement from the upstream's id and the request body.
     parse_start_ms : callable
-        Parses the start time of an upstream, in ms, from the body of its deletion.
+        Parses the start time of an upstream, in ms, from the body of its deletion;
+        None if it names none.
     parse_versioned_announcement : callable or None
         Used instead of `parse_announcement` if the settings enable roll-outs; the
         version of the upstream becomes its label `version`.
@@ -105,7 +107,7 @@
     parse_announcement: Callable[[str, bytes], Result[Announcement, Findings]] = (
         parse_announcement
     )
-    parse_start_ms: Callable[[bytes], int | None] = _no_start_time
+    parse_start_ms: Callable[[bytes], Result[int | None, Findings]] = _no_start_time
     parse_versioned_announcement: (
         Callable[[str, bytes], Result[Announcement, Findings]] | None
     ) = None
--- a/lentilsill/daemon/tests/test_disputed_announcements.py
+++ b/lentilsill/daemon/tests/test_disputed_announcements.py
@@ -122,6 +122,15 @@
         self.assertEqual(await self.put(sequence=7), 200)
         self.assertEqual(self.states, {"w1": "READY"})
 
+    async def test_deletion_that_can_not_be_read_has_no_effect(self):
+        """Guards against an upstream whose use ends by a body of another writer."""
+        await self.put()
+        for body in (b"\xff", b'{"born": "x"}', b'{"born": -1}'):
+            self.assertEqual(await self.send("DELETE", "w1", body), 400)
+            self.assertEqual(self.states, {"w1": "READY"})
+        self.assertEqual(await self.send("DELETE", "w1", b""), 200)
+        self.assertEqual(self.states, {})
+
     async def test_leaving_upstream_does_not_return(self):
         """Guards against calls to an upstream whose leaving was acknowledged.
 
--- a/lentilsill/platform/reports.py
+++ b/lentilsill/platform/reports.py
@@ -49,14 +49,10 @@
     >>> parse_report("i-1", b'{"service": "a"}').unwrap_err().items[0].place
     'address'
     """
-    findings = Findings()
     try:
         report = _Report.model_validate_json(text)
     except ValidationError as exc:
-        for error in exc.errors(include_url=False, include_input=False):
-            place = ".".join(str(part) for part in error["loc"]) or "report"
-            findings.add(place, error["msg"])
-        return Err(findings)
+        return Err(_findings(exc, "report"))
     record = UpstreamRecord(
         upstream,
         report.service,
@@ -95,17 +91,32 @@
     return parse_report(upstream, text).map(add_label)
 
 
-def parse_start_ms(body: bytes) -> int | None:
+def parse_start_ms(body: bytes) -> Result[int | None, Findings]:
     """Return the start time of an upstream from the body of its deletion.
 
-    The time is in ms since the epoch; it is None if the body has no valid one.
+    The time is in ms since the epoch; it is None if the body is empty or names none.
+    Any other body comes from another writer.
 
     Examples
     --------
-    >>> parse_start_ms(b'{"born": 1700000000000}'), parse_start_ms(b"")
-    (1700000000000, None)
+    >>> parse_start_ms(b'{"born": 1700000000000}')
+    Ok(1700000000000)
+    >>> parse_start_ms(b"")
+    Ok(None)
+    >>> parse_start_ms(b'{"born": "x"}').is_err()
+    True
     """
+    if not body:
+        return Ok(None)
     try:
-        return _Deletion.model_validate_json(body).born
-    except ValidationError:
-        return None
+        return Ok(_Deletion.model_validate_json(body).born)
+    except ValidationError as exc:
+        return Err(_findings(exc, "deletion"))
+
+
+def _findings(exc: ValidationError, document: str) -> Findings:
+    findings = Findings()
+    for error in exc.errors(include_url=False, include_input=False):
+        place = ".".join(str(part) for part in error["loc"]) or document
+        findings.add(place, error["msg"])
+    return findings
--- a/lentilsill/platform/tests/test_translation.py
+++ b/lentilsill/platform/tests/test_translation.py
@@ -77,8 +77,14 @@
 
     def test_start_is_read_from_a_deletion(self):
         """Guards against a delayed deletion that removes the restarted upstream."""
-        self.assertEqual(parse_start_ms(b'{"born": 5}'), 5)
-        self.assertIsNone(parse_start_ms(b"not json"))
+        self.assertEqual(parse_start_ms(b'{"born": 5}').unwrap(), 5)
+        for body in (b"", b"{}"):
+            self.assertIsNone(parse_start_ms(body).unwrap())
+
+    def test_deletion_that_can_not_be_read_is_an_error(self):
+        """Guards against a deletion that another writer sent and that is believed."""
+        for body in (b"not json", b"\xff", b"[]", b'{"born": "5"}', b'{"born": 5.5}'):
+            self.assertTrue(parse_start_ms(body).is_err(), body)
 
 
 class SettingsTests(unittest.TestCase):
