Outrank a summary whose generation comes from a clock that was ahead

What callers would see: calls to another domain go by its old summary, to upstreams that are gone, for as long as the clock of an earlier gateway had been ahead.

Cause: generations of summaries follow the clocks of gateways, and other domains keep the latest. When all nodes of a domain have restarted, none of them knows that number. Member records have an exit, as a node refutes a record of its own name; summaries had none.

Change: a node that knows a later generation of the domain of a peer answers the peer's listing with its own, and the gateway numbers its summary above that.

Evidence: test_summary_of_a_domain_whose_clock_was_ahead_is_replaced failed before (the contents differed after three exchanges).

--- a/lentilsill/daemon/controllers/summaries.py
+++ b/lentilsill/daemon/controllers/summaries.py
@@ -72,6 +72,10 @@
         # domain, by receiving domain.
         self._last_sent: dict[str, tuple[float, int, int]] = {}
         self._listed_at = float("-inf")
+        # Lowest generation of the local summary, above what other domains have known.
+        self._min_generation = 0
+        # When a peer was last told that a later generation of its domain is known.
+        self._rank_sent_at = float("-inf")
         # Newest generation that was forwarded, by domain of the summary.
         self._forwarded: dict[str, int] = {}
         self._is_publish_pending = False
@@ -120,16 +124,24 @@
         """Return (domain, generation, content hash) of each known summary."""
         return self._table.listing()
 
-    def listing_if_behind(
-        self, their_listing: Iterable[tuple[str, int, int]]
+    def listing_if_needed(
+        self, link: Link, their_listing: Iterable[tuple[str, int, int]]
     ) -> tuple[tuple[str, int, int], ...]:
-        """Return this node's listing if a peer has newer content, else ()."""
+        """Return this node's listing if it is behind a peer, else ().
+
+        A peer also gets it if this node knows a later generation of the peer's domain:
+        the peer then outranks that, see `_outrank`.
+        """
         own_versions = {name: (gen, content) for name, gen, content in self.listing()}
         for domain, generation, content_hash in their_listing:
             if domain == self._ctx.cfg.domain:
                 continue
             own_generation, own_hash = own_versions.get(domain, (-1, 0))
-            if generation > own_generation and content_hash != own_hash:
+            is_behind = generation > own_generation
+            if generation < own_generation and domain == link.hello.domain:
+                is_behind = self._ctx.now() - self._rank_sent_at > MIN_SEND_INTERVAL_S
+                self._rank_sent_at = self._ctx.now()
+            if is_behind and content_hash != own_hash:
                 return self.listing() or EMPTY_LISTING
         return ()
 
@@ -137,6 +149,7 @@
         self, link: Link, their_listing: Iterable[tuple[str, int, int]]
     ) -> None:
         """Send a peer the summaries whose content is newer than in its listing."""
+        self._outrank(their_listing)
         their_versions = {name: (gen, content) for name, gen, content in their_listing}
         for domain, generation, content_hash in self.listing():
             their_generation, their_hash = their_versions.get(domain, (-1, 0))
@@ -144,6 +157,23 @@
             if is_newer and domain != link.hello.domain:
                 self._send_update(link, domain, their_hash)
 
+    def _outrank(self, their_listing: Iterable[tuple[str, int, int]]) -> None:
+        """Renumber the local summary if other domains know a later generation of it.
+
+        Generations follow the clocks of gateways. After a clock was ahead and all
+        nodes of the domain have restarted, other domains would keep its old summary.
+        """
+        domain = self._ctx.cfg.domain
+        own = self._table.get(domain)
+        if own is None or not self._is_gateway():
+            return
+        for name, generation, content_hash in their_listing:
+            is_later = generation > own.generation and content_hash != own.content_hash
+            if name == domain and is_later:
+                self._min_generation = generation + 1
+                self._has_member_changes = True
+                self._update_summary()
+
     def _send_update(self, link: Link, domain: str, their_hash: int) -> None:
         update = self._table.update_for(domain, their_hash)
         if update is not None and link.send(_to_message(update, "")):
@@ -185,11 +215,13 @@
         self._has_member_changes = False
         # The other gateway's clock may be ahead of this one's.
         min_generation = known.generation + 1 if known is not None else 0
+        min_generation = max(min_generation, self._min_generation)
         generation = max(self._ctx.wall_ms(), min_generation)
         summary = build_summary(
             domain, generation, self._members.values(), self._gateways
         )
-        if known is not None and known.has_same_content(summary):
+        has_rank = known is not None and known.generation >= self._min_generation
+        if known is not None and has_rank and known.has_same_content(summary):
             return known
         self._table.merge(summary)
         update = summary if known is None else diff_summaries(known, summary)
--- a/lentilsill/daemon/controllers/table_repair.py
+++ b/lentilsill/daemon/controllers/table_repair.py
@@ -65,7 +65,7 @@
         listing: tuple[tuple[str, int, int], ...] = ()
         if message.summaries:
             self._summaries.send_newer(link, message.summaries)
-            listing = self._summaries.listing_if_behind(message.summaries)
+            listing = self._summaries.listing_if_needed(link, message.summaries)
         if message.table:
             differing = table.differing_buckets(message.table)
             chosen = self._ctx.rng.sample(
--- a/lentilsill/daemon/controllers/tests/test_table_repair.py
+++ b/lentilsill/daemon/controllers/tests/test_table_repair.py
@@ -32,24 +32,27 @@
     receiver.
     """
 
-    def __init__(self, name, seed, network):
+    def __init__(self, name, seed, network, domain="lahore"):
         self.name = name
         self.network = network
         self.now_s = 0.0
-        self.hello = Hello(1, name, name, "lahore", "control", "127.0.0.1:1")
+        self.wall_ms = 0
+        self.hello = Hello(1, name, name, domain, "control", "127.0.0.1:1")
         ctx: Any = SimpleNamespace(
             now=lambda: self.now_s,
+            wall_ms=lambda: self.wall_ms,
             rng=Random(seed),
             board=Blackboard(EMPTY_SNAPSHOT),
             count=lambda *args: None,
             cfg=SimpleNamespace(
                 node=name,
-                domain="lahore",
+                domain=domain,
                 membership=SimpleNamespace(probe_interval_s=1.0),
             ),
         )
         self.table = MemberTable(make_record(name), dead_retention_s=1e9)
-        self.summaries = SummaryExchange(ctx, lambda: False, lambda *args: 0)
+        self.is_gateway = False
+        self.summaries = SummaryExchange(ctx, lambda: self.is_gateway, lambda *args: 0)
         self.summaries._is_publish_pending = True
         self.repair = TableRepair(ctx, self.table, self.summaries)
 
@@ -153,6 +156,38 @@
         self.assertEqual(a.content(), b.content())
         self.assertLess(total_bytes, 1200)
 
+    def test_summary_of_a_domain_whose_clock_was_ahead_is_replaced(self):
+        """Guards against calls by an old summary for as long as a clock was ahead.
+
+        All nodes of the domain have restarted since, and their clocks are right.
+        """
+        network: list = []
+        gateway = FakeNode("g", 1, network, "multan")
+        gateway.is_gateway = True
+        gateway.wall_ms = 5000
+        remote = FakeNode("r", 2, network)
+        remote.summaries._table.merge(make_summary("multan", 10**12, Random(3)))
+        record = replace(make_record("g"), domain="multan")
+        gateway.summaries.set_members({"g": record}, ("g",))
+        for _ in range(3):
+            # The gateway sends its listing at intervals.
+            gateway.now_s += 5.0
+            remote.now_s += 5.0
+            gateway.summaries._update_summary()
+            listing = Records((), summaries=gateway.summaries.listing())
+            network.append((gateway, remote, listing))
+            message_count = 0
+            while network:
+                sender, receiver, message = network.pop(0)
+                receiver.receive(sender, message)
+                message_count += 1
+            self.assertLess(message_count, 8)
+        known, own = (
+            {name: content for name, _, content in node.summaries.listing()}
+            for node in (remote, gateway)
+        )
+        self.assertEqual(known["multan"], own["multan"])
+
     def test_repair_does_not_restore_removed_dead_node(self):
         """Guards against records of dead nodes that are never removed from all tables.
 
