Read the configuration from its own object only

Cause: the list and the watch take all objects of the kind, and the newest revision among them was in force, also with a lower version.

Change: Integration.documents_name names the only object that holds the bundle; on the platform that is config/main. Other objects of the kind are left out when a node reads.

Evidence: test_other_object_of_the_kind_does_not_replace_the_bundle fails without the name ('seven' != 'five'), by list and by watch.

--- a/lentilsill/daemon/controllers/platform_watch.py
+++ b/lentilsill/daemon/controllers/platform_watch.py
@@ -72,9 +72,11 @@
         membership: MembershipController,
         distribution: DistributionController,
         kind: str = "service",
+        name: str = "",
     ) -> None:
         self._ctx = ctx
         self._kind = kind
+        self._name = name
         self._api = api
         self._documents = documents
         self._membership = membership
@@ -97,9 +99,13 @@
         membership: MembershipController,
         distribution: DistributionController,
         kind: str = "service",
+        name: str = "",
     ) -> "PlatformWatchController":
-        """Return the controller of a node; `kind` is the kind of the documents."""
-        return cls(ctx, api, documents, membership, distribution, kind)
+        """Return the controller of a node; `kind` is the kind of the documents.
+
+        If `name` is given, other objects of that kind are left out.
+        """
+        return cls(ctx, api, documents, membership, distribution, kind, name)
 
     def start(self) -> None:
         """Start the watch loop."""
@@ -191,6 +197,8 @@
         self, base: int, revision: int, full: bool, objects: tuple[StoredObject, ...]
     ) -> None:
         self._last_error = ""
+        if self._name:
+            objects = tuple(obj for obj in objects if obj.name == self._name)
         to_text = _document_text
         if self._read_planner.newest_only:
             to_text = bundle_text if self._ctx.cfg.organisations else _plain_bundle_text
--- a/lentilsill/daemon/controllers/tests/test_restored_store.py
+++ b/lentilsill/daemon/controllers/tests/test_restored_store.py
@@ -80,6 +80,38 @@
         self.assertLess(time.monotonic() - started_s, IN_FORCE_S / 2)
 
 
+class NameTests(unittest.IsolatedAsyncioTestCase):
+    async def test_other_object_of_the_kind_does_not_replace_the_bundle(self):
+        """Guards against an object under another name that outranks the bundle.
+
+        The newest revision among all objects of the kind was in force.
+        """
+        for is_listed in (True, False):
+            with self.subTest(is_listed):
+                platform: Any = FakePlatform()
+                path = PlatformPath(platform)
+                path.is_silent = True
+                node = start_node("n", path, documents="bundle")
+                self.addCleanup(node.stop)
+                watch = PlatformWatchController.from_context(
+                    node.ctx,
+                    platform,
+                    node.documents,
+                    node.membership,
+                    node.distribution,
+                    name="main",
+                )
+                await platform.write("main", bundle_value(3, "five"))
+                if not is_listed:
+                    await watch._read_platform()
+                await platform.write("odd", bundle_value(9, "seven"))
+                await watch._read_platform()
+                self.assertEqual(in_force(node), "five")
+                await platform.write("main", bundle_value(4, "nine"))
+                await watch._read_platform()
+                self.assertEqual(in_force(node), "nine")
+
+
 class CopyTests(DrillCase):
     """A copy that holds an older version than the one in force."""
 
--- a/lentilsill/daemon/integration.py
+++ b/lentilsill/daemon/integration.py
@@ -96,6 +96,8 @@
         For each kind of platform object, the function that decodes its value.
     documents_kind : str
         Kind of the platform objects that hold documents.
+    documents_name : str
+        Name of the only such object; empty if there may be several.
     """
 
     headers: HeaderNames = HeaderNames()
@@ -113,6 +115,7 @@
     ) = None
     decoders: Mapping[str, Callable[[Any], Any]] = field(default_factory=dict)
     documents_kind: str = "service"
+    documents_name: str = ""
     # Headers that the node sets itself, in lower case.
     own_headers: frozenset[str] = field(init=False)
 
--- a/lentilsill/daemon/node.py
+++ b/lentilsill/daemon/node.py
@@ -139,7 +139,13 @@
     membership = MembershipController.from_context(ctx, documents)
     distribution = DistributionController.from_context(ctx, documents, membership)
     platform_watch = PlatformWatchController.from_context(
-        ctx, api, documents, membership, distribution, integration.documents_kind
+        ctx,
+        api,
+        documents,
+        membership,
+        distribution,
+        integration.documents_kind,
+        integration.documents_name,
     )
     readiness = ReadinessController.from_context(ctx, distribution, platform_watch)
 
--- a/lentilsill/platform/integration.py
+++ b/lentilsill/platform/integration.py
@@ -7,6 +7,8 @@
 
 __all__ = ["PLATFORM_INTEGRATION"]
 
+CONFIGURATION_NAME = "main"
+
 PLATFORM_INTEGRATION = Integration(
     headers=HeaderNames(
         deadline_ms="X-Lentilsill-Timeout-Ms",
@@ -32,4 +34,5 @@
     parse_versioned_announcement=parse_versioned_report,
     decoders={CONFIGURATION_KIND: ConfigurationDecoder()},
     documents_kind=CONFIGURATION_KIND,
+    documents_name=CONFIGURATION_NAME,
 )
