Close connections whose caller has reset them

Cause: close_gracefully marked the stream as closed before it shut the socket down for writing. After a reset by the caller the shutdown raises OSError; the transport stayed open and its end was not scheduled, so each such caller cost a descriptor for good.

Change: a close whose shutdown fails aborts the connection at once.

--- a/lentilsill/wire/streams.py
+++ b/lentilsill/wire/streams.py
@@ -277,9 +277,14 @@
         self._reads.drop()
         self._resume_reading()
         self._set_closed()
-        if transport.can_write_eof():
-            transport.write_eof()
-        self._linger()
+        try:
+            if transport.can_write_eof():
+                transport.write_eof()
+        except OSError:
+            # The peer has reset the connection, so it reads nothing any more.
+            self._abort()
+        else:
+            self._linger()
 
     def _linger(self, pause_count: int = 0) -> None:
         unsent_count = self.unsent_byte_count
--- a/lentilsill/wire/tests/test_streams.py
+++ b/lentilsill/wire/tests/test_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 import unittest
 
 from tornado.iostream import (
@@ -166,3 +167,28 @@
                 await asyncio.wait_for(fut, TIMEOUT_S)
         with self.assertRaises(StreamClosedError):
             self.stream.write(b"x")
+
+    async def test_reset_connection_is_released_by_its_close(self):
+        """Guards against a descriptor that is kept for each caller that has left.
+
+        The caller ended its stream, so that the event loop does not read any more, and
+        then reset the connection (review/6). Shutting down such a socket fails.
+        """
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            caller = socket.create_connection(server.getsockname())
+            sock, _ = server.accept()
+        sock.setblocking(False)
+        transport, stream = await self.loop.create_connection(ProtocolStream, sock=sock)
+        stream.set_eof_callback(lambda: True)
+        closed = asyncio.Event()
+        stream.set_close_callback(closed.set)
+        caller.shutdown(socket.SHUT_WR)
+        while not stream.has_received_eof:
+            await asyncio.sleep(0.005)
+        # Linger of 0 s: the close resets the connection.
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        caller.close()
+        await asyncio.sleep(0.05)
+        stream.close_gracefully()
+        await asyncio.wait_for(closed.wait(), TIMEOUT_S)
+        self.assertTrue(transport.is_closing())
