Test that late announcements after a restart do not count

Cause: the health check of a restarted node asks whether the upstream leaves. A 503 without a proof that nothing was run became a refused call, so its status was lost, and the node believed the late report. A second late report would have counted anyway.

--- a/lentilsill/daemon/tests/test_disputed_announcements.py
+++ b/lentilsill/daemon/tests/test_disputed_announcements.py
@@ -8,6 +8,7 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from lentilsill.daemon.admin_server import AdminServer
+from lentilsill.daemon.controllers.discovery import UpstreamDiscovery
 from lentilsill.daemon.controllers.tests.claim_builders import make_node
 from lentilsill.daemon.controllers.upstream_check import MIN_INTERVAL_S, UpstreamCheck
 from lentilsill.platform.integration import PLATFORM_INTEGRATION
@@ -150,6 +151,23 @@
                 self.assertEqual(await self.put(sequence=sequence), 409)
                 self.assertEqual(self.states, {"w1": "LEAVING"})
 
+    async def test_late_announcements_after_a_restart_do_not_count(self):
+        """Guards against calls to an upstream that left before its node restarted.
+
+        The platform's upstreams answer health checks with 503 then (review/2). It was
+        read as a failed call, and the late announcement was believed.
+        """
+        self.upstream.answer = health_answer(status=b"503 Unavailable")
+        discovery = UpstreamDiscovery(self.ctx, self.server.announcements, self.check)
+        self.assertIsNone(await discovery._check(self.upstream.address))
+        for sequence in (5, 6, 7):
+            self.assertEqual(await self.put(sequence=sequence), 409)
+            self.assertEqual(self.states, {})
+        # An upstream that was only failing for a while is used again.
+        self.upstream.answer = health_answer()
+        self.assertEqual(await self.put(sequence=8), 200)
+        self.assertEqual(self.states, {"w1": "READY"})
+
     async def test_answer_from_before_a_leaving_does_not_undo_it(self):
         """Guards against a health check that was sent before the upstream left."""
         await self.put()
