Drop the notices of a process whose start was ahead

What callers would see: an upstream that was restarted with its clock behind keeps the limit, or the leaving, that the process before it had named, and its own later notices have no effect.

Cause: notices are ordered by the start of their process, and the node beside the upstream reset them only for a later start.

Change: any other start than that of the notice resets it. Rows of entry nodes were already ignored unless they name the current start.

Evidence: test_process_with_an_earlier_start_is_bound_by_the_notice_before failed before (True is not false).

--- a/lentilsill/daemon/controllers/tests/test_leaving_notices.py
+++ b/lentilsill/daemon/controllers/tests/test_leaving_notices.py
@@ -4,6 +4,10 @@
 import unittest
 from dataclasses import replace
 
+from tornado.httputil import HTTPHeaders
+
+from lentilsill.daemon.controllers.upstream_notices import UpstreamNotices
+from lentilsill.daemon.integration import HeaderNames
 from lentilsill.outcomes import Answer, Outcome
 
 from .call_builders import FakeNode, FakeUpstream, make_request
@@ -101,3 +105,42 @@
         self.set_started(2000)
         for _ in range(3):
             self.assertIsInstance(await self.call(), Answer)
+
+
+class ReturnTests(unittest.TestCase):
+    def setUp(self):
+        self.left: list[str] = []
+        self.notices = UpstreamNotices(
+            "w1", HeaderNames(), lambda upstream, started_ms: self.left.append(upstream)
+        )
+
+    def answer(self, now, **fields):
+        names = {"limit": "Lentilsill-Limit", "leaving": "Lentilsill-Leaving"}
+        headers = HTTPHeaders({names[key]: text for key, text in fields.items()})
+        self.notices.record_answer(headers, now, now)
+
+    def test_process_with_an_earlier_start_is_bound_by_the_notice_before(self):
+        """Guards against a notice that outranks all later ones, as its start is later.
+
+        The clock of the process before was ahead.
+        """
+        self.notices.set_started(9000, 0.0)
+        self.answer(1.0, limit="2", leaving="1")
+        self.assertTrue(self.notices.is_leaving)
+        self.notices.set_started(4000, 2.0)
+        self.assertFalse(self.notices.is_leaving)
+        assert self.notices.notice is not None
+        self.assertIsNone(self.notices.notice.limit_per_s)
+        self.answer(3.0, limit="3")
+        self.assertEqual(self.notices.notice.limit_per_s, 3.0)
+
+    def test_notice_from_before_the_return_makes_the_upstream_leave_again(self):
+        """Guards against entry nodes that send an old notice along with their calls."""
+        self.notices.set_started(1000, 0.0)
+        self.answer(1.0, leaving="1")
+        row = self.notices.row(1.5)
+        self.notices.withdraw_leaving(2.0)
+        self.notices.record_peer(row, 2.2)
+        self.assertFalse(self.notices.is_leaving)
+        self.answer(3.0, leaving="1")
+        self.assertTrue(self.notices.is_leaving)
--- a/lentilsill/daemon/controllers/upstream_notices.py
+++ b/lentilsill/daemon/controllers/upstream_notices.py
@@ -106,12 +106,17 @@
         return self.notice is not None and self.notice.is_leaving
 
     def set_started(self, started_ms: int, now: float) -> None:
-        """Set when the upstream's process started; a new one has said nothing yet."""
+        """Set when the upstream's process started; a new one has said nothing yet.
+
+        The start may be earlier than before: the clock of the upstream's host, or
+        another writer, may have named one that was ahead.
+        """
         if not started_ms or started_ms == self.started_ms:
             return
         self.started_ms = started_ms
         known = self.notice
-        if known is not None and 0 < known.started_ms < started_ms:
+        if known is not None and known.started_ms not in (0, started_ms):
+            self.notice = replace(known, started_ms=0, is_leaving=False)
             self._apply(Notice(None, now, started_ms), "start", now)
 
     def withdraw_leaving(self, now: float) -> None:
