Bound the time for which a leaving may be refused

After a health check has shown that an upstream stays, a further leaving or deletion is checked before it counts. Each refusal prolonged that, so an upstream whose health checks lag behind its announcements would never have had its leaving acknowledged.

Change: it ends the announce timeout after the check that undid the first leaving. test_leaving_counts_without_a_check_after_the_announce_timeout guards it.

--- a/lentilsill/membership/announcement_order.py
+++ b/lentilsill/membership/announcement_order.py
@@ -148,8 +148,6 @@
                 return Accepted(objection)
             self._series.pop(process, None)
             if check.upstream == new.record.upstream:
-                if objection is Objection.STAYING:
-                    self._record_stay(check.upstream, now)
                 return Refused(objection, known)
             self._refute(process, now)
             return Refused(Objection.OTHER_UPSTREAM, known)
--- a/lentilsill/membership/tests/test_announcement_order.py
+++ b/lentilsill/membership/tests/test_announcement_order.py
@@ -130,6 +130,23 @@
         self.play.order.forget_stay("w1")
         self.assertIsInstance(self.play.delete(), Accepted)
 
+    def test_leaving_counts_without_a_check_after_the_announce_timeout(self):
+        """Guards against a leaving that is never acknowledged.
+
+        The health checks of an upstream may lag behind what it announces.
+        """
+        self.play.say(sequence=6, state="LEAVING")
+        self.play.say(CheckedUpstream("w1", True), sequence=7)
+        verdicts = []
+        for sequence in range(8, 16):
+            verdict = self.play.say(sequence=sequence, state="LEAVING")
+            if isinstance(verdict, Disputed):
+                answer = CheckedUpstream("w1", True)
+                verdict = self.play.say(answer, sequence=sequence, state="LEAVING")
+            verdicts.append(type(verdict))
+            self.play.now += 1.0
+        self.assertEqual(verdicts, [Refused] * 6 + [Accepted] * 2)
+
     def test_leaving_of_the_upstream_counts_after_any_other_announcement(self):
         """Guards against an acknowledged leaving that has no effect."""
         self.play.say(sequence=10**6)
