--- a/lentilsill/daemon/announcement_log.py
+++ b/lentilsill/daemon/announcement_log.py
@@ -4,12 +4,14 @@
 
 from lentilsill.findings import Findings
 from lentilsill.membership import (
+    Accepted,
     Announcement,
     CheckedUpstream,
     Disputed,
     Objection,
     Outdated,
     Refused,
+    Verdict,
 )
 
 from .context import Context
@@ -19,6 +21,9 @@
 # A sender that goes on writes a line of each kind at this interval.
 LOG_INTERVAL_S = 10.0
 
+# Verdict and objection of announcements that share a line.
+_Kind = tuple[type[Verdict], Objection]
+
 log = structlog.get_logger()
 
 
@@ -31,32 +36,29 @@
 
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
-        # By event and objection: time of the last line, and announcements since.
-        self._logged_at: dict[tuple[str, Objection | None], float] = {}
-        self._counts: dict[tuple[str, Objection | None], int] = {}
+        # By kind, None for those that can't be read: time of the last line, and
+        # announcements since.
+        self._logged_at: dict[_Kind | None, float] = {}
+        self._counts: dict[_Kind | None, int] = {}
 
     def record(
         self, announcement: Announcement, verdict: Outdated | Disputed | Refused
     ) -> None:
         """Record the verdict on an announcement that does not count."""
+        reason = verdict.objection.value
         match verdict:
             case Outdated():
-                event, name = "announcement_superseded", "superseded"
+                self._ctx.count(f"announcements.superseded.{reason}")
             case Disputed():
-                event, name = "announcement_disputed", "disputed"
-            case Refused(objection=Objection.DOUBTED):
-                event, name = "announcement_doubted", "refused"
+                self._ctx.count(f"announcements.disputed.{reason}")
             case Refused():
-                event, name = "announcement_refused", "refused"
-        objection, known = verdict.objection, verdict.known
-        self._ctx.count(f"announcements.{name}.{objection.value}")
-        count = self._due_count(event, objection)
+                self._ctx.count(f"announcements.refused.{reason}")
+        count = self._due_count((type(verdict), verdict.objection))
         if not count:
             return
-        rec = announcement.record
-        log.info(
-            event,
-            reason=objection.value,
+        rec, known = announcement.record, verdict.known
+        record_log = log.bind(
+            reason=reason,
             upstream=rec.upstream,
             service=rec.service,
             address=rec.address,
@@ -68,6 +70,15 @@
             known_started_ms=known.started_ms if known is not None else None,
             count=count,
         )
+        match verdict:
+            case Outdated():
+                record_log.info("announcement_superseded")
+            case Disputed():
+                record_log.info("announcement_disputed")
+            case Refused(objection=Objection.DOUBTED):
+                record_log.info("announcement_doubted")
+            case Refused():
+                record_log.info("announcement_refused")
 
     def record_overruled(
         self,
@@ -77,7 +88,7 @@
     ) -> None:
         """Record that an announcement counts in spite of an objection."""
         self._ctx.count(f"announcements.overruled.{objection.value}")
-        count = self._due_count("announcement_overruled", objection)
+        count = self._due_count((Accepted, objection))
         if not count:
             return
         log.info(
@@ -94,18 +105,18 @@
     def record_rejected(self, upstream: str, findings: Findings) -> None:
         """Record an announcement or deletion that can't be read."""
         self._ctx.count("announcements.rejected")
-        count = self._due_count("announcement_rejected")
+        count = self._due_count(None)
         if count:
             texts = [str(finding) for finding in findings]
             log.warning(
                 "announcement_rejected", upstream=upstream, findings=texts, count=count
             )
 
-    def _due_count(self, event: str, objection: Objection | None = None) -> int:
+    def _due_count(self, kind: _Kind | None) -> int:
         """Return how many announcements the line now due stands for, or 0."""
-        key, now = (event, objection), self._ctx.now()
-        self._counts[key] = self._counts.get(key, 0) + 1
-        if now - self._logged_at.get(key, -LOG_INTERVAL_S) < LOG_INTERVAL_S:
+        now = self._ctx.now()
+        self._counts[kind] = self._counts.get(kind, 0) + 1
+        if now - self._logged_at.get(kind, -LOG_INTERVAL_S) < LOG_INTERVAL_S:
             return 0
-        self._logged_at[key] = now
-        return self._counts.pop(key)
+        self._logged_at[kind] = now
+        return self._counts.pop(kind)
