Count deletions that are ignored, and bound their log lines

A deletion that does not count wrote a line each time and had no counter, so that another writer could fill the log and an operator could not tell why. It now has one line in 10 s for each reason, and a counter. distrust_first_ready is doubt_ready, as more than the first announcement is doubted.

--- a/lentilsill/daemon/announcement_log.py
+++ b/lentilsill/daemon/announcement_log.py
@@ -21,8 +21,9 @@
 # A sender that goes on writes a line of each kind at this interval.
 LOG_INTERVAL_S = 10.0
 
-# Verdict and objection of announcements that share a line.
-_Kind = tuple[type[Verdict], Objection]
+_DELETION = "deletion"
+# Verdict, or that it is a deletion, and objection of announcements that share a line.
+_Kind = tuple[type[Verdict] | str, Objection]
 
 log = structlog.get_logger()
 
@@ -102,6 +103,22 @@
             count=count,
         )
 
+    def record_deletion(
+        self, upstream: str, started_ms: int | None, verdict: Disputed | Refused
+    ) -> None:
+        """Record the verdict on a deletion that does not count."""
+        reason = verdict.objection.value
+        self._ctx.count(f"announcements.deletions_ignored.{reason}")
+        count = self._due_count((_DELETION, verdict.objection))
+        if count:
+            log.info(
+                "deletion_superseded",
+                reason=reason,
+                upstream=upstream,
+                started_ms=started_ms,
+                count=count,
+            )
+
     def record_rejected(self, upstream: str, findings: Findings) -> None:
         """Record an announcement or deletion that can't be read."""
         self._ctx.count("announcements.rejected")
--- a/lentilsill/daemon/announcements.py
+++ b/lentilsill/daemon/announcements.py
@@ -121,7 +121,7 @@
         """Whether any announcement or deletion has counted since the node started."""
         return self._order.has_announcements
 
-    def distrust_first_ready(self) -> None:
+    def doubt_ready(self) -> None:
         """Doubt announcements that the upstream is ready, after a failed health check.
 
         See `AnnouncementOrder.doubt_ready`.
@@ -207,8 +207,8 @@
             self.ctx.wall_ms(),
             check,
         )
-        if not isinstance(verdict, Accepted):
-            log.info("deletion_superseded", upstream=upstream, started_ms=started_ms)
+        if isinstance(verdict, Disputed | Refused):
+            self._log.record_deletion(upstream, started_ms, verdict)
         elif not self.drop(upstream, "deleted"):
             log.info(
                 "unknown_upstream_deleted", upstream=upstream, started_ms=started_ms
--- a/lentilsill/daemon/controllers/discovery.py
+++ b/lentilsill/daemon/controllers/discovery.py
@@ -61,7 +61,7 @@
             return None
         if not answer.is_ready:
             # The upstream is leaving or failing, and must get no calls.
-            self._announcements.distrust_first_ready()
+            self._announcements.doubt_ready()
             return None
         if not answer.upstream:
             return None
--- a/lentilsill/daemon/tests/test_announcements.py
+++ b/lentilsill/daemon/tests/test_announcements.py
@@ -47,7 +47,7 @@
         The node has been restarted since, and a health check has shown that the
         upstream is leaving or failing.
         """
-        self.announcements.distrust_first_ready()
+        self.announcements.doubt_ready()
         self.announcements.apply(announcement(sequence=4))
         self.assertEqual(self.states(), {})
         self.announcements.apply(announcement(sequence=5, state="LEAVING"))
@@ -67,7 +67,7 @@
 
     def test_upstream_that_stays_ready_is_used(self):
         """Guards against a host without its upstream after a wrong health check."""
-        self.announcements.distrust_first_ready()
+        self.announcements.doubt_ready()
         self.announcements.apply(announcement(sequence=4))
         self.announcements.apply(announcement(sequence=5))
         self.assertEqual(self.states(), {"w1": "READY"})
@@ -75,7 +75,7 @@
     def test_upstream_that_has_announced_itself_is_trusted(self):
         """Guards against a health check that removes a known upstream."""
         self.announcements.apply(announcement(sequence=4))
-        self.announcements.distrust_first_ready()
+        self.announcements.doubt_ready()
         self.announcements.apply(announcement(sequence=5))
         self.assertEqual(self.states(), {"w1": "READY"})
 
--- a/lentilsill/daemon/tests/test_disputed_announcements.py
+++ b/lentilsill/daemon/tests/test_disputed_announcements.py
@@ -117,6 +117,8 @@
         # A further one is checked first; later it counts at once again.
         self.assertEqual(await self.send("DELETE", "w1", b""), 409)
         self.assertEqual(self.states, {"w1": "READY"})
+        name = "lentilsill_announcements_deletions_ignored_staying_total"
+        self.assertIn(name, self.ctx.metrics.text().decode())
         self.clock_s += 10.0
         self.assertEqual(await self.send("DELETE", "w1", b""), 200)
         self.assertEqual(self.states, {})
